--- /dev/null
+++ b/balance/api.go
@@ -0,0 +1,222 @@
+// Package balance decides, for one router, where each request goes and when it is given up. It does no I/O:
+// the host hands it batches of events with their time and carries out the actions that come back.
+package balance
+
+import "time"
+
+// Time is a reading of the host's clock in nanoseconds; its origin means nothing.
+type Time int64
+
+// Add returns t moved by d.
+func (t Time) Add(d time.Duration) Time { return t + Time(d) }
+
+// Sub returns the span from u to t.
+func (t Time) Sub(u Time) time.Duration { return time.Duration(t - u) }
+
+// RequestID and ServerID are names chosen by the outside; nothing is read into them but their order.
+type (
+	RequestID string
+	ServerID  string
+)
+
+// Effect says how far a class may be repeated once an attempt may have run.
+type Effect int
+
+// The effects, mildest first. The zero value is the strictest, so that an unstated effect is never repeated.
+const (
+	Unsafe Effect = iota
+	Keyed
+	Safe
+)
+
+// Group is the set of servers within which a keyed request's repeats are dropped.
+type Group int
+
+// The groups. The zero value is unknown and allows no repeat.
+const (
+	GroupNone Group = iota
+	GroupAll
+	GroupZone
+	GroupCell
+)
+
+// Class is one kind of request.
+type Class struct {
+	Name      string
+	Aim       time.Duration // answered within this it earns all its worth
+	Deadline  time.Duration // how long a client waits over all its tries
+	Worth     float64
+	LateShare float64
+	Effect    Effect
+	Group     Group
+	Memory    time.Duration // how long repeats are dropped, from the first attempt that may have run
+}
+
+// Tenant is one customer and its share of the service.
+type Tenant struct {
+	Name          string
+	AllowancePerS float64 // over all routers
+}
+
+// Settings is what a router is told at its start.
+type Settings struct {
+	Classes        []Class
+	Tenants        []Tenant
+	Routers        int // how many routers share the work
+	Zone           string
+	OverShareWorth float64
+	Aside          bool   // caches answer a miss, and the router asks the origin itself
+	OriginKind     string // the kind of the list entry that is the origin; empty if none
+	AskForList     bool   // the list comes only to those who ask
+	AskWithin      time.Duration
+
+	MaxAttempts    int // a request; 0 means no limit
+	MayCancel      bool
+	Parallel       bool // two attempts of one request may be out at once
+	RetryAfter     bool // clients are told the advice
+	MaxRetryAfter  time.Duration
+	ConnectTimeout time.Duration
+
+	ColdFrom       float64 // the share of its capacity at which a server starts, at least
+	Ramp           time.Duration
+	OverloadFactor float64
+	OverloadFor    time.Duration
+}
+
+// State is a server's state in the list.
+type State int
+
+// The states.
+const (
+	Up State = iota
+	Draining
+	Gone
+)
+
+// Entry is one line of the server list.
+type Entry struct {
+	Server  ServerID
+	Kind    string
+	Zone    string
+	Cell    int
+	Weight  float64
+	Started Time // 0 means long ago
+	State   State
+}
+
+// ListKind says how a list event is to be read.
+type ListKind int
+
+// The kinds of list event.
+const (
+	Partial   ListKind = iota // changed entries only
+	Complete                  // all entries; what is missing is gone
+	Persisted                 // all entries as last held, possibly out of date
+	Failed                    // a call failed or the subscription broke
+)
+
+// Event is something that happened; one of the types below.
+type Event interface{ event() }
+
+type (
+	// List brings news of the servers.
+	List struct {
+		Kind    ListKind
+		Version int64
+		Entries []Entry
+	}
+	// Request is a client's request; it is owed one final answer before Due.
+	Request struct {
+		ID     RequestID
+		Class  string
+		Tenant string
+		Key    uint64
+		HasKey bool
+		Write  bool
+		Due    Time
+	}
+	// Outcome ends one attempt.
+	Outcome struct {
+		ID       RequestID
+		Attempt  int
+		Server   ServerID
+		Result   Result
+		Fetching bool // a miss, while the server waits for another request's fetch of that key
+		Done     bool // the request is finished
+		Load     map[string]float64
+	}
+	// Opened says that a streamed answer has begun: the attempt is the client's from here on.
+	Opened struct {
+		ID      RequestID
+		Attempt int
+		Server  ServerID
+	}
+	// ClientGone ends a request with nothing more owed.
+	ClientGone struct{ ID RequestID }
+	// Timer is a SetTimer come due.
+	Timer struct{ Token int64 }
+)
+
+func (List) event()       {}
+func (Request) event()    {}
+func (Outcome) event()    {}
+func (Opened) event()     {}
+func (ClientGone) event() {}
+func (Timer) event()      {}
+
+// Result is how an attempt ended.
+type Result int
+
+// The results. The zero value is unknown and counts as one that may have run.
+const (
+	Unknown   Result = iota
+	OK               // answered
+	Errored          // the server answered an error
+	Full             // turned away unseen
+	TimedOut         // no answer in time
+	NoConnect        // no connection
+	Reset            // the connection broke
+	Cancelled        // withdrawn by the router
+	Moot             // never sent
+	Miss             // the cache lacks the key
+)
+
+// NeverRan tells whether the result proves that the attempt had no effect.
+func (r Result) NeverRan() bool { return r == Full || r == NoConnect || r == Moot || r == Miss }
+
+// Action is something the host is to do; one of the types below.
+type Action interface{ action() }
+
+type (
+	// Send begins an attempt, which ends by the request's Due at the latest.
+	Send struct {
+		ID     RequestID
+		Server ServerID
+	}
+	// Refuse is a final answer that promises a retry is harmless.
+	Refuse struct {
+		ID         RequestID
+		RetryAfter time.Duration
+	}
+	// Fail is a final answer that promises nothing.
+	Fail struct{ ID RequestID }
+	// Cancel withdraws an attempt.
+	Cancel struct {
+		ID      RequestID
+		Attempt int
+	}
+	// SetTimer asks for a Timer.
+	SetTimer struct {
+		After time.Duration
+		Token int64
+	}
+	// Subscribe asks for the list's changes.
+	Subscribe struct{}
+)
+
+func (Send) action()      {}
+func (Refuse) action()    {}
+func (Fail) action()      {}
+func (Cancel) action()    {}
+func (SetTimer) action()  {}
+func (Subscribe) action() {}
--- /dev/null
+++ b/cmd/drill/main.go
@@ -0,0 +1,20 @@
+// Command drill runs the decisions on the simulator's wire, on standard input and output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"cedarmast/internal/simwire"
+)
+
+func main() {
+	if len(os.Args) > 1 {
+		fmt.Fprintln(os.Stderr, "drill: takes no arguments; it reads the simulator's wire on standard input")
+		os.Exit(2)
+	}
+	if err := simwire.Run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "drill:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/simwire/codec.go
@@ -0,0 +1,212 @@
+// Package simwire speaks the simulator's wire: it decodes batches of events, hosts one balancer for each instance
+// and encodes their actions. It decides nothing.
+package simwire
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"cedarmast/balance"
+)
+
+// line is any message from the simulator; each uses the fields that it needs. Unknown fields are passed over.
+type line struct {
+	Name      string             `json:"m"`
+	Clock     int64              `json:"T"`
+	Batch     int64              `json:"n"`
+	Instance  *int               `json:"I"`
+	Seed      uint64             `json:"Seed"`
+	Profile   *profile           `json:"ProfileData"`
+	Mode      string             `json:"Mode"`
+	Version   int64              `json:"Gen"`
+	Members   []member           `json:"Members"`
+	ID        string             `json:"Corr"`
+	Class     string             `json:"TierClass"`
+	Write     bool               `json:"Write"`
+	Key       *uint64            `json:"NameKey"`
+	Due       int64              `json:"Due"`
+	Tenant    json.RawMessage    `json:"Billing"` // a name, or 0 where there are no tenants
+	Ending    string             `json:"Ending"`
+	Hop       int                `json:"Hop"`
+	Detail    int                `json:"Detail"`
+	Done      bool               `json:"DoneFlag"`
+	Server    string             `json:"Server"`
+	Feedback  map[string]float64 `json:"Feedback"`
+	Reference int64              `json:"Ref"`
+}
+
+type member struct {
+	Started int64   `json:"StartTime"`
+	Kind    string  `json:"Hw"`
+	Weight  float64 `json:"PowerHint"`
+	Server  string  `json:"Server"`
+	Zone    string  `json:"Locality"`
+	Cell    int     `json:"Cell"`
+	Status  string  `json:"Status"`
+}
+
+// profile is the settings object of a Start.
+type profile struct {
+	Classes []struct {
+		Name       string
+		Objective  int64
+		Deadline   int64
+		Worth      float64
+		LateShare  float64
+		Effect     string
+		DedupScope string
+		MemorySpan int64
+	}
+	Tenants []struct {
+		Name          string
+		AllowancePerS float64
+	}
+	Flavors        []string
+	FleetSize      int
+	Zone           string
+	OverShareWorth float64
+	MembershipMode string
+	FamilyInfo     struct {
+		Mode       string
+		OriginKind *int
+	}
+	Limits struct {
+		SendCap        int
+		MayCancel      bool
+		ParallelTries  bool
+		RetryAfter     bool
+		MaxRetryAfter  int64
+		ConnectTimeout int64
+	}
+	Contract struct {
+		AskWithin      int64
+		ColdFrom       float64
+		RampTime       int64
+		OverloadFactor float64
+		OverloadFor    int64
+	}
+}
+
+var (
+	effects = map[string]balance.Effect{"safe": balance.Safe, "keyed": balance.Keyed, "unsafe": balance.Unsafe}
+	groups  = map[string]balance.Group{"all": balance.GroupAll, "zone": balance.GroupZone, "cell": balance.GroupCell}
+	modes   = map[string]balance.ListKind{"Partial": balance.Partial, "Complete": balance.Complete,
+		"Persisted": balance.Persisted, "Error": balance.Failed}
+	states  = map[string]balance.State{"U": balance.Up, "L": balance.Draining, "D": balance.Gone}
+	results = map[string]balance.Result{"delivered": balance.OK, "app_error": balance.Errored, "shed": balance.Full,
+		"expired": balance.TimedOut, "dial_failed": balance.NoConnect, "dropped": balance.Reset,
+		"revoked": balance.Cancelled, "unused": balance.Moot, "empty": balance.Miss}
+)
+
+// noteFetching is the note of a miss while the server waits for another request's fetch of the key.
+const noteFetching = 3
+
+func (p *profile) settings() balance.Settings {
+	s := balance.Settings{
+		Routers: p.FleetSize, Zone: p.Zone, OverShareWorth: p.OverShareWorth,
+		Aside: p.FamilyInfo.Mode == "aside", AskForList: p.MembershipMode == "on_request",
+		AskWithin:   time.Duration(p.Contract.AskWithin),
+		MaxAttempts: p.Limits.SendCap, MayCancel: p.Limits.MayCancel, Parallel: p.Limits.ParallelTries,
+		RetryAfter: p.Limits.RetryAfter, MaxRetryAfter: time.Duration(p.Limits.MaxRetryAfter),
+		ConnectTimeout: time.Duration(p.Limits.ConnectTimeout),
+		ColdFrom:       p.Contract.ColdFrom, Ramp: time.Duration(p.Contract.RampTime),
+		OverloadFactor: p.Contract.OverloadFactor, OverloadFor: time.Duration(p.Contract.OverloadFor),
+	}
+	if k := p.FamilyInfo.OriginKind; k != nil && *k >= 0 && *k < len(p.Flavors) {
+		s.OriginKind = p.Flavors[*k]
+	}
+	for _, c := range p.Classes {
+		s.Classes = append(s.Classes, balance.Class{
+			Name: c.Name, Aim: time.Duration(c.Objective), Deadline: time.Duration(c.Deadline), Worth: c.Worth,
+			LateShare: c.LateShare, Effect: effects[c.Effect], Group: groups[c.DedupScope],
+			Memory: time.Duration(c.MemorySpan),
+		})
+	}
+	for _, t := range p.Tenants {
+		s.Tenants = append(s.Tenants, balance.Tenant{Name: t.Name, AllowancePerS: t.AllowancePerS})
+	}
+	return s
+}
+
+// event turns a line into the balancer's event; nil if the balancer has no use for it.
+func (l *line) event() (balance.Event, error) {
+	id, server := balance.RequestID(l.ID), balance.ServerID(l.Server)
+	switch l.Name {
+	case "Announce":
+		kind, ok := modes[l.Mode]
+		if !ok {
+			return nil, fmt.Errorf("unknown list mode %q", l.Mode)
+		}
+		list := balance.List{Kind: kind, Version: l.Version}
+		for _, m := range l.Members {
+			state, ok := states[m.Status]
+			if !ok {
+				return nil, fmt.Errorf("unknown status %q of server %q", m.Status, m.Server)
+			}
+			list.Entries = append(list.Entries, balance.Entry{
+				Server: balance.ServerID(m.Server), Kind: m.Kind, Zone: m.Zone, Cell: m.Cell,
+				Weight: m.Weight, Started: balance.Time(m.Started), State: state,
+			})
+		}
+		return list, nil
+	case "Call":
+		q := balance.Request{ID: id, Class: l.Class, Write: l.Write, Due: balance.Time(l.Due)}
+		if l.Key != nil {
+			q.Key, q.HasKey = *l.Key, true
+		}
+		if name, err := strconv.Unquote(string(l.Tenant)); err == nil {
+			q.Tenant = name
+		}
+		return q, nil
+	case "Reply":
+		return balance.Outcome{ID: id, Attempt: l.Hop, Server: server, Result: results[l.Ending],
+			Fetching: l.Detail == noteFetching, Done: l.Done, Load: l.Feedback}, nil
+	case "Opened":
+		return balance.Opened{ID: id, Attempt: l.Hop, Server: server}, nil
+	case "Aborted":
+		return balance.ClientGone{ID: id}, nil
+	case "Bell":
+		return balance.Timer{Token: l.Reference}, nil
+	case "ProbeDone", "Message":
+		return nil, nil
+	}
+	return nil, fmt.Errorf("unknown message %q", l.Name)
+}
+
+// order is any message to the simulator.
+type order struct {
+	Name     string `json:"m"`
+	Instance int    `json:"I"`
+	ID       string `json:"Corr,omitempty"`
+	Server   string `json:"Server,omitempty"`
+	Advice   int64  `json:"NotBeforeFor,omitempty"`
+	Hop      *int   `json:"Hop,omitempty"`
+	Span     *int64 `json:"Span,omitempty"`
+	Ref      *int64 `json:"Ref,omitempty"`
+	Enable   bool   `json:"Enable,omitempty"`
+}
+
+// encode turns an action into a line.
+func encode(instance int, a balance.Action) ([]byte, error) {
+	o := order{Instance: instance}
+	switch a := a.(type) {
+	case balance.Send:
+		o.Name, o.ID, o.Server = "Issue", string(a.ID), string(a.Server)
+	case balance.Refuse:
+		o.Name, o.ID, o.Advice = "OverloadReply", string(a.ID), int64(a.RetryAfter)
+	case balance.Fail:
+		o.Name, o.ID = "GiveUp", string(a.ID)
+	case balance.Cancel:
+		o.Name, o.ID, o.Hop = "Withdraw", string(a.ID), &a.Attempt
+	case balance.SetTimer:
+		span := int64(a.After)
+		o.Name, o.Span, o.Ref = "Arm", &span, &a.Token
+	case balance.Subscribe:
+		o.Name, o.Enable = "Watch", true
+	default:
+		return nil, fmt.Errorf("no wire form for action %T", a)
+	}
+	return json.Marshal(o)
+}
--- /dev/null
+++ b/internal/simwire/host.go
@@ -0,0 +1,127 @@
+package simwire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"cedarmast/balance"
+)
+
+// host runs the instances of one process; they share nothing but it.
+type host struct {
+	out       *bufio.Writer
+	instances map[int]*balance.Balancer
+	pending   map[int][]balance.Event
+	order     []int // instances with events in this batch, in order of the first
+	open      bool
+	clock     balance.Time
+	batch     int64
+}
+
+// Run answers the batches read from in on out until the input ends. An error names the line that was wrong.
+func Run(in io.Reader, out io.Writer) error {
+	h := &host{out: bufio.NewWriterSize(out, 1<<16), instances: map[int]*balance.Balancer{},
+		pending: map[int][]balance.Event{}}
+	r := bufio.NewReaderSize(in, 1<<20)
+	for n := 1; ; n++ {
+		text, err := r.ReadBytes('\n') // any length
+		if err != nil && !errors.Is(err, io.EOF) {
+			return fmt.Errorf("line %d: reading: %w", n, err)
+		}
+		if text = bytes.TrimSpace(text); len(text) > 0 {
+			if err := h.take(text); err != nil {
+				return fmt.Errorf("line %d: %w", n, err)
+			}
+		}
+		if err != nil {
+			if h.open {
+				return fmt.Errorf("line %d: input ends inside batch %d", n, h.batch)
+			}
+			return nil
+		}
+	}
+}
+
+// take handles one line.
+func (h *host) take(text []byte) error {
+	var l line
+	if err := json.Unmarshal(text, &l); err != nil {
+		return fmt.Errorf("malformed message: %w", err)
+	}
+	switch {
+	case l.Name == "Frame" && h.open:
+		return fmt.Errorf("Frame %d inside batch %d", l.Batch, h.batch)
+	case l.Name == "Frame" && balance.Time(l.Clock) < h.clock:
+		return fmt.Errorf("Frame %d goes back in time, from %d to %d", l.Batch, h.clock, l.Clock)
+	case l.Name == "Frame" && l.Batch <= h.batch:
+		return fmt.Errorf("Frame %d out of order, after batch %d", l.Batch, h.batch)
+	case l.Name == "Frame":
+		h.open, h.clock, h.batch = true, balance.Time(l.Clock), l.Batch
+		return nil
+	case !h.open:
+		return fmt.Errorf("message %q outside a batch", l.Name)
+	case l.Name == "Flush":
+		return h.flush()
+	case l.Instance == nil:
+		return fmt.Errorf("message %q names no instance", l.Name)
+	}
+	return h.queue(*l.Instance, &l)
+}
+
+// queue keeps an event for its instance, or starts or stops that instance.
+func (h *host) queue(i int, l *line) error {
+	switch l.Name {
+	case "Start":
+		if l.Profile == nil {
+			return errors.New("Start without ProfileData")
+		}
+		h.instances[i] = balance.New(l.Profile.settings(), l.Seed)
+	case "Shutdown": // with it goes all that it was told
+		delete(h.instances, i)
+		h.pending[i] = nil
+		return nil
+	}
+	if h.instances[i] == nil {
+		return fmt.Errorf("message %q for instance %d, which has not started", l.Name, i)
+	}
+	if l.Name == "Start" {
+		return nil
+	}
+	e, err := l.event()
+	if err != nil || e == nil {
+		return err
+	}
+	if len(h.pending[i]) == 0 {
+		h.order = append(h.order, i)
+	}
+	h.pending[i] = append(h.pending[i], e)
+	return nil
+}
+
+// flush hands each instance its events and writes the reply.
+func (h *host) flush() error {
+	for _, i := range h.order {
+		if len(h.pending[i]) == 0 || h.instances[i] == nil {
+			continue
+		}
+		for _, a := range h.instances[i].Handle(h.clock, h.pending[i]) {
+			text, err := encode(i, a)
+			if err != nil {
+				return fmt.Errorf("batch %d: %w", h.batch, err)
+			}
+			h.out.Write(text)
+			h.out.WriteByte('\n')
+		}
+		h.pending[i] = h.pending[i][:0]
+	}
+	h.order, h.open = h.order[:0], false
+	fmt.Fprintf(h.out, "{\"m\":\"Yield\",\"n\":%d}\n", h.batch)
+	if err := h.out.Flush(); err != nil {
+		return fmt.Errorf("writing the reply to batch %d: %w", h.batch, err)
+	}
+	return nil
+}
