--- a/balance/balance.go
+++ b/balance/balance.go
@@ -141,10 +141,10 @@
 // pick draws the request's caches by hash and rehash. The first passes the request on to the second when it is
 // crowded and the second is less so; the draws go on past these two only for caches that are out of use.
 func (b *Balancer) pick(r *request) *server {
-	var first, spare *server
+	var first, second, spare *server
 	for i, hash := 0, r.hash; i < maxDraws && len(b.caches) > 0; i, hash = i+1, mix(hash) {
 		s := b.servers[b.table.lookup(hash)]
-		if s == first || r.tried(s) || !b.mayTake(r, s) || !b.budgeted(s) {
+		if s == first || s == second || r.tried(s) || !b.mayTake(r, s) || !b.budgeted(s) {
 			continue
 		}
 		if !b.healthy(s) {
@@ -156,14 +156,19 @@
 		if first == nil && !b.crowded(s) {
 			return s
 		}
-		if first == nil {
+		switch {
+		case first == nil:
 			first = s
-			continue
-		}
-		if s.load() < first.load() {
+		case s.room() && (s.load() < first.load() || !first.room()):
 			return s
+		case first.room():
+			return first
+		case second == nil:
+			second = s
 		}
-		return first
+	}
+	if second != nil && second.load() < first.load() {
+		return second
 	}
 	if first == nil {
 		return spare // all that is left has been ejected: the least bad is the one that holds the key
@@ -174,9 +179,12 @@
 // crowded is the load term of the design: over a multiple of the mean in flight and over a floor, or at its limit.
 func (b *Balancer) crowded(s *server) bool {
 	mean := float64(b.out) * s.weight() / b.weight
-	return float64(s.out) >= s.limit || s.out > passFloor && float64(s.out) > passRatio*mean
+	return !s.room() || s.out > passFloor && float64(s.out) > passRatio*mean
 }
 
+// room tells whether the concurrency limit allows another attempt; one is always allowed.
+func (s *server) room() bool { return s.out == 0 || float64(s.out+1) <= s.limit }
+
 func (s *server) weight() float64 { return max(s.Weight, 1e-6) }
 
 func (s *server) load() float64 { return float64(s.out+len(s.queue)) / s.limit }
@@ -245,7 +253,7 @@
 
 // pump sends from a server's queue what its concurrency limit allows.
 func (b *Balancer) pump(s *server) {
-	for len(s.queue) > 0 && (s.limit >= float64(s.out+1) || s.out == 0) {
+	for len(s.queue) > 0 && s.room() {
 		r := s.queue[0]
 		s.queue, r.at = s.queue[1:], nil
 		switch {
