--- a/balance/balance.go
+++ b/balance/balance.go
@@ -159,12 +159,14 @@
 		switch {
 		case first == nil:
 			first = s
-		case s.room() && (s.load() < first.load() || !first.room()):
+		case second == nil && s.room() && (s.load() < first.load() || !first.room()):
 			return s
 		case first.room():
 			return first
 		case second == nil:
 			second = s
+		case s.load() < 0.5 && s.room():
+			return s
 		}
 	}
 	if second != nil && second.load() < first.load() {
