--- a/balance/state.go
+++ b/balance/state.go
@@ -2,9 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"sort"
 	"time"
 )
 
+// This file holds the module's state and its plumbing: what is known, and how events reach the decisions.
+
 // Balancer is one router's decisions. Its fields belong to the goroutine that calls Handle.
 type Balancer struct {
 	set      Settings
@@ -33,18 +37,19 @@
 // server is what the router knows of one cache, or of the origin.
 type server struct {
 	Entry
-	out     int           // attempts in flight
-	limit   float64       // concurrency limit, of this router alone
-	latency time.Duration // smoothed time to an answer
-	cut     Time          // the last cut of limit
-	queue   []*request    // waiting for a place, by worth, then by age
-	heard   Time          // last answer of any kind
-	fails   int           // failures in a row
-	ejected Time          // not used before; 0 when in use
-	backoff time.Duration // of the next ejection
-	back    Time          // when it came back from an ejection
-	tokens  float64       // budget while it is cold
-	filled  Time          // when tokens was last brought up to date
+	isOrigin bool
+	out      int           // attempts in flight
+	limit    float64       // concurrency limit, of this router alone
+	latency  time.Duration // smoothed time to an answer
+	cut      Time          // the last cut of limit
+	queue    []*request    // waiting for a place, by worth, then by age
+	heard    Time          // last answer of any kind
+	fails    int           // failures in a row
+	ejected  Time          // not used before; 0 when in use
+	backoff  time.Duration // of the last ejection
+	back     Time          // when it came back from an ejection
+	tokens   float64       // budget while it is cold
+	filled   Time          // when tokens was last brought up to date
 }
 
 // attempt is one Send.
@@ -68,12 +73,113 @@
 	at       *server // whose queue it waits in
 	done     bool
 	streams  bool
-	waited   bool // has waited for another's fetch before
-	waiters  []*request
+	waited   bool       // has waited for another's fetch before
+	waiters  []*request // reads that wait for its fetch
+}
+
+// New returns the decisions of one router.
+func New(set Settings, seed uint64) *Balancer {
+	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, aim: time.Second,
+		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, fetches: map[uint64]*request{},
+		timers: map[int64]func(){}, shares: make([]meter, len(set.Tenants))}
+	for i, c := range set.Classes {
+		if i == 0 || c.Aim < b.aim {
+			b.aim = c.Aim
+		}
+	}
+	return b
 }
 
-// meter is a rate that fades over a span.
+// Handle takes the events of one moment and returns what is to be done, in order. An event of something unknown
+// changes nothing.
+func (b *Balancer) Handle(now Time, events []Event) []Action {
+	b.now, b.acts = now, nil
+	for _, e := range events {
+		switch e := e.(type) {
+		case List:
+			b.onList(e)
+		case Request:
+			if b.requests[e.ID] == nil {
+				b.onRequest(e)
+			}
+		case Outcome:
+			r := b.requests[e.ID]
+			if r != nil && e.Attempt >= 0 && e.Attempt < len(r.attempts) && r.attempts[e.Attempt].open {
+				b.onOutcome(r, &r.attempts[e.Attempt], e)
+			}
+		case Opened:
+			if r := b.requests[e.ID]; r != nil {
+				r.streams = true
+			}
+		case ClientGone:
+			if r := b.requests[e.ID]; r != nil {
+				b.end(r, false)
+			}
+		case Timer:
+			if f := b.timers[e.Token]; f != nil {
+				delete(b.timers, e.Token)
+				f()
+			}
+		}
+	}
+	return b.acts
+}
+
+func (b *Balancer) do(a Action) { b.acts = append(b.acts, a) }
+
+// after runs f at a later batch.
+func (b *Balancer) after(d time.Duration, f func()) {
+	b.token++
+	b.timers[b.token] = f
+	b.do(SetTimer{After: max(d, 0), Token: b.token})
+}
+
+// count books one attempt begun (1) or ended (-1).
+func (b *Balancer) count(r *request, s *server, n int) {
+	r.out += n
+	s.out += n
+	if !s.isOrigin {
+		b.out += n
+	}
+}
+
+func (s *server) load() float64 { return float64(s.out+len(s.queue)) / s.limit }
+
+// tried tells whether the server has been asked, and what it answered still holds.
+func (r *request) tried(s *server) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.to == s && !a.anew })
+}
+
+// ran returns the first attempt that may have run, or may yet: any that is not proved idle.
+func (r *request) ran() *attempt {
+	for i := range r.attempts {
+		if !r.attempts[i].idle {
+			return &r.attempts[i]
+		}
+	}
+	return nil
+}
+
+// meter is a rate a second that fades over a span.
 type meter struct {
 	count float64
 	at    Time
 }
+
+func (m *meter) add(now Time, span time.Duration) {
+	m.count, m.at = m.rate(now, span)*span.Seconds()+1, now
+}
+
+func (m *meter) rate(now Time, span time.Duration) float64 {
+	return m.count * max(1-float64(now.Sub(m.at))/float64(max(span, 1)), 0) / max(span, 1).Seconds()
+}
+
+// sortedIDs returns a map's keys in order: no decision may hang on the order of a map.
+func sortedIDs[V any](m map[ServerID]V) []ServerID {
+	ids := make([]ServerID, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
