--- a/balance/api.go
+++ b/balance/api.go
@@ -22,7 +22,8 @@
 // Effect says how far a class may be repeated once an attempt may have run.
 type Effect int
 
-// The effects, mildest first. The zero value is the strictest, so that an unstated effect is never repeated.
+// The effects, mildest first. The zero value is the strictest, so that an unstated effect is never
+// repeated.
 const (
 	Unsafe Effect = iota
 	Keyed
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,9 +1,11 @@
-// The types, events and actions of this package are in api.go and its state in state.go; the decisions are here and,
-// for the interval table, in table.go.
+// The types, events and actions of this package are in api.go. Its state and plumbing are in state.go, the
+// decisions here and, for the interval table, in table.go.
 
 package balance
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -13,7 +15,7 @@
 	passRatio  = 2.0     // a first cache this far over the mean in flight passes the request on
 	passFloor  = 3       // and holds more than this: below it the mean is noise of single requests
 	maxDraws   = 64      // rehash draws until the search for another cache ends
-	spillLoad  = 0.5     // a third cache is taken only under this load: a fuller one gains less than the miss costs
+	spillLoad  = 0.5     // a third cache is taken under this load only: the spill costs a miss
 	retryShare = 0.2     // further attempts that a first one earns: a sick fleet sees a fifth more at most
 	retryBurst = 10.0    // and so many at once, for a single server's death
 	keepInUse  = 1.0 / 3 // of the fleet's weight is never ejected: past that the cause is a common one
@@ -29,23 +31,14 @@
 // --- The way of a request ---
 
 func (b *Balancer) onRequest(q Request) {
-	r := &request{Request: q, hash: mix(q.Key), arrived: b.now}
-	r.class = &Class{Aim: q.Due.Sub(b.now), Worth: 1} // of a class that the settings don't name: never repeated
-	for i := range b.set.Classes {
-		if b.set.Classes[i].Name == q.Class {
-			r.class = &b.set.Classes[i]
-		}
-	}
+	class := b.class(q)
+	r := &request{Request: q, class: class, hash: mix(q.Key), worth: class.Worth, arrived: b.now}
 	if !q.HasKey {
 		r.hash = b.rng.Uint64()
 	}
-	r.worth = r.class.Worth
 	for i, t := range b.set.Tenants { // traffic over a tenant's share waits behind all that is within one
-		if t.Name != q.Tenant {
-			continue
-		}
-		b.shares[i].add(b.now, b.set.OverloadFor)
-		if b.shares[i].rate(b.now, b.set.OverloadFor)*float64(b.set.Routers) > t.AllowancePerS {
+		share := t.AllowancePerS / float64(max(b.set.Routers, 1))
+		if t.Name == q.Tenant && b.shares[i].add(b.now, b.set.OverloadFor) > share {
 			r.worth *= b.set.OverShareWorth
 		}
 	}
@@ -60,26 +53,23 @@
 	if r.done || r.out > 0 || r.at != nil {
 		return
 	}
+	wait := b.aim / recheck
 	if b.origin != nil && (r.Write || len(b.caches) == 0) {
 		b.fetch(r)
-		return
-	}
-	if lead := b.fetches[r.Key]; r.HasKey && lead != nil && lead != r && !r.waited {
+	} else if lead := b.fetches[r.Key]; r.HasKey && lead != nil && lead != r && !r.waited {
 		b.join(r, lead)
-		return
-	}
-	if s := b.pick(r); s != nil {
+	} else if s := b.pick(r); s != nil {
 		b.enqueue(r, s)
-	} else if wait := b.aim / recheck; len(b.caches) > 0 && b.now.Add(wait) < b.patience(r) && b.mayRepeat(r) {
+	} else if len(b.caches) > 0 && b.now.Add(wait) < b.patience(r) && b.mayRepeat(r) {
 		b.after(wait, func() { b.place(r) }) // a budget fills or a trial succeeds meanwhile
 	} else {
 		b.giveUp(r)
 	}
 }
 
-// pick draws the request's caches by hash and rehash. The first passes the request on to the second when it is
-// crowded and the second is less so. Past these two the draws go on only for caches that are out of use, and to one
-// with much room where both are at their limit.
+// pick draws the request's caches by hash and rehash. A crowded first one passes the request on to a second
+// that is less so. Past these the draws go on only for caches that are out of use, and to one with much
+// room where both are at their limit.
 func (b *Balancer) pick(r *request) *server {
 	var first, second, spare *server
 	for i, hash := 0, r.hash; i < maxDraws && len(b.caches) > 0; i, hash = i+1, mix(hash) {
@@ -106,16 +96,14 @@
 			return s
 		}
 	}
-	if first == nil {
-		return spare // all that is left has been ejected: the least bad is the one that holds the key
-	}
 	if second != nil && second.load() < first.load() {
 		return second
 	}
-	return first
+	return cmp.Or(first, spare) // all have been ejected: the least bad is the one that holds the key
 }
 
-// crowded is the load term of the design: over a multiple of the mean in flight and over a floor; or at its limit.
+// crowded is the load term of the design: over a multiple of the mean in flight and over a floor; or at its
+// limit.
 func (b *Balancer) crowded(s *server) bool {
 	mean := float64(b.out) * s.Weight / b.weight
 	return !s.room() || s.out > passFloor && float64(s.out) > passRatio*mean
@@ -134,24 +122,22 @@
 		s.Zone == ran.to.Zone && (group == GroupZone || group == GroupCell && s.Cell == ran.to.Cell)
 }
 
-// mayRepeat tells whether any further attempt is allowed at all: of what may have run only safe requests, and keyed
-// ones while they are remembered.
+// mayRepeat: of what may have run, only what is safe may be sent again, and what is keyed while it is
+// remembered.
 func (b *Balancer) mayRepeat(r *request) bool {
 	if b.set.MaxAttempts > 0 && len(r.attempts) >= b.set.MaxAttempts {
 		return false
 	}
 	ran := r.ran()
-	return ran == nil || r.class.Effect == Safe || r.class.Effect == Keyed && b.now < ran.sent.Add(r.class.Memory)
+	return ran == nil || r.class.Effect == Safe ||
+		r.class.Effect == Keyed && b.now < ran.sent.Add(r.class.Memory)
 }
 
-// enqueue sends the request if its server has a place, else lets it wait, by worth. What cannot be served in half
-// the aim is given up at once, the least worth first.
+// enqueue sends the request if its server has a place, else lets it wait, by worth. What would wait for
+// over half an aim is given up at once, the least worth first.
 func (b *Balancer) enqueue(r *request, s *server) {
-	at := len(s.queue)
-	for at > 0 && s.queue[at-1].worth < r.worth {
-		at--
-	}
-	s.queue, r.at = slices.Insert(s.queue, at, r), s
+	s.queue, r.at = append(s.queue, r), s
+	slices.SortStableFunc(s.queue, func(x, y *request) int { return cmp.Compare(y.worth, x.worth) })
 	b.pump(s)
 	for len(s.queue) > 0 && float64(len(s.queue))/s.limit*float64(s.latency) > float64(b.aim)/2 {
 		last := s.queue[len(s.queue)-1]
@@ -163,7 +149,8 @@
 	}
 }
 
-// pump sends from a server's queue what its concurrency limit allows; from one that is out of use all is moved.
+// pump sends from a server's queue what its concurrency limit allows; from one that is out of use all is
+// moved.
 func (b *Balancer) pump(s *server) {
 	inUse := s.State == Up && b.healthy(s)
 	for len(s.queue) > 0 && (s.room() || !inUse) {
@@ -190,8 +177,8 @@
 	}
 }
 
-// check looks at an attempt that has been out for half its aim or long by the fleet's measure. Where second copies
-// are allowed one is sent; else it is withdrawn only if its server has been silent: slow work is no faster elsewhere.
+// check looks at an attempt that is out for half its aim, and for long. Where second copies are allowed one
+// is sent; else it is withdrawn, but only if its server has been silent: slow work is no faster elsewhere.
 func (b *Balancer) check(r *request, n int) {
 	a := &r.attempts[n]
 	if !a.open || r.done || r.streams {
@@ -204,12 +191,10 @@
 	if r.out > 1 || !b.mayRetry(r) {
 		return
 	}
-	if b.set.Parallel {
-		if s := b.pick(r); s != nil && !b.crowded(s) {
-			b.retries--
-			b.send(r, s)
-		}
-	} else if b.set.MayCancel && silent {
+	if s := b.pick(r); b.set.Parallel && s != nil && !b.crowded(s) {
+		b.retries--
+		b.send(r, s)
+	} else if !b.set.Parallel && b.set.MayCancel && silent {
 		b.do(Cancel{ID: r.ID, Attempt: n})
 	}
 }
@@ -249,13 +234,7 @@
 	return min(r.arrived.Add(r.class.Aim), r.Due).Add(-b.latency)
 }
 
-func (b *Balancer) giveUpLater(r *request) {
-	if left := b.patience(r).Sub(b.now); left > 0 {
-		b.after(left, func() { b.giveUp(r) })
-	} else {
-		b.giveUp(r)
-	}
-}
+func (b *Balancer) giveUpLater(r *request) { b.after(b.patience(r).Sub(b.now), func() { b.giveUp(r) }) }
 
 // giveUp ends a request that has nothing in flight; one that has is ended by its attempt.
 func (b *Balancer) giveUp(r *request) {
@@ -310,11 +289,12 @@
 
 // fetch takes a write or a missed read to the origin; reads of one key share a fetch.
 func (b *Balancer) fetch(r *request) {
-	if lead := b.fetches[r.Key]; !r.Write && r.HasKey && lead != nil && lead != r {
+	shared := r.HasKey && !r.Write
+	if lead := b.fetches[r.Key]; shared && lead != nil && lead != r {
 		b.join(r, lead)
 		return
 	}
-	if !r.Write && r.HasKey {
+	if shared {
 		b.fetches[r.Key] = r
 	}
 	b.enqueue(r, b.origin)
@@ -329,8 +309,9 @@
 
 // --- Health and load ---
 
-// judge books one outcome to its server. The concurrency limit grows while answers take under half the shortest aim,
-// so that a second attempt still has time, and is cut when they take longer or the server turns work away.
+// judge books an outcome to its server. The concurrency limit grows while answers take under half the
+// shortest aim, so that a second attempt has time, and is cut when they take longer, fail or are turned
+// away.
 func (b *Balancer) judge(s *server, took time.Duration, result Result) {
 	switch result {
 	case OK, Miss:
@@ -338,13 +319,13 @@
 		if s.ejected != 0 {
 			s.ejected, s.back = 0, b.now
 		}
-		if !s.isOrigin && b.warmth(s) >= 1 {
-			b.warm.add(b.now, 2*b.set.OverloadFor)
-		}
 		if result == OK {
 			s.latency += time.Duration(smoothing * float64(took-s.latency))
 		}
-		if result == OK && !s.isOrigin {
+		if !s.isOrigin {
+			b.answers.add(b.now, 2*b.set.OverloadFor)
+		}
+		if result == OK && !s.isOrigin { // more slowly: it is what time-outs go by
 			b.latency += time.Duration(smoothing / 4 * float64(took-b.latency))
 		}
 		if s.latency < b.aim/2 {
@@ -365,7 +346,8 @@
 	}
 }
 
-// failed counts a failure; two in a row eject the server, for longer each time, unless too few would be left.
+// failed counts a failure; two in a row eject the server, for longer each time, unless too few would be
+// left.
 func (b *Balancer) failed(s *server) {
 	s.fails++
 	if s.fails < suspectAt || b.now < s.ejected || s.isOrigin {
@@ -390,7 +372,8 @@
 	return s.ejected == 0 || b.now >= s.ejected && s.out == 0
 }
 
-// warmth is the share of its capacity that a server has at least, by its listed start and by its last return.
+// warmth is the share of its capacity that a server has at least, by its listed start and by its last
+// return.
 func (b *Balancer) warmth(s *server) float64 {
 	w, rise := 1.0, (1-b.set.ColdFrom)/float64(max(b.set.Ramp, 1))
 	if s.Started > 0 {
@@ -402,25 +385,15 @@
 	return min(max(w, b.set.ColdFrom), 1)
 }
 
-// budgeted keeps a cold server to its warm share of what a warm cache of its weight answers to this router, so that
-// the routers together stay under what it can do however the traffic is spread over them.
+// budgeted keeps a cold server to its warm share of what caches of its weight answer to this router on the
+// mean, so that the routers stay under what it can do however traffic is spread over them. With nothing to
+// go by, one at a time cannot exceed what it does.
 func (b *Balancer) budgeted(s *server) bool {
-	warmth, weight := b.warmth(s), 0.0
-	if warmth >= 1 {
-		return true
-	}
-	for _, o := range b.caches {
-		if b.warmth(o) >= 1 {
-			weight += o.Weight
-		}
-	}
-	if weight == 0 { // nobody to go by: one at a time cannot exceed what it does
-		return s.out == 0
-	}
-	rate := b.warm.rate(b.now, 2*b.set.OverloadFor) * s.Weight / weight * warmth
+	rate := b.answers.rate(b.now, 2*b.set.OverloadFor) * s.Weight / b.weight * b.warmth(s)
+	rate *= math.Sqrt(max(b.set.OverloadFactor, 1)) // half the way to the fall: the rest is for uneven routers
 	s.tokens = min(s.tokens+rate*b.now.Sub(s.filled).Seconds(), max(1, rate*b.set.OverloadFor.Seconds()/2))
 	s.filled = b.now
-	return s.tokens >= 1
+	return s.tokens >= 1 || rate == 0 && s.out == 0 || b.warmth(s) >= 1
 }
 
 // --- The list of servers ---
@@ -432,8 +405,7 @@
 	}
 	listed := map[ServerID]bool{}
 	for _, e := range l.Entries {
-		listed[e.Server] = true
-		e.Weight = max(e.Weight, 1e-6)
+		listed[e.Server], e.Weight = true, max(e.Weight, 1e-6)
 		s := b.servers[e.Server]
 		if s == nil {
 			s = &server{}
@@ -470,51 +442,42 @@
 	}
 }
 
-// cutTable follows the list. An empty table is replayed by start time, then id, which is what the routers that saw
-// the starts one by one have done.
+// cutTable follows the list. An empty table is replayed by start time, then id, as the routers have done
+// that saw the starts one by one.
 func (b *Balancer) cutTable(weights map[ServerID]float64) {
-	starts := []Time{}
-	for _, s := range b.caches {
-		if len(b.table.weights) == 0 {
-			starts = append(starts, s.Started)
-		}
-	}
-	slices.Sort(starts)
-	for _, at := range slices.Compact(starts) {
-		then := map[ServerID]float64{}
-		for _, s := range b.caches {
-			if s.Started <= at {
-				then[s.Server] = s.Weight
+	if len(b.table.weights) == 0 {
+		order, then := slices.Clone(b.caches), map[ServerID]float64{}
+		slices.SortStableFunc(order, func(x, y *server) int { return cmp.Compare(x.Started, y.Started) })
+		for i, s := range order {
+			then[s.Server] = s.Weight
+			if i+1 == len(order) || order[i+1].Started != s.Started {
+				b.table.change(then)
 			}
 		}
-		b.table.change(then)
 	}
 	b.table.change(weights)
 }
 
-// follow keeps a subscription alive where the list must be asked for: without one this router counts as told, by
-// AskWithin, of drains it never heard of. Failed and unanswered calls are made again, with backoff and jitter.
+// follow keeps a subscription alive where the list must be asked for: without one this router counts as
+// told of drains it never heard of (AskWithin). Failed and unanswered calls are made again, with backoff
+// and jitter.
 func (b *Balancer) follow(kind ListKind) {
-	if !b.set.AskForList {
-		return
-	}
-	if kind == Partial || kind == Complete {
-		b.asks, b.asked = 0, false
+	b.call++ // what an earlier call has left to do is done with
+	call, wait := b.call, time.Duration(0)
+	if !b.set.AskForList || kind == Partial || kind == Complete {
+		b.asks = 0
 		return
 	}
-	wait := time.Duration(0)
 	if kind == Failed {
-		b.asks++
-		wait = min(b.set.AskWithin/32<<min(b.asks, 4), b.set.AskWithin/2)
+		b.asks = min(b.asks+1, 4)
+		wait = b.set.AskWithin / 32 << b.asks
 		wait = wait/2 + time.Duration(b.rng.Int64N(int64(wait/2)+1))
 	}
-	asks := b.asks
-	b.asked = true
 	b.after(wait, func() {
-		if b.asked && b.asks == asks {
+		if b.call == call {
 			b.do(Subscribe{})
 			b.after(b.set.AskWithin/2, func() {
-				if b.asked && b.asks == asks {
+				if b.call == call {
 					b.follow(Failed)
 				}
 			})
--- a/balance/state.go
+++ b/balance/state.go
@@ -28,10 +28,10 @@
 	weight   float64       // of caches
 	retries  float64       // the retry budget
 	latency  time.Duration // smoothed time to an answer of the caches
-	warm     meter         // what the warm caches answer
+	answers  meter         // of the caches
 	shares   []meter       // what each tenant has asked for
 	asks     int           // calls for the list that failed, in a row
-	asked    bool          // a call for the list is out
+	call     int           // the last event that a call for the list hangs on
 }
 
 // server is what the router knows of one cache, or of the origin.
@@ -90,8 +90,8 @@
 	return b
 }
 
-// Handle takes the events of one moment and returns what is to be done, in order. An event of something unknown
-// changes nothing.
+// Handle takes the events of one moment and returns what is to be done, in order. An event of something
+// unknown changes nothing.
 func (b *Balancer) Handle(now Time, events []Event) []Action {
 	b.now, b.acts = now, nil
 	for _, e := range events {
@@ -134,6 +134,16 @@
 	b.do(SetTimer{After: max(d, 0), Token: b.token})
 }
 
+// class finds a request's class; one that the settings don't name is never repeated.
+func (b *Balancer) class(q Request) *Class {
+	for i := range b.set.Classes {
+		if b.set.Classes[i].Name == q.Class {
+			return &b.set.Classes[i]
+		}
+	}
+	return &Class{Aim: q.Due.Sub(b.now), Worth: 1}
+}
+
 // count books one attempt begun (1) or ended (-1).
 func (b *Balancer) count(r *request, s *server, n int) {
 	r.out += n
@@ -160,14 +170,27 @@
 	return nil
 }
 
+// mix is Thomas Wang's 64-bit integer mix.
+func mix(key uint64) uint64 {
+	key = ^key + key<<21
+	key ^= key >> 24
+	key += key<<3 + key<<8
+	key ^= key >> 14
+	key += key<<2 + key<<4
+	key ^= key >> 28
+	return key + key<<31
+}
+
 // meter is a rate a second that fades over a span.
 type meter struct {
 	count float64
 	at    Time
 }
 
-func (m *meter) add(now Time, span time.Duration) {
+// add counts one more and returns the rate.
+func (m *meter) add(now Time, span time.Duration) float64 {
 	m.count, m.at = m.rate(now, span)*span.Seconds()+1, now
+	return m.rate(now, span)
 }
 
 func (m *meter) rate(now Time, span time.Duration) float64 {
--- a/balance/table.go
+++ b/balance/table.go
@@ -9,8 +9,8 @@
 // space is the length of [0,1) in whole positions, so that no rounding drifts over the changes.
 const space = int64(1) << 62
 
-// weightStep is the relative move of a listed weight under which the table stays as it is: every key that is moved
-// misses once, and hashing leaves partitions uneven by about as much anyway.
+// weightStep is the relative move of a listed weight under which the table stays as it is: every key that
+// is moved misses once, and hashing leaves partitions uneven by about as much anyway.
 const weightStep = 0.1
 
 // interval is a stretch of positions from start up to the next interval's start.
@@ -22,28 +22,17 @@
 // gap is a released stretch.
 type gap struct{ start, end int64 }
 
-// table is the interval table of Random Slicing: sorted, without gap or overlap, covering all of space. With no
-// cache to own it, all belongs to the empty id.
+// table is the interval table of Random Slicing: sorted, without gap or overlap, covering all of space.
+// With no cache to own it, all belongs to the empty id.
 type table struct {
 	intervals []interval
 	weights   map[ServerID]float64 // the weights it was last cut for
 }
 
-// mix is Thomas Wang's 64-bit integer mix.
-func mix(key uint64) uint64 {
-	key = ^key + key<<21
-	key ^= key >> 24
-	key += key<<3 + key<<8
-	key ^= key >> 14
-	key += key<<2 + key<<4
-	key ^= key >> 28
-	return key + key<<31
-}
-
 // lookup returns the owner of a mixed key.
 func (t *table) lookup(hash uint64) ServerID {
-	pos := int64(hash >> 2)
-	return t.intervals[sort.Search(len(t.intervals), func(i int) bool { return t.intervals[i].start > pos })-1].owner
+	after := func(i int) bool { return t.intervals[i].start > int64(hash>>2) }
+	return t.intervals[sort.Search(len(t.intervals), after)-1].owner
 }
 
 func (t *table) end(i int) int64 {
@@ -53,8 +42,8 @@
 	return space
 }
 
-// change moves the table to new weights by CutShift+Sorted: owners whose share shrank, or who left, release what is
-// too much, and those who grew or came take it. Only what must move moves.
+// change moves the table to new weights by CutShift+Sorted: owners whose share shrank, or who left, release
+// what is too much, and those who grew or came take it. Only what must move moves.
 func (t *table) change(weights map[ServerID]float64) {
 	ids, total, need := sortedIDs(weights), 0.0, map[ServerID]int64{"": space}
 	for _, id := range ids {
@@ -80,9 +69,9 @@
 	t.assign(t.release(need), need)
 }
 
-// release walks the intervals in position order and collects the gaps (Algorithm 1): whole intervals while they fit,
-// the last one cut at its end or its start by turns. A cut that adjoins the gap before it grows that gap and is no
-// turn, as in the paper's Figure 2.
+// release walks the intervals in position order and collects the gaps (Algorithm 1): whole intervals while
+// they fit, the last one cut at its end or its start by turns. A cut that adjoins the gap before it grows
+// that gap and is no turn, as in the paper's Figure 2.
 func (t *table) release(need map[ServerID]int64) (gaps []gap) {
 	var kept []interval
 	cutEnd := true
