--- a/balance/balance.go
+++ b/balance/balance.go
@@ -79,9 +79,7 @@
 		}
 		switch {
 		case !b.healthy(s):
-			if spare == nil {
-				spare = s
-			}
+			spare = cmp.Or(spare, s)
 		case first == nil && !b.crowded(s):
 			return s
 		case first == nil:
@@ -102,16 +100,13 @@
 	return cmp.Or(first, spare) // all have been ejected: the least bad is the one that holds the key
 }
 
-// crowded is the load term of the design: over a multiple of the mean in flight and over a floor; or at its
+// crowded is the load term of the design, over a multiple of the mean in flight and a floor; or at its
 // limit.
 func (b *Balancer) crowded(s *server) bool {
 	mean := float64(b.out) * s.Weight / b.weight
 	return !s.room() || s.out > passFloor && float64(s.out) > passRatio*mean
 }
 
-// room tells whether the concurrency limit allows another attempt; one is always allowed.
-func (s *server) room() bool { return s.out == 0 || float64(s.out+1) <= s.limit }
-
 // mayTake holds a keyed request that may have run to the group that drops its repeats: no effect twice.
 func (b *Balancer) mayTake(r *request, s *server) bool {
 	if s.State != Up || !b.mayRepeat(r) {
@@ -122,8 +117,7 @@
 		s.Zone == ran.to.Zone && (group == GroupZone || group == GroupCell && s.Cell == ran.to.Cell)
 }
 
-// mayRepeat: of what may have run, only what is safe may be sent again, and what is keyed while it is
-// remembered.
+// mayRepeat: of what may have run only the safe may be sent again, and the keyed while it is remembered.
 func (b *Balancer) mayRepeat(r *request) bool {
 	if b.set.MaxAttempts > 0 && len(r.attempts) >= b.set.MaxAttempts {
 		return false
@@ -149,8 +143,7 @@
 	}
 }
 
-// pump sends from a server's queue what its concurrency limit allows; from one that is out of use all is
-// moved.
+// pump sends what a server's concurrency limit allows; from one that is out of use the queue is moved.
 func (b *Balancer) pump(s *server) {
 	inUse := s.State == Up && b.healthy(s)
 	for len(s.queue) > 0 && (s.room() || !inUse) {
@@ -279,7 +272,7 @@
 		for i := range w.attempts {
 			w.attempts[i].anew = ok && w.attempts[i].idle
 		}
-		if ok || len(w.attempts) == 0 {
+		if ok || len(w.attempts) == 0 || b.origin == nil {
 			b.place(w)
 		} else if !w.done { // the fetch failed: the first in line takes it over, the rest wait for that one
 			b.fetch(w)
@@ -372,19 +365,6 @@
 	return s.ejected == 0 || b.now >= s.ejected && s.out == 0
 }
 
-// warmth is the share of its capacity that a server has at least, by its listed start and by its last
-// return.
-func (b *Balancer) warmth(s *server) float64 {
-	w, rise := 1.0, (1-b.set.ColdFrom)/float64(max(b.set.Ramp, 1))
-	if s.Started > 0 {
-		w = b.set.ColdFrom + rise*float64(b.now.Sub(s.Started))
-	}
-	if s.back > 0 {
-		w = min(w, b.set.ColdFrom+rise*comeback*float64(b.now.Sub(s.back)))
-	}
-	return min(max(w, b.set.ColdFrom), 1)
-}
-
 // budgeted keeps a cold server to its warm share of what caches of its weight answer to this router on the
 // mean, so that the routers stay under what it can do however traffic is spread over them. With nothing to
 // go by, one at a time cannot exceed what it does.
--- a/balance/state.go
+++ b/balance/state.go
@@ -155,6 +155,22 @@
 
 func (s *server) load() float64 { return float64(s.out+len(s.queue)) / s.limit }
 
+// room tells whether the concurrency limit allows another attempt; one is always allowed.
+func (s *server) room() bool { return s.out == 0 || float64(s.out+1) <= s.limit }
+
+// warmth is the share of its capacity that a server has at least, by its listed start and by its last
+// return.
+func (b *Balancer) warmth(s *server) float64 {
+	w, rise := 1.0, (1-b.set.ColdFrom)/float64(max(b.set.Ramp, 1))
+	if s.Started > 0 {
+		w = b.set.ColdFrom + rise*float64(b.now.Sub(s.Started))
+	}
+	if s.back > 0 {
+		w = min(w, b.set.ColdFrom+rise*comeback*float64(b.now.Sub(s.back)))
+	}
+	return min(max(w, b.set.ColdFrom), 1)
+}
+
 // tried tells whether the server has been asked, and what it answered still holds.
 func (r *request) tried(s *server) bool {
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.to == s && !a.anew })
