--- a/balance/api.go
+++ b/balance/api.go
@@ -73,9 +73,8 @@
 
 	MaxAttempts    int // a request; 0 means no limit
 	MayCancel      bool
-	Parallel       bool // two attempts of one request may be out at once
-	RetryAfter     bool // clients are told the advice
-	MaxRetryAfter  time.Duration
+	Parallel       bool          // two attempts of one request may be out at once
+	MaxRetryAfter  time.Duration // the longest advice that clients follow; 0 if they are told none
 	ConnectTimeout time.Duration
 
 	ColdFrom       float64 // the share of its capacity at which a server starts, at least
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -58,9 +58,11 @@
 		b.fetch(r)
 	} else if lead := b.fetches[r.Key]; r.HasKey && lead != nil && lead != r && !r.waited {
 		b.join(r, lead)
-	} else if s := b.pick(r); s != nil {
+	} else if s := b.pick(r); s != nil && b.healthy(s) {
 		b.enqueue(r, s)
-	} else if len(b.caches) > 0 && b.now.Add(wait) < b.patience(r) && b.mayRepeat(r) {
+	} else if s != nil && s.room() { // all are ejected: nobody waits at such a server
+		b.send(r, s)
+	} else if len(r.attempts) < len(b.caches) && b.now.Add(wait) < b.patience(r) && b.mayRepeat(r) {
 		b.after(wait, func() { b.place(r) }) // a budget fills or a trial succeeds meanwhile
 	} else {
 		b.giveUp(r)
@@ -119,7 +121,7 @@
 
 // mayRepeat: of what may have run only the safe may be sent again, and the keyed while it is remembered.
 func (b *Balancer) mayRepeat(r *request) bool {
-	if b.set.MaxAttempts > 0 && len(r.attempts) >= b.set.MaxAttempts {
+	if b.now >= r.Due || b.set.MaxAttempts > 0 && len(r.attempts) >= b.set.MaxAttempts {
 		return false
 	}
 	ran := r.ran()
@@ -240,10 +242,8 @@
 func (b *Balancer) finish(r *request) {
 	if r.ran() != nil && r.class.Effect != Safe {
 		b.do(Fail{ID: r.ID})
-	} else if b.set.RetryAfter {
-		b.do(Refuse{ID: r.ID, RetryAfter: min(r.class.Aim/comeAgain, b.set.MaxRetryAfter)})
 	} else {
-		b.do(Refuse{ID: r.ID})
+		b.do(Refuse{ID: r.ID, RetryAfter: min(r.class.Aim/comeAgain, b.set.MaxRetryAfter)})
 	}
 	b.end(r, false)
 }
--- /dev/null
+++ b/balance/load_test.go
@@ -0,0 +1,255 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// newAside is a site where the router asks the origin itself.
+func newAside(t *testing.T) *rig {
+	set := testSettings()
+	set.Aside, set.OriginKind = true, "origin"
+	g := newRig(t, set)
+	l := List{Kind: Complete, Entries: []Entry{{Server: "o", Kind: "origin", Weight: 1}}}
+	for i := range 4 {
+		l.Entries = append(l.Entries, Entry{Server: ServerID(fmt.Sprintf("c%d", i)), Weight: 1})
+	}
+	g.give(l)
+	return g
+}
+
+func TestReadGoesCacheThenOrigin(t *testing.T) {
+	g := newAside(t)
+	g.ask("a", "read")
+	g.answer("a", Miss)
+	if tries := g.tries["a"]; len(tries) != 2 || tries[0] == "o" || tries[1] != "o" {
+		t.Fatalf("tries %v, want a cache, then the origin", tries)
+	}
+}
+
+func TestWriteGoesStraightToTheOrigin(t *testing.T) {
+	g := newAside(t)
+	g.give(Request{ID: "w", Class: "once", Key: 1, HasKey: true, Write: true, Due: g.now + 1000*ms})
+	if tries := g.tries["w"]; len(tries) != 1 || tries[0] != "o" {
+		t.Fatalf("tries %v, want the origin", tries)
+	}
+}
+
+// Reads of one key share a fetch: after it they are answered by the cache that it filled.
+func TestSingleFlight(t *testing.T) {
+	g := newAside(t)
+	g.ask("a", "read")
+	g.ask("b", "read")
+	g.answer("a", Miss)
+	g.answer("b", Miss)
+	g.ask("c", "read")
+	g.want("b", 1, false, false)
+	g.want("c", 0, false, false)
+	g.answer("a", OK)
+	cache := g.tries["a"][0]
+	if b, c := g.tries["b"], g.tries["c"]; len(b) != 2 || b[1] != cache || len(c) != 1 || c[0] != cache {
+		t.Errorf("after the fetch b went to %v and c to %v, want %s", b, c, cache)
+	}
+}
+
+// A fetch that fails is taken over by the next in line; nobody is forgotten.
+func TestFailedFetchIsTakenOver(t *testing.T) {
+	g := newAside(t)
+	g.ask("a", "read")
+	g.ask("b", "read")
+	g.answer("a", Miss)
+	g.answer("b", Miss)
+	g.give(ClientGone{ID: "a"})
+	if b := g.tries["b"]; len(b) != 2 || b[1] != "o" {
+		t.Errorf("b went to %v, want a fetch of its own", b)
+	}
+}
+
+// Guard: without the concurrency limit a slow cache fills with work that nobody waits for any more.
+func TestSlowCacheIsHeldToItsLimit(t *testing.T) {
+	g := newRig(t, testSettings())
+	g.caches(1)
+	for i := range 200 {
+		id := fmt.Sprint(i)
+		g.ask(id, "read")
+		g.run(5 * time.Millisecond)
+		if i >= 80 { // each answer takes 400 ms, over half the aim
+			old := RequestID(fmt.Sprint(i - 80))
+			if len(g.tries[old]) > 0 {
+				g.give(Outcome{ID: old, Attempt: 0, Result: OK, Done: true})
+			}
+		}
+	}
+	if out := g.b.servers["c0"].out; out > 2*int(firstLimit) {
+		t.Errorf("%d in flight at a slow cache, want %v at most", out, 2*firstLimit)
+	}
+	if len(g.refused) == 0 {
+		t.Error("nothing was refused")
+	}
+}
+
+// What is refused for want of room is refused by worth, and told when to come back.
+func TestLeastWorthIsRefusedFirst(t *testing.T) {
+	g := newRig(t, testSettings())
+	g.caches(1)
+	s := g.b.servers["c0"]
+	s.latency, s.limit = 200*time.Millisecond, 1
+	g.ask("first", "read")
+	g.ask("low", "read")
+	g.ask("high", "once")
+	if _, ok := g.refused["low"]; !ok {
+		t.Error("the read was kept though a request of more worth waits")
+	}
+	if g.refused["low"] <= 0 {
+		t.Error("no advice when to come back")
+	}
+	g.want("high", 0, false, false)
+}
+
+// A tenant over its share waits behind those within theirs.
+func TestOverShareTrafficIsWorthLess(t *testing.T) {
+	set := testSettings()
+	set.Tenants, set.OverShareWorth = []Tenant{{Name: "big", AllowancePerS: 4}}, 0.1
+	g := newRig(t, set)
+	g.caches(2)
+	worth := 0.0
+	for i := range 50 {
+		id := RequestID(fmt.Sprint(i))
+		g.give(Request{ID: id, Class: "read", Tenant: "big", Due: g.now + 1000*ms})
+		worth = g.b.requests[id].worth
+		g.run(10 * time.Millisecond)
+	}
+	if worth >= 1 {
+		t.Errorf("a request far over its tenant's share is worth %v", worth)
+	}
+}
+
+// Guard: a server that takes work and answers nothing is left out, after more than one sign, and tried again later.
+func TestSilentServerIsEjectedAndTriedAgain(t *testing.T) {
+	g := newRig(t, testSettings())
+	g.caches(4)
+	g.ask("a", "read")
+	home := g.tries["a"][0]
+	g.answer("a", Reset)
+	if s := g.b.servers[home]; s.ejected != 0 {
+		t.Fatal("one failure ejected a server")
+	}
+	g.ask("b", "read")
+	g.answer("b", Reset)
+	g.ask("c", "read")
+	if g.tries["c"][0] == home {
+		t.Fatal("a server that failed twice in a row is still used")
+	}
+	g.run(600 * time.Millisecond)
+	g.ask("d", "read")
+	if g.tries["d"][0] != home {
+		t.Fatal("no trial after the ejection")
+	}
+	g.ask("e", "read")
+	if g.tries["e"][0] == home {
+		t.Error("two trials at once")
+	}
+	g.answer("d", OK)
+	if w := g.b.warmth(g.b.servers[home]); w >= 1 {
+		t.Errorf("a server back from an ejection counts as warm (%v)", w)
+	}
+}
+
+// Guard: a common cause, such as the network, must not eject most of the fleet.
+func TestFloorOfServersInUse(t *testing.T) {
+	g := newRig(t, testSettings())
+	g.caches(9)
+	for _, s := range g.b.caches {
+		g.b.now = g.now
+		g.b.failed(s)
+		g.b.failed(s)
+	}
+	in := 0
+	for _, s := range g.b.caches {
+		if s.ejected == 0 {
+			in++
+		}
+	}
+	if in < 3 {
+		t.Errorf("%d of 9 servers in use, want a third at least", in)
+	}
+}
+
+// Where no second copy is allowed, an attempt at a silent server is withdrawn and made elsewhere; one at a server
+// that answers others is left alone: slow work is no faster elsewhere.
+func TestStuckAttemptMovesOn(t *testing.T) {
+	for _, silent := range []bool{true, false} {
+		g := newRig(t, testSettings())
+		g.caches(4)
+		g.ask("a", "read")
+		g.ask("b", "read")
+		g.run(100 * time.Millisecond)
+		if !silent {
+			g.answer("b", OK)
+		}
+		g.run(400 * time.Millisecond)
+		if g.cancelled["a"] != silent {
+			t.Errorf("server silent %v: attempt withdrawn %v", silent, g.cancelled["a"])
+		}
+	}
+}
+
+// A key hotter than its caches reaches a third with much room, and only then.
+func TestSpillPastTwoFullCaches(t *testing.T) {
+	g := newRig(t, testSettings())
+	g.caches(6)
+	used := map[ServerID]bool{}
+	for i := range 14 {
+		id := fmt.Sprint(i)
+		g.ask(id, "read")
+		for _, s := range g.tries[RequestID(id)] {
+			used[s] = true
+		}
+	}
+	if len(used) != 5 { // 4 at each of its own two, 2 at each of three more: half their limit
+		t.Errorf("14 requests of one key at once met %d caches, want 5", len(used))
+	}
+}
+
+// State is let go: nothing grows with finished requests, gone servers or old keys.
+func TestStateIsLetGo(t *testing.T) {
+	g := newAside(t)
+	for i := range 500 {
+		id := fmt.Sprint(i)
+		g.give(Request{ID: RequestID(id), Class: "read", Key: uint64(i), HasKey: true, Due: g.now + 300*ms})
+		if len(g.tries[RequestID(id)]) > 0 {
+			g.answer(id, Miss)
+			g.answer(id, OK)
+		}
+		g.give(List{Kind: Partial, Entries: []Entry{{Server: ServerID("x" + id), Weight: 1}}})
+		g.give(List{Kind: Partial, Entries: []Entry{{Server: ServerID("x" + id), State: Gone}}})
+		g.run(10 * time.Millisecond)
+	}
+	g.run(2 * time.Second)
+	b := g.b
+	if len(b.requests)+len(b.fetches)+len(b.timers) > 0 || len(b.servers) != 5 {
+		t.Errorf("left: %d requests, %d fetches, %d timers, %d servers (5 listed)",
+			len(b.requests), len(b.fetches), len(b.timers), len(b.servers))
+	}
+}
+
+// A restarted cache keeps its intervals; a router that starts late replays the same table.
+func TestRestartKeepsIntervalsAndReplayAgrees(t *testing.T) {
+	entries := []Entry{{Server: "a", Weight: 1}, {Server: "b", Weight: 1}, {Server: "c", Weight: 1, Started: 5},
+		{Server: "d", Weight: 2, Started: 9}}
+	seen := newRig(t, testSettings())
+	seen.give(List{Kind: Persisted, Entries: entries[:2]})
+	seen.give(List{Kind: Partial, Entries: entries[2:3]})
+	seen.give(List{Kind: Partial, Entries: entries[3:]})
+	late := newRig(t, testSettings())
+	late.give(List{Kind: Persisted, Entries: entries})
+	if m := moved(&seen.b.table, &late.b.table); m > 0 {
+		t.Errorf("the late router places %.3f of the keys elsewhere", m)
+	}
+	old := copyOf(&seen.b.table)
+	seen.give(List{Kind: Partial, Entries: []Entry{{Server: "a", Weight: 1, Started: 20}}})
+	if m := moved(old, &seen.b.table); m > 0 {
+		t.Errorf("a restart moved %.3f of the keys", m)
+	}
+}
--- a/internal/simwire/codec.go
+++ b/internal/simwire/codec.go
@@ -109,7 +109,7 @@
 		Aside: p.FamilyInfo.Mode == "aside", AskForList: p.MembershipMode == "on_request",
 		AskWithin:   time.Duration(p.Contract.AskWithin),
 		MaxAttempts: p.Limits.SendCap, MayCancel: p.Limits.MayCancel, Parallel: p.Limits.ParallelTries,
-		RetryAfter: p.Limits.RetryAfter, MaxRetryAfter: time.Duration(p.Limits.MaxRetryAfter),
+		MaxRetryAfter:  time.Duration(p.Limits.MaxRetryAfter),
 		ConnectTimeout: time.Duration(p.Limits.ConnectTimeout),
 		ColdFrom:       p.Contract.ColdFrom, Ramp: time.Duration(p.Contract.RampTime),
 		OverloadFactor: p.Contract.OverloadFactor, OverloadFor: time.Duration(p.Contract.OverloadFor),
@@ -117,6 +117,9 @@
 	if k := p.FamilyInfo.OriginKind; k != nil && *k >= 0 && *k < len(p.Flavors) {
 		s.OriginKind = p.Flavors[*k]
 	}
+	if !p.Limits.RetryAfter { // clients are told no advice
+		s.MaxRetryAfter = 0
+	}
 	for _, c := range p.Classes {
 		s.Classes = append(s.Classes, balance.Class{
 			Name: c.Name, Aim: time.Duration(c.Objective), Deadline: time.Duration(c.Deadline), Worth: c.Worth,
