--- a/balance/balance.go
+++ b/balance/balance.go
@@ -21,8 +21,8 @@
 	keepInUse  = 1.0 / 3 // of the fleet's weight is never ejected: past that the cause is a common one
 	suspectAt  = 2       // failures in a row; one is not proof
 	smoothing  = 0.2     // of latencies: about the last five answers
-	firstLimit = 4.0     // of concurrency, before anything was seen
-	limitCut   = 0.7     // what a crowded server's limit is cut to, once a round trip
+	firstLimit = 12.0    // of concurrency at a server before anything was seen, over all routers
+	limitCut   = 0.85    // what a crowded server's limit is cut to, once a round trip
 	comeback   = 4       // a server back from an ejection is trusted this many times faster than a cold one
 	recheck    = 16      // a request that no server may take is tried again this many times in an aim
 	comeAgain  = 8       // a refused client is asked back after this part of the aim: it can still be in time
@@ -392,7 +392,8 @@
 			b.servers[e.Server] = s
 		}
 		if s.limit == 0 || e.Started != s.Started && e.State == Up { // new or restarted: nothing is held against it
-			*s = server{out: s.out, queue: s.queue, limit: firstLimit, filled: b.now}
+			first := max(1, firstLimit/float64(max(b.set.Routers, 1)))
+			*s = server{out: s.out, queue: s.queue, limit: first, filled: b.now}
 		}
 		s.Entry, s.isOrigin = e, b.set.OriginKind != "" && e.Kind == b.set.OriginKind
 	}
