--- a/balance/balance.go
+++ b/balance/balance.go
@@ -15,7 +15,7 @@
 	passRatio  = 2.0     // a first cache this far over the mean in flight passes the request on
 	passFloor  = 3       // and holds more than this: below it the mean is noise of single requests
 	maxDraws   = 64      // rehash draws until the search for another cache ends
-	spillLoad  = 0.5     // a third cache is taken under this load only: the spill costs a miss
+	spillLoad  = 0.33    // a third cache is taken under this load only: the spill costs a miss
 	retryShare = 0.2     // further attempts that a first one earns: a sick fleet sees a fifth more at most
 	retryBurst = 10.0    // and so many at once, for a single server's death
 	keepInUse  = 1.0 / 3 // of the fleet's weight is never ejected: past that the cause is a common one
