--- a/balance/balance.go
+++ b/balance/balance.go
@@ -109,15 +109,6 @@
 	return !s.room() || s.out > passFloor && float64(s.out) > passRatio*mean
 }
 
-// fleetLoad is how much of all caches' concurrency limits is taken up.
-func (b *Balancer) fleetLoad() float64 {
-	limits := 0.0
-	for _, s := range b.caches {
-		limits += s.limit
-	}
-	return float64(b.out) / limits
-}
-
 // mayTake holds a keyed request that may have run to the group that drops its repeats: no effect twice.
 func (b *Balancer) mayTake(r *request, s *server) bool {
 	if s.State != Up || !b.mayRepeat(r) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -158,6 +158,15 @@
 // room tells whether the concurrency limit allows another attempt; one is always allowed.
 func (s *server) room() bool { return s.out == 0 || float64(s.out+1) <= s.limit }
 
+// fleetLoad is how much of all caches' concurrency limits is taken up.
+func (b *Balancer) fleetLoad() float64 {
+	limits := 0.0
+	for _, s := range b.caches {
+		limits += s.limit
+	}
+	return float64(b.out) / limits
+}
+
 // warmth is the share of its capacity that a server has at least, by its listed start and by its last
 // return.
 func (b *Balancer) warmth(s *server) float64 {
