--- a/balance/balance.go
+++ b/balance/balance.go
@@ -167,13 +167,18 @@
 	b.count(r, s, 1)
 	s.tokens--
 	b.do(Send{ID: r.ID, Server: s.Server})
+	wait := r.class.Aim / 2
+	if s.ejected == 0 { // a trial gets no benefit of the doubt
+		wait = max(wait, 6*b.latency)
+	}
 	if !s.isOrigin {
-		b.after(max(r.class.Aim/2, 4*b.latency), func() { b.check(r, n) })
+		b.after(wait, func() { b.check(r, n) })
 	}
 }
 
-// check looks at an attempt that is out for half its aim, and for long. Where second copies are allowed one
-// is sent; else it is withdrawn, but only if its server has been silent: slow work is no faster elsewhere.
+// check looks at an attempt that is out for half its aim, and for long by the fleet's measure. Where second
+// copies are allowed one is sent; else it is withdrawn, but only if its server has been silent: slow work
+// is no faster elsewhere.
 func (b *Balancer) check(r *request, n int) {
 	a := &r.attempts[n]
 	if !a.open || r.done || r.streams {
