--- a/balance/balance.go
+++ b/balance/balance.go
@@ -351,13 +351,7 @@
 	if s.fails < suspectAt || b.now < s.ejected || s.isOrigin {
 		return
 	}
-	left := b.weight - s.Weight
-	for _, o := range b.caches {
-		if o != s && b.now < o.ejected {
-			left -= o.Weight
-		}
-	}
-	if left < b.weight*keepInUse {
+	if b.inUse(s) < b.weight*keepInUse {
 		return
 	}
 	s.backoff = min(max(2*s.backoff, b.aim), 8*b.aim)
--- a/balance/state.go
+++ b/balance/state.go
@@ -167,6 +167,16 @@
 	return float64(b.out) / limits
 }
 
+// inUse is the weight of the caches that are not ejected, without s.
+func (b *Balancer) inUse(s *server) (weight float64) {
+	for _, o := range b.caches {
+		if o != s && b.now >= o.ejected {
+			weight += o.Weight
+		}
+	}
+	return weight
+}
+
 // warmth is the share of its capacity that a server has at least, by its listed start and by its last
 // return.
 func (b *Balancer) warmth(s *server) float64 {
