The floor of the load term is shared among the routers

Cause: with five to eighteen routers a hot cache held dozens of requests before any router alone saw its floor of three passed. The floor is now nine over all routers.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -13,7 +13,7 @@
 // The module's constants are ratios; every time comes from the settings or from what was measured.
 const (
 	passRatio  = 2.0     // a first cache this far over the mean in flight passes the request on
-	passFloor  = 3       // and holds more than this: below it the mean is noise of single requests
+	passFloor  = 9.0     // over all routers, and holds more than this: below it the mean is noise
 	maxDraws   = 64      // rehash draws until the search for another cache ends
 	spillLoad  = 0.33    // a third cache is taken under this load only: the spill costs a miss
 	retryShare = 0.2     // further attempts that a first one earns: a sick fleet sees a fifth more at most
@@ -37,8 +37,7 @@
 		r.hash = b.rng.Uint64()
 	}
 	for i, t := range b.set.Tenants { // traffic over a tenant's share waits behind all that is within one
-		share := t.AllowancePerS / float64(max(b.set.Routers, 1))
-		if t.Name == q.Tenant && b.shares[i].add(b.now, b.set.OverloadFor) > share {
+		if t.Name == q.Tenant && b.shares[i].add(b.now, b.set.OverloadFor) > t.AllowancePerS*b.share() {
 			r.worth *= b.set.OverShareWorth
 		}
 	}
@@ -106,7 +105,7 @@
 // limit.
 func (b *Balancer) crowded(s *server) bool {
 	mean := float64(b.out) * s.Weight / b.weight
-	return !s.room() || s.out > passFloor && float64(s.out) > passRatio*mean
+	return !s.room() || float64(s.out) > passFloor*b.share() && float64(s.out) > passRatio*mean
 }
 
 // mayTake holds a keyed request that may have run to the group that drops its repeats: no effect twice.
@@ -391,8 +390,7 @@
 			b.servers[e.Server] = s
 		}
 		if s.limit == 0 || e.Started != s.Started && e.State == Up { // new or restarted: nothing is held against it
-			first := max(1, firstLimit/float64(max(b.set.Routers, 1)))
-			*s = server{out: s.out, queue: s.queue, limit: first, filled: b.now}
+			*s = server{out: s.out, queue: s.queue, limit: max(1, firstLimit*b.share()), filled: b.now}
 		}
 		s.Entry, s.isOrigin = e, b.set.OriginKind != "" && e.Kind == b.set.OriginKind
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -144,6 +144,9 @@
 	return &Class{Aim: q.Due.Sub(b.now), Worth: 1}
 }
 
+// share is this router's part of what all routers do, as far as it can know.
+func (b *Balancer) share() float64 { return 1 / float64(max(b.set.Routers, 1)) }
+
 // count books one attempt begun (1) or ended (-1).
 func (b *Balancer) count(r *request, s *server, n int) {
 	r.out += n
