--- a/balance/balance.go
+++ b/balance/balance.go
@@ -13,7 +13,7 @@
 // The module's constants are ratios; every time comes from the settings or from what was measured.
 const (
 	passRatio  = 2.0     // a first cache this far over the mean in flight passes the request on
-	passFloor  = 5.0     // over all routers, and holds more than this: below it the mean is noise
+	passFloor  = 3.0     // over all routers, and holds more than this: below it the mean is noise
 	maxDraws   = 64      // rehash draws until the search for another cache ends
 	spillLoad  = 0.33    // a third cache is taken under this load only: the spill costs a miss
 	retryShare = 0.2     // further attempts that a first one earns: a sick fleet sees a fifth more at most
