Three failures in a row eject a server, not two

Cause: in a crowded fleet two slow answers in a row are common at a router that sees a server twice a second; false ejections moved keys and cost fetches.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -19,7 +19,7 @@
 	retryShare = 0.2     // further attempts that a first one earns: a sick fleet sees a fifth more at most
 	retryBurst = 10.0    // and so many at once, for a single server's death
 	keepInUse  = 1.0 / 3 // of the fleet's weight is never ejected: past that the cause is a common one
-	suspectAt  = 2       // failures in a row; one is not proof
+	suspectAt  = 3       // failures in a row; one is not proof
 	smoothing  = 0.2     // of latencies: about the last five answers
 	firstLimit = 12.0    // of concurrency at a server before anything was seen, over all routers
 	limitCut   = 0.85    // what a crowded server's limit is cut to, once a round trip
@@ -343,7 +343,7 @@
 	}
 }
 
-// failed counts a failure; two in a row eject the server, for longer each time, unless too few would be
+// failed counts a failure; some in a row eject the server, for longer each time, unless too few would be
 // left.
 func (b *Balancer) failed(s *server) {
 	s.fails++
