Errors of a common cause: no ejection, no retry, and a limit over all caches

Cause: where caches fetch for themselves, a jammed origin shows as errors at every cache. Each was tried at another cache, where it was one fetch more, and ejections moved keys to caches that lacked them.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -12,20 +12,22 @@
 
 // The module's constants are ratios; every time comes from the settings or from what was measured.
 const (
-	passRatio  = 2.0     // a first cache this far over the mean in flight passes the request on
-	passFloor  = 3.0     // over all routers, and holds more than this: below it the mean is noise
-	maxDraws   = 64      // rehash draws until the search for another cache ends
-	spillLoad  = 0.33    // a third cache is taken under this load only: the spill costs a miss
-	retryShare = 0.2     // further attempts that a first one earns: a sick fleet sees a fifth more at most
-	retryBurst = 10.0    // and so many at once, for a single server's death
-	keepInUse  = 1.0 / 3 // of the fleet's weight is never ejected: past that the cause is a common one
-	suspectAt  = 3       // failures in a row; one is not proof
-	smoothing  = 0.2     // of latencies: about the last five answers
-	firstLimit = 12.0    // of concurrency at a server before anything was seen, over all routers
-	limitCut   = 0.85    // what a crowded server's limit is cut to, once a round trip
-	comeback   = 4       // a server back from an ejection is trusted this many times faster than a cold one
-	recheck    = 16      // a request that no server may take is tried again this many times in an aim
-	comeAgain  = 8       // a refused client is asked back after this part of the aim: it can still be in time
+	passRatio   = 2.0     // a first cache this far over the mean in flight passes the request on
+	passFloor   = 3.0     // over all routers, and holds more than this: below it the mean is noise
+	maxDraws    = 64      // rehash draws until the search for another cache ends
+	spillLoad   = 0.33    // a third cache is taken under this load only: the spill costs a miss
+	retryShare  = 0.2     // further attempts that a first one earns: a sick fleet sees a fifth more at most
+	retryBurst  = 10.0    // and so many at once, for a single server's death
+	keepInUse   = 1.0 / 3 // of the fleet's weight is never ejected: past that the cause is a common one
+	suspectAt   = 3       // failures in a row; one is not proof
+	commonCause = 0.2     // of answers are errors: it is what the caches share; another makes it worse
+	capRise     = 0.1     // what the limit over all caches grows by in a round trip of good answers
+	smoothing   = 0.2     // of latencies: about the last five answers
+	firstLimit  = 12.0    // of concurrency at a server before anything was seen, over all routers
+	limitCut    = 0.85    // what a crowded server's limit is cut to, once a round trip
+	comeback    = 4       // a server back from an ejection is trusted this many times faster than a cold one
+	recheck     = 16      // a request that no server may take is tried again this many times in an aim
+	comeAgain   = 8       // a refused client is asked back after this part of the aim: it can still be in time
 )
 
 // --- The way of a request ---
@@ -59,7 +61,7 @@
 		b.join(r, lead)
 	} else if s := b.pick(r); s != nil && b.healthy(s) {
 		b.enqueue(r, s)
-	} else if s != nil && s.room() { // all are ejected: nobody waits at such a server
+	} else if s != nil && b.room(s) { // all are ejected: nobody waits at such a server
 		b.send(r, s)
 	} else if len(r.attempts) < len(b.caches) && b.now.Add(wait) < b.patience(r) && b.mayRepeat(r) {
 		b.after(wait, func() { b.place(r) }) // a budget fills or a trial succeeds meanwhile
@@ -68,9 +70,8 @@
 	}
 }
 
-// pick draws the request's caches by hash and rehash. A crowded first one passes the request on to a second
-// that is less so. Past these the draws go on only for caches that are out of use, and to one with much
-// room where both are at their limit.
+// pick draws the request's caches by hash and rehash. A crowded first one passes the request on; past the
+// second the draws make up for caches out of use and, in a fleet with room, for full ones.
 func (b *Balancer) pick(r *request) *server {
 	var first, second, spare *server
 	for i, hash := 0, r.hash; i < maxDraws && len(b.caches) > 0; i, hash = i+1, mix(hash) {
@@ -85,13 +86,13 @@
 			return s
 		case first == nil:
 			first = s
-		case second == nil && s.room() && (s.load() < first.load() || !first.room()):
+		case second == nil && b.room(s) && (s.load() < first.load() || !b.room(first)):
 			return s
-		case first.room():
+		case b.room(first):
 			return first
 		case second == nil:
 			second = s
-		case s.room() && b.fleetLoad() < spillLoad:
+		case b.room(s) && b.fleetLoad() < spillLoad:
 			return s
 		}
 	}
@@ -105,7 +106,7 @@
 // limit.
 func (b *Balancer) crowded(s *server) bool {
 	mean := float64(b.out) * s.Weight / b.weight
-	return !s.room() || float64(s.out) > passFloor*b.share() && float64(s.out) > passRatio*mean
+	return !b.room(s) || float64(s.out) > passFloor*b.share() && float64(s.out) > passRatio*mean
 }
 
 // mayTake holds a keyed request that may have run to the group that drops its repeats: no effect twice.
@@ -147,7 +148,7 @@
 // pump sends what a server's concurrency limit allows; from one that is out of use the queue is moved.
 func (b *Balancer) pump(s *server) {
 	inUse := s.State == Up && b.healthy(s)
-	for len(s.queue) > 0 && (s.room() || !inUse) {
+	for len(s.queue) > 0 && (b.room(s) || !inUse) {
 		r := s.queue[0]
 		s.queue, r.at = s.queue[1:], nil
 		if !inUse && !s.isOrigin {
@@ -170,17 +171,14 @@
 	if s.ejected == 0 { // a trial gets no benefit of the doubt
 		wait = max(wait, 6*b.latency)
 	}
-	if !s.isOrigin {
-		b.after(wait, func() { b.check(r, n) })
-	}
+	b.after(wait, func() { b.check(r, n) })
 }
 
-// check looks at an attempt that is out for half its aim, and for long by the fleet's measure. Where second
-// copies are allowed one is sent; else it is withdrawn, but only if its server has been silent: slow work
-// is no faster elsewhere.
+// check looks at an attempt that is out for long. Where second copies are allowed one is sent; else it is
+// withdrawn, but only if its server has been silent: slow work is no faster elsewhere.
 func (b *Balancer) check(r *request, n int) {
 	a := &r.attempts[n]
-	if !a.open || r.done || r.streams {
+	if !a.open || r.done || r.streams || a.to.isOrigin {
 		return
 	}
 	silent := a.to.heard <= a.sent
@@ -217,11 +215,11 @@
 		b.after(min(b.origin.latency, b.aim/2), func() { b.place(r) })
 	case o.Result == Miss && b.origin != nil:
 		b.fetch(r)
-	case b.mayRetry(r):
+	case b.mayRetry(r) && (o.Result != Errored || b.erring < commonCause):
 		b.retries--
 		b.place(r)
 	default:
-		b.finish(r)
+		b.giveUp(r)
 	}
 	b.pump(s)
 }
@@ -235,15 +233,12 @@
 
 func (b *Balancer) giveUpLater(r *request) { b.after(b.patience(r).Sub(b.now), func() { b.giveUp(r) }) }
 
-// giveUp ends a request that has nothing in flight; one that has is ended by its attempt.
+// giveUp gives the final answer, a refusal only where a retry is harmless. A request that has something in
+// flight is ended by its attempt.
 func (b *Balancer) giveUp(r *request) {
-	if r.out == 0 && !r.done {
-		b.finish(r)
+	if r.out > 0 || r.done {
+		return
 	}
-}
-
-// finish gives the final answer: a refusal only where a retry is harmless.
-func (b *Balancer) finish(r *request) {
 	if r.ran() != nil && r.class.Effect != Safe {
 		b.do(Fail{ID: r.ID})
 	} else {
@@ -306,9 +301,8 @@
 
 // --- Health and load ---
 
-// judge books an outcome to its server. The concurrency limit grows while answers take under half the
-// shortest aim, so that a second attempt has time, and is cut when they take longer, fail or are turned
-// away.
+// judge books an outcome to its server. The concurrency limit grows while answers take under half an aim,
+// so that a second attempt has time, and is cut when they take longer, fail or are turned away.
 func (b *Balancer) judge(s *server, took time.Duration, result Result) {
 	switch result {
 	case OK, Miss:
@@ -321,6 +315,8 @@
 		}
 		if !s.isOrigin {
 			b.answers.add(b.now, 2*b.set.OverloadFor)
+			b.erring -= smoothing / 4 * b.erring
+			b.cap *= 1 + capRise/max(b.cap, 1)
 		}
 		if result == OK && !s.isOrigin { // more slowly: it is what time-outs go by
 			b.latency += time.Duration(smoothing / 4 * float64(took-b.latency))
@@ -331,6 +327,13 @@
 			}
 			return
 		}
+	case Errored:
+		s.heard = b.now
+		if b.erring += smoothing / 4 * (1 - b.erring); b.erring < commonCause {
+			b.failed(s)
+		} else if b.now.Sub(b.capped) > b.latency {
+			b.cap, b.capped = max(1, limitCut*float64(b.out)), b.now
+		}
 	case Full:
 		s.heard = b.now
 	case Cancelled, Moot:
@@ -343,8 +346,7 @@
 	}
 }
 
-// failed counts a failure; some in a row eject the server, for longer each time, unless too few would be
-// left.
+// failed counts a failure; some in a row eject the server, for longer each time, if enough are left.
 func (b *Balancer) failed(s *server) {
 	s.fails++
 	if s.fails < suspectAt || b.now < s.ejected || s.isOrigin {
@@ -363,9 +365,8 @@
 	return s.ejected == 0 || b.now >= s.ejected && s.out == 0
 }
 
-// budgeted keeps a cold server to its warm share of what caches of its weight answer to this router on the
-// mean, so that the routers stay under what it can do however traffic is spread over them. With nothing to
-// go by, one at a time cannot exceed what it does.
+// budgeted keeps a cold server to its warm share of the mean cache's answers to this router, so that all
+// routers together stay under what it can do. With nothing to go by, one at a time cannot exceed that.
 func (b *Balancer) budgeted(s *server) bool {
 	rate := b.answers.rate(b.now, 2*b.set.OverloadFor) * s.Weight / b.weight * b.warmth(s)
 	rate *= math.Sqrt(max(b.set.OverloadFactor, 1)) // half the way to the fall: the rest is for uneven routers
@@ -420,8 +421,7 @@
 	}
 }
 
-// cutTable follows the list. An empty table is replayed by start time, then id, as the routers have done
-// that saw the starts one by one.
+// cutTable follows the list. An empty table is replayed by start time, then id, as others saw the starts.
 func (b *Balancer) cutTable(weights map[ServerID]float64) {
 	if len(b.table.weights) == 0 {
 		order, then := slices.Clone(b.caches), map[ServerID]float64{}
@@ -436,9 +436,8 @@
 	b.table.change(weights)
 }
 
-// follow keeps a subscription alive where the list must be asked for: without one this router counts as
-// told of drains it never heard of (AskWithin). Failed and unanswered calls are made again, with backoff
-// and jitter.
+// follow keeps a subscription alive: without one this router counts as told of drains it never heard of.
+// Failed and unanswered calls are made again, with backoff and jitter.
 func (b *Balancer) follow(kind ListKind) {
 	b.call++ // what an earlier call has left to do is done with
 	call, wait := b.call, time.Duration(0)
--- a/balance/load_test.go
+++ b/balance/load_test.go
@@ -260,3 +260,50 @@
 		t.Errorf("a restart moved %.3f of the keys", m)
 	}
 }
+
+// Guard: where caches fetch for themselves, errors at all of them are the origin's. They eject nobody, are not tried
+// elsewhere, where they would be a fetch more, and cut what is in flight until answers come again.
+func TestErrorsOfACommonCause(t *testing.T) {
+	g := newRig(t, testSettings())
+	g.caches(9)
+	n := 0
+	round := func(result Result) { // nine requests at once, then their outcomes
+		var ids []string
+		for range 9 {
+			n++
+			id := fmt.Sprint(n)
+			ids = append(ids, id)
+			g.give(Request{ID: RequestID(id), Class: "read", Key: uint64(n), HasKey: true, Due: g.now + 1500*ms})
+		}
+		g.run(150 * time.Millisecond)
+		for _, id := range ids {
+			for done := 0; done < len(g.tries[RequestID(id)]); done++ {
+				g.answer(id, result) // and what it is tried at next
+			}
+		}
+	}
+	for range 10 {
+		round(Errored)
+	}
+	for _, s := range g.b.caches {
+		if s.fails >= suspectAt && s.ejected != 0 && g.b.inUse(nil) < g.b.weight*0.6 {
+			t.Errorf("most of the fleet was ejected for a common cause")
+			break
+		}
+	}
+	for i := n - 8; i <= n; i++ {
+		if tries := g.tries[RequestID(fmt.Sprint(i))]; len(tries) > 1 {
+			t.Errorf("an error of a common cause was tried at %v", tries)
+		}
+	}
+	if g.b.cap == 0 || g.b.cap > 8 {
+		t.Errorf("limit over all caches is %.1f, want a cut below the 9 that were in flight", g.b.cap)
+	}
+	low := g.b.cap
+	for range 10 {
+		round(OK)
+	}
+	if g.b.cap <= low {
+		t.Error("the limit does not come back with good answers")
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -30,6 +30,9 @@
 	latency  time.Duration // smoothed time to an answer of the caches
 	answers  meter         // of the caches
 	shares   []meter       // what each tenant has asked for
+	cap      float64       // concurrency limit over all caches, set by a common cause; 0 if none
+	capped   Time          // the last cut of cap
+	erring   float64       // smoothed share of errors among the caches' answers
 	asks     int           // calls for the list that failed, in a row
 	call     int           // the last event that a call for the list hangs on
 }
@@ -159,8 +162,10 @@
 
 func (s *server) load() float64 { return float64(s.out+len(s.queue)) / s.limit }
 
-// room tells whether the concurrency limit allows another attempt; one is always allowed.
-func (s *server) room() bool { return s.out == 0 || float64(s.out+1) <= s.limit }
+// room tells whether the concurrency limits allow another attempt; one at a server is always allowed by its own.
+func (b *Balancer) room(s *server) bool {
+	return (s.out == 0 || float64(s.out+1) <= s.limit) && (s.isOrigin || b.cap == 0 || float64(b.out+1) <= b.cap)
+}
 
 // fleetLoad is how much of all caches' concurrency limits is taken up.
 func (b *Balancer) fleetLoad() float64 {
