Load term over the last sends: each cache's time in flight, averaged and faded

Cause: with a few requests a second a router holds a fraction of a request, so the load term of the design saw nothing.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,6 +14,7 @@
 const (
 	passRatio   = 2.0     // a first cache this far over the mean in flight passes the request on
 	passFloor   = 3.0     // over all routers, and holds more than this: below it the mean is noise
+	loadMemory  = 2.0     // sends a cache over which a load is averaged, for a router with few in flight
 	maxDraws    = 64      // rehash draws until the search for another cache ends
 	spillLoad   = 0.33    // a third cache is taken under this load only: the spill costs a miss
 	retryShare  = 0.2     // further attempts that a first one earns: a sick fleet sees a fifth more at most
@@ -86,6 +87,8 @@
 			return s
 		case first == nil:
 			first = s
+		case second == nil && !b.crowded(s):
+			return s
 		case second == nil && b.room(s) && (s.load() < first.load() || !b.room(first)):
 			return s
 		case b.room(first):
@@ -105,8 +108,11 @@
 // crowded is the load term of the design, over a multiple of the mean in flight and a floor; or at its
 // limit.
 func (b *Balancer) crowded(s *server) bool {
-	mean := float64(b.out) * s.Weight / b.weight
-	return !b.room(s) || float64(s.out) > passFloor*b.share() && float64(s.out) > passRatio*mean
+	part := s.Weight / b.weight
+	if held := b.holds(&s.held, s.out); held > passRatio*(part*b.holds(&b.held, b.out)+b.latency.Seconds()) {
+		return true
+	}
+	return !b.room(s) || float64(s.out) > passFloor*b.share() && float64(s.out) > passRatio*part*float64(b.out)
 }
 
 // mayTake holds a keyed request that may have run to the group that drops its repeats: no effect twice.
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -25,6 +26,8 @@
 	timers   map[int64]func()
 	token    int64
 	out      int           // attempts in flight to caches
+	sends    int           // attempts begun at caches
+	held     usage         // by all caches
 	weight   float64       // of caches
 	retries  float64       // the retry budget
 	latency  time.Duration // smoothed time to an answer of the caches
@@ -42,6 +45,7 @@
 	Entry
 	isOrigin bool
 	out      int           // attempts in flight
+	held     usage         // attempts in flight over the last sends
 	limit    float64       // concurrency limit, of this router alone
 	latency  time.Duration // smoothed time to an answer
 	cut      Time          // the last cut of limit
@@ -153,6 +157,11 @@
 
 // count books one attempt begun (1) or ended (-1).
 func (b *Balancer) count(r *request, s *server, n int) {
+	if !s.isOrigin {
+		b.holds(&s.held, s.out)
+		b.holds(&b.held, b.out)
+		b.sends += max(n, 0)
+	}
 	r.out += n
 	s.out += n
 	if !s.isOrigin {
@@ -160,6 +169,21 @@
 	}
 }
 
+// usage is the time that attempts have been in flight, in seconds; it fades over the router's next sends.
+type usage struct {
+	seconds float64
+	at      Time
+	sends   int
+}
+
+// holds brings a usage up to date, with out attempts in flight since it last was.
+func (b *Balancer) holds(u *usage, out int) float64 {
+	fade := 1 - 1/(loadMemory*float64(max(len(b.caches), 1)))
+	u.seconds = u.seconds*math.Pow(fade, float64(b.sends-u.sends)) + float64(out)*b.now.Sub(u.at).Seconds()
+	u.at, u.sends = b.now, b.sends
+	return u.seconds
+}
+
 func (s *server) load() float64 { return float64(s.out+len(s.queue)) / s.limit }
 
 // room tells whether the concurrency limits allow another attempt; one at a server is always allowed by its own.
