--- a/balance/balance.go
+++ b/balance/balance.go
@@ -44,6 +44,9 @@
 			r.worth *= b.set.OverShareWorth
 		}
 	}
+	if q.HasKey && !(q.Write && b.set.Aside) {
+		r.spread = min(b.heat(q.Key), len(b.caches)-1)
+	}
 	b.requests[q.ID] = r
 	b.retries = min(b.retries+retryShare, retryBurst)
 	b.after(q.Due.Sub(b.now), func() { b.giveUp(r) }) // whatever else happens, it is answered in time
@@ -75,11 +78,18 @@
 // second the draws make up for caches out of use and, in a fleet with room, for full ones.
 func (b *Balancer) pick(r *request) *server {
 	var first, second, spare *server
+	skip := 0
+	if r.spread > 0 {
+		skip = b.rng.IntN(r.spread + 1)
+	}
 	for i, hash := 0, r.hash; i < maxDraws && len(b.caches) > 0; i, hash = i+1, mix(hash) {
 		s := b.servers[b.table.lookup(hash)]
 		if s == first || s == second || r.tried(s) || !b.mayTake(r, s) || !b.budgeted(s) {
 			continue
 		}
+		if skip--; skip >= 0 {
+			continue
+		}
 		switch {
 		case !b.healthy(s):
 			spare = cmp.Or(spare, s)
--- a/balance/state.go
+++ b/balance/state.go
@@ -25,19 +25,21 @@
 	fetches  map[uint64]*request // by key: the read that has the origin's fetch in hand
 	timers   map[int64]func()
 	token    int64
-	out      int           // attempts in flight to caches
-	sends    int           // attempts begun at caches
-	held     usage         // by all caches
-	weight   float64       // of caches
-	retries  float64       // the retry budget
-	latency  time.Duration // smoothed time to an answer of the caches
-	answers  meter         // of the caches
-	shares   []meter       // what each tenant has asked for
-	cap      float64       // concurrency limit over all caches, set by a common cause; 0 if none
-	capped   Time          // the last cut of cap
-	erring   float64       // smoothed share of errors among the caches' answers
-	asks     int           // calls for the list that failed, in a row
-	call     int           // the last event that a call for the list hangs on
+	out      int               // attempts in flight to caches
+	sends    int               // attempts begun at caches
+	held     usage             // by all caches
+	recent   [2]map[uint64]int // the last sends by key, in two generations
+	fresh    int               // sends in the first of them
+	weight   float64           // of caches
+	retries  float64           // the retry budget
+	latency  time.Duration     // smoothed time to an answer of the caches
+	answers  meter             // of the caches
+	shares   []meter           // what each tenant has asked for
+	cap      float64           // concurrency limit over all caches, set by a common cause; 0 if none
+	capped   Time              // the last cut of cap
+	erring   float64           // smoothed share of errors among the caches' answers
+	asks     int               // calls for the list that failed, in a row
+	call     int               // the last event that a call for the list hangs on
 }
 
 // server is what the router knows of one cache, or of the origin.
@@ -73,6 +75,7 @@
 	Request
 	class    *Class
 	hash     uint64
+	spread   int // caches past the first that the key's heat opens
 	worth    float64
 	arrived  Time
 	attempts []attempt
@@ -184,6 +187,16 @@
 	return u.seconds
 }
 
+// heat counts a request of this key and returns how many the last sends had of it before.
+func (b *Balancer) heat(key uint64) int {
+	n := b.recent[0][key] + b.recent[1][key]
+	if b.fresh++; b.recent[0] == nil || float64(b.fresh) > loadMemory*float64(len(b.caches)) {
+		b.recent, b.fresh = [2]map[uint64]int{{}, b.recent[0]}, 1
+	}
+	b.recent[0][key]++
+	return n
+}
+
 func (s *server) load() float64 { return float64(s.out+len(s.queue)) / s.limit }
 
 // room tells whether the concurrency limits allow another attempt; one at a server is always allowed by its own.
