A gate over all caches and one at the origin: late answers close it, good ones open it

Cause: limits of one attempt a router are none with hundreds of routers; queues fill with work nobody waits for and never drain. Next: tell a few bad caches from all.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -21,6 +21,7 @@
 	retryBurst  = 10.0    // and so many at once, for a single server's death
 	keepInUse   = 1.0 / 3 // of the fleet's weight is never ejected: past that the cause is a common one
 	suspectAt   = 3       // failures in a row; one is not proof
+	gateRise    = 0.07    // what a good answer opens a gate by: with limitCut, three bad ones in ten close it
 	commonCause = 0.2     // of answers are errors: it is what the caches share; another makes it worse
 	capRise     = 0.1     // what the limit over all caches grows by in a round trip of good answers
 	smoothing   = 0.2     // of latencies: about the last five answers
@@ -47,6 +48,7 @@
 	if q.HasKey && !(q.Write && b.set.Aside) {
 		r.spread = min(b.heat(q.Key), len(b.caches)-1)
 	}
+	b.worth += smoothing / 4 * (r.worth - b.worth)
 	b.requests[q.ID] = r
 	b.retries = min(b.retries+retryShare, retryBurst)
 	b.after(q.Due.Sub(b.now), func() { b.giveUp(r) }) // whatever else happens, it is answered in time
@@ -63,6 +65,8 @@
 		b.fetch(r)
 	} else if lead := b.fetches[r.Key]; r.HasKey && lead != nil && lead != r && !r.waited {
 		b.join(r, lead)
+	} else if len(r.attempts) == 0 && !b.admits(&b.gate, r) {
+		b.giveUp(r)
 	} else if s := b.pick(r); s != nil && b.healthy(s) {
 		b.enqueue(r, s)
 	} else if s != nil && b.room(s) { // all are ejected: nobody waits at such a server
@@ -78,18 +82,11 @@
 // second the draws make up for caches out of use and, in a fleet with room, for full ones.
 func (b *Balancer) pick(r *request) *server {
 	var first, second, spare *server
-	skip := 0
-	if r.spread > 0 {
-		skip = b.rng.IntN(r.spread + 1)
-	}
 	for i, hash := 0, r.hash; i < maxDraws && len(b.caches) > 0; i, hash = i+1, mix(hash) {
 		s := b.servers[b.table.lookup(hash)]
 		if s == first || s == second || r.tried(s) || !b.mayTake(r, s) || !b.budgeted(s) {
 			continue
 		}
-		if skip--; skip >= 0 {
-			continue
-		}
 		switch {
 		case !b.healthy(s):
 			spare = cmp.Or(spare, s)
@@ -105,8 +102,12 @@
 			return first
 		case second == nil:
 			second = s
-		case b.room(s) && b.fleetLoad() < spillLoad:
+		case r.spread > 1 && !b.crowded(s):
+			return s
+		case r.spread == 0 && b.room(s) && b.fleetLoad() < spillLoad:
 			return s
+		case r.spread > 0:
+			r.spread--
 		}
 	}
 	if second != nil && second.load() < first.load() {
@@ -183,6 +184,11 @@
 	b.count(r, s, 1)
 	s.tokens--
 	b.do(Send{ID: r.ID, Server: s.Server})
+	b.after(b.aim/2, func() {
+		if r.attempts[n].open {
+			b.closeGate(s)
+		}
+	})
 	wait := r.class.Aim / 2
 	if s.ejected == 0 { // a trial gets no benefit of the doubt
 		wait = max(wait, 6*b.latency)
@@ -305,6 +311,10 @@
 	if shared {
 		b.fetches[r.Key] = r
 	}
+	if !b.admits(&b.originGate, r) {
+		b.giveUp(r)
+		return
+	}
 	b.enqueue(r, b.origin)
 }
 
@@ -320,6 +330,13 @@
 // judge books an outcome to its server. The concurrency limit grows while answers take under half an aim,
 // so that a second attempt has time, and is cut when they take longer, fail or are turned away.
 func (b *Balancer) judge(s *server, took time.Duration, result Result) {
+	if took < b.aim/2 && result != Cancelled && result != Moot {
+		if g := b.gateOf(s); result == OK || result == Miss {
+			g.open = min(1, g.open*(1+gateRise))
+		} else {
+			b.closeGate(s)
+		}
+	}
 	switch result {
 	case OK, Miss:
 		s.heard, s.fails, s.backoff = b.now, 0, 0
@@ -362,6 +379,24 @@
 	}
 }
 
+// admits lets part of the requests through while a gate is not fully open, the least worth last.
+func (b *Balancer) admits(g *gate, r *request) bool {
+	return g.open >= 1 || b.rng.Float64() < math.Pow(g.open, b.worth/max(r.worth, b.worth/64))
+}
+
+func (b *Balancer) gateOf(s *server) *gate {
+	if s.isOrigin {
+		return &b.originGate
+	}
+	return &b.gate
+}
+
+func (b *Balancer) closeGate(s *server) {
+	if g := b.gateOf(s); b.now.Sub(g.cut) > b.latency {
+		g.open, g.cut = max(g.open*limitCut, 1.0/16), b.now
+	}
+}
+
 // failed counts a failure; some in a row eject the server, for longer each time, if enough are left.
 func (b *Balancer) failed(s *server) {
 	s.fails++
--- a/balance/state.go
+++ b/balance/state.go
@@ -12,34 +12,36 @@
 
 // Balancer is one router's decisions. Its fields belong to the goroutine that calls Handle.
 type Balancer struct {
-	set      Settings
-	rng      *rand.Rand
-	now      Time
-	aim      time.Duration // the shortest aim of any class: the pace at which the service is judged
-	acts     []Action
-	table    table
-	servers  map[ServerID]*server
-	caches   []*server // the table's owners, by id
-	origin   *server   // the origin in aside mode, if listed
-	requests map[RequestID]*request
-	fetches  map[uint64]*request // by key: the read that has the origin's fetch in hand
-	timers   map[int64]func()
-	token    int64
-	out      int               // attempts in flight to caches
-	sends    int               // attempts begun at caches
-	held     usage             // by all caches
-	recent   [2]map[uint64]int // the last sends by key, in two generations
-	fresh    int               // sends in the first of them
-	weight   float64           // of caches
-	retries  float64           // the retry budget
-	latency  time.Duration     // smoothed time to an answer of the caches
-	answers  meter             // of the caches
-	shares   []meter           // what each tenant has asked for
-	cap      float64           // concurrency limit over all caches, set by a common cause; 0 if none
-	capped   Time              // the last cut of cap
-	erring   float64           // smoothed share of errors among the caches' answers
-	asks     int               // calls for the list that failed, in a row
-	call     int               // the last event that a call for the list hangs on
+	set              Settings
+	rng              *rand.Rand
+	now              Time
+	aim              time.Duration // the shortest aim of any class: the pace at which the service is judged
+	acts             []Action
+	table            table
+	servers          map[ServerID]*server
+	caches           []*server // the table's owners, by id
+	origin           *server   // the origin in aside mode, if listed
+	requests         map[RequestID]*request
+	fetches          map[uint64]*request // by key: the read that has the origin's fetch in hand
+	timers           map[int64]func()
+	token            int64
+	out              int               // attempts in flight to caches
+	sends            int               // attempts begun at caches
+	held             usage             // by all caches
+	recent           [2]map[uint64]int // the last sends by key, in two generations
+	fresh            int               // sends in the first of them
+	weight           float64           // of caches
+	retries          float64           // the retry budget
+	latency          time.Duration     // smoothed time to an answer of the caches
+	answers          meter             // of the caches
+	shares           []meter           // what each tenant has asked for
+	cap              float64           // concurrency limit over all caches, set by a common cause; 0 if none
+	capped           Time              // the last cut of cap
+	erring           float64           // smoothed share of errors among the caches' answers
+	gate, originGate gate
+	worth            float64 // smoothed, of requests
+	asks             int     // calls for the list that failed, in a row
+	call             int     // the last event that a call for the list hangs on
 }
 
 // server is what the router knows of one cache, or of the origin.
@@ -61,6 +63,12 @@
 	filled   Time          // when tokens was last brought up to date
 }
 
+// gate is the part of requests that is let through.
+type gate struct {
+	open float64
+	cut  Time
+}
+
 // attempt is one Send.
 type attempt struct {
 	to   *server
@@ -89,7 +97,7 @@
 
 // New returns the decisions of one router.
 func New(set Settings, seed uint64) *Balancer {
-	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, aim: time.Second,
+	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, aim: time.Second, gate: gate{open: 1}, originGate: gate{open: 1},
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, fetches: map[uint64]*request{},
 		timers: map[int64]func(){}, shares: make([]meter, len(set.Tenants))}
 	for i, c := range set.Classes {
