--- a/balance/balance.go
+++ b/balance/balance.go
@@ -78,42 +78,32 @@
 	}
 }
 
-// pick draws the request's caches by hash and rehash. A crowded first one passes the request on; past the
-// second the draws make up for caches out of use and, in a fleet with room, for full ones.
+// pick draws the request's caches by hash and rehash: the first that is not crowded of two, or of more for a
+// key that comes often; all full, of any while the fleet has room. Caches out of use are drawn past.
 func (b *Balancer) pick(r *request) *server {
-	var first, second, spare *server
+	var best, spare *server
+	seen := map[*server]bool{}
 	for i, hash := 0, r.hash; i < maxDraws && len(b.caches) > 0; i, hash = i+1, mix(hash) {
 		s := b.servers[b.table.lookup(hash)]
-		if s == first || s == second || r.tried(s) || !b.mayTake(r, s) || !b.budgeted(s) {
+		if seen[s] || r.tried(s) || !b.mayTake(r, s) || !b.budgeted(s) {
 			continue
 		}
-		switch {
-		case !b.healthy(s):
+		if !b.healthy(s) {
 			spare = cmp.Or(spare, s)
-		case first == nil && !b.crowded(s):
-			return s
-		case first == nil:
-			first = s
-		case second == nil && !b.crowded(s):
-			return s
-		case second == nil && b.room(s) && (s.load() < first.load() || !b.room(first)):
-			return s
-		case b.room(first):
-			return first
-		case second == nil:
-			second = s
-		case r.spread > 1 && !b.crowded(s):
-			return s
-		case r.spread == 0 && b.room(s) && b.fleetLoad() < spillLoad:
+			continue
+		}
+		seen[s] = true
+		if !b.crowded(s) {
 			return s
-		case r.spread > 0:
-			r.spread--
+		}
+		if best == nil || b.room(s) && !b.room(best) || b.room(s) == b.room(best) && s.lighter(best) {
+			best = s
+		}
+		if len(seen) > max(1, r.spread) && (b.room(best) || b.fleetLoad() >= spillLoad) {
+			break
 		}
 	}
-	if second != nil && second.load() < first.load() {
-		return second
-	}
-	return cmp.Or(first, spare) // all have been ejected: the least bad is the one that holds the key
+	return cmp.Or(best, spare) // all have been ejected: the least bad is the one that holds the key
 }
 
 // crowded is the load term of the design, over a multiple of the mean in flight and a floor; or at its
--- a/balance/state.go
+++ b/balance/state.go
@@ -207,6 +207,11 @@
 
 func (s *server) load() float64 { return float64(s.out+len(s.queue)) / s.limit }
 
+// lighter tells whether a server is loaded less than another, by what it holds and then by what it held lately.
+func (s *server) lighter(o *server) bool {
+	return s.load() < o.load() || s.load() == o.load() && s.held.seconds*o.Weight < o.held.seconds*s.Weight
+}
+
 // room tells whether the concurrency limits allow another attempt; one at a server is always allowed by its own.
 func (b *Balancer) room(s *server) bool {
 	return (s.out == 0 || float64(s.out+1) <= s.limit) && (s.isOrigin || b.cap == 0 || float64(b.out+1) <= b.cap)
