--- a/balance/balance.go
+++ b/balance/balance.go
@@ -46,7 +46,7 @@
 		}
 	}
 	if q.HasKey && !(q.Write && b.set.Aside) {
-		r.spread = min(b.heat(q.Key), len(b.caches)-1)
+		r.spread = b.heat(q.Key)
 	}
 	b.worth += smoothing / 4 * (r.worth - b.worth)
 	b.requests[q.ID] = r
@@ -83,6 +83,10 @@
 func (b *Balancer) pick(r *request) *server {
 	var best, spare *server
 	seen := map[*server]bool{}
+	skip := 0
+	if b.thin() && len(r.attempts) == 0 {
+		skip = b.rng.IntN(r.spread + 1)
+	}
 	for i, hash := 0, r.hash; i < maxDraws && len(b.caches) > 0; i, hash = i+1, mix(hash) {
 		s := b.servers[b.table.lookup(hash)]
 		if seen[s] || r.tried(s) || !b.mayTake(r, s) || !b.budgeted(s) {
@@ -93,6 +97,9 @@
 			continue
 		}
 		seen[s] = true
+		if len(seen) <= skip {
+			continue
+		}
 		if !b.crowded(s) {
 			return s
 		}
@@ -106,6 +113,11 @@
 	return cmp.Or(best, spare) // all have been ejected: the least bad is the one that holds the key
 }
 
+// thin tells whether this router holds too little to learn a cache's load from it.
+func (b *Balancer) thin() bool {
+	return b.answers.rate(b.now, 2*b.set.OverloadFor)*b.latency.Seconds() < 0.1*float64(len(b.caches))
+}
+
 // crowded is the load term of the design, over a multiple of the mean in flight and a floor; or at its
 // limit.
 func (b *Balancer) crowded(s *server) bool {
--- a/balance/state.go
+++ b/balance/state.go
@@ -29,6 +29,7 @@
 	sends            int               // attempts begun at caches
 	held             usage             // by all caches
 	recent           [2]map[uint64]int // the last sends by key, in two generations
+	older            int               // and in the second
 	fresh            int               // sends in the first of them
 	weight           float64           // of caches
 	retries          float64           // the retry budget
@@ -195,14 +196,16 @@
 	return u.seconds
 }
 
-// heat counts a request of this key and returns how many the last sends had of it before.
+// heat counts a request of this key and returns over how many caches more than one the key's part of the last
+// sends spreads, so that it brings none over half a mean cache's work.
 func (b *Balancer) heat(key uint64) int {
-	n := b.recent[0][key] + b.recent[1][key]
-	if b.fresh++; b.recent[0] == nil || float64(b.fresh) > loadMemory*float64(len(b.caches)) {
-		b.recent, b.fresh = [2]map[uint64]int{{}, b.recent[0]}, 1
+	n, caches := b.recent[0][key]+b.recent[1][key], float64(len(b.caches))
+	total := max(float64(b.fresh+b.older), caches/4)
+	if b.fresh++; b.recent[0] == nil || float64(b.fresh) > loadMemory*caches {
+		b.recent, b.older, b.fresh = [2]map[uint64]int{{}, b.recent[0]}, b.fresh, 1
 	}
 	b.recent[0][key]++
-	return n
+	return int(min(2*float64(n)*caches/total, max(caches-1, 0)))
 }
 
 func (s *server) load() float64 { return float64(s.out+len(s.queue)) / s.limit }
