--- a/balance/balance.go
+++ b/balance/balance.go
@@ -113,10 +113,8 @@
 	return cmp.Or(best, spare) // all have been ejected: the least bad is the one that holds the key
 }
 
-// thin tells whether this router holds too little to learn a cache's load from it.
-func (b *Balancer) thin() bool {
-	return b.answers.rate(b.now, 2*b.set.OverloadFor)*b.latency.Seconds() < 0.1*float64(len(b.caches))
-}
+// thin tells whether the routers are so many that a cache's limit at each is about one: it can't follow a load.
+func (b *Balancer) thin() bool { return firstLimit*b.share() < 2 }
 
 // crowded is the load term of the design, over a multiple of the mean in flight and a floor; or at its
 // limit.
@@ -186,7 +184,7 @@
 	b.count(r, s, 1)
 	s.tokens--
 	b.do(Send{ID: r.ID, Server: s.Server})
-	b.after(b.aim/2, func() {
+	b.after(r.class.Aim/2, func() {
 		if r.attempts[n].open {
 			b.closeGate(s)
 		}
@@ -230,6 +228,13 @@
 	a.open, a.idle = false, o.Result.NeverRan()
 	b.count(r, s, -1)
 	b.judge(s, b.now.Sub(a.sent), o.Result)
+	if b.now.Sub(a.sent) < r.class.Aim/2 && o.Result != Cancelled && o.Result != Moot {
+		if g := b.gateOf(s); o.Result == OK || o.Result == Miss {
+			g.open = min(1, g.open*(1+gateRise))
+		} else {
+			b.closeGate(s)
+		}
+	}
 	switch {
 	case o.Done || r.done:
 		b.end(r, o.Result == OK)
@@ -332,13 +337,6 @@
 // judge books an outcome to its server. The concurrency limit grows while answers take under half an aim,
 // so that a second attempt has time, and is cut when they take longer, fail or are turned away.
 func (b *Balancer) judge(s *server, took time.Duration, result Result) {
-	if took < b.aim/2 && result != Cancelled && result != Moot {
-		if g := b.gateOf(s); result == OK || result == Miss {
-			g.open = min(1, g.open*(1+gateRise))
-		} else {
-			b.closeGate(s)
-		}
-	}
 	switch result {
 	case OK, Miss:
 		s.heard, s.fails, s.backoff = b.now, 0, 0
@@ -383,7 +381,7 @@
 
 // admits lets part of the requests through while a gate is not fully open, the least worth last.
 func (b *Balancer) admits(g *gate, r *request) bool {
-	return g.open >= 1 || b.rng.Float64() < math.Pow(g.open, b.worth/max(r.worth, b.worth/64))
+	return g.open >= 1 || !b.thin() || b.rng.Float64() < math.Pow(g.open, b.worth/max(r.worth, b.worth/64))
 }
 
 func (b *Balancer) gateOf(s *server) *gate {
