--- a/balance/api.go
+++ b/balance/api.go
@@ -63,7 +63,9 @@
 type Settings struct {
 	Classes        []Class
 	Tenants        []Tenant
-	Routers        int // how many routers share the work
+	Routers        int  // how many routers share the work
+	Number         int  // of this one among them, from 0
+	PeerMessages   bool // routers may tell each other things
 	Zone           string
 	OverShareWorth float64
 	Aside          bool   // caches answer a miss, and the router asks the origin itself
@@ -153,6 +155,8 @@
 	}
 	// ClientGone ends a request with nothing more owed.
 	ClientGone struct{ ID RequestID }
+	// Heard is a message from another router.
+	Heard struct{ Content []byte }
 	// Timer is a SetTimer come due.
 	Timer struct{ Token int64 }
 )
@@ -162,6 +166,7 @@
 func (Outcome) event()    {}
 func (Opened) event()     {}
 func (ClientGone) event() {}
+func (Heard) event()      {}
 func (Timer) event()      {}
 
 // Result is how an attempt ended.
@@ -210,6 +215,11 @@
 		After time.Duration
 		Token int64
 	}
+	// Tell sends another router a message, which may be lost.
+	Tell struct {
+		To      int
+		Content []byte
+	}
 	// Subscribe asks for the list's changes.
 	Subscribe struct{}
 )
@@ -219,4 +229,5 @@
 func (Fail) action()      {}
 func (Cancel) action()    {}
 func (SetTimer) action()  {}
+func (Tell) action()      {}
 func (Subscribe) action() {}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,6 +14,7 @@
 const (
 	passRatio   = 2.0     // a first cache this far over the mean in flight passes the request on
 	passFloor   = 3.0     // over all routers, and holds more than this: below it the mean is noise
+	toldPeers   = 16      // routers that hear what this one saw: an attempt's price is a few thousandths of one
 	loadMemory  = 2.0     // sends a cache over which a load is averaged, for a router with few in flight
 	maxDraws    = 64      // rehash draws until the search for another cache ends
 	spillLoad   = 0.33    // a third cache is taken under this load only: the spill costs a miss
@@ -116,6 +117,39 @@
 // thin tells whether the routers are so many that a cache's limit at each is about one: it can't follow a load.
 func (b *Balancer) thin() bool { return firstLimit*b.share() < 2 }
 
+// sighted notes an attempt's time in flight, to be told to some other routers: one alone sees too little.
+func (b *Balancer) sighted(s *server, took time.Duration) {
+	if !b.thin() || !b.set.PeerMessages || s.isOrigin || len(b.sightings) >= maxSightings {
+		return
+	}
+	if b.sightings = append(b.sightings, sighting{s.hash, took}); len(b.sightings) == 1 {
+		b.after(b.aim/2, func() {
+			text := encodeSightings(b.sightings)
+			b.sightings = nil
+			for range min(toldPeers, b.set.Routers-1) {
+				to := b.rng.IntN(b.set.Routers - 1)
+				if to >= b.set.Number {
+					to++
+				}
+				b.do(Tell{To: to, Content: text})
+			}
+		})
+	}
+}
+
+// onHeard adds what another router saw to the load term's averages.
+func (b *Balancer) onHeard(all []sighting) {
+	for _, at := range all {
+		if s := b.byHash[at.server]; s != nil {
+			b.holds(&s.held, s.out)
+			b.holds(&b.held, b.out)
+			b.sends++
+			s.held.seconds += at.took.Seconds()
+			b.held.seconds += at.took.Seconds()
+		}
+	}
+}
+
 // crowded is the load term of the design, over a multiple of the mean in flight and a floor; or at its
 // limit.
 func (b *Balancer) crowded(s *server) bool {
@@ -228,6 +262,7 @@
 	a.open, a.idle = false, o.Result.NeverRan()
 	b.count(r, s, -1)
 	b.judge(s, b.now.Sub(a.sent), o.Result)
+	b.sighted(s, b.now.Sub(a.sent))
 	if b.now.Sub(a.sent) < r.class.Aim/2 && o.Result != Cancelled && o.Result != Moot {
 		if g := b.gateOf(s); o.Result == OK || o.Result == Miss {
 			g.open = min(1, g.open*(1+gateRise))
@@ -446,7 +481,7 @@
 		}
 		s.Entry, s.isOrigin = e, b.set.OriginKind != "" && e.Kind == b.set.OriginKind
 	}
-	b.origin, b.caches, b.weight, b.out = nil, nil, 0, 0
+	b.origin, b.caches, b.weight, b.out, b.byHash = nil, nil, 0, 0, map[uint32]*server{}
 	weights := map[ServerID]float64{}
 	for _, id := range sortedIDs(b.servers) {
 		s := b.servers[id]
@@ -456,6 +491,8 @@
 		if s.State == Up && s.isOrigin {
 			b.origin = s
 		} else if s.State == Up {
+			s.hash = hashID(id)
+			b.byHash[s.hash] = s
 			b.caches, weights[id], b.weight = append(b.caches, s), s.Weight, b.weight+s.Weight
 		}
 		if !s.isOrigin {
--- /dev/null
+++ b/balance/gossip.go
@@ -0,0 +1,42 @@
+package balance
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"time"
+)
+
+// This file codes what routers tell each other; what is told, to whom and what is made of it is decided in
+// the policy files. A message is a row of sightings of six bytes: a server's hash and milliseconds.
+
+// sighting is one attempt's time in flight at a server.
+type sighting struct {
+	server uint32
+	took   time.Duration
+}
+
+const sightingLen, maxSightings = 6, 42 // 256 bytes a message
+
+func hashID(id ServerID) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return h.Sum32()
+}
+
+func encodeSightings(all []sighting) []byte {
+	var text []byte
+	for _, s := range all {
+		text = binary.BigEndian.AppendUint32(text, s.server)
+		text = binary.BigEndian.AppendUint16(text, uint16(min(s.took.Milliseconds(), 1<<16-1)))
+	}
+	return text
+}
+
+// decodeSightings passes over a last piece that is cut short.
+func decodeSightings(text []byte) (all []sighting) {
+	for ; len(text) >= sightingLen; text = text[sightingLen:] {
+		took := time.Duration(binary.BigEndian.Uint16(text[4:])) * time.Millisecond
+		all = append(all, sighting{binary.BigEndian.Uint32(text), took})
+	}
+	return all
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -19,8 +19,9 @@
 	acts             []Action
 	table            table
 	servers          map[ServerID]*server
-	caches           []*server // the table's owners, by id
-	origin           *server   // the origin in aside mode, if listed
+	byHash           map[uint32]*server // the caches
+	caches           []*server          // the table's owners, by id
+	origin           *server            // the origin in aside mode, if listed
 	requests         map[RequestID]*request
 	fetches          map[uint64]*request // by key: the read that has the origin's fetch in hand
 	timers           map[int64]func()
@@ -34,6 +35,7 @@
 	weight           float64           // of caches
 	retries          float64           // the retry budget
 	latency          time.Duration     // smoothed time to an answer of the caches
+	sightings        []sighting        // not told to other routers yet
 	answers          meter             // of the caches
 	shares           []meter           // what each tenant has asked for
 	cap              float64           // concurrency limit over all caches, set by a common cause; 0 if none
@@ -49,6 +51,7 @@
 type server struct {
 	Entry
 	isOrigin bool
+	hash     uint32        // of its id
 	out      int           // attempts in flight
 	held     usage         // attempts in flight over the last sends
 	limit    float64       // concurrency limit, of this router alone
@@ -135,6 +138,8 @@
 			if r := b.requests[e.ID]; r != nil {
 				b.end(r, false)
 			}
+		case Heard:
+			b.onHeard(decodeSightings(e.Content))
 		case Timer:
 			if f := b.timers[e.Token]; f != nil {
 				delete(b.timers, e.Token)
--- a/internal/simwire/codec.go
+++ b/internal/simwire/codec.go
@@ -34,6 +34,7 @@
 	Done      bool               `json:"DoneFlag"`
 	Server    string             `json:"Server"`
 	Feedback  map[string]float64 `json:"Feedback"`
+	Content   []byte             `json:"Content"`
 	Reference int64              `json:"Ref"`
 }
 
@@ -65,6 +66,7 @@
 	}
 	Flavors        []string
 	FleetSize      int
+	MyNumber       int
 	Zone           string
 	OverShareWorth float64
 	MembershipMode string
@@ -76,6 +78,7 @@
 		SendCap        int
 		MayCancel      bool
 		ParallelTries  bool
+		PeerMessages   bool
 		RetryAfter     bool
 		MaxRetryAfter  int64
 		ConnectTimeout int64
@@ -105,7 +108,7 @@
 
 func (p *profile) settings() balance.Settings {
 	s := balance.Settings{
-		Routers: p.FleetSize, Zone: p.Zone, OverShareWorth: p.OverShareWorth,
+		Routers: p.FleetSize, Number: p.MyNumber, PeerMessages: p.Limits.PeerMessages, Zone: p.Zone, OverShareWorth: p.OverShareWorth,
 		Aside: p.FamilyInfo.Mode == "aside", AskForList: p.MembershipMode == "on_request",
 		AskWithin:   time.Duration(p.Contract.AskWithin),
 		MaxAttempts: p.Limits.SendCap, MayCancel: p.Limits.MayCancel, Parallel: p.Limits.ParallelTries,
@@ -172,7 +175,9 @@
 		return balance.ClientGone{ID: id}, nil
 	case "Bell":
 		return balance.Timer{Token: l.Reference}, nil
-	case "ProbeDone", "Message":
+	case "Message":
+		return balance.Heard{Content: l.Content}, nil
+	case "ProbeDone":
 		return nil, nil
 	}
 	return nil, fmt.Errorf("unknown message %q", l.Name)
@@ -180,15 +185,17 @@
 
 // order is any message to the simulator.
 type order struct {
-	Name     string `json:"m"`
-	Instance int    `json:"I"`
-	ID       string `json:"Corr,omitempty"`
-	Server   string `json:"Server,omitempty"`
-	Advice   int64  `json:"NotBeforeFor,omitempty"`
-	Hop      *int   `json:"Hop,omitempty"`
-	Span     *int64 `json:"Span,omitempty"`
-	Ref      *int64 `json:"Ref,omitempty"`
-	Enable   bool   `json:"Enable,omitempty"`
+	Name      string `json:"m"`
+	Instance  int    `json:"I"`
+	ID        string `json:"Corr,omitempty"`
+	Server    string `json:"Server,omitempty"`
+	Advice    int64  `json:"NotBeforeFor,omitempty"`
+	Hop       *int   `json:"Hop,omitempty"`
+	Span      *int64 `json:"Span,omitempty"`
+	Ref       *int64 `json:"Ref,omitempty"`
+	Addressee *int   `json:"Addressee,omitempty"`
+	Content   []byte `json:"Content,omitempty"`
+	Enable    bool   `json:"Enable,omitempty"`
 }
 
 // encode turns an action into a line.
@@ -206,6 +213,8 @@
 	case balance.SetTimer:
 		span := int64(a.After)
 		o.Name, o.Span, o.Ref = "Arm", &span, &a.Token
+	case balance.Tell:
+		o.Name, o.Addressee, o.Content = "WritePeer", &a.To, a.Content
 	case balance.Subscribe:
 		o.Name, o.Enable = "Watch", true
 	default:
