--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,7 +14,7 @@
 const (
 	passRatio   = 2.0     // a first cache this far over the mean in flight passes the request on
 	passFloor   = 3.0     // over all routers, and holds more than this: below it the mean is noise
-	toldPeers   = 16      // routers that hear what this one saw: an attempt's price is a few thousandths of one
+	toldPeers   = 10      // routers that hear what this one saw: an attempt's price is a few thousandths of one
 	loadMemory  = 2.0     // sends a cache over which a load is averaged, for a router with few in flight
 	maxDraws    = 64      // rehash draws until the search for another cache ends
 	spillLoad   = 0.33    // a third cache is taken under this load only: the spill costs a miss
@@ -47,7 +47,7 @@
 		}
 	}
 	if q.HasKey && !(q.Write && b.set.Aside) {
-		r.spread = b.heat(q.Key)
+		r.spread = b.heat(uint32(r.hash >> 32))
 	}
 	b.worth += smoothing / 4 * (r.worth - b.worth)
 	b.requests[q.ID] = r
@@ -118,12 +118,17 @@
 func (b *Balancer) thin() bool { return firstLimit*b.share() < 2 }
 
 // sighted notes an attempt's time in flight, to be told to some other routers: one alone sees too little.
-func (b *Balancer) sighted(s *server, took time.Duration) {
+func (b *Balancer) sighted(r *request, a *attempt, took time.Duration) {
+	s, key := a.to, uint32(r.hash>>32)
 	if !b.thin() || !b.set.PeerMessages || s.isOrigin || len(b.sightings) >= maxSightings {
 		return
 	}
-	if b.sightings = append(b.sightings, sighting{s.hash, took}); len(b.sightings) == 1 {
-		b.after(b.aim/2, func() {
+	if a.told > 0 {
+		key, took = 0, took-a.told
+	}
+	a.told += took
+	if b.sightings = append(b.sightings, sighting{key, s.hash, took}); len(b.sightings) == 1 {
+		b.after(b.aim/4, func() {
 			text := encodeSightings(b.sightings)
 			b.sightings = nil
 			for range min(toldPeers, b.set.Routers-1) {
@@ -143,7 +148,10 @@
 		if s := b.byHash[at.server]; s != nil {
 			b.holds(&s.held, s.out)
 			b.holds(&b.held, b.out)
-			b.sends++
+			if at.key != 0 {
+				b.sends++
+				b.heat(at.key)
+			}
 			s.held.seconds += at.took.Seconds()
 			b.held.seconds += at.took.Seconds()
 		}
@@ -221,6 +229,7 @@
 	b.after(r.class.Aim/2, func() {
 		if r.attempts[n].open {
 			b.closeGate(s)
+			b.sighted(r, &r.attempts[n], r.class.Aim/2)
 		}
 	})
 	wait := r.class.Aim / 2
@@ -262,7 +271,7 @@
 	a.open, a.idle = false, o.Result.NeverRan()
 	b.count(r, s, -1)
 	b.judge(s, b.now.Sub(a.sent), o.Result)
-	b.sighted(s, b.now.Sub(a.sent))
+	b.sighted(r, a, b.now.Sub(a.sent))
 	if b.now.Sub(a.sent) < r.class.Aim/2 && o.Result != Cancelled && o.Result != Moot {
 		if g := b.gateOf(s); o.Result == OK || o.Result == Miss {
 			g.open = min(1, g.open*(1+gateRise))
--- a/balance/gossip.go
+++ b/balance/gossip.go
@@ -7,15 +7,16 @@
 )
 
 // This file codes what routers tell each other; what is told, to whom and what is made of it is decided in
-// the policy files. A message is a row of sightings of six bytes: a server's hash and milliseconds.
+// the policy files. A message is a row of sightings of ten bytes: the hashes of a key and a server, and milliseconds.
 
-// sighting is one attempt's time in flight at a server.
+// sighting is one attempt's time in flight at a server; without a key it goes on with an earlier one.
 type sighting struct {
+	key    uint32
 	server uint32
 	took   time.Duration
 }
 
-const sightingLen, maxSightings = 6, 42 // 256 bytes a message
+const sightingLen, maxSightings = 10, 25 // 256 bytes a message
 
 func hashID(id ServerID) uint32 {
 	h := fnv.New32a()
@@ -26,7 +27,7 @@
 func encodeSightings(all []sighting) []byte {
 	var text []byte
 	for _, s := range all {
-		text = binary.BigEndian.AppendUint32(text, s.server)
+		text = binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(text, s.key), s.server)
 		text = binary.BigEndian.AppendUint16(text, uint16(min(s.took.Milliseconds(), 1<<16-1)))
 	}
 	return text
@@ -35,8 +36,8 @@
 // decodeSightings passes over a last piece that is cut short.
 func decodeSightings(text []byte) (all []sighting) {
 	for ; len(text) >= sightingLen; text = text[sightingLen:] {
-		took := time.Duration(binary.BigEndian.Uint16(text[4:])) * time.Millisecond
-		all = append(all, sighting{binary.BigEndian.Uint32(text), took})
+		took := time.Duration(binary.BigEndian.Uint16(text[8:])) * time.Millisecond
+		all = append(all, sighting{binary.BigEndian.Uint32(text), binary.BigEndian.Uint32(text[4:]), took})
 	}
 	return all
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -29,7 +29,7 @@
 	out              int               // attempts in flight to caches
 	sends            int               // attempts begun at caches
 	held             usage             // by all caches
-	recent           [2]map[uint64]int // the last sends by key, in two generations
+	recent           [2]map[uint32]int // the last sends by key, in two generations
 	older            int               // and in the second
 	fresh            int               // sends in the first of them
 	weight           float64           // of caches
@@ -78,8 +78,9 @@
 	to   *server
 	sent Time
 	open bool
-	idle bool // proved never to have run
-	anew bool // its server may be asked again: what it missed has been fetched since
+	told time.Duration // of its time in flight, to other routers
+	idle bool          // proved never to have run
+	anew bool          // its server may be asked again: what it missed has been fetched since
 }
 
 // request is one client's request until its answer is given and its attempts have ended.
@@ -203,11 +204,11 @@
 
 // heat counts a request of this key and returns over how many caches more than one the key's part of the last
 // sends spreads, so that it brings none over half a mean cache's work.
-func (b *Balancer) heat(key uint64) int {
+func (b *Balancer) heat(key uint32) int {
 	n, caches := b.recent[0][key]+b.recent[1][key], float64(len(b.caches))
 	total := max(float64(b.fresh+b.older), caches/4)
 	if b.fresh++; b.recent[0] == nil || float64(b.fresh) > loadMemory*caches {
-		b.recent, b.older, b.fresh = [2]map[uint64]int{{}, b.recent[0]}, b.fresh, 1
+		b.recent, b.older, b.fresh = [2]map[uint32]int{{}, b.recent[0]}, b.fresh, 1
 	}
 	b.recent[0][key]++
 	return int(min(2*float64(n)*caches/total, max(caches-1, 0)))
