--- a/balance/balance.go
+++ b/balance/balance.go
@@ -162,7 +162,7 @@
 // limit.
 func (b *Balancer) crowded(s *server) bool {
 	part := s.Weight / b.weight
-	if held := b.holds(&s.held, s.out); held > passRatio*(part*b.holds(&b.held, b.out)+b.latency.Seconds()) {
+	if held := b.holds(&s.held, s.out); held > 1.0*(part*b.holds(&b.held, b.out)+b.latency.Seconds()) {
 		return true
 	}
 	return !b.room(s) || float64(s.out) > passFloor*b.share() && float64(s.out) > passRatio*part*float64(b.out)
