--- a/balance/balance.go
+++ b/balance/balance.go
@@ -222,14 +222,14 @@
 
 func (b *Balancer) send(r *request, s *server) {
 	n := len(r.attempts)
-	r.attempts = append(r.attempts, attempt{to: s, sent: b.now, open: true})
+	r.attempts = append(r.attempts, attempt{to: s, sent: b.now, open: true, crowded: !s.isOrigin && b.crowded(s)})
 	b.count(r, s, 1)
 	s.tokens--
 	b.do(Send{ID: r.ID, Server: s.Server})
-	b.after(r.class.Aim/2, func() {
+	b.after(r.class.Aim/3, func() {
 		if r.attempts[n].open {
-			b.closeGate(s)
-			b.sighted(r, &r.attempts[n], r.class.Aim/2)
+			b.closeGate(&r.attempts[n])
+			b.sighted(r, &r.attempts[n], r.class.Aim/3)
 		}
 	})
 	wait := r.class.Aim / 2
@@ -272,11 +272,11 @@
 	b.count(r, s, -1)
 	b.judge(s, b.now.Sub(a.sent), o.Result)
 	b.sighted(r, a, b.now.Sub(a.sent))
-	if b.now.Sub(a.sent) < r.class.Aim/2 && o.Result != Cancelled && o.Result != Moot {
+	if b.now.Sub(a.sent) < r.class.Aim/3 && o.Result != Cancelled && o.Result != Moot {
 		if g := b.gateOf(s); o.Result == OK || o.Result == Miss {
 			g.open = min(1, g.open*(1+gateRise))
 		} else {
-			b.closeGate(s)
+			b.closeGate(a)
 		}
 	}
 	switch {
@@ -435,8 +435,8 @@
 	return &b.gate
 }
 
-func (b *Balancer) closeGate(s *server) {
-	if g := b.gateOf(s); b.now.Sub(g.cut) > b.latency {
+func (b *Balancer) closeGate(a *attempt) {
+	if g := b.gateOf(a.to); !a.crowded && b.now.Sub(g.cut) > b.latency {
 		g.open, g.cut = max(g.open*limitCut, 1.0/16), b.now
 	}
 }
