--- a/balance/state.go
+++ b/balance/state.go
@@ -208,7 +208,7 @@
 func (b *Balancer) heat(key uint32) int {
 	n, caches := b.recent[0][key]+b.recent[1][key], float64(len(b.caches))
 	total := max(float64(b.fresh+b.older), caches/4)
-	if b.fresh++; b.recent[0] == nil || float64(b.fresh) > loadMemory*caches {
+	if b.fresh++; b.recent[0] == nil || float64(b.fresh) > 0.5*caches {
 		b.recent, b.older, b.fresh = [2]map[uint32]int{{}, b.recent[0]}, b.fresh, 1
 	}
 	b.recent[0][key]++
