--- a/balance/state.go
+++ b/balance/state.go
@@ -212,7 +212,7 @@
 		b.recent, b.older, b.fresh = [2]map[uint32]int{{}, b.recent[0]}, b.fresh, 1
 	}
 	b.recent[0][key]++
-	return int(min(2*float64(n)*caches/total, max(caches-1, 0)))
+	return int(min(4*float64(n)*caches/total, max(caches-1, 0)))
 }
 
 func (s *server) load() float64 { return float64(s.out+len(s.queue)) / s.limit }
