--- a/balance/balance.go
+++ b/balance/balance.go
@@ -461,13 +461,21 @@
 }
 
 // budgeted keeps a cold server to its warm share of the mean cache's answers to this router, so that all
-// routers together stay under what it can do. With nothing to go by, one at a time cannot exceed that.
+// routers together stay under what it can do. With nothing to go by they send one an aim, all together. Where
+// one saved token at each router would be too much at once, the share is drawn for each request as well.
 func (b *Balancer) budgeted(s *server) bool {
-	rate := b.answers.rate(b.now, 2*b.set.OverloadFor) * s.Weight / b.weight * b.warmth(s)
-	rate *= math.Sqrt(max(b.set.OverloadFactor, 1)) // half the way to the fall: the rest is for uneven routers
+	warm := b.warmth(s)
+	if warm >= 1 {
+		return true
+	}
+	part := warm * math.Sqrt(max(b.set.OverloadFactor, 1)) // half the way to the fall: the rest is for uneven routers
+	rate := part * b.answers.rate(b.now, 2*b.set.OverloadFor) * s.Weight / b.weight
+	if rate == 0 {
+		rate = b.share() / b.aim.Seconds()
+	}
 	s.tokens = min(s.tokens+rate*b.now.Sub(s.filled).Seconds(), max(1, rate*b.set.OverloadFor.Seconds()/2))
 	s.filled = b.now
-	return s.tokens >= 1 || rate == 0 && s.out == 0 || b.warmth(s) >= 1
+	return s.tokens >= 1 && (!b.thin() || b.rng.Float64() < part)
 }
 
 // --- The list of servers ---
