--- a/balance/balance.go
+++ b/balance/balance.go
@@ -226,10 +226,10 @@
 	b.count(r, s, 1)
 	s.tokens--
 	b.do(Send{ID: r.ID, Server: s.Server})
-	b.after(r.class.Aim/3, func() {
+	b.after(r.class.Aim/2, func() {
 		if r.attempts[n].open {
 			b.closeGate(&r.attempts[n])
-			b.sighted(r, &r.attempts[n], r.class.Aim/3)
+			b.sighted(r, &r.attempts[n], r.class.Aim/2)
 		}
 	})
 	wait := r.class.Aim / 2
@@ -272,7 +272,7 @@
 	b.count(r, s, -1)
 	b.judge(s, b.now.Sub(a.sent), o.Result)
 	b.sighted(r, a, b.now.Sub(a.sent))
-	if b.now.Sub(a.sent) < r.class.Aim/3 && o.Result != Cancelled && o.Result != Moot {
+	if b.now.Sub(a.sent) < r.class.Aim/2 && o.Result != Cancelled && o.Result != Moot {
 		if g := b.gateOf(s); o.Result == OK || o.Result == Miss {
 			g.open = min(1, g.open*(1+gateRise))
 		} else {
