A refused or broken connection counts an aim in flight for the load term

Kept for connections only: at a full-size fleet three failures in a row take a router minutes to see.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -271,7 +271,13 @@
 	a.open, a.idle = false, o.Result.NeverRan()
 	b.count(r, s, -1)
 	b.judge(s, b.now.Sub(a.sent), o.Result)
-	b.sighted(r, a, b.now.Sub(a.sent))
+	took := b.now.Sub(a.sent)
+	if o.Result == NoConnect || o.Result == Reset {
+		took += r.class.Aim // quick to fail, yet no place to go
+		b.holds(&s.held, s.out)
+		s.held.seconds += r.class.Aim.Seconds()
+	}
+	b.sighted(r, a, took)
 	if b.now.Sub(a.sent) < r.class.Aim/2 && o.Result != Cancelled && o.Result != Moot {
 		if g := b.gateOf(s); o.Result == OK || o.Result == Miss {
 			g.open = min(1, g.open*(1+gateRise))
