--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,7 +22,7 @@
 	retryBurst  = 10.0    // and so many at once, for a single server's death
 	keepInUse   = 1.0 / 3 // of the fleet's weight is never ejected: past that the cause is a common one
 	suspectAt   = 3       // failures in a row; one is not proof
-	gateRise    = 0.07    // what a good answer opens a gate by: with limitCut, three bad ones in ten close it
+	gateRise    = 0.04    // what a good answer opens a gate by: with limitCut, three bad ones in ten close it
 	commonCause = 0.2     // of answers are errors: it is what the caches share; another makes it worse
 	capRise     = 0.1     // what the limit over all caches grows by in a round trip of good answers
 	smoothing   = 0.2     // of latencies: about the last five answers
