--- a/balance/balance.go
+++ b/balance/balance.go
@@ -161,11 +161,13 @@
 // crowded is the load term of the design, over a multiple of the mean in flight and a floor; or at its
 // limit.
 func (b *Balancer) crowded(s *server) bool {
-	part := s.Weight / b.weight
-	if held := b.holds(&s.held, s.out); held > 1.0*(part*b.holds(&b.held, b.out)+b.latency.Seconds()) {
-		return true
-	}
-	return !b.room(s) || float64(s.out) > passFloor*b.share() && float64(s.out) > passRatio*part*float64(b.out)
+	return !b.room(s) || b.standsOut(s) ||
+		float64(s.out) > passFloor*b.share() && float64(s.out) > passRatio*s.Weight/b.weight*float64(b.out)
+}
+
+// standsOut is the load term over the last sends of this router and those it hears of.
+func (b *Balancer) standsOut(s *server) bool {
+	return b.holds(&s.held, s.out) > s.Weight/b.weight*b.holds(&b.held, b.out)+b.latency.Seconds()
 }
 
 // mayTake holds a keyed request that may have run to the group that drops its repeats: no effect twice.
@@ -222,13 +224,13 @@
 
 func (b *Balancer) send(r *request, s *server) {
 	n := len(r.attempts)
-	r.attempts = append(r.attempts, attempt{to: s, sent: b.now, open: true, crowded: !s.isOrigin && b.crowded(s)})
+	r.attempts = append(r.attempts, attempt{to: s, sent: b.now, open: true})
 	b.count(r, s, 1)
 	s.tokens--
 	b.do(Send{ID: r.ID, Server: s.Server})
 	b.after(r.class.Aim/2, func() {
 		if r.attempts[n].open {
-			b.closeGate(&r.attempts[n])
+			b.closeGate(s)
 			b.sighted(r, &r.attempts[n], r.class.Aim/2)
 		}
 	})
@@ -282,7 +284,7 @@
 		if g := b.gateOf(s); o.Result == OK || o.Result == Miss {
 			g.open = min(1, g.open*(1+gateRise))
 		} else {
-			b.closeGate(a)
+			b.closeGate(s)
 		}
 	}
 	switch {
@@ -441,8 +443,8 @@
 	return &b.gate
 }
 
-func (b *Balancer) closeGate(a *attempt) {
-	if g := b.gateOf(a.to); !a.crowded && b.now.Sub(g.cut) > b.latency {
+func (b *Balancer) closeGate(s *server) {
+	if g := b.gateOf(s); (s.isOrigin || !b.standsOut(s)) && b.now.Sub(g.cut) > b.latency {
 		g.open, g.cut = max(g.open*limitCut, 1.0/16), b.now
 	}
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -75,13 +75,12 @@
 
 // attempt is one Send.
 type attempt struct {
-	to      *server
-	sent    Time
-	open    bool
-	crowded bool          // its server was when it was sent
-	told    time.Duration // of its time in flight, to other routers
-	idle    bool          // proved never to have run
-	anew    bool          // its server may be asked again: what it missed has been fetched since
+	to   *server
+	sent Time
+	open bool
+	told time.Duration // of its time in flight, to other routers
+	idle bool          // proved never to have run
+	anew bool          // its server may be asked again: what it missed has been fetched since
 }
 
 // request is one client's request until its answer is given and its attempts have ended.
