--- a/balance/state.go
+++ b/balance/state.go
@@ -4,7 +4,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -306,6 +305,6 @@
 	for id := range m {
 		ids = append(ids, id)
 	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	slices.Sort(ids)
 	return ids
 }
--- a/balance/table.go
+++ b/balance/table.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -52,6 +54,9 @@
 		}
 		total += weights[id]
 	}
+	if maps.Equal(weights, t.weights) && len(t.intervals) > 0 {
+		return
+	}
 	for _, id := range ids {
 		need[id] = int64(weights[id]/total*(1<<40)) << 22
 		need[""] -= need[id]
@@ -106,6 +111,7 @@
 
 // assign gives the largest needs the largest gaps; equal ones go by id and by position.
 func (t *table) assign(gaps []gap, need map[ServerID]int64) {
+	var taken []interval
 	takers := sortedIDs(need)
 	sort.SliceStable(takers, func(i, j int) bool { return need[takers[i]] > need[takers[j]] })
 	for _, id := range takers {
@@ -117,11 +123,19 @@
 				}
 			}
 			part := min(need[id], big.end-big.start)
-			t.intervals = append(t.intervals, interval{big.start, id})
+			taken = append(taken, interval{big.start, id})
 			big.start += part
 			need[id] -= part
 		}
 	}
-	sort.Slice(t.intervals, func(i, j int) bool { return t.intervals[i].start < t.intervals[j].start })
-	t.intervals = slices.CompactFunc(t.intervals, func(a, b interval) bool { return a.owner == b.owner })
+	slices.SortFunc(taken, func(a, b interval) int { return cmp.Compare(a.start, b.start) })
+	merged := make([]interval, 0, len(t.intervals)+len(taken))
+	for _, iv := range t.intervals { // a merge: the table may have thousands of intervals, a change few
+		for ; len(taken) > 0 && taken[0].start < iv.start; taken = taken[1:] {
+			merged = append(merged, taken[0])
+		}
+		merged = append(merged, iv)
+	}
+	merged = append(merged, taken...)
+	t.intervals = slices.CompactFunc(merged, func(a, b interval) bool { return a.owner == b.owner })
 }
