--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,14 +17,12 @@
 	toldPeers   = 10      // routers that hear what this one saw: an attempt's price is a few thousandths of one
 	loadMemory  = 2.0     // sends a cache over which a load is averaged, for a router with few in flight
 	maxDraws    = 64      // rehash draws until the search for another cache ends
-	spillLoad   = 0.33    // a third cache is taken under this load only: the spill costs a miss
 	retryShare  = 0.2     // further attempts that a first one earns: a sick fleet sees a fifth more at most
 	retryBurst  = 10.0    // and so many at once, for a single server's death
 	keepInUse   = 1.0 / 3 // of the fleet's weight is never ejected: past that the cause is a common one
 	suspectAt   = 3       // failures in a row; one is not proof
 	gateRise    = 0.04    // what a good answer opens a gate by: with limitCut, three bad ones in ten close it
 	commonCause = 0.2     // of answers are errors: it is what the caches share; another makes it worse
-	capRise     = 0.1     // what the limit over all caches grows by in a round trip of good answers
 	smoothing   = 0.2     // of latencies: about the last five answers
 	firstLimit  = 12.0    // of concurrency at a server before anything was seen, over all routers
 	limitCut    = 0.85    // what a crowded server's limit is cut to, once a round trip
@@ -107,7 +105,7 @@
 		if best == nil || b.room(s) && !b.room(best) || b.room(s) == b.room(best) && s.lighter(best) {
 			best = s
 		}
-		if len(seen) > max(1, r.spread) && (b.room(best) || b.fleetLoad() >= spillLoad) {
+		if len(seen) > max(1, r.spread) {
 			break
 		}
 	}
@@ -291,9 +289,6 @@
 	case o.Done || r.done:
 		b.end(r, o.Result == OK)
 	case r.out > 0: // another attempt is still out
-	case o.Result == Miss && o.Fetching && !r.waited && b.origin != nil: // another router's fetch brings it
-		r.waited, a.anew = true, true
-		b.after(min(b.origin.latency, b.aim/2), func() { b.place(r) })
 	case o.Result == Miss && b.origin != nil:
 		b.fetch(r)
 	case b.mayRetry(r) && (o.Result != Errored || b.erring < commonCause):
@@ -401,7 +396,6 @@
 		if !s.isOrigin {
 			b.answers.add(b.now, 2*b.set.OverloadFor)
 			b.erring -= smoothing / 4 * b.erring
-			b.cap *= 1 + capRise/max(b.cap, 1)
 		}
 		if result == OK && !s.isOrigin { // more slowly: it is what time-outs go by
 			b.latency += time.Duration(smoothing / 4 * float64(took-b.latency))
@@ -416,8 +410,6 @@
 		s.heard = b.now
 		if b.erring += smoothing / 4 * (1 - b.erring); b.erring < commonCause {
 			b.failed(s)
-		} else if b.now.Sub(b.capped) > b.latency {
-			b.cap, b.capped = max(1, limitCut*float64(b.out)), b.now
 		}
 	case Full:
 		s.heard = b.now
@@ -433,7 +425,7 @@
 
 // admits lets part of the requests through while a gate is not fully open, the least worth last.
 func (b *Balancer) admits(g *gate, r *request) bool {
-	return g.open >= 1 || !b.thin() || b.rng.Float64() < math.Pow(g.open, b.worth/max(r.worth, b.worth/64))
+	return g.open >= 1 || !b.thin() && b.erring < commonCause || b.rng.Float64() < math.Pow(g.open, b.worth/max(r.worth, b.worth/64))
 }
 
 func (b *Balancer) gateOf(s *server) *gate {
--- a/balance/state.go
+++ b/balance/state.go
@@ -37,8 +37,6 @@
 	sightings        []sighting        // not told to other routers yet
 	answers          meter             // of the caches
 	shares           []meter           // what each tenant has asked for
-	cap              float64           // concurrency limit over all caches, set by a common cause; 0 if none
-	capped           Time              // the last cut of cap
 	erring           float64           // smoothed share of errors among the caches' answers
 	gate, originGate gate
 	worth            float64 // smoothed, of requests
@@ -222,16 +220,7 @@
 
 // room tells whether the concurrency limits allow another attempt; one at a server is always allowed by its own.
 func (b *Balancer) room(s *server) bool {
-	return (s.out == 0 || float64(s.out+1) <= s.limit) && (s.isOrigin || b.cap == 0 || float64(b.out+1) <= b.cap)
-}
-
-// fleetLoad is how much of all caches' concurrency limits is taken up.
-func (b *Balancer) fleetLoad() float64 {
-	limits := 0.0
-	for _, s := range b.caches {
-		limits += s.limit
-	}
-	return float64(b.out) / limits
+	return (s.out == 0 || float64(s.out+1) <= s.limit)
 }
 
 // inUse is the weight of the caches that are not ejected, without s.
