--- a/balance/balance.go
+++ b/balance/balance.go
@@ -44,7 +44,7 @@
 			r.worth *= b.set.OverShareWorth
 		}
 	}
-	if q.HasKey && !(q.Write && b.set.Aside) {
+	if b.thin() && q.HasKey && !(q.Write && b.set.Aside) {
 		r.spread = b.heat(uint32(r.hash >> 32))
 	}
 	b.worth += smoothing / 4 * (r.worth - b.worth)
@@ -159,7 +159,7 @@
 // crowded is the load term of the design, over a multiple of the mean in flight and a floor; or at its
 // limit.
 func (b *Balancer) crowded(s *server) bool {
-	return !b.room(s) || b.standsOut(s) ||
+	return !b.room(s) || b.thin() && b.standsOut(s) ||
 		float64(s.out) > passFloor*b.share() && float64(s.out) > passRatio*s.Weight/b.weight*float64(b.out)
 }
 
