--- a/balance/balance.go
+++ b/balance/balance.go
@@ -5,30 +5,32 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
 
 // The module's constants are ratios; every time comes from the settings or from what was measured.
 const (
-	passRatio   = 2.0     // a first cache this far over the mean in flight passes the request on
-	passFloor   = 3.0     // over all routers, and holds more than this: below it the mean is noise
-	toldPeers   = 10      // routers that hear what this one saw: an attempt's price is a few thousandths of one
-	loadMemory  = 2.0     // sends a cache over which a load is averaged, for a router with few in flight
-	maxDraws    = 64      // rehash draws until the search for another cache ends
-	retryShare  = 0.2     // further attempts that a first one earns: a sick fleet sees a fifth more at most
-	retryBurst  = 10.0    // and so many at once, for a single server's death
-	keepInUse   = 1.0 / 3 // of the fleet's weight is never ejected: past that the cause is a common one
-	suspectAt   = 3       // failures in a row; one is not proof
-	gateRise    = 0.04    // what a good answer opens a gate by: with limitCut, three bad ones in ten close it
-	commonCause = 0.2     // of answers are errors: it is what the caches share; another makes it worse
-	smoothing   = 0.2     // of latencies: about the last five answers
-	firstLimit  = 12.0    // of concurrency at a server before anything was seen, over all routers
-	limitCut    = 0.85    // what a crowded server's limit is cut to, once a round trip
-	comeback    = 4       // a server back from an ejection is trusted this many times faster than a cold one
-	recheck     = 16      // a request that no server may take is tried again this many times in an aim
-	comeAgain   = 8       // a refused client is asked back after this part of the aim: it can still be in time
+	passRatio   = 2.0      // a first cache this far over the mean in flight passes the request on
+	passFloor   = 3.0      // over all routers, and holds more than this: below it the mean is noise
+	toldPeers   = 10       // routers that hear what this one saw: an attempt's price is a few thousandths of one
+	loadMemory  = 2.0      // sends a cache over which a load is averaged, for a router with few in flight
+	maxDraws    = 64       // rehash draws until the search for another cache ends
+	retryShare  = 0.2      // further attempts that a first one earns: a sick fleet sees a fifth more at most
+	retryBurst  = 10.0     // and so many at once, for a single server's death
+	keepInUse   = 1.0 / 3  // of the fleet's weight is never ejected: past that the cause is a common one
+	suspectAt   = 3        // failures in a row; one is not proof
+	gateRise    = 0.04     // what a good answer opens a gate by: with limitCut, a fifth of bad ones close it
+	gateFloor   = 1.0 / 16 // of requests always pass a gate: without an answer it would never open
+	heatMemory  = 0.5      // sends a cache over which a key's heat is counted: a hot key shows within a second
+	heatPart    = 0.25     // of a mean cache's work is the most that one key is to bring to a cache
+	commonCause = 0.2      // of answers are errors: it is what the caches share; another makes it worse
+	smoothing   = 0.2      // of latencies: about the last five answers
+	firstLimit  = 12.0     // of concurrency at a server before anything was seen, over all routers
+	limitCut    = 0.85     // what a crowded server's limit is cut to, once a round trip
+	comeback    = 4        // a server back from an ejection is trusted this many times faster than a cold one
+	recheck     = 16       // a request that no server may take is tried again this many times in an aim
+	comeAgain   = 8        // a refused client is asked back after this part of the aim: it can still be in time
 )
 
 // --- The way of a request ---
@@ -102,7 +104,7 @@
 		if !b.crowded(s) {
 			return s
 		}
-		if best == nil || b.room(s) && !b.room(best) || b.room(s) == b.room(best) && s.lighter(best) {
+		if best == nil || b.lighter(s, best) {
 			best = s
 		}
 		if len(seen) > max(1, r.spread) {
@@ -112,62 +114,6 @@
 	return cmp.Or(best, spare) // all have been ejected: the least bad is the one that holds the key
 }
 
-// thin tells whether the routers are so many that a cache's limit at each is about one: it can't follow a load.
-func (b *Balancer) thin() bool { return firstLimit*b.share() < 2 }
-
-// sighted notes an attempt's time in flight, to be told to some other routers: one alone sees too little.
-func (b *Balancer) sighted(r *request, a *attempt, took time.Duration) {
-	s, key := a.to, uint32(r.hash>>32)
-	if !b.thin() || !b.set.PeerMessages || s.isOrigin || len(b.sightings) >= maxSightings {
-		return
-	}
-	if a.told > 0 {
-		key, took = 0, took-a.told
-	}
-	a.told += took
-	if b.sightings = append(b.sightings, sighting{key, s.hash, took}); len(b.sightings) == 1 {
-		b.after(b.aim/4, func() {
-			text := encodeSightings(b.sightings)
-			b.sightings = nil
-			for range min(toldPeers, b.set.Routers-1) {
-				to := b.rng.IntN(b.set.Routers - 1)
-				if to >= b.set.Number {
-					to++
-				}
-				b.do(Tell{To: to, Content: text})
-			}
-		})
-	}
-}
-
-// onHeard adds what another router saw to the load term's averages.
-func (b *Balancer) onHeard(all []sighting) {
-	for _, at := range all {
-		if s := b.byHash[at.server]; s != nil {
-			b.holds(&s.held, s.out)
-			b.holds(&b.held, b.out)
-			if at.key != 0 {
-				b.sends++
-				b.heat(at.key)
-			}
-			s.held.seconds += at.took.Seconds()
-			b.held.seconds += at.took.Seconds()
-		}
-	}
-}
-
-// crowded is the load term of the design, over a multiple of the mean in flight and a floor; or at its
-// limit.
-func (b *Balancer) crowded(s *server) bool {
-	return !b.room(s) || b.thin() && b.standsOut(s) ||
-		float64(s.out) > passFloor*b.share() && float64(s.out) > passRatio*s.Weight/b.weight*float64(b.out)
-}
-
-// standsOut is the load term over the last sends of this router and those it hears of.
-func (b *Balancer) standsOut(s *server) bool {
-	return b.holds(&s.held, s.out) > s.Weight/b.weight*b.holds(&b.held, b.out)+b.latency.Seconds()
-}
-
 // mayTake holds a keyed request that may have run to the group that drops its repeats: no effect twice.
 func (b *Balancer) mayTake(r *request, s *server) bool {
 	if s.State != Up || !b.mayRepeat(r) {
@@ -228,7 +174,7 @@
 	b.do(Send{ID: r.ID, Server: s.Server})
 	b.after(r.class.Aim/2, func() {
 		if r.attempts[n].open {
-			b.closeGate(s)
+			b.moveGate(s, false)
 			b.sighted(r, &r.attempts[n], r.class.Aim/2)
 		}
 	})
@@ -270,21 +216,17 @@
 	s := a.to
 	a.open, a.idle = false, o.Result.NeverRan()
 	b.count(r, s, -1)
-	b.judge(s, b.now.Sub(a.sent), o.Result)
 	took := b.now.Sub(a.sent)
-	if o.Result == NoConnect || o.Result == Reset {
-		took += r.class.Aim // quick to fail, yet no place to go
+	b.judge(s, took, o.Result)
+	if took < r.class.Aim/2 && o.Result != Cancelled && o.Result != Moot {
+		b.moveGate(s, o.Result == OK || o.Result == Miss)
+	}
+	if o.Result == NoConnect || o.Result == Reset { // quick to fail, yet no place to go
+		took += r.class.Aim
 		b.holds(&s.held, s.out)
 		s.held.seconds += r.class.Aim.Seconds()
 	}
 	b.sighted(r, a, took)
-	if b.now.Sub(a.sent) < r.class.Aim/2 && o.Result != Cancelled && o.Result != Moot {
-		if g := b.gateOf(s); o.Result == OK || o.Result == Miss {
-			g.open = min(1, g.open*(1+gateRise))
-		} else {
-			b.closeGate(s)
-		}
-	}
 	switch {
 	case o.Done || r.done:
 		b.end(r, o.Result == OK)
@@ -379,105 +321,6 @@
 	b.giveUpLater(r)
 }
 
-// --- Health and load ---
-
-// judge books an outcome to its server. The concurrency limit grows while answers take under half an aim,
-// so that a second attempt has time, and is cut when they take longer, fail or are turned away.
-func (b *Balancer) judge(s *server, took time.Duration, result Result) {
-	switch result {
-	case OK, Miss:
-		s.heard, s.fails, s.backoff = b.now, 0, 0
-		if s.ejected != 0 {
-			s.ejected, s.back = 0, b.now
-		}
-		if result == OK {
-			s.latency += time.Duration(smoothing * float64(took-s.latency))
-		}
-		if !s.isOrigin {
-			b.answers.add(b.now, 2*b.set.OverloadFor)
-			b.erring -= smoothing / 4 * b.erring
-		}
-		if result == OK && !s.isOrigin { // more slowly: it is what time-outs go by
-			b.latency += time.Duration(smoothing / 4 * float64(took-b.latency))
-		}
-		if s.latency < b.aim/2 {
-			if float64(2*s.out+2) >= s.limit {
-				s.limit += 1 / s.limit
-			}
-			return
-		}
-	case Errored:
-		s.heard = b.now
-		if b.erring += smoothing / 4 * (1 - b.erring); b.erring < commonCause {
-			b.failed(s)
-		}
-	case Full:
-		s.heard = b.now
-	case Cancelled, Moot:
-		return
-	default:
-		b.failed(s)
-	}
-	if b.now.Sub(s.cut) > s.latency {
-		s.limit, s.cut = max(1, s.limit*limitCut), b.now
-	}
-}
-
-// admits lets part of the requests through while a gate is not fully open, the least worth last.
-func (b *Balancer) admits(g *gate, r *request) bool {
-	return g.open >= 1 || !b.thin() && b.erring < commonCause || b.rng.Float64() < math.Pow(g.open, b.worth/max(r.worth, b.worth/64))
-}
-
-func (b *Balancer) gateOf(s *server) *gate {
-	if s.isOrigin {
-		return &b.originGate
-	}
-	return &b.gate
-}
-
-func (b *Balancer) closeGate(s *server) {
-	if g := b.gateOf(s); (s.isOrigin || !b.standsOut(s)) && b.now.Sub(g.cut) > b.latency {
-		g.open, g.cut = max(g.open*limitCut, 1.0/16), b.now
-	}
-}
-
-// failed counts a failure; some in a row eject the server, for longer each time, if enough are left.
-func (b *Balancer) failed(s *server) {
-	s.fails++
-	if s.fails < suspectAt || b.now < s.ejected || s.isOrigin {
-		return
-	}
-	if b.inUse(s) < b.weight*keepInUse {
-		return
-	}
-	s.backoff = min(max(2*s.backoff, b.aim), 8*b.aim)
-	s.ejected = b.now.Add(s.backoff)
-	b.pump(s)
-}
-
-// healthy tells whether a server is in use; one whose ejection is over gets a single trial at a time.
-func (b *Balancer) healthy(s *server) bool {
-	return s.ejected == 0 || b.now >= s.ejected && s.out == 0
-}
-
-// budgeted keeps a cold server to its warm share of the mean cache's answers to this router, so that all
-// routers together stay under what it can do. With nothing to go by they send one an aim, all together. Where
-// one saved token at each router would be too much at once, the share is drawn for each request as well.
-func (b *Balancer) budgeted(s *server) bool {
-	warm := b.warmth(s)
-	if warm >= 1 {
-		return true
-	}
-	part := warm * math.Sqrt(max(b.set.OverloadFactor, 1)) // half the way to the fall: the rest is for uneven routers
-	rate := part * b.answers.rate(b.now, 2*b.set.OverloadFor) * s.Weight / b.weight
-	if rate == 0 {
-		rate = b.share() / b.aim.Seconds()
-	}
-	s.tokens = min(s.tokens+rate*b.now.Sub(s.filled).Seconds(), max(1, rate*b.set.OverloadFor.Seconds()/2))
-	s.filled = b.now
-	return s.tokens >= 1 && (!b.thin() || b.rng.Float64() < part)
-}
-
 // --- The list of servers ---
 
 func (b *Balancer) onList(l List) {
--- a/balance/gossip.go
+++ b/balance/gossip.go
@@ -41,3 +41,16 @@
 	}
 	return all
 }
+
+// tell sends what was sighted to some other routers, drawn anew each time.
+func (b *Balancer) tell(peers int) {
+	text := encodeSightings(b.sightings)
+	b.sightings = nil
+	for range min(peers, b.set.Routers-1) {
+		to := b.rng.IntN(b.set.Routers - 1)
+		if to >= b.set.Number {
+			to++
+		}
+		b.do(Tell{To: to, Content: text})
+	}
+}
--- /dev/null
+++ b/balance/health.go
@@ -0,0 +1,207 @@
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+// --- Health ---
+
+// judge books an outcome to its server. The concurrency limit grows while answers take under half an aim, so
+// that a second attempt has time, and is cut when they take longer, fail or are turned away.
+func (b *Balancer) judge(s *server, took time.Duration, result Result) {
+	switch result {
+	case OK, Miss:
+		s.heard, s.fails, s.backoff = b.now, 0, 0
+		if s.ejected != 0 {
+			s.ejected, s.back = 0, b.now
+		}
+		if result == OK {
+			s.latency += time.Duration(smoothing * float64(took-s.latency))
+		}
+		if !s.isOrigin {
+			b.answers.add(b.now, 2*b.set.OverloadFor)
+			b.erring -= smoothing / 4 * b.erring
+		}
+		if result == OK && !s.isOrigin { // more slowly: it is what time-outs go by
+			b.latency += time.Duration(smoothing / 4 * float64(took-b.latency))
+		}
+		if s.latency < b.aim/2 {
+			if float64(2*s.out+2) >= s.limit {
+				s.limit += 1 / s.limit
+			}
+			return
+		}
+	case Errored:
+		s.heard = b.now
+		if b.erring += smoothing / 4 * (1 - b.erring); b.erring < commonCause {
+			b.failed(s)
+		}
+	case Full:
+		s.heard = b.now
+	case Cancelled, Moot:
+		return
+	default:
+		b.failed(s)
+	}
+	if b.now.Sub(s.cut) > s.latency {
+		s.limit, s.cut = max(1, s.limit*limitCut), b.now
+	}
+}
+
+// failed counts a failure; some in a row eject the server, for longer each time, if enough are left.
+func (b *Balancer) failed(s *server) {
+	s.fails++
+	left := -s.Weight
+	for _, o := range b.caches {
+		if b.now >= o.ejected {
+			left += o.Weight
+		}
+	}
+	if s.fails >= suspectAt && b.now >= s.ejected && !s.isOrigin && left >= b.weight*keepInUse {
+		s.backoff = min(max(2*s.backoff, b.aim), 8*b.aim)
+		s.ejected = b.now.Add(s.backoff)
+		b.pump(s)
+	}
+}
+
+// healthy tells whether a server is in use; one whose ejection is over gets a single trial at a time.
+func (b *Balancer) healthy(s *server) bool {
+	return s.ejected == 0 || b.now >= s.ejected && s.out == 0
+}
+
+// admits lets part of the requests through a gate that is not fully open, the least worth last. Gates act at
+// thin routers, whose limits of one attempt hold nothing back, and where errors have a common cause.
+func (b *Balancer) admits(g *gate, r *request) bool {
+	return g.open >= 1 || !b.thin() && b.erring < commonCause ||
+		b.rng.Float64() < math.Pow(g.open, b.worth/max(r.worth, b.worth/64))
+}
+
+// moveGate opens the caches' or the origin's gate by a good answer and closes it by a late or failed one,
+// once a mean answer; but not for a cache that stands out: its trouble is its own.
+func (b *Balancer) moveGate(s *server, good bool) {
+	g := &b.gate
+	if s.isOrigin {
+		g = &b.originGate
+	}
+	if good {
+		g.open = min(1, g.open*(1+gateRise))
+	} else if (s.isOrigin || !b.standsOut(s)) && b.now.Sub(g.cut) > b.latency {
+		g.open, g.cut = max(g.open*limitCut, gateFloor), b.now
+	}
+}
+
+// --- Load ---
+
+// share is this router's part of what all routers do, as far as it can know.
+func (b *Balancer) share() float64 { return 1 / float64(max(b.set.Routers, 1)) }
+
+// thin tells whether routers are so many that a cache's limit at each is about one: it can't follow a load.
+func (b *Balancer) thin() bool { return firstLimit*b.share() < 2 }
+
+// room tells whether a server's limit allows another attempt; one is always allowed.
+func (b *Balancer) room(s *server) bool { return s.out == 0 || float64(s.out+1) <= s.limit }
+
+// lighter tells whether a server is the better one of two crowded ones.
+func (b *Balancer) lighter(s, o *server) bool {
+	if b.room(s) != b.room(o) {
+		return b.room(s)
+	}
+	l, m := float64(s.out+len(s.queue))/s.limit, float64(o.out+len(o.queue))/o.limit
+	return l < m || l == m && s.held.seconds*o.Weight < o.held.seconds*s.Weight
+}
+
+// crowded is the load term of the design, over a multiple of the mean in flight and a floor; or at its limit.
+func (b *Balancer) crowded(s *server) bool {
+	return !b.room(s) || b.thin() && b.standsOut(s) ||
+		float64(s.out) > passFloor*b.share() && float64(s.out) > passRatio*s.Weight/b.weight*float64(b.out)
+}
+
+// standsOut is the load term over the last sends of a thin router and of those it hears of: more than the mean
+// and a floor of one answer. A cache that is hot, slow, hung or gone has held its attempts for longer.
+func (b *Balancer) standsOut(s *server) bool {
+	return b.holds(&s.held, s.out) > s.Weight/b.weight*b.holds(&b.held, b.out)+b.latency.Seconds()
+}
+
+// holds brings a usage up to date, with out attempts in flight since it last was.
+func (b *Balancer) holds(u *usage, out int) float64 {
+	fade := 1 - 1/(loadMemory*float64(max(len(b.caches), 1)))
+	u.seconds = u.seconds*math.Pow(fade, float64(b.sends-u.sends)) + float64(out)*b.now.Sub(u.at).Seconds()
+	u.at, u.sends = b.now, b.sends
+	return u.seconds
+}
+
+// heat counts a request of this key and returns over how many caches more than one its part of the last sends
+// spreads, so that it brings none over heatPart of a mean cache's work.
+func (b *Balancer) heat(key uint32) int {
+	n, caches := b.recent[0][key]+b.recent[1][key], float64(len(b.caches))
+	total := max(float64(b.fresh+b.older), caches/4) // fewer say little
+	if b.fresh++; b.recent[0] == nil || float64(b.fresh) > heatMemory*caches {
+		b.recent, b.older, b.fresh = [2]map[uint32]int{{}, b.recent[0]}, b.fresh, 1
+	}
+	b.recent[0][key]++
+	return int(min(float64(n)*caches/total/heatPart, max(caches-1, 0)))
+}
+
+// sighted notes an attempt's time in flight, to be told to some other routers: a thin one sees too little.
+func (b *Balancer) sighted(r *request, a *attempt, took time.Duration) {
+	if !b.thin() || !b.set.PeerMessages || a.to.isOrigin || len(b.sightings) >= maxSightings {
+		return
+	}
+	at := sighting{uint32(r.hash >> 32), a.to.hash, took - a.told}
+	if a.told > 0 {
+		at.key = 0 // the same attempt once more
+	}
+	a.told = took
+	if b.sightings = append(b.sightings, at); len(b.sightings) == 1 {
+		b.after(b.aim/4, func() { b.tell(toldPeers) })
+	}
+}
+
+// onHeard adds what another router saw to the averages; no rule hangs on it.
+func (b *Balancer) onHeard(all []sighting) {
+	for _, at := range all {
+		if s := b.byHash[at.server]; s != nil {
+			if at.key != 0 {
+				b.sends++
+				b.heat(at.key)
+			}
+			b.holds(&s.held, s.out)
+			b.holds(&b.held, b.out)
+			s.held.seconds += at.took.Seconds()
+			b.held.seconds += at.took.Seconds()
+		}
+	}
+}
+
+// --- Cold servers ---
+
+// warmth is the share of its capacity that a server has at least, by its listed start and its last return.
+func (b *Balancer) warmth(s *server) float64 {
+	w, rise := 1.0, (1-b.set.ColdFrom)/float64(max(b.set.Ramp, 1))
+	if s.Started > 0 {
+		w = b.set.ColdFrom + rise*float64(b.now.Sub(s.Started))
+	}
+	if s.back > 0 {
+		w = min(w, b.set.ColdFrom+rise*comeback*float64(b.now.Sub(s.back)))
+	}
+	return min(max(w, b.set.ColdFrom), 1)
+}
+
+// budgeted keeps a cold server to its warm share of the mean cache's answers to this router, so that all
+// routers together stay under what it can do. With nothing to go by they send one an aim, all together. Where
+// one saved token at each router would be too much at once, the share is drawn for each request as well.
+func (b *Balancer) budgeted(s *server) bool {
+	warm := b.warmth(s)
+	if warm >= 1 {
+		return true
+	}
+	part := warm * math.Sqrt(max(b.set.OverloadFactor, 1)) // half the way to the fall: the rest is for uneven routers
+	rate := part * b.answers.rate(b.now, 2*b.set.OverloadFor) * s.Weight / b.weight
+	if rate == 0 {
+		rate = b.share() / b.aim.Seconds()
+	}
+	s.tokens = min(s.tokens+rate*b.now.Sub(s.filled).Seconds(), max(1, rate*b.set.OverloadFor.Seconds()/2))
+	s.filled = b.now
+	return s.tokens >= 1 && (!b.thin() || b.rng.Float64() < part)
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -167,9 +166,6 @@
 	return &Class{Aim: q.Due.Sub(b.now), Worth: 1}
 }
 
-// share is this router's part of what all routers do, as far as it can know.
-func (b *Balancer) share() float64 { return 1 / float64(max(b.set.Routers, 1)) }
-
 // count books one attempt begun (1) or ended (-1).
 func (b *Balancer) count(r *request, s *server, n int) {
 	if !s.isOrigin {
@@ -191,61 +187,6 @@
 	sends   int
 }
 
-// holds brings a usage up to date, with out attempts in flight since it last was.
-func (b *Balancer) holds(u *usage, out int) float64 {
-	fade := 1 - 1/(loadMemory*float64(max(len(b.caches), 1)))
-	u.seconds = u.seconds*math.Pow(fade, float64(b.sends-u.sends)) + float64(out)*b.now.Sub(u.at).Seconds()
-	u.at, u.sends = b.now, b.sends
-	return u.seconds
-}
-
-// heat counts a request of this key and returns over how many caches more than one the key's part of the last
-// sends spreads, so that it brings none over half a mean cache's work.
-func (b *Balancer) heat(key uint32) int {
-	n, caches := b.recent[0][key]+b.recent[1][key], float64(len(b.caches))
-	total := max(float64(b.fresh+b.older), caches/4)
-	if b.fresh++; b.recent[0] == nil || float64(b.fresh) > 0.5*caches {
-		b.recent, b.older, b.fresh = [2]map[uint32]int{{}, b.recent[0]}, b.fresh, 1
-	}
-	b.recent[0][key]++
-	return int(min(4*float64(n)*caches/total, max(caches-1, 0)))
-}
-
-func (s *server) load() float64 { return float64(s.out+len(s.queue)) / s.limit }
-
-// lighter tells whether a server is loaded less than another, by what it holds and then by what it held lately.
-func (s *server) lighter(o *server) bool {
-	return s.load() < o.load() || s.load() == o.load() && s.held.seconds*o.Weight < o.held.seconds*s.Weight
-}
-
-// room tells whether the concurrency limits allow another attempt; one at a server is always allowed by its own.
-func (b *Balancer) room(s *server) bool {
-	return (s.out == 0 || float64(s.out+1) <= s.limit)
-}
-
-// inUse is the weight of the caches that are not ejected, without s.
-func (b *Balancer) inUse(s *server) (weight float64) {
-	for _, o := range b.caches {
-		if o != s && b.now >= o.ejected {
-			weight += o.Weight
-		}
-	}
-	return weight
-}
-
-// warmth is the share of its capacity that a server has at least, by its listed start and by its last
-// return.
-func (b *Balancer) warmth(s *server) float64 {
-	w, rise := 1.0, (1-b.set.ColdFrom)/float64(max(b.set.Ramp, 1))
-	if s.Started > 0 {
-		w = b.set.ColdFrom + rise*float64(b.now.Sub(s.Started))
-	}
-	if s.back > 0 {
-		w = min(w, b.set.ColdFrom+rise*comeback*float64(b.now.Sub(s.back)))
-	}
-	return min(max(w, b.set.ColdFrom), 1)
-}
-
 // tried tells whether the server has been asked, and what it answered still holds.
 func (r *request) tried(s *server) bool {
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.to == s && !a.anew })
@@ -261,17 +202,6 @@
 	return nil
 }
 
-// mix is Thomas Wang's 64-bit integer mix.
-func mix(key uint64) uint64 {
-	key = ^key + key<<21
-	key ^= key >> 24
-	key += key<<3 + key<<8
-	key ^= key >> 14
-	key += key<<2 + key<<4
-	key ^= key >> 28
-	return key + key<<31
-}
-
 // meter is a rate a second that fades over a span.
 type meter struct {
 	count float64
--- a/balance/table.go
+++ b/balance/table.go
@@ -1,10 +1,8 @@
 package balance
 
 import (
-	"cmp"
 	"maps"
 	"math"
-	"slices"
 	"sort"
 )
 
@@ -15,20 +13,15 @@
 // is moved misses once, and hashing leaves partitions uneven by about as much anyway.
 const weightStep = 0.1
 
-// interval is a stretch of positions from start up to the next interval's start.
-type interval struct {
-	start int64
-	owner ServerID
-}
-
-// gap is a released stretch.
-type gap struct{ start, end int64 }
-
-// table is the interval table of Random Slicing: sorted, without gap or overlap, covering all of space.
-// With no cache to own it, all belongs to the empty id.
-type table struct {
-	intervals []interval
-	weights   map[ServerID]float64 // the weights it was last cut for
+// mix is Thomas Wang's 64-bit integer mix.
+func mix(key uint64) uint64 {
+	key = ^key + key<<21
+	key ^= key >> 24
+	key += key<<3 + key<<8
+	key ^= key >> 14
+	key += key<<2 + key<<4
+	key ^= key >> 28
+	return key + key<<31
 }
 
 // lookup returns the owner of a mixed key.
@@ -37,13 +30,6 @@
 	return t.intervals[sort.Search(len(t.intervals), after)-1].owner
 }
 
-func (t *table) end(i int) int64 {
-	if i+1 < len(t.intervals) {
-		return t.intervals[i+1].start
-	}
-	return space
-}
-
 // change moves the table to new weights by CutShift+Sorted: owners whose share shrank, or who left, release
 // what is too much, and those who grew or came take it. Only what must move moves.
 func (t *table) change(weights map[ServerID]float64) {
@@ -128,14 +114,5 @@
 			need[id] -= part
 		}
 	}
-	slices.SortFunc(taken, func(a, b interval) int { return cmp.Compare(a.start, b.start) })
-	merged := make([]interval, 0, len(t.intervals)+len(taken))
-	for _, iv := range t.intervals { // a merge: the table may have thousands of intervals, a change few
-		for ; len(taken) > 0 && taken[0].start < iv.start; taken = taken[1:] {
-			merged = append(merged, taken[0])
-		}
-		merged = append(merged, iv)
-	}
-	merged = append(merged, taken...)
-	t.intervals = slices.CompactFunc(merged, func(a, b interval) bool { return a.owner == b.owner })
+	t.intervals = merge(t.intervals, taken)
 }
