--- a/balance/balance.go
+++ b/balance/balance.go
@@ -46,7 +46,7 @@
 			r.worth *= b.set.OverShareWorth
 		}
 	}
-	if b.thin() && q.HasKey && !(q.Write && b.set.Aside) {
+	if q.HasKey && !(q.Write && b.set.Aside) {
 		r.spread = b.heat(uint32(r.hash >> 32))
 	}
 	b.worth += smoothing / 4 * (r.worth - b.worth)
@@ -58,7 +58,7 @@
 
 // place sends a request on its ordinary way, or lets it wait for one.
 func (b *Balancer) place(r *request) {
-	if r.done || r.out > 0 || r.at != nil {
+	if r.done || r.out > 0 {
 		return
 	}
 	wait := b.aim / recheck
@@ -68,10 +68,8 @@
 		b.join(r, lead)
 	} else if len(r.attempts) == 0 && !b.admits(&b.gate, r) {
 		b.giveUp(r)
-	} else if s := b.pick(r); s != nil && b.healthy(s) {
-		b.enqueue(r, s)
-	} else if s != nil && b.room(s) { // all are ejected: nobody waits at such a server
-		b.send(r, s)
+	} else if s := b.pick(r); s != nil {
+		b.begin(r, s)
 	} else if len(r.attempts) < len(b.caches) && b.now.Add(wait) < b.patience(r) && b.mayRepeat(r) {
 		b.after(wait, func() { b.place(r) }) // a budget fills or a trial succeeds meanwhile
 	} else {
@@ -134,35 +132,13 @@
 		r.class.Effect == Keyed && b.now < ran.sent.Add(r.class.Memory)
 }
 
-// enqueue sends the request if its server has a place, else lets it wait, by worth. What would wait for
-// over half an aim is given up at once, the least worth first.
-func (b *Balancer) enqueue(r *request, s *server) {
-	s.queue, r.at = append(s.queue, r), s
-	slices.SortStableFunc(s.queue, func(x, y *request) int { return cmp.Compare(y.worth, x.worth) })
-	b.pump(s)
-	for len(s.queue) > 0 && float64(len(s.queue))/s.limit*float64(s.latency) > float64(b.aim)/2 {
-		last := s.queue[len(s.queue)-1]
-		s.queue, last.at = s.queue[:len(s.queue)-1], nil
-		b.giveUp(last)
-	}
-	if r.at != nil {
-		b.giveUpLater(r)
-	}
-}
-
-// pump sends what a server's concurrency limit allows; from one that is out of use the queue is moved.
-func (b *Balancer) pump(s *server) {
-	inUse := s.State == Up && b.healthy(s)
-	for len(s.queue) > 0 && (b.room(s) || !inUse) {
-		r := s.queue[0]
-		s.queue, r.at = s.queue[1:], nil
-		if !inUse && !s.isOrigin {
-			b.place(r)
-		} else if inUse && b.mayTake(r, s) {
-			b.send(r, s)
-		} else {
-			b.giveUp(r)
-		}
+// begin sends what has a place under its server's limit and refuses the rest at once: a queue would only make
+// it late. What is worth little, as traffic over a tenant's share, leaves part of the limit to the others.
+func (b *Balancer) begin(r *request, s *server) {
+	if s.out == 0 || float64(s.out+1) <= s.limit*min(1, 0.5+r.worth/b.worth) {
+		b.send(r, s)
+	} else {
+		b.giveUp(r)
 	}
 }
 
@@ -239,7 +215,6 @@
 	default:
 		b.giveUp(r)
 	}
-	b.pump(s)
 }
 
 // --- The end of a request ---
@@ -276,10 +251,6 @@
 	if r.out == 0 {
 		delete(b.requests, r.ID)
 	}
-	if r.at != nil {
-		r.at.queue = slices.DeleteFunc(r.at.queue, func(q *request) bool { return q == r })
-		r.at = nil
-	}
 	if b.fetches[r.Key] == r {
 		delete(b.fetches, r.Key)
 	}
@@ -311,7 +282,7 @@
 		b.giveUp(r)
 		return
 	}
-	b.enqueue(r, b.origin)
+	b.begin(r, b.origin)
 }
 
 // join lets a read wait for the fetch that another one has in hand.
@@ -337,7 +308,7 @@
 			b.servers[e.Server] = s
 		}
 		if s.limit == 0 || e.Started != s.Started && e.State == Up { // new or restarted: nothing is held against it
-			*s = server{out: s.out, queue: s.queue, limit: max(1, firstLimit*b.share()), filled: b.now}
+			*s = server{out: s.out, limit: max(1, firstLimit*b.share()), filled: b.now}
 		}
 		s.Entry, s.isOrigin = e, b.set.OriginKind != "" && e.Kind == b.set.OriginKind
 	}
@@ -361,9 +332,7 @@
 	}
 	b.cutTable(weights)
 	for _, id := range sortedIDs(b.servers) {
-		s := b.servers[id]
-		b.pump(s)
-		if s.State == Gone && s.out == 0 {
+		if s := b.servers[id]; s.State == Gone && s.out == 0 {
 			delete(b.servers, id)
 		}
 	}
--- a/balance/health.go
+++ b/balance/health.go
@@ -61,7 +61,6 @@
 	if s.fails >= suspectAt && b.now >= s.ejected && !s.isOrigin && left >= b.weight*keepInUse {
 		s.backoff = min(max(2*s.backoff, b.aim), 8*b.aim)
 		s.ejected = b.now.Add(s.backoff)
-		b.pump(s)
 	}
 }
 
@@ -107,7 +106,7 @@
 	if b.room(s) != b.room(o) {
 		return b.room(s)
 	}
-	l, m := float64(s.out+len(s.queue))/s.limit, float64(o.out+len(o.queue))/o.limit
+	l, m := float64(s.out)/s.limit, float64(o.out)/o.limit
 	return l < m || l == m && s.held.seconds*o.Weight < o.held.seconds*s.Weight
 }
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -53,7 +53,6 @@
 	limit    float64       // concurrency limit, of this router alone
 	latency  time.Duration // smoothed time to an answer
 	cut      Time          // the last cut of limit
-	queue    []*request    // waiting for a place, by worth, then by age
 	heard    Time          // last answer of any kind
 	fails    int           // failures in a row
 	ejected  Time          // not used before; 0 when in use
@@ -89,7 +88,6 @@
 	arrived  Time
 	attempts []attempt
 	out      int
-	at       *server // whose queue it waits in
 	done     bool
 	streams  bool
 	waited   bool       // has waited for another's fetch before
