--- a/balance/balance.go
+++ b/balance/balance.go
@@ -80,7 +80,7 @@
 // pick draws the request's caches by hash and rehash: the first that is not crowded of two, or of more for a
 // key that comes often; all full, of any while the fleet has room. Caches out of use are drawn past.
 func (b *Balancer) pick(r *request) *server {
-	var best, spare *server
+	var best *server
 	seen := map[*server]bool{}
 	skip := 0
 	if b.thin() && len(r.attempts) == 0 {
@@ -88,15 +88,10 @@
 	}
 	for i, hash := 0, r.hash; i < maxDraws && len(b.caches) > 0; i, hash = i+1, mix(hash) {
 		s := b.servers[b.table.lookup(hash)]
-		if seen[s] || r.tried(s) || !b.mayTake(r, s) || !b.budgeted(s) {
+		if seen[s] || r.tried(s) || !b.mayTake(r, s) || !b.healthy(s) || !b.budgeted(s) {
 			continue
 		}
-		if !b.healthy(s) {
-			spare = cmp.Or(spare, s)
-			continue
-		}
-		seen[s] = true
-		if len(seen) <= skip {
+		if seen[s] = true; len(seen) <= skip {
 			continue
 		}
 		if !b.crowded(s) {
@@ -109,7 +104,7 @@
 			break
 		}
 	}
-	return cmp.Or(best, spare) // all have been ejected: the least bad is the one that holds the key
+	return best
 }
 
 // mayTake holds a keyed request that may have run to the group that drops its repeats: no effect twice.
@@ -299,43 +294,7 @@
 	if l.Kind == Failed {
 		return
 	}
-	listed := map[ServerID]bool{}
-	for _, e := range l.Entries {
-		listed[e.Server], e.Weight = true, max(e.Weight, 1e-6)
-		s := b.servers[e.Server]
-		if s == nil {
-			s = &server{}
-			b.servers[e.Server] = s
-		}
-		if s.limit == 0 || e.Started != s.Started && e.State == Up { // new or restarted: nothing is held against it
-			*s = server{out: s.out, limit: max(1, firstLimit*b.share()), filled: b.now}
-		}
-		s.Entry, s.isOrigin = e, b.set.OriginKind != "" && e.Kind == b.set.OriginKind
-	}
-	b.origin, b.caches, b.weight, b.out, b.byHash = nil, nil, 0, 0, map[uint32]*server{}
-	weights := map[ServerID]float64{}
-	for _, id := range sortedIDs(b.servers) {
-		s := b.servers[id]
-		if l.Kind != Partial && !listed[id] {
-			s.State = Gone
-		}
-		if s.State == Up && s.isOrigin {
-			b.origin = s
-		} else if s.State == Up {
-			s.hash = hashID(id)
-			b.byHash[s.hash] = s
-			b.caches, weights[id], b.weight = append(b.caches, s), s.Weight, b.weight+s.Weight
-		}
-		if !s.isOrigin {
-			b.out += s.out
-		}
-	}
-	b.cutTable(weights)
-	for _, id := range sortedIDs(b.servers) {
-		if s := b.servers[id]; s.State == Gone && s.out == 0 {
-			delete(b.servers, id)
-		}
-	}
+	b.cutTable(b.merge(l))
 }
 
 // cutTable follows the list. An empty table is replayed by start time, then id, as others saw the starts.
--- a/balance/health.go
+++ b/balance/health.go
@@ -98,16 +98,15 @@
 // thin tells whether routers are so many that a cache's limit at each is about one: it can't follow a load.
 func (b *Balancer) thin() bool { return firstLimit*b.share() < 2 }
 
+// firstLimit is a new server's: many routers at once must not fill it before they have seen an answer.
+func (b *Balancer) firstLimit() float64 { return max(1, firstLimit*b.share()) }
+
 // room tells whether a server's limit allows another attempt; one is always allowed.
 func (b *Balancer) room(s *server) bool { return s.out == 0 || float64(s.out+1) <= s.limit }
 
 // lighter tells whether a server is the better one of two crowded ones.
 func (b *Balancer) lighter(s, o *server) bool {
-	if b.room(s) != b.room(o) {
-		return b.room(s)
-	}
-	l, m := float64(s.out)/s.limit, float64(o.out)/o.limit
-	return l < m || l == m && s.held.seconds*o.Weight < o.held.seconds*s.Weight
+	return b.room(s) && !b.room(o) || b.room(s) == b.room(o) && s.held.seconds*o.Weight < o.held.seconds*s.Weight
 }
 
 // crowded is the load term of the design, over a multiple of the mean in flight and a floor; or at its limit.
--- a/balance/state.go
+++ b/balance/state.go
@@ -216,6 +216,44 @@
 	return m.count * max(1-float64(now.Sub(m.at))/float64(max(span, 1)), 0) / max(span, 1).Seconds()
 }
 
+// merge brings the servers up to date by a list and returns the weights of the caches that are up.
+func (b *Balancer) merge(l List) map[ServerID]float64 {
+	listed := map[ServerID]bool{}
+	for _, e := range l.Entries {
+		listed[e.Server], e.Weight = true, max(e.Weight, 1e-6)
+		s := b.servers[e.Server]
+		if s == nil {
+			s = &server{}
+			b.servers[e.Server] = s
+		}
+		if s.limit == 0 || e.Started != s.Started && e.State == Up { // new or restarted: nothing is held against it
+			*s = server{out: s.out, filled: b.now, limit: b.firstLimit()}
+		}
+		s.Entry, s.hash, s.isOrigin = e, hashID(e.Server), b.set.OriginKind != "" && e.Kind == b.set.OriginKind
+	}
+	b.origin, b.caches, b.weight, b.out, b.byHash = nil, nil, 0, 0, map[uint32]*server{}
+	weights := map[ServerID]float64{}
+	for _, id := range sortedIDs(b.servers) {
+		s := b.servers[id]
+		if l.Kind != Partial && !listed[id] {
+			s.State = Gone
+		}
+		if s.State == Up && s.isOrigin {
+			b.origin = s
+		} else if s.State == Up {
+			b.byHash[s.hash], weights[id] = s, s.Weight
+			b.caches, b.weight = append(b.caches, s), b.weight+s.Weight
+		}
+		if !s.isOrigin {
+			b.out += s.out
+		}
+		if s.State == Gone && s.out == 0 {
+			delete(b.servers, id)
+		}
+	}
+	return weights
+}
+
 // sortedIDs returns a map's keys in order: no decision may hang on the order of a map.
 func sortedIDs[V any](m map[ServerID]V) []ServerID {
 	ids := make([]ServerID, 0, len(m))
