--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,5 +1,5 @@
-// The types, events and actions of this package are in api.go. Its state and plumbing are in state.go, the
-// decisions here and, for the interval table, in table.go.
+// The types, events and actions of this package are in api.go; state and plumbing are in state.go. The decisions
+// are here (the way of a request), in health.go (health, load, budgets) and in table.go (the interval table).
 
 package balance
 
@@ -33,8 +33,6 @@
 	comeAgain   = 8        // a refused client is asked back after this part of the aim: it can still be in time
 )
 
-// --- The way of a request ---
-
 func (b *Balancer) onRequest(q Request) {
 	class := b.class(q)
 	r := &request{Request: q, class: class, hash: mix(q.Key), worth: class.Worth, arrived: b.now}
@@ -130,7 +128,7 @@
 // begin sends what has a place under its server's limit and refuses the rest at once: a queue would only make
 // it late. What is worth little, as traffic over a tenant's share, leaves part of the limit to the others.
 func (b *Balancer) begin(r *request, s *server) {
-	if s.out == 0 || float64(s.out+1) <= s.limit*min(1, 0.5+r.worth/b.worth) {
+	if b.mayTake(r, s) && (s.out == 0 || float64(s.out+1) <= s.limit*min(1, 0.5+r.worth/b.worth)) {
 		b.send(r, s)
 	} else {
 		b.giveUp(r)
@@ -212,15 +210,11 @@
 	}
 }
 
-// --- The end of a request ---
-
 // patience is how long a request with nothing in flight is kept: past it an answer would come late.
 func (b *Balancer) patience(r *request) Time {
 	return min(r.arrived.Add(r.class.Aim), r.Due).Add(-b.latency)
 }
 
-func (b *Balancer) giveUpLater(r *request) { b.after(b.patience(r).Sub(b.now), func() { b.giveUp(r) }) }
-
 // giveUp gives the final answer, a refusal only where a retry is harmless. A request that has something in
 // flight is ended by its attempt.
 func (b *Balancer) giveUp(r *request) {
@@ -242,19 +236,7 @@
 			b.do(Cancel{ID: r.ID, Attempt: i})
 		}
 	}
-	r.done = true
-	if r.out == 0 {
-		delete(b.requests, r.ID)
-	}
-	if b.fetches[r.Key] == r {
-		delete(b.fetches, r.Key)
-	}
-	waiters := r.waiters
-	r.waiters = nil
-	for _, w := range waiters {
-		for i := range w.attempts {
-			w.attempts[i].anew = ok && w.attempts[i].idle
-		}
+	for _, w := range b.forget(r, ok) {
 		if ok || len(w.attempts) == 0 || b.origin == nil {
 			b.place(w)
 		} else if !w.done { // the fetch failed: the first in line takes it over, the rest wait for that one
@@ -284,21 +266,16 @@
 func (b *Balancer) join(r, lead *request) {
 	r.waited = true
 	lead.waiters = append(lead.waiters, r)
-	b.giveUpLater(r)
+	b.after(b.patience(r).Sub(b.now), func() { b.giveUp(r) })
 }
 
-// --- The list of servers ---
-
+// onList cuts the table. An empty one is replayed by start time, then id, as others saw the starts.
 func (b *Balancer) onList(l List) {
 	b.follow(l.Kind)
 	if l.Kind == Failed {
 		return
 	}
-	b.cutTable(b.merge(l))
-}
-
-// cutTable follows the list. An empty table is replayed by start time, then id, as others saw the starts.
-func (b *Balancer) cutTable(weights map[ServerID]float64) {
+	weights := b.merge(l)
 	if len(b.table.weights) == 0 {
 		order, then := slices.Clone(b.caches), map[ServerID]float64{}
 		slices.SortStableFunc(order, func(x, y *server) int { return cmp.Compare(x.Started, y.Started) })
--- a/balance/health.go
+++ b/balance/health.go
@@ -5,8 +5,6 @@
 	"time"
 )
 
-// --- Health ---
-
 // judge books an outcome to its server. The concurrency limit grows while answers take under half an aim, so
 // that a second attempt has time, and is cut when they take longer, fail or are turned away.
 func (b *Balancer) judge(s *server, took time.Duration, result Result) {
@@ -52,13 +50,7 @@
 // failed counts a failure; some in a row eject the server, for longer each time, if enough are left.
 func (b *Balancer) failed(s *server) {
 	s.fails++
-	left := -s.Weight
-	for _, o := range b.caches {
-		if b.now >= o.ejected {
-			left += o.Weight
-		}
-	}
-	if s.fails >= suspectAt && b.now >= s.ejected && !s.isOrigin && left >= b.weight*keepInUse {
+	if s.fails >= suspectAt && b.now >= s.ejected && !s.isOrigin && b.inUse(s) >= b.weight*keepInUse {
 		s.backoff = min(max(2*s.backoff, b.aim), 8*b.aim)
 		s.ejected = b.now.Add(s.backoff)
 	}
@@ -90,8 +82,6 @@
 	}
 }
 
-// --- Load ---
-
 // share is this router's part of what all routers do, as far as it can know.
 func (b *Balancer) share() float64 { return 1 / float64(max(b.set.Routers, 1)) }
 
@@ -121,24 +111,10 @@
 	return b.holds(&s.held, s.out) > s.Weight/b.weight*b.holds(&b.held, b.out)+b.latency.Seconds()
 }
 
-// holds brings a usage up to date, with out attempts in flight since it last was.
-func (b *Balancer) holds(u *usage, out int) float64 {
-	fade := 1 - 1/(loadMemory*float64(max(len(b.caches), 1)))
-	u.seconds = u.seconds*math.Pow(fade, float64(b.sends-u.sends)) + float64(out)*b.now.Sub(u.at).Seconds()
-	u.at, u.sends = b.now, b.sends
-	return u.seconds
-}
-
-// heat counts a request of this key and returns over how many caches more than one its part of the last sends
-// spreads, so that it brings none over heatPart of a mean cache's work.
+// heat is over how many caches more than one a key spreads, to bring none over heatPart of a mean cache's work.
 func (b *Balancer) heat(key uint32) int {
-	n, caches := b.recent[0][key]+b.recent[1][key], float64(len(b.caches))
-	total := max(float64(b.fresh+b.older), caches/4) // fewer say little
-	if b.fresh++; b.recent[0] == nil || float64(b.fresh) > heatMemory*caches {
-		b.recent, b.older, b.fresh = [2]map[uint32]int{{}, b.recent[0]}, b.fresh, 1
-	}
-	b.recent[0][key]++
-	return int(min(float64(n)*caches/total/heatPart, max(caches-1, 0)))
+	caches := float64(len(b.caches))
+	return int(min(b.recentPart(key, heatMemory*caches)*caches/heatPart, max(caches-1, 0)))
 }
 
 // sighted notes an attempt's time in flight, to be told to some other routers: a thin one sees too little.
@@ -172,8 +148,6 @@
 	}
 }
 
-// --- Cold servers ---
-
 // warmth is the share of its capacity that a server has at least, by its listed start and its last return.
 func (b *Balancer) warmth(s *server) float64 {
 	w, rise := 1.0, (1-b.set.ColdFrom)/float64(max(b.set.Ramp, 1))
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -154,6 +155,26 @@
 	b.do(SetTimer{After: max(d, 0), Token: b.token})
 }
 
+// forget ends a request's books and returns the reads that wait for its fetch; after a good one they may ask
+// again where they missed.
+func (b *Balancer) forget(r *request, ok bool) []*request {
+	r.done = true
+	if r.out == 0 {
+		delete(b.requests, r.ID)
+	}
+	if b.fetches[r.Key] == r {
+		delete(b.fetches, r.Key)
+	}
+	waiters := r.waiters
+	r.waiters = nil
+	for _, w := range waiters {
+		for i := range w.attempts {
+			w.attempts[i].anew = ok && w.attempts[i].idle
+		}
+	}
+	return waiters
+}
+
 // class finds a request's class; one that the settings don't name is never repeated.
 func (b *Balancer) class(q Request) *Class {
 	for i := range b.set.Classes {
@@ -185,6 +206,35 @@
 	sends   int
 }
 
+// inUse is the weight of the caches that are not ejected, without s.
+func (b *Balancer) inUse(s *server) (weight float64) {
+	for _, o := range b.caches {
+		if o != s && b.now >= o.ejected {
+			weight += o.Weight
+		}
+	}
+	return weight
+}
+
+// holds brings a usage up to date, with out attempts in flight since it last was.
+func (b *Balancer) holds(u *usage, out int) float64 {
+	fade := 1 - 1/(loadMemory*float64(max(len(b.caches), 1)))
+	u.seconds = u.seconds*math.Pow(fade, float64(b.sends-u.sends)) + float64(out)*b.now.Sub(u.at).Seconds()
+	u.at, u.sends = b.now, b.sends
+	return u.seconds
+}
+
+// recentPart counts a request of a key and returns the part that the key had before of the last sends, in two
+// generations; of less than half a generation it says little.
+func (b *Balancer) recentPart(key uint32, generation float64) float64 {
+	n, total := b.recent[0][key]+b.recent[1][key], max(float64(b.fresh+b.older), generation/2)
+	if b.fresh++; b.recent[0] == nil || float64(b.fresh) > generation {
+		b.recent, b.older, b.fresh = [2]map[uint32]int{{}, b.recent[0]}, b.fresh, 1
+	}
+	b.recent[0][key]++
+	return float64(n) / max(total, 1)
+}
+
 // tried tells whether the server has been asked, and what it answered still holds.
 func (r *request) tried(s *server) bool {
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.to == s && !a.anew })
