--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,7 +17,7 @@
 	loadMemory  = 2.0      // sends a cache over which a load is averaged, for a router with few in flight
 	maxDraws    = 64       // rehash draws until the search for another cache ends
 	retryShare  = 0.2      // further attempts that a first one earns: a sick fleet sees a fifth more at most
-	retryBurst  = 10.0     // and so many at once, for a single server's death
+	retryBurst  = 30.0     // and so many at once over all routers, one each at least, for a server's death
 	keepInUse   = 1.0 / 3  // of the fleet's weight is never ejected: past that the cause is a common one
 	suspectAt   = 3        // failures in a row; one is not proof
 	gateRise    = 0.04     // what a good answer opens a gate by: with limitCut, a fifth of bad ones close it
@@ -28,7 +28,6 @@
 	smoothing   = 0.2      // of latencies: about the last five answers
 	firstLimit  = 12.0     // of concurrency at a server before anything was seen, over all routers
 	limitCut    = 0.85     // what a crowded server's limit is cut to, once a round trip
-	comeback    = 4        // a server back from an ejection is trusted this many times faster than a cold one
 	recheck     = 16       // a request that no server may take is tried again this many times in an aim
 	comeAgain   = 8        // a refused client is asked back after this part of the aim: it can still be in time
 )
@@ -49,7 +48,7 @@
 	}
 	b.worth += smoothing / 4 * (r.worth - b.worth)
 	b.requests[q.ID] = r
-	b.retries = min(b.retries+retryShare, retryBurst)
+	b.retries = min(b.retries+retryShare, max(1, retryBurst*b.share()))
 	b.after(q.Due.Sub(b.now), func() { b.giveUp(r) }) // whatever else happens, it is answered in time
 	b.place(r)
 }
--- a/balance/health.go
+++ b/balance/health.go
@@ -10,10 +10,7 @@
 func (b *Balancer) judge(s *server, took time.Duration, result Result) {
 	switch result {
 	case OK, Miss:
-		s.heard, s.fails, s.backoff = b.now, 0, 0
-		if s.ejected != 0 {
-			s.ejected, s.back = 0, b.now
-		}
+		s.heard, s.fails, s.backoff, s.ejected = b.now, 0, 0, 0
 		if result == OK {
 			s.latency += time.Duration(smoothing * float64(took-s.latency))
 		}
@@ -148,16 +145,13 @@
 	}
 }
 
-// warmth is the share of its capacity that a server has at least, by its listed start and its last return.
+// warmth is the share of its capacity that a server has at least, by its listed start.
 func (b *Balancer) warmth(s *server) float64 {
-	w, rise := 1.0, (1-b.set.ColdFrom)/float64(max(b.set.Ramp, 1))
-	if s.Started > 0 {
-		w = b.set.ColdFrom + rise*float64(b.now.Sub(s.Started))
-	}
-	if s.back > 0 {
-		w = min(w, b.set.ColdFrom+rise*comeback*float64(b.now.Sub(s.back)))
+	if s.Started == 0 {
+		return 1
 	}
-	return min(max(w, b.set.ColdFrom), 1)
+	risen := float64(b.now.Sub(s.Started)) / float64(max(b.set.Ramp, 1))
+	return min(max(b.set.ColdFrom+(1-b.set.ColdFrom)*risen, b.set.ColdFrom), 1)
 }
 
 // budgeted keeps a cold server to its warm share of the mean cache's answers to this router, so that all
--- a/balance/state.go
+++ b/balance/state.go
@@ -58,7 +58,6 @@
 	fails    int           // failures in a row
 	ejected  Time          // not used before; 0 when in use
 	backoff  time.Duration // of the last ejection
-	back     Time          // when it came back from an ejection
 	tokens   float64       // budget while it is cold
 	filled   Time          // when tokens was last brought up to date
 }
@@ -97,7 +96,7 @@
 
 // New returns the decisions of one router.
 func New(set Settings, seed uint64) *Balancer {
-	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, aim: time.Second, gate: gate{open: 1}, originGate: gate{open: 1},
+	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)), aim: time.Second, gate: gate{open: 1}, originGate: gate{open: 1},
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, fetches: map[uint64]*request{},
 		timers: map[int64]func(){}, shares: make([]meter, len(set.Tenants))}
 	for i, c := range set.Classes {
