--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,4 +1,4 @@
-// The types, events and actions of this package are in api.go; state and plumbing are in state.go. The decisions
+// The types, events and actions of this package are in api.go, state and plumbing in state.go. The decisions
 // are here (the way of a request), in health.go (health, load, budgets) and in table.go (the interval table).
 
 package balance
@@ -58,7 +58,6 @@
 	if r.done || r.out > 0 {
 		return
 	}
-	wait := b.aim / recheck
 	if b.origin != nil && (r.Write || len(b.caches) == 0) {
 		b.fetch(r)
 	} else if lead := b.fetches[r.Key]; r.HasKey && lead != nil && lead != r && !r.waited {
@@ -67,15 +66,15 @@
 		b.giveUp(r)
 	} else if s := b.pick(r); s != nil {
 		b.begin(r, s)
-	} else if len(r.attempts) < len(b.caches) && b.now.Add(wait) < b.patience(r) && b.mayRepeat(r) {
-		b.after(wait, func() { b.place(r) }) // a budget fills or a trial succeeds meanwhile
+	} else if len(r.attempts) < len(b.caches) && b.now.Add(b.aim/recheck) < b.patience(r) && b.mayRepeat(r) {
+		b.after(b.aim/recheck, func() { b.place(r) }) // a budget fills or a trial succeeds meanwhile
 	} else {
 		b.giveUp(r)
 	}
 }
 
-// pick draws the request's caches by hash and rehash: the first that is not crowded of two, or of more for a
-// key that comes often; all full, of any while the fleet has room. Caches out of use are drawn past.
+// pick draws the request's caches by hash and rehash, past those out of use: the first of two that is not
+// crowded, of more for a hot key, which a thin router, blind to what the caches hold, spreads at random.
 func (b *Balancer) pick(r *request) *server {
 	var best *server
 	seen := map[*server]bool{}
@@ -83,9 +82,9 @@
 	if b.thin() && len(r.attempts) == 0 {
 		skip = b.rng.IntN(r.spread + 1)
 	}
-	for i, hash := 0, r.hash; i < maxDraws && len(b.caches) > 0; i, hash = i+1, mix(hash) {
+	for i, hash := 0, r.hash; i < maxDraws && len(seen) <= max(1, r.spread); i, hash = i+1, mix(hash) {
 		s := b.servers[b.table.lookup(hash)]
-		if seen[s] || r.tried(s) || !b.mayTake(r, s) || !b.healthy(s) || !b.budgeted(s) {
+		if s == nil || seen[s] || r.tried(s) || !b.mayTake(r, s) || !b.healthy(s) || !b.budgeted(s) {
 			continue
 		}
 		if seen[s] = true; len(seen) <= skip {
@@ -97,31 +96,22 @@
 		if best == nil || b.lighter(s, best) {
 			best = s
 		}
-		if len(seen) > max(1, r.spread) {
-			break
-		}
 	}
 	return best
 }
 
 // mayTake holds a keyed request that may have run to the group that drops its repeats: no effect twice.
 func (b *Balancer) mayTake(r *request, s *server) bool {
-	if s.State != Up || !b.mayRepeat(r) {
-		return false
-	}
 	ran, group := r.ran(), r.class.Group
-	return ran == nil || r.class.Effect == Safe || group == GroupAll ||
-		s.Zone == ran.to.Zone && (group == GroupZone || group == GroupCell && s.Cell == ran.to.Cell)
+	return s.State == Up && b.mayRepeat(r) && (ran == nil || r.class.Effect == Safe || group == GroupAll ||
+		s.Zone == ran.to.Zone && (group == GroupZone || group == GroupCell && s.Cell == ran.to.Cell))
 }
 
 // mayRepeat: of what may have run only the safe may be sent again, and the keyed while it is remembered.
 func (b *Balancer) mayRepeat(r *request) bool {
-	if b.now >= r.Due || b.set.MaxAttempts > 0 && len(r.attempts) >= b.set.MaxAttempts {
-		return false
-	}
-	ran := r.ran()
-	return ran == nil || r.class.Effect == Safe ||
-		r.class.Effect == Keyed && b.now < ran.sent.Add(r.class.Memory)
+	ran, left := r.ran(), b.set.MaxAttempts <= 0 || len(r.attempts) < b.set.MaxAttempts
+	return left && b.now < r.Due && (ran == nil || r.class.Effect == Safe ||
+		r.class.Effect == Keyed && b.now < ran.sent.Add(r.class.Memory))
 }
 
 // begin sends what has a place under its server's limit and refuses the rest at once: a queue would only make
@@ -254,11 +244,11 @@
 	if shared {
 		b.fetches[r.Key] = r
 	}
-	if !b.admits(&b.originGate, r) {
+	if b.admits(&b.originGate, r) {
+		b.begin(r, b.origin)
+	} else {
 		b.giveUp(r)
-		return
 	}
-	b.begin(r, b.origin)
 }
 
 // join lets a read wait for the fetch that another one has in hand.
--- a/balance/health.go
+++ b/balance/health.go
@@ -10,7 +10,10 @@
 func (b *Balancer) judge(s *server, took time.Duration, result Result) {
 	switch result {
 	case OK, Miss:
-		s.heard, s.fails, s.backoff, s.ejected = b.now, 0, 0, 0
+		s.heard, s.fails, s.backoff = b.now, 0, 0
+		if s.ejected != 0 { // it may have restarted unseen: half warm
+			s.ejected, s.back = 0, b.now.Add(-b.set.Ramp/2)
+		}
 		if result == OK {
 			s.latency += time.Duration(smoothing * float64(took-s.latency))
 		}
@@ -79,10 +82,7 @@
 	}
 }
 
-// share is this router's part of what all routers do, as far as it can know.
-func (b *Balancer) share() float64 { return 1 / float64(max(b.set.Routers, 1)) }
-
-// thin tells whether routers are so many that a cache's limit at each is about one: it can't follow a load.
+// thin tells whether routers are so many that a cache's limit at each is about one: it follows no load.
 func (b *Balancer) thin() bool { return firstLimit*b.share() < 2 }
 
 // firstLimit is a new server's: many routers at once must not fill it before they have seen an answer.
@@ -102,13 +102,13 @@
 		float64(s.out) > passFloor*b.share() && float64(s.out) > passRatio*s.Weight/b.weight*float64(b.out)
 }
 
-// standsOut is the load term over the last sends of a thin router and of those it hears of: more than the mean
-// and a floor of one answer. A cache that is hot, slow, hung or gone has held its attempts for longer.
+// standsOut is the load term over the last sends of a thin router and of those it hears of: over the mean and
+// a floor of one answer. A cache that is hot, slow, hung or gone has held its attempts for longer.
 func (b *Balancer) standsOut(s *server) bool {
 	return b.holds(&s.held, s.out) > s.Weight/b.weight*b.holds(&b.held, b.out)+b.latency.Seconds()
 }
 
-// heat is over how many caches more than one a key spreads, to bring none over heatPart of a mean cache's work.
+// heat is over how many caches past the first a key spreads, to bring none over heatPart of the mean's work.
 func (b *Balancer) heat(key uint32) int {
 	caches := float64(len(b.caches))
 	return int(min(b.recentPart(key, heatMemory*caches)*caches/heatPart, max(caches-1, 0)))
@@ -145,12 +145,13 @@
 	}
 }
 
-// warmth is the share of its capacity that a server has at least, by its listed start.
+// warmth is the share of its capacity that a server has at least, by its listed start and its last return.
 func (b *Balancer) warmth(s *server) float64 {
-	if s.Started == 0 {
+	since := max(s.Started, s.back)
+	if since == 0 {
 		return 1
 	}
-	risen := float64(b.now.Sub(s.Started)) / float64(max(b.set.Ramp, 1))
+	risen := float64(b.now.Sub(since)) / float64(max(b.set.Ramp, 1))
 	return min(max(b.set.ColdFrom+(1-b.set.ColdFrom)*risen, b.set.ColdFrom), 1)
 }
 
@@ -162,7 +163,7 @@
 	if warm >= 1 {
 		return true
 	}
-	part := warm * math.Sqrt(max(b.set.OverloadFactor, 1)) // half the way to the fall: the rest is for uneven routers
+	part := warm * math.Sqrt(max(b.set.OverloadFactor, 1)) // half the way to the fall, for uneven routers
 	rate := part * b.answers.rate(b.now, 2*b.set.OverloadFor) * s.Weight / b.weight
 	if rate == 0 {
 		rate = b.share() / b.aim.Seconds()
--- a/balance/interval.go
+++ b/balance/interval.go
@@ -23,6 +23,9 @@
 	weights   map[ServerID]float64 // the weights it was last cut for
 }
 
+// newTable returns the table of a fleet without caches.
+func newTable() table { return table{intervals: []interval{{0, ""}}} }
+
 func (t *table) end(i int) int64 {
 	if i+1 < len(t.intervals) {
 		return t.intervals[i+1].start
--- a/balance/size_test.go
+++ b/balance/size_test.go
@@ -13,7 +13,7 @@
 		t.Fatal(err)
 	}
 	lines := 0
-	for _, name := range []string{"balance.go", "table.go"} {
+	for _, name := range []string{"balance.go", "health.go", "table.go"} {
 		if !strings.Contains(string(deploy), `"balance/`+name+`"`) {
 			t.Errorf("deploy/balancer.toml does not name balance/%s as policy", name)
 		}
--- a/balance/state.go
+++ b/balance/state.go
@@ -58,6 +58,7 @@
 	fails    int           // failures in a row
 	ejected  Time          // not used before; 0 when in use
 	backoff  time.Duration // of the last ejection
+	back     Time          // when it was cold, if it had restarted before it came back from an ejection
 	tokens   float64       // budget while it is cold
 	filled   Time          // when tokens was last brought up to date
 }
@@ -97,7 +98,7 @@
 // New returns the decisions of one router.
 func New(set Settings, seed uint64) *Balancer {
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)), aim: time.Second, gate: gate{open: 1}, originGate: gate{open: 1},
-		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, fetches: map[uint64]*request{},
+		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, table: newTable(), fetches: map[uint64]*request{},
 		timers: map[int64]func(){}, shares: make([]meter, len(set.Tenants))}
 	for i, c := range set.Classes {
 		if i == 0 || c.Aim < b.aim {
@@ -184,6 +185,9 @@
 	return &Class{Aim: q.Due.Sub(b.now), Worth: 1}
 }
 
+// share is this router's part of what all routers do, as far as it can know.
+func (b *Balancer) share() float64 { return 1 / float64(max(b.set.Routers, 1)) }
+
 // count books one attempt begun (1) or ended (-1).
 func (b *Balancer) count(r *request, s *server, n int) {
 	if !s.isOrigin {
--- a/balance/table.go
+++ b/balance/table.go
@@ -9,8 +9,7 @@
 // space is the length of [0,1) in whole positions, so that no rounding drifts over the changes.
 const space = int64(1) << 62
 
-// weightStep is the relative move of a listed weight under which the table stays as it is: every key that
-// is moved misses once, and hashing leaves partitions uneven by about as much anyway.
+// weightStep is the relative move of a weight that is ignored: a moved key misses, and hashing is as uneven.
 const weightStep = 0.1
 
 // mix is Thomas Wang's 64-bit integer mix.
@@ -40,7 +39,7 @@
 		}
 		total += weights[id]
 	}
-	if maps.Equal(weights, t.weights) && len(t.intervals) > 0 {
+	if maps.Equal(weights, t.weights) {
 		return
 	}
 	for _, id := range ids {
@@ -50,13 +49,10 @@
 	if len(ids) > 0 { // what rounding left over
 		need[ids[0]], need[""] = need[ids[0]]+need[""], 0
 	}
-	if len(t.intervals) == 0 {
-		t.intervals = []interval{{0, ""}}
-	}
 	for i, iv := range t.intervals {
 		need[iv.owner] -= t.end(i) - iv.start
 	}
-	t.weights = weights
+	t.weights = maps.Clone(weights) // the caller may go on with its map
 	t.assign(t.release(need), need)
 }
 
@@ -68,7 +64,7 @@
 	cutEnd := true
 	for i, iv := range t.intervals {
 		end, r := t.end(i), max(-need[iv.owner], 0)
-		from, to := iv.start, min(iv.start+r, t.end(i))
+		from, to := iv.start, min(iv.start+r, end)
 		adjoins := len(gaps) > 0 && gaps[len(gaps)-1].end == iv.start
 		if to == end {
 			cutEnd = false
