--- a/balance/health.go
+++ b/balance/health.go
@@ -75,9 +75,11 @@
 	if s.isOrigin {
 		g = &b.originGate
 	}
-	if good {
-		g.open = min(1, g.open*(1+gateRise))
-	} else if (s.isOrigin || !b.standsOut(s)) && b.now.Sub(g.cut) > b.latency {
+	if g.good++; good {
+		g.open = min(1, g.open*(1+min(gateRise*float64(g.good), 0.5)))
+		return
+	}
+	if g.good = 0; (s.isOrigin || !b.standsOut(s)) && b.now.Sub(g.cut) > b.latency {
 		g.open, g.cut = max(g.open*limitCut, gateFloor), b.now
 	}
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -66,6 +66,7 @@
 // gate is the part of requests that is let through.
 type gate struct {
 	open float64
+	good int // answers in a row
 	cut  Time
 }
 
