--- a/balance/health.go
+++ b/balance/health.go
@@ -79,7 +79,7 @@
 		g.open = min(1, g.open*(1+min(gateRise*float64(g.good), 0.5)))
 		return
 	}
-	if g.good = 0; (s.isOrigin || !b.standsOut(s)) && b.now.Sub(g.cut) > b.latency {
+	if g.good = 0; (s.isOrigin || !b.standsOut(s) && b.meanHeld() > b.aim.Seconds()/3) && b.now.Sub(g.cut) > b.latency {
 		g.open, g.cut = max(g.open*limitCut, gateFloor), b.now
 	}
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -240,6 +240,12 @@
 	return float64(n) / max(total, 1)
 }
 
+// meanHeld is the mean time in flight of the last sends.
+func (b *Balancer) meanHeld() float64 {
+	memory := loadMemory * float64(max(len(b.caches), 1))
+	return b.holds(&b.held, b.out) / (memory * (1 - math.Pow(1-1/memory, float64(b.sends+1))))
+}
+
 // tried tells whether the server has been asked, and what it answered still holds.
 func (r *request) tried(s *server) bool {
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.to == s && !a.anew })
