--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,7 +20,7 @@
 	retryBurst  = 30.0     // and so many at once over all routers, one each at least, for a server's death
 	keepInUse   = 1.0 / 3  // of the fleet's weight is never ejected: past that the cause is a common one
 	suspectAt   = 3        // failures in a row; one is not proof
-	gateRise    = 0.013    // what a good answer opens a gate by, times those in a row: a fifth of bad ones close it
+	gateRise    = 0.013    // what a good answer opens a gate by, times those in a row; a fifth of bad close it
 	gateFloor   = 1.0 / 16 // of requests always pass a gate: without an answer it would never open
 	heatMemory  = 0.5      // sends a cache over which a key's heat is counted: a hot key shows within a second
 	heatPart    = 0.25     // of a mean cache's work is the most that one key is to bring to a cache
--- a/balance/health.go
+++ b/balance/health.go
@@ -68,8 +68,8 @@
 		b.rng.Float64() < math.Pow(g.open, b.worth/max(r.worth, b.worth/64))
 }
 
-// moveGate opens the caches' or the origin's gate by a good answer and closes it by a late or failed one,
-// once a mean answer; but not for a cache that stands out: its trouble is its own.
+// moveGate opens the caches' or the origin's gate by a good answer and closes it by a late or failed one, once
+// a mean answer; not for a cache that stands out, its trouble is its own, nor while the mean attempt is quick.
 func (b *Balancer) moveGate(s *server, good bool) {
 	g := &b.gate
 	if s.isOrigin {
@@ -79,7 +79,8 @@
 		g.open = min(1, g.open*(1+min(gateRise*float64(g.good), 0.5)))
 		return
 	}
-	if g.good = 0; (s.isOrigin || !b.standsOut(s) && b.meanHeld() > b.aim.Seconds()/3) && b.now.Sub(g.cut) > b.latency {
+	common := s.isOrigin || !b.standsOut(s) && b.meanHeld() > b.aim.Seconds()/3
+	if g.good = 0; common && b.now.Sub(g.cut) > b.latency {
 		g.open, g.cut = max(g.open*limitCut, gateFloor), b.now
 	}
 }
