--- a/balance/health.go
+++ b/balance/health.go
@@ -68,8 +68,8 @@
 		b.rng.Float64() < math.Pow(g.open, b.worth/max(r.worth, b.worth/64))
 }
 
-// moveGate opens a gate, the caches' or the origin's, by good answers and closes it by late or failed ones, one
-// a mean answer; not for a cache that stands out, its trouble is its own, or while the mean attempt is quick.
+// moveGate opens the caches' or the origin's gate by good answers and closes it by late or failed ones, one a
+// mean answer; not for a cache that stands out, its trouble is its own, or while the mean attempt is quick.
 func (b *Balancer) moveGate(s *server, good bool) {
 	g := &b.gate
 	if s.isOrigin {
