--- a/balance/health.go
+++ b/balance/health.go
@@ -79,7 +79,8 @@
 		g.open = min(1, g.open*(1+min(gateRise*float64(g.good), 0.5)))
 		return
 	}
-	common := s.isOrigin || !b.standsOut(s) && b.meanHeld() > b.aim.Seconds()/2
+	slow := b.meanHeld() > b.aim.Seconds()/2 || b.erring >= commonCause
+	common := s.isOrigin || slow && !b.standsOut(s)
 	if g.good = 0; common && b.now.Sub(g.cut) > b.latency {
 		g.open, g.cut = max(g.open*limitCut, gateFloor), b.now
 	}
