--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,176 @@
+// Package daemon starts and stops a router: its configuration, its parts, readiness and the way it ends.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"cedarmast/balance"
+	"cedarmast/internal/exchange"
+	"cedarmast/internal/wire"
+)
+
+const (
+	acceptFor   = 450 * time.Millisecond // after SIGTERM: connections still come for up to 0.4 s
+	finishSlack = 100 * time.Millisecond
+	listFor     = 500 * time.Millisecond // at the start, for discovery's first word
+	sweepEvery  = 250 * time.Millisecond
+	statsEvery  = 10 * time.Second
+)
+
+// Run runs a router until the context ends, or SIGTERM or SIGINT comes, and all that it has taken is answered.
+func Run(ctx context.Context, c *Config, log *slog.Logger) error {
+	r, err := start(c, log)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGUSR1 {
+				log.Info("counters", r.counts.LogAttrs()...)
+				continue
+			}
+			log.Info("stopping", "signal", s.String())
+		case <-ctx.Done():
+			log.Info("stopping")
+		}
+		r.stop()
+		log.Info("stopped", r.counts.LogAttrs()...)
+		return nil
+	}
+}
+
+// router is a running router.
+type router struct {
+	config   *Config
+	log      *slog.Logger
+	counts   *exchange.Counters
+	pool     *exchange.Pool
+	clients  *wire.Clients
+	peers    *wire.Peers // nil without messages
+	listener net.Listener
+
+	halt context.CancelFunc // of the goroutines below
+	wg   sync.WaitGroup
+}
+
+// start brings all parts up, in the order in which they need one another, and returns once the router is ready.
+func start(c *Config, log *slog.Logger) (*router, error) {
+	c.Limits.apply()
+	parts := share(c.Limits.Sockets)
+	clock := exchange.NewClock()
+	r := &router{config: c, log: log, counts: &exchange.Counters{}}
+	r.pool = exchange.NewPool(parts.servers, reuseFor(time.Duration(c.Settings.Limits.ConnIdle)), r.counts)
+
+	discovery := wire.NewDiscovery(c.Discovery)
+	discovery.Index, discovery.Clock, discovery.Counts, discovery.Log = c.Known.Index, clock, r.counts, log
+
+	loop := exchange.NewLoop()
+	loop.Clock, loop.Counts, loop.Log, loop.Pool = clock, r.counts, log, r.pool
+	loop.Settings, loop.Seed, loop.Subscribe = c.Settings.Settings(), c.seed, discovery.Subscribe
+	loop.Sender = &wire.Servers{Pool: r.pool, Counts: r.counts,
+		ConnectTimeout: time.Duration(c.Settings.Limits.ConnectTimeout)}
+	loop.Teller = silent{}
+	discovery.Listed = loop.Listed
+
+	var err error
+	if c.PeerListen != "" && c.Settings.Limits.PeerMessages {
+		if r.peers, err = wire.ListenPeers(c.PeerListen, c.Peers); err != nil {
+			return nil, err
+		}
+		r.peers.Counts, r.peers.Heard = r.counts, loop.Heard
+		loop.Teller = r.peers
+	}
+	if r.listener, err = net.Listen("tcp", c.Listen); err != nil {
+		if r.peers != nil {
+			r.peers.Close()
+		}
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	r.clients = wire.NewClients(loop, r.counts, log, parts.clients)
+
+	ctx, halt := context.WithCancel(context.Background())
+	r.halt = halt
+	r.background(func() { loop.Run(ctx) })
+	loop.Listed(c.Known.List(balance.Persisted, clock))
+	first := make(chan struct{})
+	r.background(func() { discovery.Run(ctx, first) })
+	if r.peers != nil {
+		r.background(r.peers.Run)
+	}
+	r.background(func() { r.housekeep(ctx) })
+	r.background(func() {
+		if err := r.clients.Serve(r.listener); err != nil {
+			log.Error("accepting ended", "err", err)
+		}
+	})
+	select {
+	case <-first:
+	case <-time.After(listFor):
+	}
+	r.clients.Ready.Store(true)
+	log.Info("ready", "name", c.Name, "listen", c.Listen, "servers", len(c.Known.Endpoints),
+		"index", c.Known.Index, "clients_most", parts.clients, "server_connections_most", parts.servers)
+	return r, nil
+}
+
+// reuseFor is how long an idle connection is used again, some way under the servers' limit.
+func reuseFor(limit time.Duration) time.Duration {
+	return limit - max(limit/10, min(limit/2, 300*time.Millisecond))
+}
+
+// silent stands for the other routers where there are no messages.
+type silent struct{}
+
+func (silent) Tell(int, []byte) {}
+
+func (r *router) background(f func()) {
+	r.wg.Add(1)
+	go func() {
+		defer r.wg.Done()
+		f()
+	}()
+}
+
+// housekeep closes idle connections in time and prints the counters now and then.
+func (r *router) housekeep(ctx context.Context) {
+	sweep, stats := time.NewTicker(sweepEvery), time.NewTicker(statsEvery)
+	defer sweep.Stop()
+	defer stats.Stop()
+	for {
+		select {
+		case now := <-sweep.C:
+			r.pool.Sweep(now)
+		case <-stats.C:
+			r.log.Info("counters", r.counts.LogAttrs()...)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// stop takes what still comes for a moment, answers everything and lets go of all parts.
+func (r *router) stop() {
+	r.clients.Finish()
+	time.Sleep(acceptFor)
+	r.listener.Close()
+	r.clients.CloseIdle()
+	r.clients.Wait()
+	r.halt()
+	if r.peers != nil {
+		r.peers.Close()
+	}
+	r.wg.Wait()
+	r.pool.Close()
+}
--- /dev/null
+++ b/internal/daemon/limits.go
@@ -0,0 +1,34 @@
+package daemon
+
+import (
+	"math"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+)
+
+// shares is how the descriptors are dealt out.
+type shares struct{ clients, servers int }
+
+const (
+	otherDescriptors = 40 // listener, discovery, datagrams, the runtime's own, standard streams, spare ones
+	memoryPart       = 0.7
+)
+
+// share deals out the descriptors, also where the process may hold fewer than it was told. Each request in hand
+// wants one at either side; those of the clients that are turned away come on top.
+func share(sockets int) shares {
+	var have syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &have) == nil && have.Cur < uint64(sockets) {
+		sockets = int(have.Cur)
+	}
+	rest := max(sockets-otherDescriptors, 2)
+	servers := rest * 45 / 100
+	return shares{clients: max((rest-servers)*8/9, 1), servers: max(servers, 1)}
+}
+
+// apply sets the runtime's limits: processors, and memory that the collector keeps to while it can.
+func (l Limits) apply() {
+	runtime.GOMAXPROCS(max(int(math.Ceil(l.Cores)), 1))
+	debug.SetMemoryLimit(int64(float64(l.MemoryMB) * memoryPart * (1 << 20)))
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,113 @@
+// Package exchange holds what a router keeps in memory: the exchanges in hand, the loop that owns the decisions,
+// the servers' addresses, the pool of connections to them and the counters. It knows no protocol.
+package exchange
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"cedarmast/balance"
+)
+
+// Request is a client's request as the client side hands it over. It is not changed afterwards.
+type Request struct {
+	Class, Tenant string
+	Key           uint64
+	HasKey        bool
+	Write         bool
+	Arrived       time.Time     // when its first byte was seen
+	TimeLeft      time.Duration // how long the client waits from its sending; 0 if it did not say
+
+	Method, Target string      // the request line's, unchanged
+	Header         http.Header // end to end only
+	Body           []byte
+}
+
+// Kind is the kind of a final answer.
+type Kind int
+
+// The kinds of final answer.
+const (
+	Served  Kind = iota // a server's answer, passed on whole
+	Refused             // trying again is harmless
+	Failed              // nothing is promised
+)
+
+// Answer is the one final answer of an exchange.
+type Answer struct {
+	Kind       Kind
+	Header     http.Header   // end to end only, if served
+	Body       []byte        // if served
+	RetryAfter time.Duration // advice, if refused
+	TimedOut   bool          // if failed: nothing came in time
+}
+
+// Exchange is one client's request on its way: the one thing that client side and server side share. All but the
+// answer belongs to the loop.
+type Exchange struct {
+	Request
+	Due time.Time // the answer is out by then; set by Submit
+
+	answer   chan Answer // holds one
+	id       balance.RequestID
+	attempts []*Attempt
+	out      int // attempts without their outcome
+	answered bool
+}
+
+// New returns the exchange of a request.
+func New(r Request) *Exchange { return &Exchange{Request: r, answer: make(chan Answer, 1)} }
+
+// Answer brings the final answer, once.
+func (x *Exchange) Answer() <-chan Answer { return x.answer }
+
+// settle gives the final answer unless there is one.
+func (x *Exchange) settle(a Answer) bool {
+	if x.answered {
+		return false
+	}
+	x.answered = true
+	x.answer <- a
+	return true
+}
+
+// ErrWithdrawn is the cause of an attempt's end when the router has stopped waiting for it.
+var ErrWithdrawn = errors.New("withdrawn")
+
+// Attempt is one send of an exchange to one server. Its context ends when the exchange is due or the attempt is
+// withdrawn.
+type Attempt struct {
+	*Exchange
+	Server  balance.ServerID
+	Address string
+	Context context.Context
+
+	number int
+	sent   time.Time
+	cancel context.CancelCauseFunc
+	ended  atomic.Bool
+	loop   *Loop
+}
+
+// Sent is when the attempt was decided on.
+func (a *Attempt) Sent() time.Time { return a.sent }
+
+// Reply is how an attempt ended.
+type Reply struct {
+	Result   balance.Result
+	Fetching bool        // a miss behind another request's fetch of the key
+	Header   http.Header // with OK: end to end only
+	Body     []byte      // with OK
+	Err      error       // without OK: what went wrong, for the log
+}
+
+// End reports how the attempt ended. Only the first call counts: whatever races, an attempt has one outcome.
+func (a *Attempt) End(r Reply) {
+	if a.ended.CompareAndSwap(false, true) {
+		a.cancel(nil)
+		a.loop.post(ended{a, r})
+	}
+}
--- /dev/null
+++ b/internal/exchange/loop.go
@@ -0,0 +1,355 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"cedarmast/balance"
+)
+
+// Sender carries out attempts. Send returns at once; the attempt's End is called when it has ended.
+type Sender interface{ Send(a *Attempt) }
+
+// Teller sends messages to other routers, which may be lost. Tell returns at once.
+type Teller interface {
+	Tell(to int, content []byte)
+}
+
+// Loop owns the decisions: one goroutine takes events in batches and carries out what is decided. It never waits
+// on a socket.
+type Loop struct {
+	Clock     Clock
+	Counts    *Counters
+	Log       *slog.Logger
+	Pool      *Pool
+	Sender    Sender
+	Teller    Teller
+	Subscribe func() // asks for the list's changes; may be nil
+	Settings  balance.Settings
+	Seed      uint64
+
+	events    chan event
+	stopped   chan struct{} // closed when Run has returned
+	balancer  *balance.Balancer
+	exchanges map[balance.RequestID]*Exchange
+	addresses addresses
+	entries   map[balance.ServerID]balance.Entry // as last listed: what a new balancer starts from
+	version   int64
+	timers    timers
+	started   uint64 // exchanges, for their names
+	lag       lag
+}
+
+const (
+	queueLength = 1024 // events that wait for the loop; more hold up those who bring them
+	batchLength = 256
+)
+
+// NewLoop readies a loop; the other fields are to be set before Run.
+func NewLoop() *Loop {
+	return &Loop{events: make(chan event, queueLength), stopped: make(chan struct{}),
+		exchanges: map[balance.RequestID]*Exchange{}, addresses: addresses{},
+		entries: map[balance.ServerID]balance.Entry{}}
+}
+
+// event is something for the loop. take changes the loop's books and returns what the decisions are to hear of
+// it, if anything.
+type event interface {
+	take(l *Loop) balance.Event
+}
+
+type (
+	submitted struct{ *Exchange }
+	departed  struct{ *Exchange }
+	ended     struct {
+		*Attempt
+		Reply
+	}
+	listed struct{ List }
+	heard  struct{ content []byte }
+)
+
+// stamped is an event with the time it was brought.
+type stamped struct {
+	event
+	at time.Time
+}
+
+func (l *Loop) post(e event) {
+	select {
+	case l.events <- stamped{e, time.Now()}:
+	case <-l.stopped:
+	}
+}
+
+// Submit hands over a request. Its exchange gets one Answer, by Due unless the loop hangs.
+func (l *Loop) Submit(x *Exchange) {
+	left := x.TimeLeft
+	if left <= 0 { // the client said nothing: its class's whole time
+		left = l.deadline(x.Class)
+	}
+	x.Due = x.Arrived.Add(left - l.lag.margin(left))
+	l.post(submitted{x})
+}
+
+// Depart says that the exchange's client has gone; nothing more is owed.
+func (l *Loop) Depart(x *Exchange) { l.post(departed{x}) }
+
+// Listed brings a server list, or with kind Failed the news that there was none.
+func (l *Loop) Listed(list List) { l.post(listed{list}) }
+
+// Heard brings a message of another router.
+func (l *Loop) Heard(content []byte) { l.post(heard{content}) }
+
+// deadline is the whole time of a class, and a second for one that the settings don't name.
+func (l *Loop) deadline(class string) time.Duration {
+	for _, c := range l.Settings.Classes {
+		if c.Name == class && c.Deadline > 0 {
+			return c.Deadline
+		}
+	}
+	return time.Second
+}
+
+// Run decides until the context ends.
+func (l *Loop) Run(ctx context.Context) {
+	defer close(l.stopped)
+	l.balancer = balance.New(l.Settings, l.Seed)
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	for ctx.Err() == nil {
+		wake.Reset(l.untilNext())
+		var first event
+		select {
+		case first = <-l.events:
+		case <-wake.C:
+		case <-ctx.Done():
+			return
+		}
+		l.guard(func() { l.turn(first) })
+	}
+}
+
+func (l *Loop) untilNext() time.Duration {
+	if len(l.timers.all) == 0 {
+		return time.Hour
+	}
+	return max(l.timers.all[0].at.Sub(l.Clock.Now()), 0)
+}
+
+// turn hands the decisions one batch and does what they say.
+func (l *Loop) turn(first event) {
+	var batch []balance.Event
+	take := func(e event) {
+		if e := e.take(l); e != nil {
+			batch = append(batch, e)
+		}
+	}
+	if first != nil {
+		take(first)
+	}
+more:
+	for len(batch) < batchLength {
+		select {
+		case e := <-l.events:
+			take(e)
+		default:
+			break more
+		}
+	}
+	now := l.Clock.Now()
+	for len(batch) < 2*batchLength {
+		t, ok := l.timers.due(now)
+		if !ok {
+			break
+		}
+		l.lag.note(now.Sub(t.at), l.Counts)
+		batch = append(batch, balance.Timer{Token: t.token})
+	}
+	if len(batch) == 0 {
+		return
+	}
+	for _, a := range l.balancer.Handle(now, batch) {
+		l.do(now, a)
+	}
+}
+
+// guard keeps a panic of the decisions from taking the router down: what is in hand is answered and a fresh
+// balancer goes on from the list as last told.
+func (l *Loop) guard(turn func()) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		l.Counts.Panics.Add(1)
+		l.Log.Error("decisions panicked; starting them anew", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+		l.startAnew()
+	}()
+	turn()
+}
+
+func (l *Loop) startAnew() {
+	for _, x := range l.exchanges {
+		l.fail(x, false)
+		for _, a := range x.attempts {
+			a.cancel(ErrWithdrawn)
+		}
+	}
+	clear(l.exchanges) // outcomes yet to come find nothing
+	l.timers = timers{}
+	l.Seed++
+	l.balancer = balance.New(l.Settings, l.Seed)
+	list := balance.List{Kind: balance.Persisted, Version: l.version}
+	for _, e := range l.entries {
+		list.Entries = append(list.Entries, e)
+	}
+	for _, a := range l.balancer.Handle(l.Clock.Now(), []balance.Event{list}) {
+		l.do(l.Clock.Now(), a)
+	}
+}
+
+func (e stamped) take(l *Loop) balance.Event {
+	l.lag.note(time.Since(e.at), l.Counts)
+	return e.event.take(l)
+}
+
+func (e submitted) take(l *Loop) balance.Event {
+	x := e.Exchange
+	l.started++
+	x.id = balance.RequestID(strconv.FormatUint(l.started, 36))
+	l.exchanges[x.id] = x
+	return balance.Request{ID: x.id, Class: x.Class, Tenant: x.Tenant, Key: x.Key, HasKey: x.HasKey, Write: x.Write,
+		Due: l.Clock.At(x.Due)}
+}
+
+func (e departed) take(l *Loop) balance.Event {
+	x := e.Exchange
+	if x.answered || l.exchanges[x.id] != x {
+		return nil
+	}
+	x.answered = true // nobody is there to take one
+	for _, a := range x.attempts {
+		a.cancel(ErrWithdrawn)
+	}
+	l.forget(x)
+	return balance.ClientGone{ID: x.id}
+}
+
+func (e ended) take(l *Loop) balance.Event {
+	x := e.Attempt.Exchange
+	l.Counts.Results[e.Result].Add(1)
+	if e.Err != nil {
+		l.Log.Debug("attempt ended", "server", e.Server, "result", resultNames[e.Result], "err", e.Err,
+			"after", time.Since(e.sent))
+	}
+	if l.exchanges[x.id] != x { // of before a fresh start of the decisions
+		return nil
+	}
+	x.out--
+	if e.Result == balance.OK && x.settle(Answer{Kind: Served, Header: e.Header, Body: e.Body}) {
+		l.Counts.Served.Add(1)
+	}
+	done := x.answered
+	l.forget(x)
+	return balance.Outcome{ID: x.id, Attempt: e.number, Server: e.Server, Result: e.Result, Fetching: e.Fetching,
+		Done: done}
+}
+
+func (e listed) take(l *Loop) balance.Event {
+	if e.Kind == balance.Failed {
+		return e.List.List
+	}
+	l.version = e.Version
+	if e.Kind != balance.Partial {
+		clear(l.entries)
+	}
+	for _, entry := range e.Entries {
+		if entry.State == balance.Gone {
+			delete(l.entries, entry.Server)
+		} else {
+			l.entries[entry.Server] = entry
+		}
+	}
+	if leave := l.addresses.follow(e.List); len(leave) > 0 {
+		go func() { // closing takes locks that others hold while they dial or read
+			for _, server := range leave {
+				l.Pool.Leave(server)
+			}
+		}()
+	}
+	return e.List.List
+}
+
+func (e heard) take(*Loop) balance.Event { return balance.Heard{Content: e.content} }
+
+// forget lets go of an exchange that is answered and has no attempt out.
+func (l *Loop) forget(x *Exchange) {
+	if x.answered && x.out == 0 {
+		delete(l.exchanges, x.id)
+	}
+}
+
+func (l *Loop) fail(x *Exchange, timedOut bool) {
+	if x.settle(Answer{Kind: Failed, TimedOut: timedOut}) {
+		l.Counts.Failed.Add(1)
+	}
+}
+
+// do carries out one action. What names an exchange that has ended is passed over.
+func (l *Loop) do(now balance.Time, a balance.Action) {
+	switch a := a.(type) {
+	case balance.Send:
+		if x := l.exchanges[a.ID]; x != nil {
+			l.send(x, a.Server)
+		}
+	case balance.Refuse:
+		if x := l.exchanges[a.ID]; x != nil {
+			if x.settle(Answer{Kind: Refused, RetryAfter: a.RetryAfter}) {
+				l.Counts.Refused.Add(1)
+			}
+			l.forget(x)
+		}
+	case balance.Fail:
+		if x := l.exchanges[a.ID]; x != nil {
+			l.fail(x, now >= l.Clock.At(x.Due))
+			l.forget(x)
+		}
+	case balance.Cancel:
+		if x := l.exchanges[a.ID]; x != nil && a.Attempt >= 0 && a.Attempt < len(x.attempts) {
+			x.attempts[a.Attempt].cancel(ErrWithdrawn)
+		}
+	case balance.SetTimer:
+		l.timers.set(now.Add(a.After), a.Token)
+	case balance.Tell:
+		l.Teller.Tell(a.To, a.Content)
+	case balance.Subscribe:
+		if l.Subscribe != nil {
+			l.Subscribe()
+		}
+	}
+}
+
+// send begins an attempt. One that may not begin any more still gets its outcome, as one that never ran.
+func (l *Loop) send(x *Exchange, server balance.ServerID) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	ctx, stop := context.WithDeadline(ctx, x.Due)
+	a := &Attempt{Exchange: x, Server: server, Address: l.addresses[server], Context: ctx, number: len(x.attempts),
+		sent: time.Now(), loop: l}
+	a.cancel = func(cause error) { cancel(cause); stop() }
+	x.attempts = append(x.attempts, a)
+	x.out++
+	l.Counts.Attempts.Add(1)
+	switch {
+	case x.answered || ctx.Err() != nil:
+		go a.End(Reply{Result: balance.Moot}) // not from here: the queue may be full
+	case a.Address == "":
+		go a.End(Reply{Result: balance.NoConnect, Err: fmt.Errorf("no address of server %s", server)})
+	default:
+		l.Sender.Send(a)
+	}
+}
--- /dev/null
+++ b/internal/exchange/pool.go
@@ -0,0 +1,202 @@
+package exchange
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"cedarmast/balance"
+)
+
+// Conn is a connection to a server as the pool sees it.
+type Conn interface {
+	// Acquire makes an idle connection busy; false if it has closed meanwhile.
+	Acquire() bool
+	Close() error
+}
+
+// ErrNoRoom says that all connections to servers that the limits allow are busy.
+var ErrNoRoom = errors.New("no room for another connection")
+
+// Pool keeps the idle connections to servers, the newest first, and counts the open ones against the limit.
+type Pool struct {
+	Most    int           // connections open at once, idle ones included
+	IdleFor time.Duration // after this an idle connection is not used again
+	Counts  *Counters
+
+	mu    sync.Mutex
+	idle  map[balance.ServerID][]idleConn // oldest first
+	heard map[balance.ServerID]time.Time  // the last answer's time
+	open  int
+	done  bool
+}
+
+type idleConn struct {
+	Conn
+	address string
+	since   time.Time
+}
+
+// NewPool returns an empty pool.
+func NewPool(most int, idleFor time.Duration, counts *Counters) *Pool {
+	return &Pool{Most: most, IdleFor: idleFor, Counts: counts,
+		idle: map[balance.ServerID][]idleConn{}, heard: map[balance.ServerID]time.Time{}}
+}
+
+// Take returns the server's newest idle connection, busy now, or nil.
+func (p *Pool) Take(server balance.ServerID, address string, now time.Time) Conn {
+	for {
+		c := p.newest(server)
+		if c == nil {
+			return nil
+		}
+		if c.address == address && now.Sub(c.since) < p.IdleFor && c.Acquire() {
+			return c.Conn
+		}
+		c.Close()
+	}
+}
+
+func (p *Pool) newest(server balance.ServerID) *idleConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := p.idle[server]
+	if len(all) == 0 {
+		return nil
+	}
+	c := all[len(all)-1]
+	all[len(all)-1] = idleConn{}
+	p.idle[server] = all[:len(all)-1]
+	p.Counts.IdleConnections.Add(-1)
+	return &c
+}
+
+// Put takes back a connection that has brought a whole answer, and notes that the server is heard.
+func (p *Pool) Put(server balance.ServerID, address string, c Conn, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.done {
+		go c.Close()
+		return
+	}
+	p.idle[server] = append(p.idle[server], idleConn{c, address, now})
+	p.Counts.IdleConnections.Add(1)
+}
+
+// Remove drops a connection that has closed while it was idle.
+func (p *Pool) Remove(server balance.ServerID, c Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := p.idle[server]
+	for i := range all {
+		if all[i].Conn == c {
+			p.idle[server] = append(all[:i], all[i+1:]...)
+			p.Counts.IdleConnections.Add(-1)
+			return
+		}
+	}
+}
+
+// Heard notes that a server has answered something.
+func (p *Pool) Heard(server balance.ServerID, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard[server] = now
+}
+
+// Silent closes a server's idle connections if it has answered nothing since the given time: it may have vanished,
+// which a connection that stands open would hide and a new one shows.
+func (p *Pool) Silent(server balance.ServerID, since time.Time) bool {
+	p.mu.Lock()
+	silent := p.heard[server].Before(since)
+	p.mu.Unlock()
+	if silent {
+		p.Leave(server)
+	}
+	return silent
+}
+
+// Leave closes a server's idle connections.
+func (p *Pool) Leave(server balance.ServerID) {
+	p.mu.Lock()
+	all := p.idle[server]
+	delete(p.idle, server)
+	p.Counts.IdleConnections.Add(-int64(len(all)))
+	p.mu.Unlock()
+	for _, c := range all {
+		c.Close()
+	}
+}
+
+// Sweep closes the connections that have been idle for too long.
+func (p *Pool) Sweep(now time.Time) {
+	var old []idleConn
+	p.mu.Lock()
+	for server, all := range p.idle {
+		n := 0
+		for n < len(all) && now.Sub(all[n].since) >= p.IdleFor {
+			n++
+		}
+		old = append(old, all[:n]...)
+		if p.idle[server] = append(all[:0:0], all[n:]...); len(p.idle[server]) == 0 {
+			delete(p.idle, server)
+		}
+	}
+	p.Counts.IdleConnections.Add(-int64(len(old)))
+	p.mu.Unlock()
+	for _, c := range old {
+		c.Close()
+	}
+}
+
+// Reserve makes room for one more open connection, giving up the one that has been idle for longest if need be.
+func (p *Pool) Reserve() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open >= p.Most {
+		victim, at := balance.ServerID(""), time.Time{}
+		for server, all := range p.idle {
+			if len(all) > 0 && (at.IsZero() || all[0].since.Before(at)) {
+				victim, at = server, all[0].since
+			}
+		}
+		if at.IsZero() {
+			return ErrNoRoom
+		}
+		c := p.idle[victim][0]
+		p.idle[victim] = p.idle[victim][1:]
+		p.Counts.IdleConnections.Add(-1)
+		p.mu.Unlock()
+		c.Close() // it calls Release
+		p.mu.Lock()
+		if p.open >= p.Most {
+			return ErrNoRoom
+		}
+	}
+	p.open++
+	p.Counts.ServerConnections.Store(int64(p.open))
+	return nil
+}
+
+// Release gives back what Reserve took, once the connection is closed.
+func (p *Pool) Release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+	p.Counts.ServerConnections.Store(int64(p.open))
+}
+
+// Close closes the idle connections, and from now on those that come back.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.done = true
+	all := p.idle
+	p.idle = map[balance.ServerID][]idleConn{}
+	p.mu.Unlock()
+	for _, conns := range all {
+		p.Counts.IdleConnections.Add(-int64(len(conns)))
+		for _, c := range conns {
+			c.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,134 @@
+// Package settings reads the settings' JSON, the same for the simulator's wire and for the real router.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"cedarmast/balance"
+)
+
+// Profile is the settings object as the simulator sends it and as a real router finds it in its configuration.
+// Times are in nanoseconds.
+type Profile struct {
+	Classes []struct {
+		Name       string
+		Objective  int64
+		Deadline   int64
+		Worth      float64
+		LateShare  float64
+		Effect     string
+		DedupScope string
+		MemorySpan int64
+	}
+	Tenants []struct {
+		Name          string
+		AllowancePerS float64
+	}
+	Flavors        []string
+	FleetSize      int
+	MyNumber       int
+	Zone           string
+	OverShareWorth float64
+	MembershipMode string
+	FamilyInfo     struct {
+		Mode       string
+		OriginKind *int
+	}
+	Limits struct {
+		SendCap        int
+		MayCancel      bool
+		ParallelTries  bool
+		PeerMessages   bool
+		RetryAfter     bool
+		MaxRetryAfter  int64
+		ConnectTimeout int64
+		ConnIdle       int64
+	}
+	Contract struct {
+		AnswerSlack    int64
+		AskWithin      int64
+		ColdFrom       float64
+		RampTime       int64
+		OverloadFactor float64
+		OverloadFor    int64
+	}
+}
+
+var (
+	effects = map[string]balance.Effect{"safe": balance.Safe, "keyed": balance.Keyed, "unsafe": balance.Unsafe}
+	groups  = map[string]balance.Group{"all": balance.GroupAll, "zone": balance.GroupZone, "cell": balance.GroupCell}
+)
+
+// Settings is what the decisions are told of the profile.
+func (p *Profile) Settings() balance.Settings {
+	s := balance.Settings{
+		Routers: p.FleetSize, Number: p.MyNumber, PeerMessages: p.Limits.PeerMessages, Zone: p.Zone, OverShareWorth: p.OverShareWorth,
+		Aside: p.FamilyInfo.Mode == "aside", AskForList: p.MembershipMode == "on_request",
+		AskWithin:   time.Duration(p.Contract.AskWithin),
+		MaxAttempts: p.Limits.SendCap, MayCancel: p.Limits.MayCancel, Parallel: p.Limits.ParallelTries,
+		MaxRetryAfter:  time.Duration(p.Limits.MaxRetryAfter),
+		ConnectTimeout: time.Duration(p.Limits.ConnectTimeout),
+		ColdFrom:       p.Contract.ColdFrom, Ramp: time.Duration(p.Contract.RampTime),
+		OverloadFactor: p.Contract.OverloadFactor, OverloadFor: time.Duration(p.Contract.OverloadFor),
+	}
+	if k := p.FamilyInfo.OriginKind; k != nil && *k >= 0 && *k < len(p.Flavors) {
+		s.OriginKind = p.Flavors[*k]
+	}
+	if !p.Limits.RetryAfter { // clients are told no advice
+		s.MaxRetryAfter = 0
+	}
+	for _, c := range p.Classes {
+		s.Classes = append(s.Classes, balance.Class{
+			Name: c.Name, Aim: time.Duration(c.Objective), Deadline: time.Duration(c.Deadline), Worth: c.Worth,
+			LateShare: c.LateShare, Effect: effects[c.Effect], Group: groups[c.DedupScope],
+			Memory: time.Duration(c.MemorySpan),
+		})
+	}
+	for _, t := range p.Tenants {
+		s.Tenants = append(s.Tenants, balance.Tenant{Name: t.Name, AllowancePerS: t.AllowancePerS})
+	}
+	return s
+}
+
+// Check names the first key that a router can't work with. What the simulator's wire leaves out is no fault.
+func (p *Profile) Check() error {
+	if len(p.Classes) == 0 {
+		return errors.New("Classes: none")
+	}
+	seen := map[string]bool{}
+	for i, c := range p.Classes {
+		_, effect := effects[c.Effect]
+		switch {
+		case c.Name == "":
+			return fmt.Errorf("Classes[%d].Name: missing", i)
+		case seen[c.Name]:
+			return fmt.Errorf("Classes[%d].Name: %q stands there twice", i, c.Name)
+		case c.Objective <= 0:
+			return fmt.Errorf("Classes[%d].Objective: %d is not over 0", i, c.Objective)
+		case c.Deadline <= 0:
+			return fmt.Errorf("Classes[%d].Deadline: %d is not over 0", i, c.Deadline)
+		case !effect:
+			return fmt.Errorf("Classes[%d].Effect: unknown effect %q", i, c.Effect)
+		}
+		seen[c.Name] = true
+	}
+	if p.FleetSize < 1 {
+		return fmt.Errorf("FleetSize: %d is under 1", p.FleetSize)
+	}
+	if p.MyNumber < 0 || p.MyNumber >= p.FleetSize {
+		return fmt.Errorf("MyNumber: %d is none of %d routers", p.MyNumber, p.FleetSize)
+	}
+	for _, key := range []struct {
+		name  string
+		value int64
+	}{{"Limits.ConnIdle", p.Limits.ConnIdle}, {"Limits.ConnectTimeout", p.Limits.ConnectTimeout},
+		{"Limits.MaxRetryAfter", p.Limits.MaxRetryAfter}, {"Contract.RampTime", p.Contract.RampTime},
+		{"Contract.OverloadFor", p.Contract.OverloadFor}, {"Contract.AskWithin", p.Contract.AskWithin}} {
+		if key.value < 0 {
+			return fmt.Errorf("%s: %d is under 0", key.name, key.value)
+		}
+	}
+	return nil
+}
--- a/internal/simwire/codec.go
+++ b/internal/simwire/codec.go
@@ -6,9 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
-	"time"
 
 	"cedarmast/balance"
+	"cedarmast/internal/settings"
 )
 
 // line is any message from the simulator; each uses the fields that it needs. Unknown fields are passed over.
@@ -18,7 +18,7 @@
 	Batch     int64              `json:"n"`
 	Instance  *int               `json:"I"`
 	Seed      uint64             `json:"Seed"`
-	Profile   *profile           `json:"ProfileData"`
+	Profile   *settings.Profile  `json:"ProfileData"`
 	Mode      string             `json:"Mode"`
 	Version   int64              `json:"Gen"`
 	Members   []member           `json:"Members"`
@@ -48,54 +48,8 @@
 	Status  string  `json:"Status"`
 }
 
-// profile is the settings object of a Start.
-type profile struct {
-	Classes []struct {
-		Name       string
-		Objective  int64
-		Deadline   int64
-		Worth      float64
-		LateShare  float64
-		Effect     string
-		DedupScope string
-		MemorySpan int64
-	}
-	Tenants []struct {
-		Name          string
-		AllowancePerS float64
-	}
-	Flavors        []string
-	FleetSize      int
-	MyNumber       int
-	Zone           string
-	OverShareWorth float64
-	MembershipMode string
-	FamilyInfo     struct {
-		Mode       string
-		OriginKind *int
-	}
-	Limits struct {
-		SendCap        int
-		MayCancel      bool
-		ParallelTries  bool
-		PeerMessages   bool
-		RetryAfter     bool
-		MaxRetryAfter  int64
-		ConnectTimeout int64
-	}
-	Contract struct {
-		AskWithin      int64
-		ColdFrom       float64
-		RampTime       int64
-		OverloadFactor float64
-		OverloadFor    int64
-	}
-}
-
 var (
-	effects = map[string]balance.Effect{"safe": balance.Safe, "keyed": balance.Keyed, "unsafe": balance.Unsafe}
-	groups  = map[string]balance.Group{"all": balance.GroupAll, "zone": balance.GroupZone, "cell": balance.GroupCell}
-	modes   = map[string]balance.ListKind{"Partial": balance.Partial, "Complete": balance.Complete,
+	modes = map[string]balance.ListKind{"Partial": balance.Partial, "Complete": balance.Complete,
 		"Persisted": balance.Persisted, "Error": balance.Failed}
 	states  = map[string]balance.State{"U": balance.Up, "L": balance.Draining, "D": balance.Gone}
 	results = map[string]balance.Result{"delivered": balance.OK, "app_error": balance.Errored, "shed": balance.Full,
@@ -106,36 +60,6 @@
 // noteFetching is the note of a miss while the server waits for another request's fetch of the key.
 const noteFetching = 3
 
-func (p *profile) settings() balance.Settings {
-	s := balance.Settings{
-		Routers: p.FleetSize, Number: p.MyNumber, PeerMessages: p.Limits.PeerMessages, Zone: p.Zone, OverShareWorth: p.OverShareWorth,
-		Aside: p.FamilyInfo.Mode == "aside", AskForList: p.MembershipMode == "on_request",
-		AskWithin:   time.Duration(p.Contract.AskWithin),
-		MaxAttempts: p.Limits.SendCap, MayCancel: p.Limits.MayCancel, Parallel: p.Limits.ParallelTries,
-		MaxRetryAfter:  time.Duration(p.Limits.MaxRetryAfter),
-		ConnectTimeout: time.Duration(p.Limits.ConnectTimeout),
-		ColdFrom:       p.Contract.ColdFrom, Ramp: time.Duration(p.Contract.RampTime),
-		OverloadFactor: p.Contract.OverloadFactor, OverloadFor: time.Duration(p.Contract.OverloadFor),
-	}
-	if k := p.FamilyInfo.OriginKind; k != nil && *k >= 0 && *k < len(p.Flavors) {
-		s.OriginKind = p.Flavors[*k]
-	}
-	if !p.Limits.RetryAfter { // clients are told no advice
-		s.MaxRetryAfter = 0
-	}
-	for _, c := range p.Classes {
-		s.Classes = append(s.Classes, balance.Class{
-			Name: c.Name, Aim: time.Duration(c.Objective), Deadline: time.Duration(c.Deadline), Worth: c.Worth,
-			LateShare: c.LateShare, Effect: effects[c.Effect], Group: groups[c.DedupScope],
-			Memory: time.Duration(c.MemorySpan),
-		})
-	}
-	for _, t := range p.Tenants {
-		s.Tenants = append(s.Tenants, balance.Tenant{Name: t.Name, AllowancePerS: t.AllowancePerS})
-	}
-	return s
-}
-
 // event turns a line into the balancer's event; nil if the balancer has no use for it.
 func (l *line) event() (balance.Event, error) {
 	id, server := balance.RequestID(l.ID), balance.ServerID(l.Server)
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -79,7 +79,7 @@
 		if l.Profile == nil {
 			return errors.New("Start without ProfileData")
 		}
-		h.instances[i] = balance.New(l.Profile.settings(), l.Seed)
+		h.instances[i] = balance.New(l.Profile.Settings(), l.Seed)
 	case "Shutdown": // with it goes all that it was told
 		delete(h.instances, i)
 		h.pending[i] = nil
--- /dev/null
+++ b/internal/wire/message.go
@@ -0,0 +1,148 @@
+// Package wire is what a router speaks: HTTP/1.1 with clients, cache servers and discovery, datagrams with other
+// routers. The client side and the server side meet only in an exchange.Exchange.
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// The headers of the protocol, in canonical form.
+const (
+	headerID          = "X-Correlation-Id"
+	headerClass       = "X-Service-Class"
+	headerTenant      = "X-Account"
+	headerTimeLeft    = "X-Time-Left"
+	headerUnprocessed = "X-Unprocessed"
+	headerLookup      = "X-Lookup"
+)
+
+const (
+	maxHead = 8 << 10  // bytes of a message's head; the size of each connection's read buffer
+	maxBody = 64 << 10 // of its body
+)
+
+// Errors of a message that breaks a bound.
+var (
+	ErrHeadTooLarge = errors.New("head over the limit")
+	ErrBodyTooLarge = errors.New("body over the limit")
+)
+
+// awaitHead waits until the buffer holds a whole head, to be parsed where it lies. Empty lines before it are
+// dropped.
+func awaitHead(r *bufio.Reader) error {
+	for n := 1; ; {
+		text, err := r.Peek(n)
+		if err != nil {
+			if errors.Is(err, bufio.ErrBufferFull) {
+				return ErrHeadTooLarge
+			}
+			if errors.Is(err, io.EOF) && n > 1 {
+				return io.ErrUnexpectedEOF
+			}
+			return err
+		}
+		text, _ = r.Peek(r.Buffered())
+		if text[0] == '\n' || text[0] == '\r' && len(text) > 1 && text[1] == '\n' {
+			r.Discard(bytes.IndexByte(text, '\n') + 1)
+			n = 1
+			continue
+		}
+		if bytes.Contains(text, []byte("\n\r\n")) || bytes.Contains(text, []byte("\n\n")) {
+			return nil
+		}
+		if n = len(text) + 1; n > maxHead {
+			return ErrHeadTooLarge
+		}
+	}
+}
+
+// readBody reads a body whole, within the bound.
+func readBody(body io.ReadCloser, length int64) ([]byte, error) {
+	defer body.Close()
+	if length > maxBody {
+		return nil, ErrBodyTooLarge
+	}
+	if length == 0 {
+		return nil, nil
+	}
+	if length > 0 {
+		text := make([]byte, length)
+		_, err := io.ReadFull(body, text)
+		return text, err
+	}
+	text, err := io.ReadAll(io.LimitReader(body, maxBody+1))
+	if err == nil && len(text) > maxBody {
+		return nil, ErrBodyTooLarge
+	}
+	return text, err
+}
+
+// hopByHop are the headers that belong to one connection, or that a writer states itself.
+var hopByHop = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true,
+	"Upgrade": true, "Content-Length": true, "Expect": true}
+
+// endToEnd removes from a head what is not to be passed on.
+func endToEnd(h http.Header) http.Header {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for name := range h {
+		if hopByHop[name] {
+			delete(h, name)
+		}
+	}
+	return h
+}
+
+// appendHeader writes out header lines again.
+func appendHeader(head []byte, h http.Header) []byte {
+	for name, values := range h {
+		for _, value := range values {
+			head = appendLine(head, name, value)
+		}
+	}
+	return head
+}
+
+func appendLine(head []byte, name, value string) []byte {
+	head = append(append(head, name...), ": "...)
+	return append(append(head, value...), "\r\n"...)
+}
+
+// writeMessage writes head and body at once and tells how many bytes the connection took.
+func writeMessage(c net.Conn, head, body []byte) (written int64, err error) {
+	parts := net.Buffers{head, body}
+	return parts.WriteTo(c)
+}
+
+// parseTimeLeft reads a number with its unit: m for milliseconds or u for microseconds.
+func parseTimeLeft(text string) (time.Duration, error) {
+	units := map[byte]time.Duration{'m': time.Millisecond, 'u': time.Microsecond}
+	if len(text) < 2 || units[text[len(text)-1]] == 0 {
+		return 0, fmt.Errorf("%s %q: a number and m or u expected", headerTimeLeft, text)
+	}
+	unit := units[text[len(text)-1]]
+	n, err := strconv.ParseFloat(text[:len(text)-1], 64)
+	if err != nil || !(n > 0) || n > float64(time.Hour/unit) {
+		return 0, fmt.Errorf("%s %q: out of range", headerTimeLeft, text)
+	}
+	return time.Duration(n * float64(unit)), nil
+}
+
+// formatTimeLeft writes a time in microseconds, at least one.
+func formatTimeLeft(d time.Duration) string {
+	return strconv.FormatInt(max(d.Microseconds(), 1), 10) + "u"
+}
--- /dev/null
+++ b/internal/wire/server.go
@@ -0,0 +1,166 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"cedarmast/balance"
+	"cedarmast/internal/exchange"
+)
+
+// Servers carries out attempts at cache servers, each in a goroutine of its own. Nothing is sent twice by itself.
+type Servers struct {
+	Pool           *exchange.Pool
+	Counts         *exchange.Counters
+	ConnectTimeout time.Duration
+}
+
+// Send begins an attempt.
+func (s *Servers) Send(a *exchange.Attempt) { go s.run(a) }
+
+// run sees an attempt to its end. A panic ends only this attempt, as one that may have run.
+func (s *Servers) run(a *exchange.Attempt) {
+	defer func() {
+		if p := recover(); p != nil {
+			a.End(exchange.Reply{Result: balance.Unknown, Err: fmt.Errorf("panic: %v", p)})
+		}
+	}()
+	got, err := s.attempt(a)
+	if err != nil {
+		failure := &Failure{Stage: Reading, Cause: err}
+		errors.As(err, &failure)
+		result := failure.Result()
+		if result == balance.TimedOut || result == balance.Cancelled {
+			s.Pool.Silent(a.Server, a.Sent())
+		}
+		a.End(exchange.Reply{Result: result, Err: err})
+		return
+	}
+	a.End(reply(got))
+}
+
+// reply reads an answer's meaning. Only a 200 is ever passed on.
+func reply(got answer) exchange.Reply {
+	switch {
+	case got.status == http.StatusOK:
+		return exchange.Reply{Result: balance.OK, Header: got.header, Body: got.body,
+			Fetching: got.header.Get(headerLookup) == "pending"}
+	case got.header.Get(headerUnprocessed) == "1" &&
+		(got.status == http.StatusServiceUnavailable || got.status == http.StatusGatewayTimeout):
+		return exchange.Reply{Result: balance.Full, Err: fmt.Errorf("turned away with status %d", got.status)}
+	}
+	return exchange.Reply{Result: balance.Errored, Err: fmt.Errorf("status %d", got.status)}
+}
+
+// attempt writes the request and waits for the answer. Its error is a Failure.
+func (s *Servers) attempt(a *exchange.Attempt) (answer, error) {
+	c, err := s.connect(a)
+	if err != nil {
+		return answer{}, &Failure{Dialling, err}
+	}
+	cut := context.AfterFunc(a.Context, func() { c.Close() }) // wherever it stands
+	head := requestHead(a.Exchange, time.Now())
+	if n, err := writeMessage(c.Conn, head, a.Body); n < int64(len(head)+len(a.Body)) {
+		// An answer may have come before the request was whole, as from a server that turns it away unread.
+		cut()
+		c.Close()
+		select {
+		case got := <-c.answers:
+			if got.err == nil && a.Context.Err() == nil {
+				s.Pool.Heard(a.Server, time.Now())
+				return got, nil
+			}
+		default:
+		}
+		return answer{}, &Failure{Writing, s.cause(a, err)}
+	}
+	var got answer
+	select {
+	case got = <-c.answers:
+	case <-a.Context.Done():
+		c.Close()
+		select {
+		case got = <-c.answers: // it came at the same moment
+			if got.err != nil {
+				got = answer{err: context.Cause(a.Context)}
+			}
+		default:
+			got.err = context.Cause(a.Context)
+		}
+	}
+	whole := cut() && got.err == nil
+	if got.err != nil {
+		c.Close()
+		stage := Written
+		if c.reading.Load() {
+			stage = Reading
+		}
+		return answer{}, &Failure{stage, s.cause(a, got.err)}
+	}
+	s.Pool.Heard(a.Server, time.Now())
+	if whole && got.keep && c.usable() {
+		s.Pool.Put(a.Server, a.Address, c, time.Now())
+		if !c.usable() { // it closed meanwhile, before the pool had it
+			s.Pool.Remove(a.Server, c)
+		}
+	} else {
+		c.Close()
+	}
+	return got, nil
+}
+
+// cause is what ended an attempt: its context, if that has ended, for it closes the connection under the rest.
+func (s *Servers) cause(a *exchange.Attempt, err error) error {
+	if a.Context.Err() != nil {
+		return context.Cause(a.Context)
+	}
+	return err
+}
+
+// connect returns an idle connection or dials.
+func (s *Servers) connect(a *exchange.Attempt) (*serverConn, error) {
+	for {
+		idle, _ := s.Pool.Take(a.Server, a.Address, time.Now()).(*serverConn)
+		if idle == nil {
+			break
+		}
+		if idle.usable() { // nothing is written yet: another one may be taken
+			return idle, nil
+		}
+		idle.Close()
+	}
+	if err := s.Pool.Reserve(); err != nil {
+		return nil, err
+	}
+	s.Counts.Dials.Add(1)
+	dialer := net.Dialer{Timeout: s.ConnectTimeout, KeepAlive: -1}
+	c, err := dialer.DialContext(a.Context, "tcp", a.Address)
+	if err != nil {
+		s.Pool.Release()
+		switch cause := context.Cause(a.Context); {
+		case errors.Is(cause, exchange.ErrWithdrawn):
+			return nil, cause
+		case cause != nil:
+			return nil, errDue
+		}
+		return nil, err
+	}
+	return newServerConn(c, a.Server, s.Pool), nil
+}
+
+// requestHead writes out the request's head: request line and end-to-end headers unchanged, the time left as the
+// router will wait.
+func requestHead(x *exchange.Exchange, now time.Time) []byte {
+	head := make([]byte, 0, 512)
+	head = append(append(append(append(head, x.Method...), ' '), x.Target...), " HTTP/1.1\r\n"...)
+	head = appendHeader(head, x.Header)
+	head = appendLine(head, headerTimeLeft, formatTimeLeft(x.Due.Sub(now)))
+	if len(x.Body) > 0 || x.Method != http.MethodGet {
+		head = fmt.Appendf(head, "Content-Length: %d\r\n", len(x.Body))
+	}
+	return append(head, "\r\n"...)
+}
