Discovery: a list of index 0 is a version like any other, watched and not fetched whole

Cause: index 0 was taken for 'no list' (internal/wire/discovery.go, call), so each call left out index and wait and was answered at once. A server that does not wait as asked no longer makes a busy loop.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -91,7 +91,7 @@
 	setDefault(&c.Limits.Sockets, defaultSockets)
 	setDefault(&c.Seed, "0")
 	if c.Known == nil {
-		c.Known = &wire.Endpoints{}
+		c.Known = &wire.Endpoints{Index: wire.Unknown}
 	}
 	if c.Settings != nil {
 		setDefault(&c.Settings.Limits.ConnIdle, int64(defaultConnIdle))
--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -18,7 +18,7 @@
 // Discovery watches the server list. While it is silent or broken the list stays as it is and is asked for again.
 type Discovery struct {
 	Address string
-	Index   int64                    // of the list that is known already; 0 if none is
+	Index   int64                    // of the list that is known already; Unknown if none is
 	Listed  func(list exchange.List) // takes what is told, and a list of kind Failed for each failed call
 	Clock   exchange.Clock
 	Counts  *exchange.Counters
@@ -29,6 +29,9 @@
 	kick chan struct{} // ends a backoff early
 }
 
+// Unknown is the index of a list that is not there; every other number may be one.
+const Unknown = -1
+
 const (
 	watchFor      = 20 * time.Second
 	firstWatchFor = 50 * time.Millisecond // what is newer comes at once: the first call tells whether any is
@@ -57,6 +60,7 @@
 	defer d.hangUp()
 	wait, backoff, failing := firstWatchFor, leastBackoff, false
 	for ctx.Err() == nil {
+		asked := time.Now()
 		list, err := d.call(ctx, wait)
 		if first != nil {
 			close(first)
@@ -71,7 +75,9 @@
 			}
 			wait, backoff, failing = watchFor, leastBackoff, false
 			d.Counts.ListAnswers.Add(1)
-			d.take(list)
+			if news := d.take(list); !news && time.Since(asked) < leastBackoff {
+				pauseFor(ctx, leastBackoff) // it does not wait as asked: no busy loop, and still one watch
+			}
 			continue
 		}
 		d.Counts.ListFailures.Add(1)
@@ -95,13 +101,21 @@
 	}
 }
 
-// take hands a list on and remembers where the watch goes on.
-func (d *Discovery) take(e *Endpoints) {
+func pauseFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// take hands a list on and remembers where the watch goes on; it tells whether there was anything new.
+func (d *Discovery) take(e *Endpoints) bool {
 	kind := balance.Partial
 	if e.Snapshot {
 		kind = balance.Complete
 	}
-	if e.Index != d.Index || e.Snapshot || len(e.Endpoints) > 0 {
+	news := e.Index != d.Index || len(e.Endpoints) > 0 && !e.Snapshot
+	if news {
 		d.Log.Info("list", "index", e.Index, "whole", e.Snapshot, "entries", len(e.Endpoints))
 		for _, p := range e.Endpoints {
 			if !e.Snapshot {
@@ -112,6 +126,7 @@
 	}
 	d.Index = e.Index
 	d.Listed(e.List(kind, d.Clock))
+	return news
 }
 
 // call makes one call on the connection that is kept, or on a new one. After a failure the connection is given up.
@@ -133,7 +148,7 @@
 		d.conn, d.r = c, bufio.NewReaderSize(c, maxHead)
 	}
 	target := "/registry/instances"
-	if d.Index > 0 {
+	if d.Index != Unknown {
 		target += fmt.Sprintf("?index=%d&wait=%d", d.Index, wait.Milliseconds())
 	}
 	conn := d.conn
@@ -157,7 +172,7 @@
 		return nil, fmt.Errorf("reading the list: %w", err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		d.Index = 0 // it may not know that version: the whole list will do
+		d.Index = Unknown // it may not know that version: the whole list will do
 		return nil, fmt.Errorf("asking for the list: status %d", resp.StatusCode)
 	}
 	if len(text) > maxList {
