--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -18,11 +19,12 @@
 )
 
 const (
-	acceptFor   = 450 * time.Millisecond // after SIGTERM: connections still come for up to 0.4 s
-	finishSlack = 100 * time.Millisecond
-	listFor     = 500 * time.Millisecond // at the start, for discovery's first word
-	sweepEvery  = 250 * time.Millisecond
-	statsEvery  = 10 * time.Second
+	acceptFor  = 450 * time.Millisecond  // after SIGTERM: connections still come for up to 0.4 s
+	finishFor  = 3400 * time.Millisecond // after SIGTERM: SIGKILL comes no sooner than 0.3 s later
+	bindFor    = 5 * time.Second         // for an earlier process to let go of the address
+	listFor    = 500 * time.Millisecond  // at the start, for discovery's first word
+	sweepEvery = 250 * time.Millisecond
+	statsEvery = 10 * time.Second
 )
 
 // Run runs a router until the context ends, or SIGTERM or SIGINT comes, and all that it has taken is answered.
@@ -57,6 +59,7 @@
 	log      *slog.Logger
 	counts   *exchange.Counters
 	pool     *exchange.Pool
+	loop     *exchange.Loop
 	clients  *wire.Clients
 	peers    *wire.Peers // nil without messages
 	listener net.Listener
@@ -77,6 +80,7 @@
 	discovery.Index, discovery.Clock, discovery.Counts, discovery.Log = c.Known.Index, clock, r.counts, log
 
 	loop := exchange.NewLoop()
+	r.loop = loop
 	loop.Clock, loop.Counts, loop.Log, loop.Pool = clock, r.counts, log, r.pool
 	loop.Settings, loop.Seed, loop.Subscribe = c.Settings.Settings(), c.seed, discovery.Subscribe
 	loop.Sender = &wire.Servers{Pool: r.pool, Counts: r.counts,
@@ -92,7 +96,7 @@
 		r.peers.Counts, r.peers.Heard = r.counts, loop.Heard
 		loop.Teller = r.peers
 	}
-	if r.listener, err = net.Listen("tcp", c.Listen); err != nil {
+	if r.listener, err = listen(c.Listen); err != nil {
 		if r.peers != nil {
 			r.peers.Close()
 		}
@@ -125,6 +129,16 @@
 	return r, nil
 }
 
+// listen binds the address, which an earlier process of the same name may hold for a moment yet.
+func listen(address string) (net.Listener, error) {
+	for until := time.Now().Add(bindFor); ; time.Sleep(20 * time.Millisecond) {
+		l, err := net.Listen("tcp", address)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until) {
+			return l, err
+		}
+	}
+}
+
 // reuseFor is how long an idle connection is used again, some way under the servers' limit.
 func reuseFor(limit time.Duration) time.Duration {
 	return limit - max(limit/10, min(limit/2, 300*time.Millisecond))
@@ -162,6 +176,8 @@
 
 // stop takes what still comes for a moment, answers everything and lets go of all parts.
 func (r *router) stop() {
+	expire := time.AfterFunc(finishFor, r.loop.Expire)
+	defer expire.Stop()
 	r.clients.Finish()
 	time.Sleep(acceptFor)
 	r.listener.Close()
--- a/internal/exchange/loop.go
+++ b/internal/exchange/loop.go
@@ -69,8 +69,9 @@
 		*Attempt
 		Reply
 	}
-	listed struct{ List }
-	heard  struct{ content []byte }
+	listed  struct{ List }
+	heard   struct{ content []byte }
+	expired struct{}
 )
 
 // stamped is an event with the time it was brought.
@@ -105,6 +106,9 @@
 // Heard brings a message of another router.
 func (l *Loop) Heard(content []byte) { l.post(heard{content}) }
 
+// Expire ends all that is in hand without waiting for its time: the router is about to be killed.
+func (l *Loop) Expire() { l.post(expired{}) }
+
 // deadline is the whole time of a class, and a second for one that the settings don't name.
 func (l *Loop) deadline(class string) time.Duration {
 	for _, c := range l.Settings.Classes {
@@ -194,16 +198,17 @@
 }
 
 func (l *Loop) startAnew() {
-	for _, x := range l.exchanges {
-		l.fail(x, false)
-		for _, a := range x.attempts {
-			a.cancel(ErrWithdrawn)
-		}
-	}
+	l.endAll()
 	clear(l.exchanges) // outcomes yet to come find nothing
 	l.timers = timers{}
 	l.Seed++
 	l.balancer = balance.New(l.Settings, l.Seed)
+	defer func() {
+		if p := recover(); p != nil { // then without the list: requests are refused until the next one comes
+			l.Log.Error("decisions panicked over the list", "panic", fmt.Sprint(p))
+			l.balancer = balance.New(l.Settings, l.Seed)
+		}
+	}()
 	list := balance.List{Kind: balance.Persisted, Version: l.version}
 	for _, e := range l.entries {
 		list.Entries = append(list.Entries, e)
@@ -285,6 +290,22 @@
 	return e.List.List
 }
 
+func (expired) take(l *Loop) balance.Event {
+	l.Log.Warn("ended before their time", "exchanges", len(l.exchanges))
+	l.endAll()
+	return nil
+}
+
+// endAll fails every exchange, which promises nothing and so is always allowed, and withdraws its attempts.
+func (l *Loop) endAll() {
+	for _, x := range l.exchanges {
+		l.fail(x, true)
+		for _, a := range x.attempts {
+			a.cancel(ErrWithdrawn)
+		}
+	}
+}
+
 func (e heard) take(*Loop) balance.Event { return balance.Heard{Content: e.content} }
 
 // forget lets go of an exchange that is answered and has no attempt out.
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -43,8 +43,10 @@
 	writePatience = 5 * time.Second  // for a client to take an answer
 	idlePatience  = 90 * time.Second // for a client's next request
 	freshFor      = time.Second      // in which a new connection's first request is awaited
+	graceForFirst = 200 * time.Millisecond
 	overdueSlack  = 30 * time.Millisecond
 	lingerFor     = 200 * time.Millisecond
+	badLogged     = 100 // of so many bad requests one is logged
 	lingerMost    = 1 << 20
 	turnAwayPart  = 8 // connections over Most, as a part of it, that are kept open to be turned away
 )
@@ -92,9 +94,9 @@
 	}
 	s.wg.Add(1)
 	go conn.serve()
-	for open > s.Most+s.Most/turnAwayPart { // those turned away go quickly; until then the next ones wait
+	for s.Counts.ClientsOpen.Load() > int64(s.Most+s.Most/turnAwayPart) { // those turned away go quickly
+		s.giveUpIdle()
 		time.Sleep(time.Millisecond)
-		open = int(s.Counts.ClientsOpen.Load())
 	}
 }
 
@@ -161,6 +163,7 @@
 
 	watching bool     // serve's: the watcher has been let go on
 	ahead    *arrival // serve's: a byte of the next request that came before the answer to the last
+	writing  bool     // serve's: an answer has been begun
 	turnAway bool
 	// Under side.mu:
 	busy      bool // a request is in hand
@@ -177,7 +180,9 @@
 		if p := recover(); p != nil {
 			c.side.Counts.Panics.Add(1)
 			c.side.Log.Error("connection panicked", "panic", fmt.Sprint(p))
-			c.write(http.StatusBadGateway, nil, nil, true)
+			if !c.writing { // the request still gets its answer
+				c.write(http.StatusBadGateway, nil, nil, true)
+			}
 		}
 	}()
 	c.watching = true
@@ -222,15 +227,19 @@
 		c.setBusy(true)
 		return a, true
 	}
-	c.SetReadDeadline(time.Now().Add(idlePatience))
+	if c.turnAway {
+		c.SetReadDeadline(time.Now().Add(freshFor))
+	} else {
+		c.SetReadDeadline(time.Now().Add(idlePatience))
+	}
 	c.goOn()
 	var a arrival
 	select {
 	case a = <-c.arrived:
 	case <-c.side.shutting:
-		select { // a byte that came at the same moment counts
+		select { // a byte that came at the same moment counts, and a new connection's first request still does
 		case a = <-c.arrived:
-		case <-time.After(time.Millisecond):
+		case <-time.After(c.grace()):
 			return a, false
 		}
 	}
@@ -239,6 +248,14 @@
 	return a, a.err == nil
 }
 
+// grace is how long a connection stays open for a request that may be on its way when the router stops.
+func (c *clientConn) grace() time.Duration {
+	if c.served {
+		return time.Millisecond
+	}
+	return graceForFirst
+}
+
 // goOn lets the watcher read, if it does not.
 func (c *clientConn) goOn() {
 	if !c.watching {
@@ -332,6 +349,9 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("malformed request: %w", err)
 	}
+	if req.Host == "" {
+		return nil, nil, errors.New("malformed request: no Host")
+	}
 	if req.Header.Get("Expect") == "100-continue" && req.ContentLength != 0 {
 		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, nil, err
@@ -409,8 +429,9 @@
 
 // bad answers a message that breaks the protocol and closes.
 func (c *clientConn) bad(err error) bool {
-	c.side.Counts.BadRequests.Add(1)
-	c.side.Log.Warn("bad request", "err", err, "client", c.RemoteAddr())
+	if n := c.side.Counts.BadRequests.Add(1); n%badLogged == 1 { // a flood of them is not to fill the log
+		c.side.Log.Warn("bad request", "err", err, "client", c.RemoteAddr(), "so_far", n)
+	}
 	c.write(http.StatusBadRequest, http.Header{"Content-Type": {"text/plain; charset=utf-8"}},
 		[]byte(err.Error()+"\n"), true)
 	c.linger()
@@ -454,10 +475,12 @@
 		head = appendLine(head, "Connection", "close")
 	}
 	head = append(head, "\r\n"...)
+	c.writing = true
 	c.SetWriteDeadline(time.Now().Add(writePatience))
 	if _, err := writeMessage(c.Conn, head, body); err != nil {
 		c.side.Log.Debug("answer not taken", "err", err, "client", c.RemoteAddr())
 		return false
 	}
+	c.writing = false
 	return !last
 }
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -17,6 +17,9 @@
 	Pool           *exchange.Pool
 	Counts         *exchange.Counters
 	ConnectTimeout time.Duration
+
+	// Dial opens a connection; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Send begins an attempt.
@@ -62,6 +65,12 @@
 	if err != nil {
 		return answer{}, &Failure{Dialling, err}
 	}
+	defer func() {
+		if p := recover(); p != nil {
+			c.Close()
+			panic(p)
+		}
+	}()
 	cut := context.AfterFunc(a.Context, func() { c.Close() }) // wherever it stands
 	head := requestHead(a.Exchange, time.Now())
 	if n, err := writeMessage(c.Conn, head, a.Body); n < int64(len(head)+len(a.Body)) {
@@ -128,7 +137,7 @@
 		if idle == nil {
 			break
 		}
-		if idle.usable() { // nothing is written yet: another one may be taken
+		if idle.usable() && !idle.closedByPeer() { // nothing is written yet: another one may be taken
 			return idle, nil
 		}
 		idle.Close()
@@ -137,8 +146,11 @@
 		return nil, err
 	}
 	s.Counts.Dials.Add(1)
-	dialer := net.Dialer{Timeout: s.ConnectTimeout, KeepAlive: -1}
-	c, err := dialer.DialContext(a.Context, "tcp", a.Address)
+	dial := s.Dial
+	if dial == nil {
+		dial = s.dialTCP
+	}
+	c, err := dial(a.Context, a.Address)
 	if err != nil {
 		s.Pool.Release()
 		switch cause := context.Cause(a.Context); {
@@ -152,6 +164,11 @@
 	return newServerConn(c, a.Server, s.Pool), nil
 }
 
+func (s *Servers) dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: s.ConnectTimeout, KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // requestHead writes out the request's head: request line and end-to-end headers unchanged, the time left as the
 // router will wait.
 func requestHead(x *exchange.Exchange, now time.Time) []byte {
--- a/internal/wire/serverconn.go
+++ b/internal/wire/serverconn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"cedarmast/balance"
 	"cedarmast/internal/exchange"
@@ -77,6 +78,26 @@
 	return !c.broken
 }
 
+// closedByPeer asks the system whether the server's close has come in though the reader has not run since: on a
+// busy core that is the difference between an attempt that never ran and one that may have.
+func (c *serverConn) closedByPeer() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		closed = err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return closed || err != nil
+}
+
 // idle makes the connection ready for its next request; false if it has ended.
 func (c *serverConn) idle() bool {
 	c.mu.Lock()
