Tests of the wire by stand-ins, fuzzing of heads; two leaks and a slow 400 found by them

Seen in tests: a body over the bound was answered 400 only after 5 s, for closing it waits for its rest (readBody); a panic while dialling kept its place among the connections for good (connect); turning clients away at a small limit gave up further idle connections each millisecond (admit). Each has its test.

--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -94,7 +94,7 @@
 	}
 	s.wg.Add(1)
 	go conn.serve()
-	for s.Counts.ClientsOpen.Load() > int64(s.Most+s.Most/turnAwayPart) { // those turned away go quickly
+	for s.Counts.ClientsOpen.Load() > int64(s.Most+max(s.Most/turnAwayPart, 2)) { // those turned away go quickly
 		s.giveUpIdle()
 		time.Sleep(time.Millisecond)
 	}
--- /dev/null
+++ b/internal/wire/client_test.go
@@ -0,0 +1,336 @@
+package wire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cedarmast/internal/exchange"
+	"cedarmast/internal/standin"
+)
+
+// discardConn is a connection that takes everything and brings nothing.
+type discardConn struct{ net.Conn }
+
+func (discardConn) Write(p []byte) (int, error) { return len(p), nil }
+
+// taker stands for the loop: the test sees what was submitted and who departed.
+type taker struct {
+	submitted, departed chan *exchange.Exchange
+	due                 time.Duration
+}
+
+func (t *taker) Submit(x *exchange.Exchange) {
+	x.Due = time.Now().Add(t.due)
+	t.submitted <- x
+}
+func (t *taker) Depart(x *exchange.Exchange) { t.departed <- x }
+
+// settled is an exchange that has its answer already, which only the loop can give.
+type side struct {
+	*Clients
+	*taker
+	address string
+}
+
+func newSide(t *testing.T, most int, handler Taker) *side {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tk := &taker{submitted: make(chan *exchange.Exchange, 100), departed: make(chan *exchange.Exchange, 100), due: time.Second}
+	if handler == nil {
+		handler = tk
+	}
+	s := &side{NewClients(handler, &exchange.Counters{}, slog.New(slog.DiscardHandler), most), tk, l.Addr().String()}
+	s.Ready.Store(true)
+	done := make(chan struct{})
+	go func() { s.Serve(l); close(done) }()
+	t.Cleanup(func() {
+		l.Close()
+		s.CloseIdle()
+		s.Wait()
+		<-done
+	})
+	return s
+}
+
+// client is one connection of a client.
+type client struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func (s *side) connect(t *testing.T) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	return &client{c, bufio.NewReader(c)}
+}
+
+const getOne = "GET /read/k HTTP/1.1\r\nHost: b\r\nX-Correlation-Id: 1\r\nX-Service-Class: read\r\nX-Time-Left: 900m\r\n\r\n"
+
+func (c *client) say(t *testing.T, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (c *client) hear(t *testing.T) (*http.Response, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(body)
+}
+
+func TestOwnPages(t *testing.T) {
+	s := newSide(t, 10, nil)
+	c := s.connect(t)
+	s.Ready.Store(false)
+	for _, q := range []struct {
+		method, path string
+		status       int
+	}{{"GET", "/health/live", 200}, {"GET", "/health/ready", 503}, {"GET", "/health/else", 404}, {"GET", "/stats", 200},
+		{"PUT", "/stats", 405}, {"DELETE", "/read/1", 405}} {
+		c.say(t, q.method+" "+q.path+" HTTP/1.1\r\nHost: b\r\n\r\n")
+		if resp, body := c.hear(t); resp.StatusCode != q.status || q.path == "/stats" && q.status == 200 &&
+			!strings.Contains(body, `"accepted": 1`) {
+			t.Errorf("%s %s: %d %s", q.method, q.path, resp.StatusCode, body)
+		}
+	}
+	s.Ready.Store(true)
+	c.say(t, "GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n")
+	if resp, _ := c.hear(t); resp.StatusCode != 200 {
+		t.Errorf("ready: %d", resp.StatusCode)
+	}
+}
+
+func TestRequestIsReadWhole(t *testing.T) {
+	s := newSide(t, 10, nil)
+	c := s.connect(t)
+	text := "PUT /tally-add/k%201?x=1 HTTP/1.1\r\nHost: b\r\nX-Correlation-Id: 1\r\nX-Account: acme\r\nX-Time-Left: 250m\r\n" +
+		"Idempotency-Key: 9\r\nContent-Length: 5\r\n\r\nvalue"
+	for _, b := range []byte(text) { // in the smallest pieces
+		c.say(t, string(b))
+	}
+	x := <-s.submitted
+	if x.Class != "tally-add" || x.Tenant != "acme" || !x.Write || x.Key != hashKey("k%201") || !x.HasKey ||
+		x.TimeLeft != 250*time.Millisecond || string(x.Body) != "value" || x.Target != "/tally-add/k%201?x=1" ||
+		x.Header.Get("Idempotency-Key") != "9" || x.Header.Get(headerTimeLeft) != "" {
+		t.Errorf("read as %+v", x.Request)
+	}
+}
+
+func TestBadMessages(t *testing.T) {
+	for name, text := range map[string]string{
+		"no HTTP":          "what?\r\n\r\n",
+		"no id":            "GET /read/k HTTP/1.1\r\nHost: b\r\n\r\n",
+		"no host":          "GET /read/k HTTP/1.1\r\nX-Correlation-Id: 1\r\n\r\n",
+		"bad time":         "GET /read/k HTTP/1.1\r\nHost: b\r\nX-Correlation-Id: 1\r\nX-Time-Left: soon\r\n\r\n",
+		"head too large":   "GET /read/k HTTP/1.1\r\nHost: b\r\nX: " + strings.Repeat("x", maxHead) + "\r\n\r\n",
+		"body too large":   "PUT /w/k HTTP/1.1\r\nHost: b\r\nX-Correlation-Id: 1\r\nContent-Length: 65537\r\n\r\n",
+		"endless chunks":   "PUT /w/k HTTP/1.1\r\nHost: b\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n" + strings.Repeat("x", 70000),
+		"malformed chunks": "PUT /w/k HTTP/1.1\r\nHost: b\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"bad length":       "PUT /w/k HTTP/1.1\r\nHost: b\r\nContent-Length: -1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSide(t, 10, nil)
+			c := s.connect(t)
+			c.say(t, text)
+			if resp, _ := c.hear(t); resp.StatusCode != 400 || !resp.Close {
+				t.Errorf("status %d, close %v", resp.StatusCode, resp.Close)
+			}
+			if _, err := c.r.ReadByte(); !errors.Is(err, io.EOF) {
+				t.Errorf("not closed: %v", err)
+			}
+			if len(s.submitted) != 0 || s.Counts.BadRequests.Load() != 1 {
+				t.Error("it was taken for a request")
+			}
+		})
+	}
+}
+
+func TestClientGoneWhileItWaits(t *testing.T) {
+	s := newSide(t, 10, nil)
+	c := s.connect(t)
+	c.say(t, getOne)
+	x := <-s.submitted
+	c.Close()
+	select {
+	case gone := <-s.departed:
+		if gone != x {
+			t.Error("another one departed")
+		}
+	case <-time.After(time.Second):
+		t.Fatal("nobody noticed")
+	}
+	standin.Eventually(t, "the connection is let go", func() bool { return s.Counts.ClientsOpen.Load() == 0 })
+}
+
+// A client's early next request waits for the answer to the first, and is neither lost nor taken for a close.
+func TestNextRequestBeforeTheAnswer(t *testing.T) {
+	r := newRig(t, standin.NewServer(t, func(r *standin.Request) bool {
+		time.Sleep(30 * time.Millisecond)
+		return r.Answer(200, r.URL.Path)
+	}).Address)
+	s := newSide(t, 10, r)
+	c := s.connect(t)
+	c.say(t, getOne+strings.Replace(getOne, "/read/k", "/read/l", 1))
+	for _, want := range []string{"/read/k", "/read/l"} {
+		if resp, body := c.hear(t); resp.StatusCode != 200 || body != want {
+			t.Errorf("got %d %q, want %q", resp.StatusCode, body, want)
+		}
+	}
+}
+
+// If the loop hangs the client still gets its answer, as a failure that promises nothing.
+func TestAnswerThoughTheLoopHangs(t *testing.T) {
+	s := newSide(t, 10, nil)
+	s.due = 20 * time.Millisecond
+	c := s.connect(t)
+	c.say(t, getOne)
+	if resp, _ := c.hear(t); resp.StatusCode != 504 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	<-s.departed
+	if s.Counts.Overdue.Load() != 1 {
+		t.Error("not counted")
+	}
+}
+
+// A panic ends its connection alone, and its request gets an answer.
+func TestPanicOnAConnection(t *testing.T) {
+	s := newSide(t, 10, panicky{})
+	c := s.connect(t)
+	c.say(t, getOne)
+	if resp, _ := c.hear(t); resp.StatusCode != 502 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	c = s.connect(t)
+	c.say(t, "GET /health/live HTTP/1.1\r\nHost: b\r\n\r\n")
+	if resp, _ := c.hear(t); resp.StatusCode != 200 || s.Counts.Panics.Load() != 1 {
+		t.Errorf("then: status %d, %d panics", resp.StatusCode, s.Counts.Panics.Load())
+	}
+}
+
+type panicky struct{}
+
+func (panicky) Submit(*exchange.Exchange) { panic("boom") }
+func (panicky) Depart(*exchange.Exchange) {}
+
+// Over the limit idle connections go first, the oldest of them; when all are busy the new one's request is refused.
+func TestClientLimit(t *testing.T) {
+	s := newSide(t, 3, nil)
+	var all []*client
+	for range 3 {
+		c := s.connect(t)
+		c.say(t, "GET /health/live HTTP/1.1\r\nHost: b\r\n\r\n")
+		c.hear(t)
+		all = append(all, c)
+		time.Sleep(2 * time.Millisecond)
+	}
+	fourth := s.connect(t)
+	fourth.say(t, getOne)
+	<-s.submitted
+	if _, err := all[0].r.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("the oldest idle connection: %v", err)
+	}
+	for _, c := range all[1:] {
+		c.say(t, getOne)
+		<-s.submitted
+	}
+	fifth := s.connect(t)
+	fifth.say(t, getOne)
+	if resp, _ := fifth.hear(t); resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" || !resp.Close {
+		t.Errorf("over the limit: %d %v", resp.StatusCode, resp.Header)
+	}
+	if s.Counts.ClientsTurnedAway.Load() != 1 {
+		t.Error("not counted")
+	}
+}
+
+func TestLastAnswersCloseTheirConnections(t *testing.T) {
+	r := newRig(t, standin.NewServer(t, func(r *standin.Request) bool { return r.Answer(200, "v") }).Address)
+	s := newSide(t, 10, r)
+	idle, busy := s.connect(t), s.connect(t)
+	for _, c := range []*client{idle, busy} {
+		c.say(t, getOne)
+		c.hear(t)
+	}
+	s.Finish()
+	busy.say(t, getOne)
+	if resp, body := busy.hear(t); resp.StatusCode != 200 || body != "v" || !resp.Close {
+		t.Errorf("after the end began: %d %q, close %v", resp.StatusCode, body, resp.Close)
+	}
+	s.CloseIdle()
+	if _, err := idle.r.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("the idle one: %v", err)
+	}
+	s.Wait()
+}
+
+// Many clients that come, ask, wait or leave: in the end no goroutine and no connection is left of them.
+func TestNothingIsLeftOfConnections(t *testing.T) {
+	before := runtime.NumGoroutine()
+	t.Run("work", func(t *testing.T) {
+		backend := standin.NewServer(t, func(r *standin.Request) bool {
+			switch r.N % 3 {
+			case 0:
+				return false
+			case 1:
+				time.Sleep(5 * time.Millisecond)
+			}
+			return r.Answer(200, "v")
+		})
+		r := newRig(t, backend.Address)
+		s := newSide(t, 100, r)
+		var wg sync.WaitGroup
+		for i := range 60 {
+			wg.Go(func() {
+				c, err := net.Dial("tcp", s.address)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for range 5 {
+					fmt.Fprint(c, getOne)
+					if i%4 == 0 {
+						return // without waiting
+					}
+					resp, err := http.ReadResponse(br, nil)
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					io.Copy(io.Discard, resp.Body)
+				}
+			})
+		}
+		wg.Wait()
+		standin.Eventually(t, "all clients are let go", func() bool { return s.Counts.ClientsOpen.Load() == 0 })
+	})
+	standin.Eventually(t, "all goroutines have ended", func() bool { return runtime.NumGoroutine() <= before })
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -66,9 +66,9 @@
 	}
 }
 
-// readBody reads a body whole, within the bound.
-func readBody(body io.ReadCloser, length int64) ([]byte, error) {
-	defer body.Close()
+// readBody reads a body whole, within the bound. It leaves the body open: closing one that is not read to its end
+// would wait for the rest of it.
+func readBody(body io.Reader, length int64) ([]byte, error) {
 	if length > maxBody {
 		return nil, ErrBodyTooLarge
 	}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -150,9 +150,15 @@
 	if dial == nil {
 		dial = s.dialTCP
 	}
+	var c net.Conn
+	defer func() {
+		if c == nil {
+			s.Pool.Release()
+		}
+	}()
 	c, err := dial(a.Context, a.Address)
 	if err != nil {
-		s.Pool.Release()
+		c = nil
 		switch cause := context.Cause(a.Context); {
 		case errors.Is(cause, exchange.ErrWithdrawn):
 			return nil, cause
--- /dev/null
+++ b/internal/wire/server_test.go
@@ -0,0 +1,395 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"cedarmast/balance"
+	"cedarmast/internal/exchange"
+	"cedarmast/internal/standin"
+)
+
+// rig is a loop with one server, whose attempts are carried out for real.
+type rig struct {
+	*exchange.Loop
+	servers *Servers
+}
+
+var rigSettings = balance.Settings{
+	Classes: []balance.Class{
+		{Name: "read", Aim: 400 * time.Millisecond, Deadline: time.Second, Worth: 1, Effect: balance.Safe},
+		{Name: "once", Aim: 400 * time.Millisecond, Deadline: time.Second, Worth: 1},
+	},
+	Routers: 1, MaxAttempts: 4, MayCancel: true, MaxRetryAfter: time.Second, OverloadFor: time.Second,
+}
+
+func newRig(t *testing.T, addresses ...string) *rig {
+	t.Helper()
+	l := exchange.NewLoop()
+	l.Clock, l.Counts, l.Log, l.Settings = exchange.NewClock(), &exchange.Counters{}, slog.New(slog.DiscardHandler), rigSettings
+	l.Pool = exchange.NewPool(10, time.Second, l.Counts)
+	s := &Servers{Pool: l.Pool, Counts: l.Counts, ConnectTimeout: 100 * time.Millisecond}
+	l.Sender = s
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { l.Run(ctx); close(done) }()
+	t.Cleanup(func() { stop(); <-done; l.Pool.Close() })
+	list := exchange.List{List: balance.List{Kind: balance.Complete}, Addresses: map[balance.ServerID]string{}}
+	for i, address := range addresses {
+		id := balance.ServerID(fmt.Sprint("s", i))
+		list.Entries = append(list.Entries, balance.Entry{Server: id, Weight: 1})
+		list.Addresses[id] = address
+	}
+	l.Listed(list)
+	return &rig{l, s}
+}
+
+func put(body string) exchange.Request {
+	return exchange.Request{Class: "once", Write: true, Key: 7, HasKey: true, Arrived: time.Now(),
+		TimeLeft: 300 * time.Millisecond, Method: "PUT", Target: "/once/k?a=%20b",
+		Header: http.Header{"X-Correlation-Id": {"id1"}, "Idempotency-Key": {"key1"}, "Host": {"backend.local"}},
+		Body:   []byte(body)}
+}
+
+// ask sends a request through and returns its answer.
+func (r *rig) ask(t *testing.T, q exchange.Request) exchange.Answer {
+	t.Helper()
+	x := exchange.New(q)
+	r.Submit(x)
+	select {
+	case a := <-x.Answer():
+		return a
+	case <-time.After(3 * time.Second):
+		t.Fatal("no answer")
+		return exchange.Answer{}
+	}
+}
+
+func (r *rig) result(result balance.Result) int64 { return r.Counts.Results[result].Load() }
+
+func TestRequestGoesOnUnchanged(t *testing.T) {
+	got := make(chan *standin.Request, 1)
+	s := standin.NewServer(t, func(r *standin.Request) bool { got <- r; return r.Answer(200, "stored", "X-Note: n") })
+	r := newRig(t, s.Address)
+	a := r.ask(t, put("value"))
+	if a.Kind != exchange.Served || string(a.Body) != "stored" || a.Header.Get("X-Note") != "n" {
+		t.Errorf("answer %+v", a)
+	}
+	q := <-got
+	if q.Method != "PUT" || q.RequestURI != "/once/k?a=%20b" || string(q.Text) != "value" ||
+		q.Header.Get(headerID) != "id1" || q.Header.Get("Idempotency-Key") != "key1" || q.Host != "backend.local" {
+		t.Errorf("got %+v %q", q.Request, q.Text)
+	}
+	left, err := parseTimeLeft(q.Header.Get(headerTimeLeft))
+	if err != nil || left <= 200*time.Millisecond || left > 300*time.Millisecond {
+		t.Errorf("time left %v, %v", left, err)
+	}
+}
+
+// What a server's answer means, and that none but a 200 is passed on.
+func TestAnswersAndTheirResults(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer func(r *standin.Request) bool
+		result balance.Result
+	}{
+		{"served", func(r *standin.Request) bool { return r.Answer(200, "v") }, balance.OK},
+		{"chunked", func(r *standin.Request) bool {
+			io.WriteString(r.Conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nv\r\n0\r\n\r\n")
+			return true
+		}, balance.OK},
+		{"after an interim answer", func(r *standin.Request) bool {
+			io.WriteString(r.Conn, "HTTP/1.1 103 Early Hints\r\n\r\n")
+			return r.Answer(200, "v")
+		}, balance.OK},
+		{"error", func(r *standin.Request) bool { return r.Answer(500, "") }, balance.Errored},
+		{"turned away", func(r *standin.Request) bool { return r.Answer(503, "", "X-Unprocessed: 1") }, balance.Full},
+		{"turned away late", func(r *standin.Request) bool { return r.Answer(504, "", "X-Unprocessed: 1") }, balance.Full},
+		{"503 that may have run", func(r *standin.Request) bool { return r.Answer(503, "") }, balance.Errored},
+		{"429 that may have run", func(r *standin.Request) bool { return r.Answer(429, "") }, balance.Errored},
+		{"unprocessed 500 proves nothing", func(r *standin.Request) bool {
+			return r.Answer(500, "", "X-Unprocessed: 1")
+		}, balance.Errored},
+		{"no HTTP", func(r *standin.Request) bool { io.WriteString(r.Conn, "what?\r\n\r\n"); return false }, balance.Errored},
+		{"endless head", func(r *standin.Request) bool {
+			io.WriteString(r.Conn, "HTTP/1.1 200 OK\r\nX: "+strings.Repeat("x", 2*maxHead))
+			return false
+		}, balance.Errored},
+		{"body over the bound", func(r *standin.Request) bool {
+			return r.Answer(200, strings.Repeat("x", maxBody+1))
+		}, balance.Errored},
+		{"closed without an answer", func(*standin.Request) bool { return false }, balance.Reset},
+		{"closed inside the head", func(r *standin.Request) bool {
+			io.WriteString(r.Conn, "HTTP/1.1 200 OK\r\nContent-")
+			return false
+		}, balance.Reset},
+		{"closed inside the body", func(r *standin.Request) bool {
+			io.WriteString(r.Conn, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nv")
+			return false
+		}, balance.Reset},
+		{"reset", func(r *standin.Request) bool {
+			r.Conn.(*net.TCPConn).SetLinger(0)
+			return false
+		}, balance.Reset},
+		{"silent", func(*standin.Request) bool { time.Sleep(400 * time.Millisecond); return false }, balance.TimedOut},
+		{"silent inside the body", func(r *standin.Request) bool {
+			io.WriteString(r.Conn, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nv")
+			time.Sleep(400 * time.Millisecond)
+			return false
+		}, balance.TimedOut},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := standin.NewServer(t, c.answer)
+			r := newRig(t, s.Address)
+			begun := time.Now()
+			a := r.ask(t, put("value"))
+			switch {
+			case c.result == balance.OK && (a.Kind != exchange.Served || string(a.Body) != "v"):
+				t.Errorf("answer %+v", a)
+			case c.result == balance.Full && a.Kind != exchange.Refused:
+				t.Errorf("never ran, yet %+v", a)
+			case c.result != balance.OK && c.result != balance.Full && a.Kind != exchange.Failed:
+				t.Errorf("may have run, yet %+v", a)
+			}
+			if r.result(c.result) != 1 || r.Counts.Attempts.Load() != 1 || s.Requests() != 1 {
+				t.Errorf("%d such results of %d attempts, %d requests", r.result(c.result), r.Counts.Attempts.Load(), s.Requests())
+			}
+			if took := time.Since(begun); took > 350*time.Millisecond {
+				t.Errorf("answered after %v", took)
+			}
+		})
+	}
+}
+
+// Until the last byte is surely unwritten an attempt may have run; before that it never did.
+func TestBreaksBeforeTheLastByte(t *testing.T) {
+	refused, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused.Close()
+	pipe := func(serve func(net.Conn)) func(context.Context, string) (net.Conn, error) {
+		return func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go serve(far)
+			return near, nil
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		dial   func(context.Context, string) (net.Conn, error)
+		result balance.Result
+		kind   exchange.Kind
+	}{
+		{"refused", nil, balance.NoConnect, exchange.Refused},
+		{"never comes up", func(ctx context.Context, _ string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Err: syscall.ETIMEDOUT}
+		}, balance.NoConnect, exchange.Refused},
+		{"due while dialling", func(ctx context.Context, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}, balance.Moot, exchange.Refused},
+		{"closed unread", pipe(func(c net.Conn) { c.Close() }), balance.NoConnect, exchange.Refused},
+		{"closed inside the head", pipe(func(c net.Conn) { c.Read(make([]byte, 10)); c.Close() }), balance.NoConnect,
+			exchange.Refused},
+		{"closed before the last byte", pipe(func(c net.Conn) {
+			req, _ := http.ReadRequest(bufio.NewReader(iotest.OneByteReader(c)))
+			io.ReadFull(req.Body, make([]byte, len("valu")))
+			c.Close()
+		}), balance.NoConnect, exchange.Refused},
+		{"silent inside the head", pipe(func(c net.Conn) {
+			c.Read(make([]byte, 10))
+			time.Sleep(400 * time.Millisecond)
+			c.Close()
+		}), balance.NoConnect, exchange.Refused},
+		{"closed after the last byte", pipe(func(c net.Conn) {
+			req, _ := http.ReadRequest(bufio.NewReader(c))
+			io.ReadAll(req.Body)
+			c.Close()
+		}), balance.Reset, exchange.Failed},
+		{"turned away before the last byte", pipe(func(c net.Conn) {
+			c.Read(make([]byte, 10))
+			io.WriteString(c, "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
+			time.Sleep(10 * time.Millisecond)
+			c.Close()
+		}), balance.Full, exchange.Refused},
+		{"panic", func(context.Context, string) (net.Conn, error) { panic("boom") }, balance.Unknown, exchange.Failed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, refused.Addr().String())
+			r.servers.Dial = c.dial
+			if a := r.ask(t, put("value")); a.Kind != c.kind {
+				t.Errorf("answer %+v", a)
+			}
+			if r.result(c.result) != 1 {
+				t.Errorf("not one %v: %s", c.result, r.Counts.JSON())
+			}
+			standin.Eventually(t, "the connection is let go", func() bool { return r.Counts.ServerConnections.Load() == 0 })
+		})
+	}
+}
+
+// A listener whose queue is full lets no connection come up, as a vanished machine does.
+func TestDiallingAVanishedMachine(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	at, _ := syscall.Getsockname(fd)
+	address := fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+	for range 3 { // until one hangs the queue is not full
+		if c, err := net.DialTimeout("tcp", address, 50*time.Millisecond); err == nil {
+			defer c.Close()
+		}
+	}
+	r := newRig(t, address)
+	begun := time.Now()
+	if a := r.ask(t, put("value")); a.Kind != exchange.Refused {
+		t.Errorf("answer %+v", a)
+	}
+	if took := time.Since(begun); took < 90*time.Millisecond || took > 250*time.Millisecond || r.result(balance.NoConnect) != 1 {
+		t.Errorf("after %v: %s", took, r.Counts.JSON())
+	}
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	s := standin.NewServer(t, func(r *standin.Request) bool { return r.Answer(200, "v") })
+	r := newRig(t, s.Address)
+	for range 5 {
+		r.ask(t, put("value"))
+	}
+	if s.Accepted() != 1 {
+		t.Errorf("%d connections for five requests in a row", s.Accepted())
+	}
+}
+
+// A server that closes an idle connection costs nothing: its close is seen and the next request gets a new one.
+func TestStaleIdleConnection(t *testing.T) {
+	s := standin.NewServer(t, func(r *standin.Request) bool { return r.Answer(200, "v") })
+	r := newRig(t, s.Address)
+	for range 20 {
+		if a := r.ask(t, put("value")); a.Kind != exchange.Served {
+			t.Fatalf("answer %+v", a)
+		}
+		s.CloseConns()
+		standin.Eventually(t, "the close is done", func() bool { return s.Open() == 0 })
+	}
+	if r.result(balance.Reset) != 0 {
+		t.Error("a closed connection was written to")
+	}
+}
+
+// The system's word counts where the reader has not run yet.
+func TestCloseThatTheReaderHasNotSeen(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	near, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &serverConn{Conn: near} // no reader at all
+	if c.closedByPeer() {
+		t.Error("an open connection counts as closed")
+	}
+	far.Close()
+	standin.Eventually(t, "the close is known", c.closedByPeer)
+}
+
+// Bytes that nobody asked for end an idle connection, lest they be taken for the next request's answer.
+func TestUnaskedAnswer(t *testing.T) {
+	var n atomic.Int64
+	s := standin.NewServer(t, func(r *standin.Request) bool {
+		r.Answer(200, fmt.Sprint("v", n.Add(1)))
+		return r.Answer(200, "nobody asked")
+	})
+	r := newRig(t, s.Address)
+	for i := range 5 {
+		a := r.ask(t, put("value"))
+		if a.Kind == exchange.Served && string(a.Body) != fmt.Sprint("v", i+1) {
+			t.Errorf("request %d got %q", i+1, a.Body)
+		}
+		standin.Eventually(t, "the connection is given up", func() bool { return r.Counts.IdleConnections.Load() == 0 })
+	}
+}
+
+// A withdrawn attempt closes its connection, so that no answer is awaited on it.
+func TestWithdrawalClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	s := standin.NewServer(t, func(r *standin.Request) bool {
+		io.Copy(io.Discard, r.Conn)
+		close(closed)
+		return false
+	})
+	r := newRig(t, s.Address)
+	q := put("value")
+	q.TimeLeft = 5 * time.Second
+	x := exchange.New(q)
+	r.Submit(x)
+	standin.Eventually(t, "the request is there", func() bool { return s.Requests() == 1 })
+	r.Depart(x)
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Fatal("still open")
+	}
+	standin.Eventually(t, "its outcome is booked", func() bool { return r.result(balance.Cancelled) == 1 })
+}
+
+// After a time-out at a server that has said nothing its idle connections go, so that the next attempt dials and a
+// vanished machine shows.
+func TestTimeOutDropsIdleConnections(t *testing.T) {
+	var silent atomic.Bool
+	both := make(chan struct{}, 2)
+	s := standin.NewServer(t, func(r *standin.Request) bool {
+		if silent.Load() {
+			time.Sleep(400 * time.Millisecond)
+			return false
+		}
+		both <- struct{}{}
+		for len(both) < 2 { // the first two at once, on two connections
+			time.Sleep(time.Millisecond)
+		}
+		return r.Answer(200, "v")
+	})
+	r := newRig(t, s.Address)
+	done := make(chan exchange.Answer, 2)
+	for range 2 {
+		x := exchange.New(put("value"))
+		r.Submit(x)
+		go func() { done <- <-x.Answer() }()
+	}
+	<-done
+	<-done
+	standin.Eventually(t, "two are idle", func() bool { return r.Counts.IdleConnections.Load() == 2 })
+	silent.Store(true)
+	r.ask(t, put("value"))
+	if n := r.Counts.IdleConnections.Load(); n != 0 {
+		t.Errorf("%d idle connections are kept", n)
+	}
+}
