--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,343 @@
+package daemon
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"cedarmast/internal/standin"
+)
+
+// The test binary runs as a router of its own when it is told to, for what only a process shows: signals, the
+// descriptors it holds, the way it exits.
+func TestMain(m *testing.M) {
+	if os.Getenv("CEDARMAST_TEST_ROUTER") == "" {
+		os.Exit(m.Run())
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	c, err := LoadConfig(os.Getenv)
+	if err != nil {
+		log.Error("not started", "err", err)
+		os.Exit(2)
+	}
+	if err := Run(context.Background(), c, log); err != nil {
+		log.Error("not started", "err", err)
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// testConfig is a router's configuration before one cache server.
+func testConfig(t *testing.T, cache, discovery string, sockets int) map[string]any {
+	t.Helper()
+	class := func(name, effect string) map[string]any {
+		return map[string]any{"Name": name, "Objective": 500e6, "Deadline": 3000e6, "Worth": 1, "Effect": effect}
+	}
+	return map[string]any{"name": "n0", "listen": freeAddress(t), "discovery": discovery, "seed": "1",
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": sockets},
+		"known": map[string]any{"index": 1, "snapshot": true, "endpoints": []map[string]any{
+			{"name": "a", "address": cache, "zone": "z", "type": "box", "status": "SERVING", "weight": 1}}},
+		"settings": map[string]any{"FleetSize": 1, "Classes": []any{class("read", "safe"), class("once", "unsafe")},
+			"Limits": map[string]any{"SendCap": 3, "MayCancel": true, "RetryAfter": true, "MaxRetryAfter": 1000e6}}}
+}
+
+// process is a router in a process of its own.
+type process struct {
+	*exec.Cmd
+	address string
+	log     *bytes.Buffer
+	exited  chan error
+}
+
+func startProcess(t *testing.T, config map[string]any) *process {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	text, err := json.Marshal(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := &process{Cmd: exec.Command(os.Args[0]), address: config["listen"].(string), log: &bytes.Buffer{}, exited: make(chan error, 1)}
+	p.Env = append(os.Environ(), "CEDARMAST_TEST_ROUTER=1", "GW_CONFIG="+path)
+	p.Stderr = p.log
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.exited <- p.Wait() }()
+	t.Cleanup(func() { p.Process.Kill() })
+	standin.Eventually(t, "the router is ready", func() bool {
+		status, _, err := ask(p.address, "/health/ready")
+		return err == nil && status == 200
+	})
+	return p
+}
+
+// end waits for the process and returns its log.
+func (p *process) end(t *testing.T) string {
+	t.Helper()
+	select {
+	case err := <-p.exited:
+		if err != nil {
+			t.Errorf("exit: %v\n%s", err, p.log)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("still running")
+	}
+	return p.log.String()
+}
+
+// ask makes one request on a connection of its own.
+func ask(address, path string) (status int, body string, err error) {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return 0, "", err
+	}
+	defer c.Close()
+	return askOn(c, bufio.NewReader(c), path)
+}
+
+func askOn(c net.Conn, r *bufio.Reader, path string) (int, string, error) {
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: b\r\nX-Correlation-Id: 1\r\nX-Time-Left: 2000m\r\n\r\n", path); err != nil {
+		return 0, "", err
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+// SIGTERM under work: what is taken and what comes within 0.4 s is answered, the counters are printed, exit is clean.
+func TestSIGTERMUnderWork(t *testing.T) {
+	cache := standin.NewServer(t, func(r *standin.Request) bool {
+		time.Sleep(300 * time.Millisecond)
+		return r.Answer(200, r.URL.Path)
+	})
+	p := startProcess(t, testConfig(t, cache.Address, standin.NewDiscovery(t, 1).Address, 256))
+	var wg sync.WaitGroup
+	var served atomic.Int64
+	request := func(path string) {
+		wg.Go(func() {
+			status, body, err := ask(p.address, path)
+			if err != nil || status != 503 && (status != 200 || body != path) {
+				t.Errorf("%s: %d %q %v", path, status, body, err)
+			}
+			if status == 200 {
+				served.Add(1)
+			}
+		})
+	}
+	for i := range 4 {
+		request(fmt.Sprint("/read/before", i))
+	}
+	standin.Eventually(t, "they are at the cache", func() bool { return cache.Requests() == 4 })
+	idle, err := net.Dial("tcp", p.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	idleReader := bufio.NewReader(idle)
+	askOn(idle, idleReader, "/health/live")
+	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 4 {
+		time.Sleep(90 * time.Millisecond)
+		request(fmt.Sprint("/read/after", i))
+	}
+	wg.Wait()
+	if _, err := idleReader.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection: %v", err)
+	}
+	log := p.end(t)
+	if served.Load() < 5 {
+		t.Errorf("%d of 8 served", served.Load())
+	}
+	for _, want := range []string{"msg=stopping", "msg=stopped", "requests.taken=8", "loop.panics=0"} {
+		if !strings.Contains(log, want) {
+			t.Errorf("no %s in the log:\n%s", want, log)
+		}
+	}
+}
+
+// A cache that never answers does not keep a stopping router beyond the moment at which it may be killed: all are
+// told before.
+func TestSIGTERMBeforeASilentCache(t *testing.T) {
+	cache := standin.NewServer(t, func(r *standin.Request) bool { io.Copy(io.Discard, r.Conn); return false })
+	config := testConfig(t, cache.Address, standin.NewDiscovery(t, 1).Address, 256)
+	p := startProcess(t, config)
+	done := make(chan int, 1)
+	go func() {
+		c, err := net.Dial("tcp", p.address)
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		fmt.Fprint(c, "GET /once/k HTTP/1.1\r\nHost: b\r\nX-Correlation-Id: 1\r\nX-Time-Left: 60000m\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			done <- -1
+			return
+		}
+		done <- resp.StatusCode
+	}()
+	standin.Eventually(t, "it is at the cache", func() bool { return cache.Requests() == 1 })
+	p.Process.Signal(syscall.SIGTERM)
+	begun := time.Now()
+	status := <-done
+	if took := time.Since(begun); status < 500 || took > 3600*time.Millisecond {
+		t.Errorf("status %d after %v", status, took)
+	}
+	p.end(t)
+}
+
+// More clients than descriptors: none is left without an answer, and the process stays within its limit.
+func TestFullDescriptors(t *testing.T) {
+	const sockets = 100
+	cache := standin.NewServer(t, func(r *standin.Request) bool {
+		time.Sleep(50 * time.Millisecond)
+		return r.Answer(200, "v")
+	})
+	config := testConfig(t, cache.Address, standin.NewDiscovery(t, 1).Address, sockets)
+	p := startProcess(t, config)
+	most, stop, watched := 0, make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(watched)
+		for {
+			if fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.Process.Pid)); err == nil {
+				most = max(most, len(fds))
+			}
+			select {
+			case <-stop:
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
+		}
+	}()
+	var wg sync.WaitGroup
+	var refused, served, unanswered atomic.Int64
+	for range 150 {
+		wg.Go(func() {
+			for range 3 {
+				switch status, _, err := ask(p.address, "/read/k"); {
+				case err != nil:
+					unanswered.Add(1)
+				case status == 200:
+					served.Add(1)
+				case status == 503:
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	close(stop)
+	<-watched
+	if unanswered.Load() > 0 || served.Load() == 0 || refused.Load() == 0 {
+		t.Errorf("%d served, %d refused, %d without an answer", served.Load(), refused.Load(), unanswered.Load())
+	}
+	if most > sockets || most == 0 {
+		t.Errorf("%d descriptors of %d", most, sockets)
+	}
+	p.Process.Signal(syscall.SIGTERM)
+	if log := p.end(t); strings.Contains(log, "accepting failed") {
+		t.Error("the system had to say that there are no descriptors left")
+	}
+}
+
+// A router that starts and stops leaves nothing behind: no goroutine, no address, no connection.
+func TestStartAndStopLeaveNothing(t *testing.T) {
+	cache := standin.NewServer(t, func(r *standin.Request) bool { return r.Answer(200, "v") })
+	discovery := standin.NewDiscovery(t, 1)
+	text, err := json.Marshal(testConfig(t, cache.Address, discovery.Address, 256))
+	if err != nil {
+		t.Fatal(err)
+	}
+	signals := make(chan os.Signal, 1) // the package's own goroutine, once started, stays
+	signal.Notify(signals, syscall.SIGUSR2)
+	signal.Stop(signals)
+	before := runtime.NumGoroutine()
+	for range 2 { // the second time at the same address
+		c, err := parseConfig(text, noEnv)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- Run(ctx, c, slog.New(slog.DiscardHandler)) }()
+		standin.Eventually(t, "served", func() bool {
+			status, body, _ := ask(c.Listen, "/read/k")
+			return status == 200 && body == "v"
+		})
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+	discovery.Break(500) // it answers the watch, if anybody still waits for it
+	standin.Eventually(t, "the connections are let go", func() bool { return cache.Open() == 0 && discovery.Open() == 0 })
+	standin.Eventually(t, "the goroutines have ended", func() bool { return runtime.NumGoroutine() <= before })
+}
+
+// Discovery that is not there at all keeps nobody from being served by the list that is known.
+func TestStartWithoutDiscovery(t *testing.T) {
+	cache := standin.NewServer(t, func(r *standin.Request) bool { return r.Answer(200, "v") })
+	p := startProcess(t, testConfig(t, cache.Address, freeAddress(t), 256))
+	if status, body, err := ask(p.address, "/read/k"); err != nil || status != 200 || body != "v" {
+		t.Errorf("%d %q %v", status, body, err)
+	}
+	p.Process.Signal(syscall.SIGTERM)
+	if log := p.end(t); !strings.Contains(log, "discovery failed") {
+		t.Errorf("nothing said:\n%s", log)
+	}
+}
+
+// What discovery tells decides where requests go.
+func TestListIsFollowed(t *testing.T) {
+	named := func(name string) *standin.Server {
+		return standin.NewServer(t, func(r *standin.Request) bool { return r.Answer(200, name) })
+	}
+	a, b := named("a"), named("b")
+	discovery := standin.NewDiscovery(t, 1)
+	p := startProcess(t, testConfig(t, a.Address, discovery.Address, 256))
+	if _, body, _ := ask(p.address, "/read/k"); body != "a" {
+		t.Errorf("served by %q", body)
+	}
+	discovery.Change(standin.Endpoint{Name: "b", Address: b.Address, Status: "SERVING", Weight: 1})
+	discovery.Change(standin.Endpoint{Name: "a", Address: a.Address, Status: "DRAINING", Weight: 1})
+	standin.Eventually(t, "the other one serves", func() bool { _, body, _ := ask(p.address, "/read/k"); return body == "b" })
+	standin.Eventually(t, "the drained one's idle connections go", func() bool { return a.Open() == 0 })
+	p.Process.Signal(syscall.SIGTERM)
+	p.end(t)
+}
