--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,6 +36,7 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	defer signal.Stop(signals)
+	signal.Ignore(syscall.SIGPIPE) // whoever reads the log may go away
 	for {
 		select {
 		case s := <-signals:
@@ -64,6 +65,8 @@
 	peers    *wire.Peers // nil without messages
 	listener net.Listener
 
+	accepted chan struct{} // closed when no connection is accepted any more
+
 	halt context.CancelFunc // of the goroutines below
 	wg   sync.WaitGroup
 }
@@ -73,7 +76,7 @@
 	c.Limits.apply()
 	parts := share(c.Limits.Sockets)
 	clock := exchange.NewClock()
-	r := &router{config: c, log: log, counts: &exchange.Counters{}}
+	r := &router{config: c, log: log, counts: &exchange.Counters{}, accepted: make(chan struct{})}
 	r.pool = exchange.NewPool(parts.servers, reuseFor(time.Duration(c.Settings.Limits.ConnIdle)), r.counts)
 
 	discovery := wire.NewDiscovery(c.Discovery)
@@ -115,9 +118,8 @@
 	}
 	r.background(func() { r.housekeep(ctx) })
 	r.background(func() {
-		if err := r.clients.Serve(r.listener); err != nil {
-			log.Error("accepting ended", "err", err)
-		}
+		defer close(r.accepted)
+		r.clients.Serve(r.listener)
 	})
 	select {
 	case <-first:
@@ -181,6 +183,7 @@
 	r.clients.Finish()
 	time.Sleep(acceptFor)
 	r.listener.Close()
+	<-r.accepted
 	r.clients.CloseIdle()
 	r.clients.Wait()
 	r.halt()
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -77,6 +77,12 @@
 }
 
 func startProcess(t *testing.T, config map[string]any) *process {
+	t.Helper()
+	return startProcessWith(t, config, nil)
+}
+
+// startProcessWith sends the log to a file, or keeps it if there is none.
+func startProcessWith(t *testing.T, config map[string]any, log *os.File) *process {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	text, err := json.Marshal(config)
@@ -88,7 +94,9 @@
 	}
 	p := &process{Cmd: exec.Command(os.Args[0]), address: config["listen"].(string), log: &bytes.Buffer{}, exited: make(chan error, 1)}
 	p.Env = append(os.Environ(), "CEDARMAST_TEST_ROUTER=1", "GW_CONFIG="+path)
-	p.Stderr = p.log
+	if p.Stderr = p.log; log != nil {
+		p.Stderr = log
+	}
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -341,3 +349,40 @@
 	p.Process.Signal(syscall.SIGTERM)
 	p.end(t)
 }
+
+// A log that nobody reads any more does not end the router.
+func TestLogReaderGone(t *testing.T) {
+	cache := standin.NewServer(t, func(r *standin.Request) bool { return r.Answer(200, "v") })
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := startProcessWith(t, testConfig(t, cache.Address, standin.NewDiscovery(t, 1).Address, 256), w)
+	w.Close()
+	r.Close()
+	for range 3 {
+		p.Process.Signal(syscall.SIGUSR1) // makes it write
+		time.Sleep(20 * time.Millisecond)
+	}
+	if status, body, err := ask(p.address, "/read/k"); err != nil || status != 200 || body != "v" {
+		t.Errorf("%d %q %v", status, body, err)
+	}
+	p.Process.Signal(syscall.SIGTERM)
+	p.end(t)
+}
+
+// The counters are printed on request.
+func TestCountersOnRequest(t *testing.T) {
+	cache := standin.NewServer(t, func(r *standin.Request) bool { return r.Answer(200, "v") })
+	p := startProcess(t, testConfig(t, cache.Address, standin.NewDiscovery(t, 1).Address, 256))
+	ask(p.address, "/read/k")
+	p.Process.Signal(syscall.SIGUSR1)
+	time.Sleep(50 * time.Millisecond)
+	if status, body, err := ask(p.address, "/stats"); err != nil || status != 200 || !strings.Contains(body, `"served": 1`) {
+		t.Errorf("%d %s %v", status, body, err)
+	}
+	p.Process.Signal(syscall.SIGTERM)
+	if log := p.end(t); !strings.Contains(log, "msg=counters") || strings.Count(log, "answers.served=1") != 2 {
+		t.Errorf("the log:\n%s", log)
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -1,5 +1,5 @@
 // Package exchange holds what a router keeps in memory: the exchanges in hand, the loop that owns the decisions,
-// the servers' addresses, the pool of connections to them and the counters. It knows no protocol.
+// the servers' addresses, the pool of connections to them and the counters. It reads and writes no sockets.
 package exchange
 
 import (
--- a/internal/exchange/loop.go
+++ b/internal/exchange/loop.go
@@ -237,6 +237,7 @@
 	if x.answered || l.exchanges[x.id] != x {
 		return nil
 	}
+	l.Counts.ClientsGone.Add(1)
 	x.answered = true // nobody is there to take one
 	for _, a := range x.attempts {
 		a.cancel(ErrWithdrawn)
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -58,13 +58,13 @@
 }
 
 // Serve accepts connections until the listener is closed.
-func (s *Clients) Serve(l net.Listener) error {
+func (s *Clients) Serve(l net.Listener) {
 	wait := time.Millisecond
 	for {
 		c, err := l.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
-				return nil
+				return
 			}
 			s.Log.Warn("accepting failed", "err", err, "open", s.Counts.ClientsOpen.Load())
 			s.giveUpIdle() // it may be for want of descriptors
@@ -326,7 +326,6 @@
 			return c.answer(answer, last)
 		case a := <-arrived:
 			if a.err != nil {
-				c.side.Counts.ClientsGone.Add(1)
 				c.side.Taker.Depart(x)
 				return false
 			}
