Clients that never end a request give way to others and do not hold up the end; log level in the configuration

Read in review: a connection counted as busy from its first byte on, so that as many half requests as the limit allows turned every other client away for five seconds (client.go, setBusy in next). Now a connection is busy from the whole request on, and one that has been slow for 0.25 s may be given up. Tests: TestSlowClientsGiveWay, TestHalfRequestAtTheEnd.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"log/slog"
 	"net/netip"
 	"os"
 	"strconv"
@@ -23,9 +25,11 @@
 	PeerListen string            `json:"peer_listen"` // empty: no messages between routers
 	Peers      []string          `json:"peers"`
 	Known      *wire.Endpoints   `json:"known"`
+	Log        string            `json:"log"` // the least level that is logged
 	Settings   *settings.Profile `json:"settings"`
 
-	seed uint64
+	seed  uint64
+	level slog.Level
 }
 
 // Limits are the machine's.
@@ -46,8 +50,8 @@
 	defaultConnect  = 250 * time.Millisecond
 )
 
-// LoadConfig reads the file that $GW_CONFIG names; $GW_NAME, $GW_LISTEN and $GW_DISCOVERY stand in for keys that it
-// lacks.
+// LoadConfig reads the file that $GW_CONFIG names; $GW_NAME, $GW_LISTEN, $GW_DISCOVERY and $CEDARMAST_LOG stand in
+// for keys that it lacks.
 func LoadConfig(getenv func(string) string) (*Config, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
@@ -64,6 +68,11 @@
 	return c, nil
 }
 
+// Logger writes the log that the configuration asks for.
+func (c *Config) Logger(w io.Writer) *slog.Logger {
+	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: c.level}))
+}
+
 func parseConfig(text []byte, getenv func(string) string) (*Config, error) {
 	var c Config
 	if err := json.Unmarshal(text, &c); err != nil {
@@ -76,7 +85,8 @@
 	for _, key := range []struct {
 		value *string
 		env   string
-	}{{&c.Name, "GW_NAME"}, {&c.Listen, "GW_LISTEN"}, {&c.Discovery, "GW_DISCOVERY"}} {
+	}{{&c.Name, "GW_NAME"}, {&c.Listen, "GW_LISTEN"}, {&c.Discovery, "GW_DISCOVERY"},
+		{&c.Log, "CEDARMAST_LOG"}} {
 		if *key.value == "" {
 			*key.value = getenv(key.env)
 		}
@@ -90,6 +100,7 @@
 	setDefault(&c.Limits.MemoryMB, defaultMemoryMB)
 	setDefault(&c.Limits.Sockets, defaultSockets)
 	setDefault(&c.Seed, "0")
+	setDefault(&c.Log, "info")
 	if c.Known == nil {
 		c.Known = &wire.Endpoints{Index: wire.Unknown}
 	}
@@ -131,6 +142,9 @@
 	if c.seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
 		return fmt.Errorf("seed: %q is no hexadecimal number of 64 bits", c.Seed)
 	}
+	if err := c.level.UnmarshalText([]byte(c.Log)); err != nil {
+		return fmt.Errorf("log: %q is none of debug, info, warn, error", c.Log)
+	}
 	switch {
 	case !(c.Limits.Cores > 0):
 		return fmt.Errorf("limits.cores: %v is not over 0", c.Limits.Cores)
--- a/internal/daemon/config_test.go
+++ b/internal/daemon/config_test.go
@@ -55,6 +55,7 @@
 		{`"sockets":1024`, `"sockets":10`, "limits.sockets:"},
 		{`"peer_listen":"127.0.0.1:7946"`, `"peer_listen":"x"`, "peer_listen:"},
 		{`"peers":["127.0.0.1:7946"]`, `"peers":["x"]`, "peers[0]:"},
+		{`"seed"`, `"log":"loud","seed"`, "log:"},
 		{`"SERVING"`, `"ODD"`, "known: "},
 		{`"settings"`, `"other"`, "settings: missing"},
 		{`"FleetSize":1`, `"FleetSize":-1`, "settings.FleetSize:"},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -27,6 +28,22 @@
 	statsEvery = 10 * time.Second
 )
 
+// Main runs a router by the environment's word and returns the status to exit with: 2 for a faulty configuration, 1 for
+// a router that could not start.
+func Main(getenv func(string) string, stderr io.Writer) int {
+	c, err := LoadConfig(getenv)
+	if err != nil {
+		slog.New(slog.NewTextHandler(stderr, nil)).Error("not started", "err", err)
+		return 2
+	}
+	log := c.Logger(stderr)
+	if err := Run(context.Background(), c, log); err != nil {
+		log.Error("not started", "err", err)
+		return 1
+	}
+	return 0
+}
+
 // Run runs a router until the context ends, or SIGTERM or SIGINT comes, and all that it has taken is answered.
 func Run(ctx context.Context, c *Config, log *slog.Logger) error {
 	r, err := start(c, log)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -31,17 +31,7 @@
 	if os.Getenv("CEDARMAST_TEST_ROUTER") == "" {
 		os.Exit(m.Run())
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	c, err := LoadConfig(os.Getenv)
-	if err != nil {
-		log.Error("not started", "err", err)
-		os.Exit(2)
-	}
-	if err := Run(context.Background(), c, log); err != nil {
-		log.Error("not started", "err", err)
-		os.Exit(1)
-	}
-	os.Exit(0)
+	os.Exit(Main(os.Getenv, os.Stderr))
 }
 
 func freeAddress(t *testing.T) string {
@@ -386,3 +376,31 @@
 		t.Errorf("the log:\n%s", log)
 	}
 }
+
+// A router that can't start says why and exits with a status that tells.
+func TestNotStarted(t *testing.T) {
+	taken, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	messages := strings.Replace(strings.Replace(goodConfig, `"127.0.0.1:7946"`, `"`+taken.LocalAddr().String()+`"`, 1),
+		`"ConnIdle"`, `"PeerMessages":true,"ConnIdle"`, 1)
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := func(key string) string { return map[string]string{"GW_CONFIG": path}[key] }
+	for _, c := range []struct {
+		config, says string
+		status       int
+	}{
+		{strings.Replace(goodConfig, `"n3"`, `""`, 1), "name: missing", 2},
+		{messages, "peer_listen: ", 1},
+	} {
+		if err := os.WriteFile(path, []byte(c.config), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var log bytes.Buffer
+		if status := Main(env, &log); status != c.status || !strings.Contains(log.String(), c.says) {
+			t.Errorf("status %d, %s", status, log.String())
+		}
+	}
+}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -45,6 +45,8 @@
 	freshFor      = time.Second      // in which a new connection's first request is awaited
 	graceForFirst = 200 * time.Millisecond
 	overdueSlack  = 30 * time.Millisecond
+	slowFor       = 250 * time.Millisecond // in which a request's rest is awaited while descriptors are short
+	lastPatience  = 500 * time.Millisecond // for the rest of a message once the router stops
 	lingerFor     = 200 * time.Millisecond
 	badLogged     = 100 // of so many bad requests one is logged
 	lingerMost    = 1 << 20
@@ -82,7 +84,7 @@
 // turned away as soon as its request has come, for the machine has accepted it already.
 func (s *Clients) admit(c net.Conn) {
 	conn := &clientConn{Conn: c, side: s, r: bufio.NewReaderSize(c, maxHead), arrived: make(chan arrival),
-		resume: make(chan struct{}), gone: make(chan struct{}), idleSince: time.Now()}
+		resume: make(chan struct{}), gone: make(chan struct{}), since: time.Now()}
 	s.mu.Lock()
 	s.open[conn] = struct{}{}
 	open := len(s.open)
@@ -108,21 +110,21 @@
 	s.wg.Done()
 }
 
-// giveUpIdle closes the connection that has been idle for longest; false if none is idle.
+// giveUpIdle closes the connection that has been without a whole request for longest, be it idle or slow to say
+// one; false if there is none.
 func (s *Clients) giveUpIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var victim *clientConn
 	for c := range s.open {
-		fresh := !c.served && time.Since(c.idleSince) < freshFor
-		if !c.busy && !c.turnAway && !fresh && (victim == nil || c.idleSince.Before(victim.idleSince)) {
+		if c.mayGo() && (victim == nil || c.since.Before(victim.since)) {
 			victim = c
 		}
 	}
 	if victim == nil {
 		return false
 	}
-	victim.busy = true // it is not to be chosen again
+	victim.phase = givenUp
 	victim.Close()
 	return true
 }
@@ -135,6 +137,11 @@
 	s.closing.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for c := range s.open {
+		if c.phase == reading {
+			c.SetReadDeadline(time.Now().Add(lastPatience))
+		}
+	}
 	select {
 	case <-s.shutting:
 	default:
@@ -164,11 +171,39 @@
 	watching bool     // serve's: the watcher has been let go on
 	ahead    *arrival // serve's: a byte of the next request that came before the answer to the last
 	writing  bool     // serve's: an answer has been begun
+	answered bool     // serve's: a request has been
 	turnAway bool
 	// Under side.mu:
-	busy      bool // a request is in hand
-	served    bool // one has been answered
-	idleSince time.Time
+	phase phase
+	since time.Time // of the phase
+}
+
+// phase is what a connection is about.
+type phase int
+
+const (
+	fresh   phase = iota // no byte has come yet
+	reading              // a request has begun to come
+	inHand               // it has come whole and is not answered
+	idle                 // all that came is answered
+	givenUp              // closed for want of descriptors
+)
+
+// mayGo tells whether the connection may be given up for another one. The caller holds side.mu.
+func (c *clientConn) mayGo() bool {
+	age := time.Since(c.since)
+	return !c.turnAway && (c.phase == idle || c.phase == fresh && age > freshFor || c.phase == reading && age > slowFor)
+}
+
+// enter begins a phase; false if the connection has been given up meanwhile.
+func (c *clientConn) enter(p phase) bool {
+	c.side.mu.Lock()
+	defer c.side.mu.Unlock()
+	if c.phase == givenUp {
+		return false
+	}
+	c.phase, c.since = p, time.Now()
+	return true
 }
 
 // serve answers one request after the other. A panic ends this connection alone.
@@ -192,10 +227,10 @@
 		if !ok {
 			return
 		}
-		if !c.one(a) {
+		if !c.enter(reading) || !c.one(a) || !c.enter(idle) {
 			return
 		}
-		c.setBusy(false)
+		c.answered = true
 	}
 }
 
@@ -224,7 +259,6 @@
 	if c.ahead != nil {
 		a := *c.ahead
 		c.ahead = nil
-		c.setBusy(true)
 		return a, true
 	}
 	if c.turnAway {
@@ -244,13 +278,12 @@
 		}
 	}
 	c.watching = false
-	c.setBusy(true)
 	return a, a.err == nil
 }
 
 // grace is how long a connection stays open for a request that may be on its way when the router stops.
 func (c *clientConn) grace() time.Duration {
-	if c.served {
+	if c.answered {
 		return time.Millisecond
 	}
 	return graceForFirst
@@ -264,18 +297,13 @@
 	}
 }
 
-func (c *clientConn) setBusy(busy bool) {
-	c.side.mu.Lock()
-	defer c.side.mu.Unlock()
-	c.busy = busy
-	if !busy {
-		c.served, c.idleSince = true, time.Now()
-	}
-}
-
 // one reads a request and sees to its answer; false ends the connection.
 func (c *clientConn) one(a arrival) bool {
-	c.SetReadDeadline(time.Now().Add(readPatience))
+	patience := readPatience
+	if c.side.closing.Load() {
+		patience = lastPatience
+	}
+	c.SetReadDeadline(time.Now().Add(patience))
 	req, body, err := c.read()
 	if err != nil {
 		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
@@ -284,6 +312,9 @@
 		return c.bad(err)
 	}
 	c.SetReadDeadline(time.Time{})
+	if !c.enter(inHand) {
+		return false
+	}
 	last := req.Close
 	if strings.HasPrefix(req.URL.Path, "/health/") || req.URL.Path == "/stats" {
 		return c.own(req, last)
--- a/internal/wire/client_test.go
+++ b/internal/wire/client_test.go
@@ -270,6 +270,43 @@
 	}
 }
 
+// Clients that begin a request and never end it do not keep others out.
+func TestSlowClientsGiveWay(t *testing.T) {
+	r := newRig(t, standin.NewServer(t, func(r *standin.Request) bool { return r.Answer(200, "v") }).Address)
+	s := newSide(t, 5, r)
+	for range 5 {
+		s.connect(t).say(t, "GET /read/k HTTP/1.1\r\nHo")
+	}
+	time.Sleep(slowFor + 50*time.Millisecond)
+	for range 4 {
+		c := s.connect(t)
+		c.say(t, getOne)
+		if resp, body := c.hear(t); resp.StatusCode != 200 || body != "v" {
+			t.Errorf("got %d %q", resp.StatusCode, body)
+		}
+	}
+}
+
+// A request that never ends does not keep a stopping router.
+func TestHalfRequestAtTheEnd(t *testing.T) {
+	s := newSide(t, 10, nil)
+	s.connect(t).say(t, "GET /read/k HTTP/1.1\r\nHo")
+	standin.Eventually(t, "it is being read", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.open {
+			return c.phase == reading
+		}
+		return false
+	})
+	begun := time.Now()
+	s.CloseIdle()
+	s.Wait()
+	if took := time.Since(begun); took > 2*lastPatience {
+		t.Errorf("the end took %v", took)
+	}
+}
+
 func TestLastAnswersCloseTheirConnections(t *testing.T) {
 	r := newRig(t, standin.NewServer(t, func(r *standin.Request) bool { return r.Answer(200, "v") }).Address)
 	s := newSide(t, 10, r)
