Bytes that no request asked for end a server's connection before the next one uses it

Read in review: between an answer and the reader's next look a connection could be taken again, and what stood behind the answer be read as the next request's (serverconn.go, read). An answer with bytes behind it is now its connection's last, and the system is asked for unread bytes as it is for a close.

--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -137,7 +137,7 @@
 		if idle == nil {
 			break
 		}
-		if idle.usable() && !idle.closedByPeer() { // nothing is written yet: another one may be taken
+		if idle.usable() && !idle.stale() { // nothing is written yet: another one may be taken
 			return idle, nil
 		}
 		idle.Close()
--- a/internal/wire/server_test.go
+++ b/internal/wire/server_test.go
@@ -314,28 +314,78 @@
 		t.Fatal(err)
 	}
 	c := &serverConn{Conn: near} // no reader at all
-	if c.closedByPeer() {
-		t.Error("an open connection counts as closed")
+	if c.stale() {
+		t.Error("an open connection counts as stale")
 	}
 	far.Close()
-	standin.Eventually(t, "the close is known", c.closedByPeer)
+	standin.Eventually(t, "the close is known", c.stale)
 }
 
-// Bytes that nobody asked for end an idle connection, lest they be taken for the next request's answer.
+// Bytes that nobody asked for end a connection, lest they be taken for the next request's answer: those that come with
+// an answer and those that come after it.
 func TestUnaskedAnswer(t *testing.T) {
-	var n atomic.Int64
-	s := standin.NewServer(t, func(r *standin.Request) bool {
-		r.Answer(200, fmt.Sprint("v", n.Add(1)))
-		return r.Answer(200, "nobody asked")
-	})
-	r := newRig(t, s.Address)
-	for i := range 5 {
-		a := r.ask(t, put("value"))
-		if a.Kind == exchange.Served && string(a.Body) != fmt.Sprint("v", i+1) {
-			t.Errorf("request %d got %q", i+1, a.Body)
-		}
-		standin.Eventually(t, "the connection is given up", func() bool { return r.Counts.IdleConnections.Load() == 0 })
+	const unasked = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nunasked"
+	for name, answer := range map[string]func(r *standin.Request){
+		"with the answer": func(r *standin.Request) {
+			io.WriteString(r.Conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv"+unasked)
+		},
+		"after the answer": func(r *standin.Request) {
+			r.Answer(200, "v")
+			time.Sleep(2 * time.Millisecond)
+			io.WriteString(r.Conn, unasked)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := standin.NewServer(t, func(r *standin.Request) bool { answer(r); return true })
+			r := newRig(t, s.Address)
+			for range 100 {
+				if a := r.ask(t, put("value")); a.Kind == exchange.Served && string(a.Body) != "v" {
+					t.Fatalf("got %q", a.Body)
+				}
+				if name == "after the answer" {
+					time.Sleep(5 * time.Millisecond)
+				}
+			}
+			standin.Eventually(t, "the connection is given up", func() bool { return r.Counts.IdleConnections.Load() == 0 })
+		})
+	}
+}
+
+// An answer with something behind it is the last of its connection, before the reader looks at the rest.
+func TestAnswerWithMoreBehindIt(t *testing.T) {
+	pool := exchange.NewPool(1, time.Second, &exchange.Counters{})
+	if err := pool.Reserve(); err != nil {
+		t.Fatal(err)
+	}
+	near, far := net.Pipe()
+	defer far.Close()
+	c := newServerConn(near, "s", pool)
+	go io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nvHTTP/1.1 200 OK\r\n")
+	if a := <-c.answers; a.err != nil || a.keep || string(a.body) != "v" {
+		t.Errorf("got %+v", a)
+	}
+}
+
+// The system's word again, of bytes that the reader has not taken yet.
+func TestUnaskedBytesThatTheReaderHasNotSeen(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	if (&serverConn{Conn: near}).stale() { // no system to ask
+		t.Error("a pipe counts as stale")
+	}
+	s := standin.NewServer(t, func(r *standin.Request) bool { return r.Answer(200, "v") })
+	c, err := net.Dial("tcp", s.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	conn := &serverConn{Conn: c}
+	if conn.stale() {
+		t.Error("an open connection counts as stale")
 	}
+	io.WriteString(c, "GET / HTTP/1.1\r\nHost: b\r\n\r\n")
+	standin.Eventually(t, "the bytes are known", conn.stale)
 }
 
 // A withdrawn attempt closes its connection, so that no answer is awaited on it.
--- a/internal/wire/serverconn.go
+++ b/internal/wire/serverconn.go
@@ -78,9 +78,10 @@
 	return !c.broken
 }
 
-// closedByPeer asks the system whether the server's close has come in though the reader has not run since: on a
-// busy core that is the difference between an attempt that never ran and one that may have.
-func (c *serverConn) closedByPeer() bool {
+// stale asks the system whether the server's close has come in though the reader has not run since: on a busy core
+// that is the difference between an attempt that never ran and one that may have. Bytes that nobody asked for count
+// alike, lest they be taken for the next request's answer.
+func (c *serverConn) stale() bool {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
@@ -89,13 +90,13 @@
 	if err != nil {
 		return true
 	}
-	closed := false
+	stale := false
 	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		stale = err != syscall.EAGAIN && err != syscall.EINTR
 	})
-	return closed || err != nil
+	return stale || err != nil
 }
 
 // idle makes the connection ready for its next request; false if it has ended.
@@ -134,6 +135,9 @@
 		}
 		c.reading.Store(true)
 		a := readAnswer(r)
+		if r.Buffered() > 0 { // more than was asked for
+			a.keep = false
+		}
 		if a.err != nil || !a.keep {
 			c.mu.Lock()
 			c.broken = true
