--- a/internal/wire/server_test.go
+++ b/internal/wire/server_test.go
@@ -342,11 +342,8 @@
 				if a := r.ask(t, put("value")); a.Kind == exchange.Served && string(a.Body) != "v" {
 					t.Fatalf("got %q", a.Body)
 				}
-				if name == "after the answer" {
-					time.Sleep(5 * time.Millisecond)
-				}
+				standin.Eventually(t, "the connection is given up", func() bool { return r.Counts.IdleConnections.Load() == 0 })
 			}
-			standin.Eventually(t, "the connection is given up", func() bool { return r.Counts.IdleConnections.Load() == 0 })
 		})
 	}
 }
