--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -64,8 +64,8 @@
 // Answer brings the final answer, once.
 func (x *Exchange) Answer() <-chan Answer { return x.answer }
 
-// settle gives the final answer unless there is one.
-func (x *Exchange) settle(a Answer) bool {
+// Settle gives the final answer unless there is one. Only the one goroutine that decides calls it.
+func (x *Exchange) Settle(a Answer) bool {
 	if x.answered {
 		return false
 	}
--- a/internal/exchange/loop.go
+++ b/internal/exchange/loop.go
@@ -257,7 +257,7 @@
 		return nil
 	}
 	x.out--
-	if e.Result == balance.OK && x.settle(Answer{Kind: Served, Header: e.Header, Body: e.Body}) {
+	if e.Result == balance.OK && x.Settle(Answer{Kind: Served, Header: e.Header, Body: e.Body}) {
 		l.Counts.Served.Add(1)
 	}
 	done := x.answered
@@ -317,7 +317,7 @@
 }
 
 func (l *Loop) fail(x *Exchange, timedOut bool) {
-	if x.settle(Answer{Kind: Failed, TimedOut: timedOut}) {
+	if x.Settle(Answer{Kind: Failed, TimedOut: timedOut}) {
 		l.Counts.Failed.Add(1)
 	}
 }
@@ -331,7 +331,7 @@
 		}
 	case balance.Refuse:
 		if x := l.exchanges[a.ID]; x != nil {
-			if x.settle(Answer{Kind: Refused, RetryAfter: a.RetryAfter}) {
+			if x.Settle(Answer{Kind: Refused, RetryAfter: a.RetryAfter}) {
 				l.Counts.Refused.Add(1)
 			}
 			l.forget(x)
--- a/internal/exchange/loop_test.go
+++ b/internal/exchange/loop_test.go
@@ -354,3 +354,84 @@
 		t.Errorf("with a lag of 1 s: %v", m)
 	}
 }
+
+// Where a client does not say how long it waits, its class's whole time counts.
+func TestTimeOfASilentClient(t *testing.T) {
+	l, attempts := startLoop(t, nil)
+	for class, want := range map[string]time.Duration{"read": 800 * time.Millisecond, "unheard of": time.Second} {
+		x := request(class, 0)
+		l.Submit(x)
+		if left := x.Due.Sub(x.Arrived); left > want || left < want-mostMargin {
+			t.Errorf("%s: %v", class, left)
+		}
+		attemptOf(t, attempts).End(Reply{Result: balance.OK})
+		answerOf(t, x)
+	}
+}
+
+// Each request counts once among the answers or the clients gone, and each attempt among the results.
+func TestCountersAddUp(t *testing.T) {
+	l, attempts := startLoop(t, nil)
+	var all []*Exchange
+	for i := range 20 {
+		x := request([]string{"read", "once"}[i%2], time.Second)
+		l.Submit(x)
+		all = append(all, x)
+		a := attemptOf(t, attempts)
+		switch i % 4 {
+		case 0:
+			a.End(Reply{Result: balance.OK})
+			answerOf(t, x)
+		case 1:
+			a.End(Reply{Result: balance.Reset})
+			answerOf(t, x)
+		case 2:
+			l.Depart(x)
+			<-a.Context.Done()
+			a.End(Reply{Result: balance.Cancelled})
+		case 3:
+			a.End(Reply{Result: balance.OK})
+			answerOf(t, x)
+			l.Depart(x) // too late to count
+		}
+	}
+	done := make(chan struct{})
+	l.post(probe(func() { close(done) }))
+	<-done
+	c := l.Counts
+	if c.Served.Load() != 10 || c.Failed.Load() != 5 || c.ClientsGone.Load() != 5 || c.Refused.Load() != 0 {
+		t.Errorf("%s", c.JSON())
+	}
+	sum := int64(0)
+	for i := range c.Results {
+		sum += c.Results[i].Load()
+	}
+	if sum != c.Attempts.Load() || sum != int64(len(all)) {
+		t.Errorf("%d results of %d attempts", sum, c.Attempts.Load())
+	}
+}
+
+// What other routers say reaches the decisions, and what these tell goes out.
+func TestMessagesBetweenRouters(t *testing.T) {
+	peers := &told{}
+	l, attempts := startLoop(t, func(l *Loop) {
+		l.Settings.Routers, l.Settings.PeerMessages = 8, true // so many that each sees little
+		l.Teller = peers
+	})
+	l.Heard([]byte("too short for anything"))
+	x := request("read", time.Second)
+	l.Submit(x)
+	attemptOf(t, attempts).End(Reply{Result: balance.OK})
+	answerOf(t, x)
+	for until := time.Now().Add(2 * time.Second); ; time.Sleep(time.Millisecond) {
+		peers.mu.Lock()
+		n := len(peers.all)
+		peers.mu.Unlock()
+		if n > 0 {
+			break
+		}
+		if time.Now().After(until) {
+			t.Fatal("nothing told")
+		}
+	}
+}
--- a/internal/wire/client_test.go
+++ b/internal/wire/client_test.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -307,6 +308,71 @@
 	}
 }
 
+// fullListener says that there are no descriptors left, some times, before it accepts.
+type fullListener struct {
+	net.Listener
+	times int
+}
+
+func (l *fullListener) Accept() (net.Conn, error) {
+	if l.times > 0 {
+		l.times--
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Should the system itself run out of descriptors, idle connections go and accepting goes on.
+func TestAcceptWithoutDescriptors(t *testing.T) {
+	s := newSide(t, 10, nil)
+	idle := s.connect(t)
+	idle.say(t, "GET /health/live HTTP/1.1\r\nHost: b\r\n\r\n")
+	idle.hear(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() { s.Serve(&fullListener{l, 3}); close(done) }()
+	defer func() { l.Close(); <-done }()
+	if _, err := idle.r.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("the idle connection: %v", err)
+	}
+	s.address = l.Addr().String()
+	c := s.connect(t)
+	c.say(t, "GET /health/live HTTP/1.1\r\nHost: b\r\n\r\n")
+	if resp, _ := c.hear(t); resp.StatusCode != 200 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
+// Each final answer has its status; a refusal's advice is in decimal seconds, and none where none is given.
+func TestFinalAnswers(t *testing.T) {
+	s := newSide(t, 10, &fixed{answers: []exchange.Answer{
+		{Kind: exchange.Refused, RetryAfter: 150 * time.Millisecond}, {Kind: exchange.Refused},
+		{Kind: exchange.Failed}, {Kind: exchange.Failed, TimedOut: true}}})
+	c := s.connect(t)
+	for _, want := range []struct {
+		status int
+		advice string
+	}{{503, "0.150"}, {503, ""}, {502, ""}, {504, ""}} {
+		c.say(t, getOne)
+		if resp, body := c.hear(t); resp.StatusCode != want.status || resp.Header.Get("Retry-After") != want.advice || body != "" {
+			t.Errorf("got %d %q, want %+v", resp.StatusCode, resp.Header.Get("Retry-After"), want)
+		}
+	}
+}
+
+// fixed answers each request with the next of its answers.
+type fixed struct{ answers []exchange.Answer }
+
+func (f *fixed) Submit(x *exchange.Exchange) {
+	x.Due = time.Now().Add(time.Second)
+	x.Settle(f.answers[0])
+	f.answers = f.answers[1:]
+}
+func (*fixed) Depart(*exchange.Exchange) {}
+
 func TestLastAnswersCloseTheirConnections(t *testing.T) {
 	r := newRig(t, standin.NewServer(t, func(r *standin.Request) bool { return r.Answer(200, "v") }).Address)
 	s := newSide(t, 10, r)
