Attempts wait for room among busy server connections instead of being given up at once

Now they wait as long as a dial may take; 24 descriptors are kept for the rest, not 40, of which 8 are in use.

--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -11,7 +11,7 @@
 type shares struct{ clients, servers int }
 
 const (
-	otherDescriptors = 40 // listener, discovery, datagrams, the runtime's own, standard streams, spare ones
+	otherDescriptors = 24 // listener, discovery, datagrams, the runtime's own, standard streams: 8, the rest spare
 	memoryPart       = 0.7
 )
 
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -1,7 +1,9 @@
 package exchange
 
 import (
+	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +31,8 @@
 	heard map[balance.ServerID]time.Time  // the last answer's time
 	open  int
 	done  bool
+
+	waiting []chan struct{} // for room, the first to come first
 }
 
 type idleConn struct {
@@ -81,6 +85,7 @@
 	}
 	p.idle[server] = append(p.idle[server], idleConn{c, address, now})
 	p.Counts.IdleConnections.Add(1)
+	p.wake()
 }
 
 // Remove drops a connection that has closed while it was idle.
@@ -149,33 +154,88 @@
 	}
 }
 
-// Reserve makes room for one more open connection, giving up the one that has been idle for longest if need be.
-func (p *Pool) Reserve() error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.open >= p.Most {
-		victim, at := balance.ServerID(""), time.Time{}
-		for server, all := range p.idle {
-			if len(all) > 0 && (at.IsZero() || all[0].since.Before(at)) {
-				victim, at = server, all[0].since
-			}
+// Reserve makes room for one more open connection, giving up the one that has been idle for longest if need be. While
+// all are busy it waits for one to end, as long as the patience and the context last.
+func (p *Pool) Reserve(ctx context.Context, patience time.Duration) error {
+	if p.reserve() {
+		return nil
+	}
+	late := time.NewTimer(patience)
+	defer late.Stop()
+	room := make(chan struct{}, 1)
+	for {
+		p.mu.Lock()
+		p.waiting = append(p.waiting, room)
+		p.mu.Unlock()
+		if p.reserve() { // it may have come in between
+			p.stopWaiting(room)
+			return nil
 		}
-		if at.IsZero() {
+		select {
+		case <-room:
+		case <-late.C:
+			p.stopWaiting(room)
 			return ErrNoRoom
+		case <-ctx.Done():
+			p.stopWaiting(room)
+			return context.Cause(ctx)
 		}
-		c := p.idle[victim][0]
-		p.idle[victim] = p.idle[victim][1:]
-		p.Counts.IdleConnections.Add(-1)
+	}
+}
+
+// reserve takes room if there is any, or can be.
+func (p *Pool) reserve() bool {
+	for {
+		p.mu.Lock()
+		if p.open < p.Most {
+			p.open++
+			p.Counts.ServerConnections.Store(int64(p.open))
+			p.mu.Unlock()
+			return true
+		}
+		c := p.oldest()
 		p.mu.Unlock()
+		if c == nil {
+			return false
+		}
 		c.Close() // it calls Release
-		p.mu.Lock()
-		if p.open >= p.Most {
-			return ErrNoRoom
+	}
+}
+
+// oldest takes out the connection that has been idle for longest. The caller holds the lock.
+func (p *Pool) oldest() Conn {
+	victim, at := balance.ServerID(""), time.Time{}
+	for server, all := range p.idle {
+		if len(all) > 0 && (at.IsZero() || all[0].since.Before(at)) {
+			victim, at = server, all[0].since
 		}
 	}
-	p.open++
-	p.Counts.ServerConnections.Store(int64(p.open))
-	return nil
+	if at.IsZero() {
+		return nil
+	}
+	c := p.idle[victim][0]
+	p.idle[victim] = p.idle[victim][1:]
+	p.Counts.IdleConnections.Add(-1)
+	return c.Conn
+}
+
+// wake lets the one that has waited longest for room try again. The caller holds the lock.
+func (p *Pool) wake() {
+	if len(p.waiting) > 0 {
+		p.waiting[0] <- struct{}{} // holds one, and stands here once
+		p.waiting = p.waiting[1:]
+	}
+}
+
+// stopWaiting takes a waiting one out; if it has been woken already the next one is woken instead.
+func (p *Pool) stopWaiting(room chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.Index(p.waiting, room); i >= 0 {
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+		return
+	}
+	p.wake()
 }
 
 // Release gives back what Reserve took, once the connection is closed.
@@ -184,6 +244,7 @@
 	defer p.mu.Unlock()
 	p.open--
 	p.Counts.ServerConnections.Store(int64(p.open))
+	p.wake()
 }
 
 // Close closes the idle connections, and from now on those that come back.
--- a/internal/exchange/pool_test.go
+++ b/internal/exchange/pool_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"errors"
 	"reflect"
 	"testing"
@@ -26,7 +27,7 @@
 
 func openConn(t *testing.T, p *Pool) *testConn {
 	t.Helper()
-	if err := p.Reserve(); err != nil {
+	if err := p.Reserve(t.Context(), time.Second); err != nil {
 		t.Fatal(err)
 	}
 	return &testConn{pool: p}
@@ -66,7 +67,7 @@
 	counts := &Counters{}
 	p := NewPool(2, time.Second, counts)
 	a, b := openConn(t, p), openConn(t, p)
-	if err := p.Reserve(); !errors.Is(err, ErrNoRoom) {
+	if err := p.Reserve(t.Context(), time.Millisecond); !errors.Is(err, ErrNoRoom) {
 		t.Fatalf("a third of two: %v", err)
 	}
 	p.Put("s", "x", a, t0)
@@ -80,6 +81,43 @@
 	}
 }
 
+// With all connections busy the next attempt waits for one to end, first come first served, and not for ever.
+func TestPoolWaitsForRoom(t *testing.T) {
+	p := NewPool(1, time.Minute, &Counters{})
+	busy := openConn(t, p)
+	got := make(chan int, 2)
+	for i := range 2 {
+		go func() {
+			if err := p.Reserve(t.Context(), 5*time.Second); err != nil {
+				t.Error(err)
+			}
+			got <- i
+		}()
+		for waiting := 0; waiting <= i; time.Sleep(time.Millisecond) {
+			p.mu.Lock()
+			waiting = len(p.waiting)
+			p.mu.Unlock()
+		}
+	}
+	if err := p.Reserve(t.Context(), time.Millisecond); !errors.Is(err, ErrNoRoom) {
+		t.Errorf("without patience: %v", err)
+	}
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cancel(ErrWithdrawn)
+	if err := p.Reserve(ctx, time.Second); !errors.Is(err, ErrWithdrawn) {
+		t.Errorf("withdrawn: %v", err)
+	}
+	busy.Close()
+	if i := <-got; i != 0 {
+		t.Error("the second was first")
+	}
+	p.Put("s", "x", &testConn{pool: p}, t0) // the first one's connection, idle now: it is given up for the second
+	<-got
+	if p.open != 1 || len(p.waiting) != 0 {
+		t.Errorf("%d open, %d waiting", p.open, len(p.waiting))
+	}
+}
+
 func TestPoolSweepsAndLeaves(t *testing.T) {
 	counts := &Counters{}
 	p := NewPool(10, time.Second, counts)
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -142,7 +142,10 @@
 		}
 		idle.Close()
 	}
-	if err := s.Pool.Reserve(); err != nil {
+	if err := s.Pool.Reserve(a.Context, s.ConnectTimeout); err != nil {
+		if a.Context.Err() != nil {
+			return nil, s.ended(a)
+		}
 		return nil, err
 	}
 	s.Counts.Dials.Add(1)
@@ -159,17 +162,22 @@
 	c, err := dial(a.Context, a.Address)
 	if err != nil {
 		c = nil
-		switch cause := context.Cause(a.Context); {
-		case errors.Is(cause, exchange.ErrWithdrawn):
-			return nil, cause
-		case cause != nil:
-			return nil, errDue
+		if a.Context.Err() != nil {
+			return nil, s.ended(a)
 		}
 		return nil, err
 	}
 	return newServerConn(c, a.Server, s.Pool), nil
 }
 
+// ended is the cause where an attempt's own end came while there was no connection yet: the server has no part in it.
+func (s *Servers) ended(a *exchange.Attempt) error {
+	if cause := context.Cause(a.Context); errors.Is(cause, exchange.ErrWithdrawn) {
+		return cause
+	}
+	return errDue
+}
+
 func (s *Servers) dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: s.ConnectTimeout, KeepAlive: -1}
 	return dialer.DialContext(ctx, "tcp", address)
