--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -88,7 +88,7 @@
 	wg   sync.WaitGroup
 }
 
-// start brings all parts up, in the order in which they need one another, and returns once the router is ready.
+// start brings all parts up, in the order in which they need one another. The router is ready a little later.
 func start(c *Config, log *slog.Logger) (*router, error) {
 	c.Limits.apply()
 	parts := share(c.Limits.Sockets)
@@ -138,14 +138,26 @@
 		defer close(r.accepted)
 		r.clients.Serve(r.listener)
 	})
+	r.background(func() { r.beReady(ctx, first, parts) })
+	return r, nil
+}
+
+// beReady says that clients may come: once there is a list that discovery has told of late, or, while it is silent, the
+// one that was known. Without any list there is nothing to serve from.
+func (r *router) beReady(ctx context.Context, first <-chan struct{}, parts shares) {
+	var enough <-chan time.Time
+	if r.config.Known.Index != wire.Unknown {
+		enough = time.After(listFor)
+	}
 	select {
 	case <-first:
-	case <-time.After(listFor):
+	case <-enough:
+	case <-ctx.Done():
+		return
 	}
 	r.clients.Ready.Store(true)
-	log.Info("ready", "name", c.Name, "listen", c.Listen, "servers", len(c.Known.Endpoints),
-		"index", c.Known.Index, "clients_most", parts.clients, "server_connections_most", parts.servers)
-	return r, nil
+	r.log.Info("ready", "name", r.config.Name, "listen", r.config.Listen, "known_index", r.config.Known.Index,
+		"clients_most", parts.clients, "server_connections_most", parts.servers)
 }
 
 // listen binds the address, which an earlier process of the same name may hold for a moment yet.
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -68,7 +68,7 @@
 
 func startProcess(t *testing.T, config map[string]any) *process {
 	t.Helper()
-	return startProcessWith(t, config, nil)
+	return startProcessWith(t, config, nil).ready(t)
 }
 
 // startProcessWith sends the log to a file, or keeps it if there is none.
@@ -92,6 +92,12 @@
 	}
 	go func() { p.exited <- p.Wait() }()
 	t.Cleanup(func() { p.Process.Kill() })
+	return p
+}
+
+// ready waits for a router to be ready.
+func (p *process) ready(t *testing.T) *process {
+	t.Helper()
 	standin.Eventually(t, "the router is ready", func() bool {
 		status, _, err := ask(p.address, "/health/ready")
 		return err == nil && status == 200
@@ -347,7 +353,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := startProcessWith(t, testConfig(t, cache.Address, standin.NewDiscovery(t, 1).Address, 256), w)
+	p := startProcessWith(t, testConfig(t, cache.Address, standin.NewDiscovery(t, 1).Address, 256), w).ready(t)
 	w.Close()
 	r.Close()
 	for range 3 {
@@ -404,3 +410,25 @@
 		}
 	}
 }
+
+// With no list at all a router is live but not ready, until there is one.
+func TestNotReadyWithoutAList(t *testing.T) {
+	cache := standin.NewServer(t, func(r *standin.Request) bool { return r.Answer(200, "v") })
+	discovery := standin.NewDiscovery(t, 0, standin.Endpoint{Name: "a", Address: cache.Address, Status: "SERVING", Weight: 1})
+	discovery.Break(500)
+	config := testConfig(t, "", discovery.Address, 256)
+	delete(config, "known")
+	p := startProcessWith(t, config, nil)
+	standin.Eventually(t, "it is live", func() bool { status, _, _ := ask(p.address, "/health/live"); return status == 200 })
+	time.Sleep(listFor + 100*time.Millisecond)
+	if status, _, err := ask(p.address, "/health/ready"); err != nil || status != 503 {
+		t.Errorf("ready without a list: %d %v", status, err)
+	}
+	discovery.Break(0)
+	p.ready(t)
+	if status, body, err := ask(p.address, "/read/k"); err != nil || status != 200 || body != "v" {
+		t.Errorf("%d %q %v", status, body, err)
+	}
+	p.Process.Signal(syscall.SIGTERM)
+	p.end(t)
+}
--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -55,17 +55,13 @@
 	}
 }
 
-// Run watches until the context ends. It closes first once the first call has come back, whatever it brought.
+// Run watches until the context ends. It closes first once a list has been told.
 func (d *Discovery) Run(ctx context.Context, first chan<- struct{}) {
 	defer d.hangUp()
 	wait, backoff, failing := firstWatchFor, leastBackoff, false
 	for ctx.Err() == nil {
 		asked := time.Now()
 		list, err := d.call(ctx, wait)
-		if first != nil {
-			close(first)
-			first = nil
-		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -75,7 +71,12 @@
 			}
 			wait, backoff, failing = watchFor, leastBackoff, false
 			d.Counts.ListAnswers.Add(1)
-			if news := d.take(list); !news && time.Since(asked) < leastBackoff {
+			news := d.take(list)
+			if first != nil {
+				close(first)
+				first = nil
+			}
+			if !news && time.Since(asked) < leastBackoff {
 				pauseFor(ctx, leastBackoff) // it does not wait as asked: no busy loop, and still one watch
 			}
 			continue
