--- /dev/null
+++ b/internal/wire/rules_test.go
@@ -0,0 +1,153 @@
+package wire
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"cedarmast/internal/standin"
+)
+
+// ledger is what the servers have seen of each request.
+type ledger struct {
+	mu  sync.Mutex
+	ran map[string]int // whole requests that were not turned away, by id
+}
+
+func (l *ledger) book(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ran[id]++
+}
+
+func (l *ledger) count(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ran[id]
+}
+
+// Servers that answer, err, turn away, break at any point or say nothing, and clients that keep connections, repeat
+// them or leave: whatever happens, each request has one whole answer in time, the bytes are those of a server that saw
+// this request, and what must not run twice never does; nor is it refused once it may have run.
+func TestRulesUnderBreaks(t *testing.T) {
+	seen := &ledger{ran: map[string]int{}}
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(1, 2))
+	draw := func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return rng.IntN(n)
+	}
+	var addresses []string
+	for range 4 {
+		s := standin.NewServer(t, func(r *standin.Request) bool {
+			id := r.Header.Get(headerID)
+			kind := draw(20)
+			if kind == 0 {
+				return r.Answer(503, "", "X-Unprocessed: 1")
+			}
+			seen.book(id)
+			time.Sleep(time.Duration(draw(10)) * time.Millisecond)
+			switch kind {
+			case 1:
+				return false
+			case 2:
+				io.WriteString(r.Conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n"+id)
+				return false
+			case 3:
+				r.Conn.(*net.TCPConn).SetLinger(0)
+				return false
+			case 4:
+				return r.Answer(500, "no")
+			case 5:
+				r.Answer(200, id)
+				return false // closes an idle connection without a word
+			case 6:
+				time.Sleep(time.Duration(draw(600)) * time.Millisecond)
+			}
+			return r.Answer(200, id)
+		})
+		addresses = append(addresses, s.Address)
+	}
+	r := newRig(t, addresses...)
+	s := newSide(t, 60, r)
+	const clients, each = 20, 30
+	var wg sync.WaitGroup
+	for c := range clients {
+		wg.Go(func() {
+			var conn net.Conn
+			var br *bufio.Reader
+			defer func() {
+				if conn != nil {
+					conn.Close()
+				}
+			}()
+			for n := range each {
+				if conn == nil {
+					var err error
+					if conn, err = net.Dial("tcp", s.address); err != nil {
+						t.Error(err)
+						return
+					}
+					br = bufio.NewReader(conn)
+				}
+				id, class := fmt.Sprintf("%d-%d", c, n), []string{"read", "once"}[draw(2)]
+				begun := time.Now()
+				fmt.Fprintf(conn, "PUT /%s/k%d HTTP/1.1\r\nHost: b\r\nX-Correlation-Id: %s\r\nX-Time-Left: 500m\r\nContent-Length: 1\r\n\r\nv",
+					class, draw(50), id)
+				if draw(20) == 0 { // leaves
+					conn.Close()
+					conn = nil
+					continue
+				}
+				conn.SetReadDeadline(begun.Add(2 * time.Second))
+				resp, err := http.ReadResponse(br, nil)
+				if err != nil {
+					t.Errorf("%s: no whole answer: %v", id, err)
+					conn.Close()
+					conn = nil
+					continue
+				}
+				body, err := io.ReadAll(resp.Body)
+				took := time.Since(begun)
+				ran := seen.count(id)
+				switch {
+				case err != nil:
+					t.Errorf("%s: no whole answer: %v", id, err)
+				case took > 700*time.Millisecond:
+					t.Errorf("%s: answered after %v", id, took)
+				case resp.StatusCode == 200 && string(body) != id:
+					t.Errorf("%s: got %q", id, body)
+				case class == "once" && ran > 1:
+					t.Errorf("%s: ran %d times", id, ran)
+				case class == "once" && resp.StatusCode == 503 && ran > 0:
+					t.Errorf("%s: refused though it ran", id)
+				}
+				if resp.Close {
+					conn.Close()
+					conn = nil
+				}
+			}
+		})
+	}
+	wg.Wait()
+	time.Sleep(50 * time.Millisecond)
+	for c := range clients {
+		for n := range each {
+			if id := fmt.Sprintf("%d-%d", c, n); seen.count(id) > rigSettings.MaxAttempts {
+				t.Errorf("%s: %d attempts", id, seen.count(id))
+			}
+		}
+	}
+	if r.Counts.Overdue.Load() > 0 || r.Counts.Panics.Load() > 0 || r.Counts.Served.Load() < clients*each/4 {
+		t.Errorf("%s", r.Counts.JSON())
+	}
+	t.Logf("%d served, %d refused, %d failed, %d gone", r.Counts.Served.Load(), r.Counts.Refused.Load(),
+		r.Counts.Failed.Load(), r.Counts.ClientsGone.Load())
+}
