--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,14 +46,14 @@
 
 // Run runs a router until the context ends, or SIGTERM or SIGINT comes, and all that it has taken is answered.
 func Run(ctx context.Context, c *Config, log *slog.Logger) error {
-	r, err := start(c, log)
-	if err != nil {
-		return err
-	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	defer signal.Stop(signals)
 	signal.Ignore(syscall.SIGPIPE) // whoever reads the log may go away
+	r, err := start(c, log)
+	if err != nil {
+		return err
+	}
 	for {
 		select {
 		case s := <-signals:
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -41,7 +41,7 @@
 // dropped.
 func awaitHead(r *bufio.Reader) error {
 	for n := 1; ; {
-		text, err := r.Peek(n)
+		_, err := r.Peek(n)
 		if err != nil {
 			if errors.Is(err, bufio.ErrBufferFull) {
 				return ErrHeadTooLarge
@@ -51,7 +51,7 @@
 			}
 			return err
 		}
-		text, _ = r.Peek(r.Buffered())
+		text, _ := r.Peek(r.Buffered())
 		if text[0] == '\n' || text[0] == '\r' && len(text) > 1 && text[1] == '\n' {
 			r.Discard(bytes.IndexByte(text, '\n') + 1)
 			n = 1
