--- a/internal/exchange/loop.go
+++ b/internal/exchange/loop.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"runtime/debug"
-	"strconv"
 	"time"
 
 	"cedarmast/balance"
@@ -56,59 +55,6 @@
 		entries: map[balance.ServerID]balance.Entry{}}
 }
 
-// event is something for the loop. take changes the loop's books and returns what the decisions are to hear of
-// it, if anything.
-type event interface {
-	take(l *Loop) balance.Event
-}
-
-type (
-	submitted struct{ *Exchange }
-	departed  struct{ *Exchange }
-	ended     struct {
-		*Attempt
-		Reply
-	}
-	listed  struct{ List }
-	heard   struct{ content []byte }
-	expired struct{}
-)
-
-// stamped is an event with the time it was brought.
-type stamped struct {
-	event
-	at time.Time
-}
-
-func (l *Loop) post(e event) {
-	select {
-	case l.events <- stamped{e, time.Now()}:
-	case <-l.stopped:
-	}
-}
-
-// Submit hands over a request. Its exchange gets one Answer, by Due unless the loop hangs.
-func (l *Loop) Submit(x *Exchange) {
-	left := x.TimeLeft
-	if left <= 0 { // the client said nothing: its class's whole time
-		left = l.deadline(x.Class)
-	}
-	x.Due = x.Arrived.Add(left - l.lag.margin(left))
-	l.post(submitted{x})
-}
-
-// Depart says that the exchange's client has gone; nothing more is owed.
-func (l *Loop) Depart(x *Exchange) { l.post(departed{x}) }
-
-// Listed brings a server list, or with kind Failed the news that there was none.
-func (l *Loop) Listed(list List) { l.post(listed{list}) }
-
-// Heard brings a message of another router.
-func (l *Loop) Heard(content []byte) { l.post(heard{content}) }
-
-// Expire ends all that is in hand without waiting for its time: the router is about to be killed.
-func (l *Loop) Expire() { l.post(expired{}) }
-
 // deadline is the whole time of a class, and a second for one that the settings don't name.
 func (l *Loop) deadline(class string) time.Duration {
 	for _, c := range l.Settings.Classes {
@@ -218,97 +164,6 @@
 	}
 }
 
-func (e stamped) take(l *Loop) balance.Event {
-	l.lag.note(time.Since(e.at), l.Counts)
-	return e.event.take(l)
-}
-
-func (e submitted) take(l *Loop) balance.Event {
-	x := e.Exchange
-	l.started++
-	x.id = balance.RequestID(strconv.FormatUint(l.started, 36))
-	l.exchanges[x.id] = x
-	return balance.Request{ID: x.id, Class: x.Class, Tenant: x.Tenant, Key: x.Key, HasKey: x.HasKey, Write: x.Write,
-		Due: l.Clock.At(x.Due)}
-}
-
-func (e departed) take(l *Loop) balance.Event {
-	x := e.Exchange
-	if x.answered || l.exchanges[x.id] != x {
-		return nil
-	}
-	l.Counts.ClientsGone.Add(1)
-	x.answered = true // nobody is there to take one
-	for _, a := range x.attempts {
-		a.cancel(ErrWithdrawn)
-	}
-	l.forget(x)
-	return balance.ClientGone{ID: x.id}
-}
-
-func (e ended) take(l *Loop) balance.Event {
-	x := e.Attempt.Exchange
-	l.Counts.Results[e.Result].Add(1)
-	if e.Err != nil {
-		l.Log.Debug("attempt ended", "server", e.Server, "result", resultNames[e.Result], "err", e.Err,
-			"after", time.Since(e.sent))
-	}
-	if l.exchanges[x.id] != x { // of before a fresh start of the decisions
-		return nil
-	}
-	x.out--
-	if e.Result == balance.OK && x.Settle(Answer{Kind: Served, Header: e.Header, Body: e.Body}) {
-		l.Counts.Served.Add(1)
-	}
-	done := x.answered
-	l.forget(x)
-	return balance.Outcome{ID: x.id, Attempt: e.number, Server: e.Server, Result: e.Result, Fetching: e.Fetching,
-		Done: done}
-}
-
-func (e listed) take(l *Loop) balance.Event {
-	if e.Kind == balance.Failed {
-		return e.List.List
-	}
-	l.version = e.Version
-	if e.Kind != balance.Partial {
-		clear(l.entries)
-	}
-	for _, entry := range e.Entries {
-		if entry.State == balance.Gone {
-			delete(l.entries, entry.Server)
-		} else {
-			l.entries[entry.Server] = entry
-		}
-	}
-	if leave := l.addresses.follow(e.List); len(leave) > 0 {
-		go func() { // closing takes locks that others hold while they dial or read
-			for _, server := range leave {
-				l.Pool.Leave(server)
-			}
-		}()
-	}
-	return e.List.List
-}
-
-func (expired) take(l *Loop) balance.Event {
-	l.Log.Warn("ended before their time", "exchanges", len(l.exchanges))
-	l.endAll()
-	return nil
-}
-
-// endAll fails every exchange, which promises nothing and so is always allowed, and withdraws its attempts.
-func (l *Loop) endAll() {
-	for _, x := range l.exchanges {
-		l.fail(x, true)
-		for _, a := range x.attempts {
-			a.cancel(ErrWithdrawn)
-		}
-	}
-}
-
-func (e heard) take(*Loop) balance.Event { return balance.Heard{Content: e.content} }
-
 // forget lets go of an exchange that is answered and has no attempt out.
 func (l *Loop) forget(x *Exchange) {
 	if x.answered && x.out == 0 {
--- /dev/null
+++ b/internal/wire/answer.go
@@ -0,0 +1,89 @@
+package wire
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cedarmast/internal/exchange"
+)
+
+// answer writes a final answer.
+func (c *clientConn) answer(a exchange.Answer, last bool) bool {
+	switch {
+	case a.Kind == exchange.Served:
+		return c.write(http.StatusOK, a.Header, a.Body, last)
+	case a.Kind == exchange.Refused:
+		return c.write(http.StatusServiceUnavailable, retryAfter(a.RetryAfter), nil, last)
+	case a.TimedOut:
+		return c.write(http.StatusGatewayTimeout, nil, nil, last)
+	}
+	return c.write(http.StatusBadGateway, nil, nil, last)
+}
+
+func retryAfter(d time.Duration) http.Header {
+	if d <= 0 {
+		return nil
+	}
+	return http.Header{"Retry-After": {strconv.FormatFloat(d.Seconds(), 'f', 3, 64)}}
+}
+
+// bad answers a message that breaks the protocol and closes.
+func (c *clientConn) bad(err error) bool {
+	if n := c.side.Counts.BadRequests.Add(1); n%badLogged == 1 { // a flood of them is not to fill the log
+		c.side.Log.Warn("bad request", "err", err, "client", c.RemoteAddr(), "so_far", n)
+	}
+	c.write(http.StatusBadRequest, http.Header{"Content-Type": {"text/plain; charset=utf-8"}},
+		[]byte(err.Error()+"\n"), true)
+	c.linger()
+	return false
+}
+
+// linger reads on for a moment before a close, for a close over unread bytes would take the answer back.
+func (c *clientConn) linger() {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		c.SetReadDeadline(time.Now().Add(lingerFor))
+		io.Copy(io.Discard, io.LimitReader(c.Conn, lingerMost))
+	}
+}
+
+// own answers what is asked of the router itself.
+func (c *clientConn) own(req *http.Request, last bool) bool {
+	plain := http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
+	switch {
+	case req.Method != http.MethodGet:
+		return c.write(http.StatusMethodNotAllowed, http.Header{"Allow": {"GET"}}, nil, last)
+	case req.URL.Path == "/health/live":
+		return c.write(http.StatusOK, plain, []byte("live\n"), last)
+	case req.URL.Path == "/health/ready" && c.side.Ready.Load() && !c.side.closing.Load():
+		return c.write(http.StatusOK, plain, []byte("ready\n"), last)
+	case req.URL.Path == "/health/ready":
+		return c.write(http.StatusServiceUnavailable, plain, []byte("not ready\n"), last)
+	case req.URL.Path == "/stats":
+		return c.write(http.StatusOK, http.Header{"Content-Type": {"application/json"}}, c.side.Counts.JSON(), last)
+	}
+	return c.write(http.StatusNotFound, plain, []byte("not found\n"), last)
+}
+
+// write writes an answer; false ends the connection.
+func (c *clientConn) write(status int, header http.Header, body []byte, last bool) bool {
+	last = last || c.turnAway || c.side.closing.Load()
+	head := make([]byte, 0, 256)
+	head = fmt.Appendf(head, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	head = appendHeader(head, header)
+	head = fmt.Appendf(head, "Content-Length: %d\r\n", len(body))
+	if last {
+		head = appendLine(head, "Connection", "close")
+	}
+	head = append(head, "\r\n"...)
+	c.writing = true
+	c.SetWriteDeadline(time.Now().Add(writePatience))
+	if _, err := writeMessage(c.Conn, head, body); err != nil {
+		c.side.Log.Debug("answer not taken", "err", err, "client", c.RemoteAddr())
+		return false
+	}
+	c.writing = false
+	return !last
+}
--- /dev/null
+++ b/internal/wire/clientconn.go
@@ -0,0 +1,232 @@
+package wire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"cedarmast/internal/exchange"
+)
+
+// arrival says that the next request's first byte has come, or why none will.
+type arrival struct {
+	at  time.Time
+	err error
+}
+
+// clientConn is one client's connection. Two goroutines serve it: one has the word, the other watches for the next
+// byte or the client's close whenever the first does not read.
+type clientConn struct {
+	net.Conn
+	side    *Clients
+	r       *bufio.Reader
+	arrived chan arrival
+	resume  chan struct{} // the watcher may read again
+	gone    chan struct{} // closed when serve returns
+
+	watching bool     // serve's: the watcher has been let go on
+	ahead    *arrival // serve's: a byte of the next request that came before the answer to the last
+	writing  bool     // serve's: an answer has been begun
+	answered bool     // serve's: a request has been
+	turnAway bool
+	// Under side.mu:
+	phase phase
+	since time.Time // of the phase
+}
+
+// phase is what a connection is about.
+type phase int
+
+const (
+	fresh   phase = iota // no byte has come yet
+	reading              // a request has begun to come
+	inHand               // it has come whole and is not answered
+	idle                 // all that came is answered
+	givenUp              // closed for want of descriptors
+)
+
+// mayGo tells whether the connection may be given up for another one. The caller holds side.mu.
+func (c *clientConn) mayGo() bool {
+	age := time.Since(c.since)
+	return !c.turnAway && (c.phase == idle || c.phase == fresh && age > freshFor || c.phase == reading && age > slowFor)
+}
+
+// enter begins a phase; false if the connection has been given up meanwhile.
+func (c *clientConn) enter(p phase) bool {
+	c.side.mu.Lock()
+	defer c.side.mu.Unlock()
+	if c.phase == givenUp {
+		return false
+	}
+	c.phase, c.since = p, time.Now()
+	return true
+}
+
+// serve answers one request after the other. A panic ends this connection alone.
+func (c *clientConn) serve() {
+	defer c.side.drop(c)
+	defer c.Close()
+	defer close(c.gone)
+	defer func() {
+		if p := recover(); p != nil {
+			c.side.Counts.Panics.Add(1)
+			c.side.Log.Error("connection panicked", "panic", fmt.Sprint(p))
+			if !c.writing { // the request still gets its answer
+				c.write(http.StatusBadGateway, nil, nil, true)
+			}
+		}
+	}()
+	c.watching = true
+	go c.watch()
+	for {
+		a, ok := c.next()
+		if !ok {
+			return
+		}
+		if !c.enter(reading) || !c.one(a) || !c.enter(idle) {
+			return
+		}
+		c.answered = true
+	}
+}
+
+// watch waits for bytes on behalf of serve.
+func (c *clientConn) watch() {
+	for {
+		_, err := c.r.Peek(1)
+		select {
+		case c.arrived <- arrival{time.Now(), err}:
+		case <-c.gone:
+			return
+		}
+		if err != nil {
+			return
+		}
+		select {
+		case <-c.resume:
+		case <-c.gone:
+			return
+		}
+	}
+}
+
+// next waits for the next request's first byte; none comes to a connection that is closed while idle.
+func (c *clientConn) next() (arrival, bool) {
+	if c.ahead != nil {
+		a := *c.ahead
+		c.ahead = nil
+		return a, true
+	}
+	if c.turnAway {
+		c.SetReadDeadline(time.Now().Add(freshFor))
+	} else {
+		c.SetReadDeadline(time.Now().Add(idlePatience))
+	}
+	c.goOn()
+	var a arrival
+	select {
+	case a = <-c.arrived:
+	case <-c.side.shutting:
+		select { // a byte that came at the same moment counts, and a new connection's first request still does
+		case a = <-c.arrived:
+		case <-time.After(c.grace()):
+			return a, false
+		}
+	}
+	c.watching = false
+	return a, a.err == nil
+}
+
+// grace is how long a connection stays open for a request that may be on its way when the router stops.
+func (c *clientConn) grace() time.Duration {
+	if c.answered {
+		return time.Millisecond
+	}
+	return graceForFirst
+}
+
+// goOn lets the watcher read, if it does not.
+func (c *clientConn) goOn() {
+	if !c.watching {
+		c.watching = true
+		c.resume <- struct{}{}
+	}
+}
+
+// one reads a request and sees to its answer; false ends the connection.
+func (c *clientConn) one(a arrival) bool {
+	patience := readPatience
+	if c.side.closing.Load() {
+		patience = lastPatience
+	}
+	c.SetReadDeadline(time.Now().Add(patience))
+	req, body, err := c.read()
+	if err != nil {
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+			return false
+		}
+		return c.bad(err)
+	}
+	c.SetReadDeadline(time.Time{})
+	if !c.enter(inHand) {
+		return false
+	}
+	last := req.Close
+	if strings.HasPrefix(req.URL.Path, "/health/") || req.URL.Path == "/stats" {
+		return c.own(req, last)
+	}
+	if req.Method != http.MethodGet && req.Method != http.MethodPut {
+		return c.write(http.StatusMethodNotAllowed, http.Header{"Allow": {"GET, PUT"}}, nil, last)
+	}
+	request, err := parseRequest(req, body, a.at)
+	if err != nil {
+		return c.bad(err)
+	}
+	c.side.Counts.Requests.Add(1)
+	if c.turnAway {
+		c.side.Counts.Refused.Add(1)
+		return c.write(http.StatusServiceUnavailable, retryAfter(100*time.Millisecond), nil, true)
+	}
+	return c.exchange(exchange.New(request), last)
+}
+
+// exchange waits for the answer and for the client's close, whichever comes first.
+func (c *clientConn) exchange(x *exchange.Exchange, last bool) bool {
+	submitted := false
+	defer func() {
+		if p := recover(); p != nil {
+			if submitted {
+				c.side.Taker.Depart(x)
+			}
+			panic(p)
+		}
+	}()
+	c.side.Taker.Submit(x)
+	submitted = true
+	overdue := time.NewTimer(time.Until(x.Due) + overdueSlack)
+	defer overdue.Stop()
+	c.goOn()
+	arrived := c.arrived
+	for {
+		select {
+		case answer := <-x.Answer():
+			return c.answer(answer, last)
+		case a := <-arrived:
+			if a.err != nil {
+				c.side.Taker.Depart(x)
+				return false
+			}
+			c.ahead, c.watching, arrived = &a, false, nil
+		case <-overdue.C: // the loop hangs
+			c.side.Counts.Overdue.Add(1)
+			c.side.Taker.Depart(x)
+			c.write(http.StatusGatewayTimeout, nil, nil, true)
+			return false
+		}
+	}
+}
