Discovery is watched with calls of 50 s, so that fewer waits end while it is silent

Read in the protocol: a call's news counts as told at the latest two seconds after its wait is over, so a wait that ends while discovery is silent may make a drain count as told that was never heard. Longer waits end less often (discovery.go, watchFor).

--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -33,7 +33,7 @@
 const Unknown = -1
 
 const (
-	watchFor      = 20 * time.Second
+	watchFor      = 50 * time.Second      // of the minute that is allowed: each end of a wait is a moment to miss news
 	firstWatchFor = 50 * time.Millisecond // what is newer comes at once: the first call tells whether any is
 	watchSlack    = 2 * time.Second       // for an answer past its wait
 	dialPatience  = time.Second
--- a/internal/wire/discovery_test.go
+++ b/internal/wire/discovery_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -76,6 +77,10 @@
 			t.Errorf("asked %s", target)
 		}
 	}
+	last := d.Targets()[len(d.Targets())-1]
+	if wait, err := strconv.Atoi(last[strings.LastIndexByte(last, '=')+1:]); err != nil || wait < 10_000 || wait > 60_000 {
+		t.Errorf("the watch asks %s", last)
+	}
 	if n := len(d.Targets()); n > 2 {
 		t.Errorf("%d calls in 0.2 s without news", n)
 	}
