The log is written beside the router: a reader that stands still holds nobody up

Read in review: slog writes under one lock, and discovery logs before it hands a list on (discovery.go, take); a log that nobody reads would have stopped the watch, and drains with it. Lines now go through a bounded queue; what does not fit is dropped and counted.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,12 +31,14 @@
 // Main runs a router by the environment's word and returns the status to exit with: 2 for a faulty configuration, 1 for
 // a router that could not start.
 func Main(getenv func(string) string, stderr io.Writer) int {
+	lines := newLogWriter(stderr)
+	defer lines.Close()
 	c, err := LoadConfig(getenv)
 	if err != nil {
-		slog.New(slog.NewTextHandler(stderr, nil)).Error("not started", "err", err)
+		slog.New(slog.NewTextHandler(lines, nil)).Error("not started", "err", err)
 		return 2
 	}
-	log := c.Logger(stderr)
+	log := c.Logger(lines)
 	if err := Run(context.Background(), c, log); err != nil {
 		log.Error("not started", "err", err)
 		return 1
