A connection whose request lies unread is not given up for want of descriptors

Seen: 520 clients with large bodies on a busy core, up to 31 of 3,000 requests without an answer. Connections that were fresh for 1 s or reading for 0.25 s could be closed over bytes that the router itself had not come to read (client.go, giveUpIdle).

--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,7 @@
 	lastPatience  = 500 * time.Millisecond // for the rest of a message once the router stops
 	lingerFor     = 200 * time.Millisecond
 	badLogged     = 100 // of so many bad requests one is logged
+	maxPeeks      = 16  // connections that are looked at to give one up
 	lingerMost    = 1 << 20
 	turnAwayPart  = 8 // connections over Most, as a part of it, that are kept open to be turned away
 )
@@ -106,22 +108,25 @@
 }
 
 // giveUpIdle closes the connection that has been without a whole request for longest, be it idle or slow to say
-// one; false if there is none.
+// one; false if there is none. Where bytes have come that were not read yet it is the router that is slow.
 func (s *Clients) giveUpIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var victim *clientConn
+	var may []*clientConn
 	for c := range s.open {
-		if c.mayGo() && (victim == nil || c.since.Before(victim.since)) {
-			victim = c
+		if c.mayGo() {
+			may = append(may, c)
 		}
 	}
-	if victim == nil {
-		return false
+	slices.SortFunc(may, func(a, b *clientConn) int { return a.since.Compare(b.since) })
+	for _, c := range may[:min(len(may), maxPeeks)] {
+		if peek(c.Conn) != unread {
+			c.phase = givenUp
+			c.Close()
+			return true
+		}
 	}
-	victim.phase = givenUp
-	victim.Close()
-	return true
+	return false
 }
 
 // Finish makes every answer from now on the last of its connection.
--- a/internal/wire/client_test.go
+++ b/internal/wire/client_test.go
@@ -288,6 +288,39 @@
 	}
 }
 
+// A connection whose bytes lie unread is not slow, the router is: it is not given up.
+func TestUnreadRequestIsNotGivenUp(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	s := NewClients(nil, &exchange.Counters{}, slog.New(slog.DiscardHandler), 1)
+	c := &clientConn{Conn: near, side: s, phase: reading, since: time.Now().Add(-time.Minute)} // and nobody reads
+	s.open[c] = struct{}{}
+	io.WriteString(far, getOne)
+	standin.Eventually(t, "the request is there", func() bool { return peek(near) == unread })
+	if s.giveUpIdle() {
+		t.Fatal("given up though the router is the slow one")
+	}
+	if _, err := io.ReadFull(near, make([]byte, len(getOne))); err != nil {
+		t.Fatal(err)
+	}
+	if !s.giveUpIdle() {
+		t.Error("kept though the client is silent")
+	}
+}
+
 // A request that never ends does not keep a stopping router.
 func TestHalfRequestAtTheEnd(t *testing.T) {
 	s := newSide(t, 10, nil)
--- a/internal/wire/serverconn.go
+++ b/internal/wire/serverconn.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 
 	"cedarmast/balance"
 	"cedarmast/internal/exchange"
@@ -82,21 +81,8 @@
 // that is the difference between an attempt that never ran and one that may have. Bytes that nobody asked for count
 // alike, lest they be taken for the next request's answer.
 func (c *serverConn) stale() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	stale := false
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		stale = err != syscall.EAGAIN && err != syscall.EINTR
-	})
-	return stale || err != nil
+	state := peek(c.Conn)
+	return state == unread || state == closed
 }
 
 // idle makes the connection ready for its next request; false if it has ended.
