An attempt that waits for room takes the connection that comes back from its own server

Read in review: a waiting attempt closed the idle connection that had just come back from its own server and dialled anew (pool.go, Reserve). Test: TestPoolGivesAWaitingOneWhatComesBack.

--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -154,31 +154,38 @@
 	}
 }
 
-// Reserve makes room for one more open connection, giving up the one that has been idle for longest if need be. While
-// all are busy it waits for one to end, as long as the patience and the context last.
-func (p *Pool) Reserve(ctx context.Context, patience time.Duration) error {
-	if p.reserve() {
-		return nil
+// Get returns the server's newest idle connection, busy now, or nil and room for a new one, giving up the connection
+// that has been idle for longest if need be. While all are busy it waits for one, as long as the patience and the
+// context last.
+func (p *Pool) Get(ctx context.Context, server balance.ServerID, address string, patience time.Duration) (Conn, error) {
+	get := func() (c Conn, ok bool) {
+		if c = p.Take(server, address, time.Now()); c != nil {
+			return c, true
+		}
+		return nil, p.reserve()
+	}
+	if c, ok := get(); ok {
+		return c, nil
 	}
 	late := time.NewTimer(patience)
 	defer late.Stop()
 	room := make(chan struct{}, 1)
+	defer p.stopWaiting(room)
 	for {
 		p.mu.Lock()
-		p.waiting = append(p.waiting, room)
+		if !slices.Contains(p.waiting, room) {
+			p.waiting = append(p.waiting, room)
+		}
 		p.mu.Unlock()
-		if p.reserve() { // it may have come in between
-			p.stopWaiting(room)
-			return nil
+		if c, ok := get(); ok { // it may have come in between
+			return c, nil
 		}
 		select {
 		case <-room:
 		case <-late.C:
-			p.stopWaiting(room)
-			return ErrNoRoom
+			return nil, ErrNoRoom
 		case <-ctx.Done():
-			p.stopWaiting(room)
-			return context.Cause(ctx)
+			return nil, context.Cause(ctx)
 		}
 	}
 }
@@ -227,18 +234,21 @@
 	}
 }
 
-// stopWaiting takes a waiting one out; if it has been woken already the next one is woken instead.
+// stopWaiting takes a waiting one out; a wake that it has not used goes to the next one.
 func (p *Pool) stopWaiting(room chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if i := slices.Index(p.waiting, room); i >= 0 {
 		p.waiting = slices.Delete(p.waiting, i, i+1)
-		return
 	}
-	p.wake()
+	select {
+	case <-room:
+		p.wake()
+	default:
+	}
 }
 
-// Release gives back what Reserve took, once the connection is closed.
+// Release gives back the room that Get found, once the connection is closed.
 func (p *Pool) Release() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/exchange/pool_test.go
+++ b/internal/exchange/pool_test.go
@@ -27,7 +27,7 @@
 
 func openConn(t *testing.T, p *Pool) *testConn {
 	t.Helper()
-	if err := p.Reserve(t.Context(), time.Second); err != nil {
+	if _, err := p.Get(t.Context(), "new", "x", time.Second); err != nil {
 		t.Fatal(err)
 	}
 	return &testConn{pool: p}
@@ -67,7 +67,7 @@
 	counts := &Counters{}
 	p := NewPool(2, time.Second, counts)
 	a, b := openConn(t, p), openConn(t, p)
-	if err := p.Reserve(t.Context(), time.Millisecond); !errors.Is(err, ErrNoRoom) {
+	if _, err := p.Get(t.Context(), "new", "x", time.Millisecond); !errors.Is(err, ErrNoRoom) {
 		t.Fatalf("a third of two: %v", err)
 	}
 	p.Put("s", "x", a, t0)
@@ -88,7 +88,7 @@
 	got := make(chan int, 2)
 	for i := range 2 {
 		go func() {
-			if err := p.Reserve(t.Context(), 5*time.Second); err != nil {
+			if _, err := p.Get(t.Context(), "new", "x", 5*time.Second); err != nil {
 				t.Error(err)
 			}
 			got <- i
@@ -99,12 +99,12 @@
 			p.mu.Unlock()
 		}
 	}
-	if err := p.Reserve(t.Context(), time.Millisecond); !errors.Is(err, ErrNoRoom) {
+	if _, err := p.Get(t.Context(), "new", "x", time.Millisecond); !errors.Is(err, ErrNoRoom) {
 		t.Errorf("without patience: %v", err)
 	}
 	ctx, cancel := context.WithCancelCause(t.Context())
 	cancel(ErrWithdrawn)
-	if err := p.Reserve(ctx, time.Second); !errors.Is(err, ErrWithdrawn) {
+	if _, err := p.Get(ctx, "new", "x", time.Second); !errors.Is(err, ErrWithdrawn) {
 		t.Errorf("withdrawn: %v", err)
 	}
 	busy.Close()
@@ -118,6 +118,29 @@
 	}
 }
 
+// One that waits gets the connection that comes back from its own server, and none is closed for it.
+func TestPoolGivesAWaitingOneWhatComesBack(t *testing.T) {
+	p := NewPool(1, time.Minute, &Counters{})
+	c := openConn(t, p)
+	got := make(chan Conn)
+	go func() {
+		c, err := p.Get(t.Context(), "s", "x", 5*time.Second)
+		if err != nil {
+			t.Error(err)
+		}
+		got <- c
+	}()
+	for waiting := 0; waiting == 0; time.Sleep(time.Millisecond) {
+		p.mu.Lock()
+		waiting = len(p.waiting)
+		p.mu.Unlock()
+	}
+	p.Put("s", "x", c, time.Now())
+	if back := <-got; back != c || c.closed != 0 {
+		t.Errorf("got %v, closed %d times", back, c.closed)
+	}
+}
+
 func TestPoolSweepsAndLeaves(t *testing.T) {
 	counts := &Counters{}
 	p := NewPool(10, time.Second, counts)
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -133,20 +133,21 @@
 // connect returns an idle connection or dials.
 func (s *Servers) connect(a *exchange.Attempt) (*serverConn, error) {
 	for {
-		idle, _ := s.Pool.Take(a.Server, a.Address, time.Now()).(*serverConn)
+		got, err := s.Pool.Get(a.Context, a.Server, a.Address, s.ConnectTimeout)
+		if err != nil {
+			if a.Context.Err() != nil {
+				return nil, s.ended(a)
+			}
+			return nil, err
+		}
+		idle, _ := got.(*serverConn)
 		if idle == nil {
 			break
 		}
-		if idle.usable() && !idle.stale() { // nothing is written yet: another one may be taken
+		if idle.usable() && !idle.stale() {
 			return idle, nil
 		}
-		idle.Close()
-	}
-	if err := s.Pool.Reserve(a.Context, s.ConnectTimeout); err != nil {
-		if a.Context.Err() != nil {
-			return nil, s.ended(a)
-		}
-		return nil, err
+		idle.Close() // nothing is written yet: another one may be taken
 	}
 	s.Counts.Dials.Add(1)
 	dial := s.Dial
--- a/internal/wire/server_test.go
+++ b/internal/wire/server_test.go
@@ -351,7 +351,7 @@
 // An answer with something behind it is the last of its connection, before the reader looks at the rest.
 func TestAnswerWithMoreBehindIt(t *testing.T) {
 	pool := exchange.NewPool(1, time.Second, &exchange.Counters{})
-	if err := pool.Reserve(t.Context(), time.Second); err != nil {
+	if _, err := pool.Get(t.Context(), "s", "x", time.Second); err != nil {
 		t.Fatal(err)
 	}
 	near, far := net.Pipe()
