SIGHUP reads the configuration again and follows a new discovery address

Checked: the status is the signal's (128+1); daemon.Run caught TERM, INT and USR1 only, so the default ended the process. Ruled out: a panic (no line in the log) and memory (6 of 64 MB). Change: signals are caught before the configuration is read and as long as the process lives. The file is read and checked whole; discovery, limits and log change, other keys are named as waiting for a restart. The old watch has told its last before the new one asks for the whole list.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/netip"
 	"os"
@@ -68,11 +67,6 @@
 	return c, nil
 }
 
-// Logger writes the log that the configuration asks for.
-func (c *Config) Logger(w io.Writer) *slog.Logger {
-	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: c.level}))
-}
-
 func parseConfig(text []byte, getenv func(string) string) (*Config, error) {
 	var c Config
 	if err := json.Unmarshal(text, &c); err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,36 +34,58 @@
 func Main(getenv func(string) string, stderr io.Writer) int {
 	lines := newLogWriter(stderr)
 	defer lines.Close()
+	s := catchSignals() // before anything else: SIGHUP would end a process that does not catch it
 	c, err := LoadConfig(getenv)
 	if err != nil {
 		slog.New(slog.NewTextHandler(lines, nil)).Error("not started", "err", err)
 		return 2
 	}
-	log := c.Logger(lines)
-	if err := Run(context.Background(), c, log); err != nil {
+	level := &slog.LevelVar{}
+	level.Set(c.level)
+	log := slog.New(slog.NewTextHandler(lines, &slog.HandlerOptions{Level: level}))
+	load := func() (*Config, error) { return LoadConfig(getenv) }
+	if err := Run(context.Background(), c, log, host{s, load, level}); err != nil {
 		log.Error("not started", "err", err)
 		return 1
 	}
 	return 0
 }
 
-// Run runs a router until the context ends, or SIGTERM or SIGINT comes, and all that it has taken is answered.
-func Run(ctx context.Context, c *Config, log *slog.Logger) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	defer signal.Stop(signals)
+// host is what a router has of its process. The zero value is that of one that hears no signals.
+type host struct {
+	signals
+	load  func() (*Config, error) // reads the configuration again
+	level *slog.LevelVar          // of the log
+}
+
+// signals are those that a router is told things by, each kind in a row of its own: none crowds out another.
+type signals struct{ end, reload, count chan os.Signal }
+
+// catchSignals catches them for as long as the process lives, past the router's end as well.
+func catchSignals() signals {
+	s := signals{end: make(chan os.Signal, 1), reload: make(chan os.Signal, 1), count: make(chan os.Signal, 1)}
+	signal.Notify(s.reload, syscall.SIGHUP) // one that waits stands for all: the file is read as it is then
+	signal.Notify(s.end, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.count, syscall.SIGUSR1)
 	signal.Ignore(syscall.SIGPIPE) // whoever reads the log may go away
+	return s
+}
+
+// Run runs a router until the context ends, or SIGTERM or SIGINT comes, and all that it has taken is answered.
+func Run(ctx context.Context, c *Config, log *slog.Logger, p host) error {
 	r, err := start(c, log)
 	if err != nil {
 		return err
 	}
 	for {
 		select {
-		case s := <-signals:
-			if s == syscall.SIGUSR1 {
-				log.Info("counters", r.counts.LogAttrs()...)
-				continue
-			}
+		case <-p.count:
+			log.Info("counters", r.counts.LogAttrs()...)
+			continue
+		case <-p.reload:
+			r.reload(p)
+			continue
+		case s := <-p.end:
 			log.Info("stopping", "signal", s.String())
 		case <-ctx.Done():
 			log.Info("stopping")
@@ -83,7 +106,11 @@
 	clients  *wire.Clients
 	peers    *wire.Peers // nil without messages
 	listener net.Listener
+	clock    exchange.Clock
+	watch    atomic.Pointer[watch]
 
+	told     sync.Once
+	listed   chan struct{} // closed when discovery has told a list
 	accepted chan struct{} // closed when no connection is accepted any more
 
 	halt context.CancelFunc // of the goroutines below
@@ -95,20 +122,22 @@
 	c.Limits.apply()
 	parts := share(c.Limits.Sockets)
 	clock := exchange.NewClock()
-	r := &router{config: c, log: log, counts: &exchange.Counters{}, accepted: make(chan struct{})}
+	r := &router{config: c, log: log, counts: &exchange.Counters{}, accepted: make(chan struct{}),
+		listed: make(chan struct{}), clock: clock}
 	r.pool = exchange.NewPool(parts.servers, reuseFor(time.Duration(c.Settings.Limits.ConnIdle)), r.counts)
 
-	discovery := wire.NewDiscovery(c.Discovery)
-	discovery.Index, discovery.Clock, discovery.Counts, discovery.Log = c.Known.Index, clock, r.counts, log
-
 	loop := exchange.NewLoop()
 	r.loop = loop
 	loop.Clock, loop.Counts, loop.Log, loop.Pool = clock, r.counts, log, r.pool
-	loop.Settings, loop.Seed, loop.Subscribe = c.Settings.Settings(), c.seed, discovery.Subscribe
+	loop.Settings, loop.Seed = c.Settings.Settings(), c.seed
+	loop.Subscribe = func() {
+		if w := r.watch.Load(); w != nil {
+			w.Subscribe()
+		}
+	}
 	loop.Sender = &wire.Servers{Pool: r.pool, Counts: r.counts,
 		ConnectTimeout: time.Duration(c.Settings.Limits.ConnectTimeout)}
 	loop.Teller = silent{}
-	discovery.Listed = loop.Listed
 
 	var err error
 	if c.PeerListen != "" && c.Settings.Limits.PeerMessages {
@@ -130,8 +159,7 @@
 	r.halt = halt
 	r.background(func() { loop.Run(ctx) })
 	loop.Listed(c.Known.List(balance.Persisted, clock))
-	first := make(chan struct{})
-	r.background(func() { discovery.Run(ctx, first) })
+	r.watchFrom(c.Discovery, c.Known.Index)
 	if r.peers != nil {
 		r.background(r.peers.Run)
 	}
@@ -140,25 +168,25 @@
 		defer close(r.accepted)
 		r.clients.Serve(r.listener)
 	})
-	r.background(func() { r.beReady(ctx, first, parts) })
+	r.background(func() { r.beReady(ctx, c, parts) })
 	return r, nil
 }
 
 // beReady says that clients may come: once there is a list that discovery has told of late, or, while it is silent, the
 // one that was known. Without any list there is nothing to serve from.
-func (r *router) beReady(ctx context.Context, first <-chan struct{}, parts shares) {
+func (r *router) beReady(ctx context.Context, c *Config, parts shares) {
 	var enough <-chan time.Time
-	if r.config.Known.Index != wire.Unknown {
+	if c.Known.Index != wire.Unknown {
 		enough = time.After(listFor)
 	}
 	select {
-	case <-first:
+	case <-r.listed:
 	case <-enough:
 	case <-ctx.Done():
 		return
 	}
 	r.clients.Ready.Store(true)
-	r.log.Info("ready", "name", r.config.Name, "listen", r.config.Listen, "known_index", r.config.Known.Index,
+	r.log.Info("ready", "name", c.Name, "listen", c.Listen, "known_index", c.Known.Index,
 		"clients_most", parts.clients, "server_connections_most", parts.servers)
 }
 
@@ -218,6 +246,7 @@
 	r.clients.CloseIdle()
 	r.clients.Wait()
 	r.halt()
+	r.watch.Load().end()
 	if r.peers != nil {
 		r.peers.Close()
 	}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -299,7 +299,7 @@
 		}
 		ctx, stop := context.WithCancel(context.Background())
 		done := make(chan error)
-		go func() { done <- Run(ctx, c, slog.New(slog.DiscardHandler)) }()
+		go func() { done <- Run(ctx, c, slog.New(slog.DiscardHandler), host{}) }()
 		standin.Eventually(t, "served", func() bool {
 			status, body, _ := ask(c.Listen, "/read/k")
 			return status == 200 && body == "v"
--- /dev/null
+++ b/internal/daemon/reload.go
@@ -0,0 +1,74 @@
+package daemon
+
+import (
+	"context"
+	"reflect"
+
+	"cedarmast/internal/wire"
+)
+
+// watch is discovery as it is watched now.
+type watch struct {
+	*wire.Discovery
+	halt context.CancelFunc
+	done chan struct{} // closed when nothing more is told
+}
+
+// watchFrom begins to watch discovery at an address, from a known version on.
+func (r *router) watchFrom(address string, index int64) {
+	d := wire.NewDiscovery(address)
+	d.Index, d.Clock, d.Counts, d.Log, d.Listed = index, r.clock, r.counts, r.log, r.loop.Listed
+	d.Told = func() { r.told.Do(func() { close(r.listed) }) }
+	ctx, halt := context.WithCancel(context.Background())
+	w := &watch{d, halt, make(chan struct{})}
+	r.watch.Store(w)
+	go func() {
+		defer close(w.done)
+		d.Run(ctx)
+	}()
+}
+
+// end ends a watch and waits until it has told its last.
+func (w *watch) end() {
+	w.halt()
+	<-w.done
+}
+
+// reload reads the configuration again and applies what can change while the router serves. A faulty one changes
+// nothing.
+func (r *router) reload(p host) {
+	c, err := p.load()
+	if err != nil {
+		r.log.Error("configuration not taken; the old one stays", "err", err)
+		return
+	}
+	old := r.config
+	for _, key := range []struct {
+		name     string
+		was, now any
+	}{{"name", old.Name, c.Name}, {"listen", old.Listen, c.Listen}, {"peer_listen", old.PeerListen, c.PeerListen},
+		{"peers", old.Peers, c.Peers}, {"settings", old.Settings, c.Settings}} {
+		if !reflect.DeepEqual(key.was, key.now) {
+			r.log.Warn("a changed key waits for a restart", "key", key.name)
+		}
+	}
+	if c.Limits != old.Limits {
+		c.Limits.apply()
+		parts := share(c.Limits.Sockets)
+		r.pool.SetMost(parts.servers)
+		r.clients.SetMost(parts.clients)
+	}
+	p.level.Set(c.level)
+	if c.Discovery != old.Discovery {
+		// The old one is let go whole before the new one tells anything, so that no late word of it can undo a newer
+		// one; meanwhile the list stays in use. The new one's version numbers need not go on from the old one's:
+		// it is asked for the whole list.
+		r.watch.Load().end()
+		r.watchFrom(c.Discovery, wire.Unknown)
+	}
+	r.log.Info("configuration taken", "discovery", c.Discovery, "log", c.Log, "memory_mb", c.Limits.MemoryMB,
+		"sockets", c.Limits.Sockets)
+	next := *old // what waits for a restart stays as it is, and is named again at the next SIGHUP
+	next.Discovery, next.Limits, next.Log, next.level = c.Discovery, c.Limits, c.Log, c.level
+	r.config = &next
+}
--- /dev/null
+++ b/internal/daemon/reload_test.go
@@ -0,0 +1,146 @@
+package daemon
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"cedarmast/internal/standin"
+)
+
+// rewrite replaces a process's configuration and tells it so.
+func (p *process) rewrite(t *testing.T, text []byte) {
+	t.Helper()
+	for _, line := range p.Env {
+		if path, ok := strings.CutPrefix(line, "GW_CONFIG="); ok {
+			if err := os.WriteFile(path, text, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if err := p.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func marshal(t *testing.T, config map[string]any) []byte {
+	t.Helper()
+	text, err := json.Marshal(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func serverNamed(t *testing.T, name string) *standin.Server {
+	return standin.NewServer(t, func(r *standin.Request) bool { return r.Answer(200, name) })
+}
+
+// SIGHUP with a new discovery address: its whole list holds soon, though its versions are lower than the old one's,
+// then its changes; nothing is left of the old one. Uncaught, SIGHUP would end the process.
+func TestNewDiscoveryOnSIGHUP(t *testing.T) {
+	a, b, c := serverNamed(t, "a"), serverNamed(t, "b"), serverNamed(t, "c")
+	first := standin.NewDiscovery(t, 40)
+	second := standin.NewDiscovery(t, 3, standin.Endpoint{Name: "b", Address: b.Address, Status: "SERVING", Weight: 1})
+	config := testConfig(t, a.Address, first.Address, 256)
+	p := startProcess(t, config)
+	if _, body, _ := ask(p.address, "/read/k"); body != "a" {
+		t.Fatalf("served by %q", body)
+	}
+	config["discovery"] = second.Address
+	p.rewrite(t, marshal(t, config))
+	begun := time.Now()
+	standin.Eventually(t, "the new list holds", func() bool { _, body, _ := ask(p.address, "/read/k"); return body == "b" })
+	if took := time.Since(begun); took > time.Second {
+		t.Errorf("the new list took %v", took)
+	}
+	first.Break(500) // it answers the watch, if anybody still waits for it
+	standin.Eventually(t, "the old discovery and its server are let go", func() bool { return first.Open() == 0 && a.Open() == 0 })
+	if targets := second.Targets(); targets[0] != "/registry/instances" {
+		t.Errorf("asked for %q first", targets[0])
+	}
+	second.Change(standin.Endpoint{Name: "b", Address: b.Address, Status: "DRAINING", Weight: 1})
+	second.Change(standin.Endpoint{Name: "c", Address: c.Address, Status: "SERVING", Weight: 1})
+	standin.Eventually(t, "its changes hold", func() bool { _, body, _ := ask(p.address, "/read/k"); return body == "c" })
+	p.Process.Signal(syscall.SIGTERM)
+	p.end(t)
+}
+
+// A new discovery that does not answer leaves the list in use, and is asked until it does; SIGHUP again and SIGTERM
+// in the middle work.
+func TestSilentNewDiscoveryOnSIGHUP(t *testing.T) {
+	a, b := serverNamed(t, "a"), serverNamed(t, "b")
+	config := testConfig(t, a.Address, standin.NewDiscovery(t, 1).Address, 256)
+	p := startProcess(t, config)
+	silent := standin.NewDiscovery(t, 1)
+	silent.Break(-1)
+	config["discovery"] = silent.Address
+	p.rewrite(t, marshal(t, config))
+	standin.Eventually(t, "the new one is asked", func() bool { return len(silent.Targets()) > 0 })
+	if _, body, _ := ask(p.address, "/read/k"); body != "a" {
+		t.Errorf("served by %q meanwhile", body)
+	}
+	late := standin.NewDiscovery(t, 9, standin.Endpoint{Name: "b", Address: b.Address, Status: "SERVING", Weight: 1})
+	late.Break(500)
+	config["discovery"] = late.Address
+	p.rewrite(t, marshal(t, config))
+	standin.Eventually(t, "the next one is asked more than once", func() bool { return len(late.Targets()) > 2 })
+	silent.Break(500)
+	standin.Eventually(t, "the silent one is let go", func() bool { return silent.Open() == 0 })
+	silent.Break(-1)
+	late.Break(0)
+	standin.Eventually(t, "its list holds", func() bool { _, body, _ := ask(p.address, "/read/k"); return body == "b" })
+	config["discovery"] = silent.Address
+	p.rewrite(t, marshal(t, config))
+	p.Process.Signal(syscall.SIGTERM)
+	p.end(t)
+}
+
+// A configuration that can't be taken changes nothing, and the log names the faulty key; so it does for keys that
+// wait for a restart.
+func TestFaultyConfigurationOnSIGHUP(t *testing.T) {
+	a := serverNamed(t, "a")
+	discovery := standin.NewDiscovery(t, 1)
+	config := testConfig(t, a.Address, discovery.Address, 256)
+	good := marshal(t, config)
+	p := startProcess(t, config)
+	for _, text := range []string{"", "{", strings.Replace(string(good), discovery.Address, "nowhere", 1),
+		strings.Replace(string(good), `"memory_mb":192`, `"memory_mb":1`, 1)} {
+		p.rewrite(t, []byte(text))
+		time.Sleep(50 * time.Millisecond)
+		if status, body, err := ask(p.address, "/read/k"); status != 200 || body != "a" || err != nil {
+			t.Errorf("after %q: %d %q %v", text, status, body, err)
+		}
+	}
+	p.rewrite(t, []byte(strings.Replace(strings.Replace(string(good), `"name":"n0"`, `"name":"n1"`, 1), `"sockets":256`,
+		`"sockets":128`, 1)))
+	time.Sleep(50 * time.Millisecond)
+	p.Process.Signal(syscall.SIGTERM)
+	log := p.end(t)
+	for _, want := range []string{"not a JSON object", `discovery: \"nowhere\"`, "limits.memory_mb: 1 is under",
+		"waits for a restart\" key=name", "msg=\"configuration taken\"", "sockets=128"} {
+		if !strings.Contains(log, want) {
+			t.Errorf("no %s in the log:\n%s", want, log)
+		}
+	}
+}
+
+// SIGHUP before the router is ready, as soon as its process has begun to run, does not end it.
+func TestSIGHUPBeforeReady(t *testing.T) {
+	a := serverNamed(t, "a")
+	discovery := standin.NewDiscovery(t, 0, standin.Endpoint{Name: "a", Address: a.Address, Status: "SERVING", Weight: 1})
+	discovery.Break(500)
+	config := testConfig(t, "", discovery.Address, 256)
+	delete(config, "known")
+	p := startProcessWith(t, config, nil)
+	standin.Eventually(t, "it is live", func() bool { status, _, _ := ask(p.address, "/health/live"); return status == 200 })
+	second := standin.NewDiscovery(t, 1, standin.Endpoint{Name: "a", Address: a.Address, Status: "SERVING", Weight: 1})
+	config["discovery"] = second.Address
+	p.rewrite(t, marshal(t, config))
+	p.ready(t)
+	p.Process.Signal(syscall.SIGTERM)
+	p.end(t)
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -47,6 +47,14 @@
 		idle: map[balance.ServerID][]idleConn{}, heard: map[balance.ServerID]time.Time{}}
 }
 
+// SetMost changes the limit. What is open over a lower one goes as it comes back.
+func (p *Pool) SetMost(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Most = most
+	p.wake()
+}
+
 // Take returns the server's newest idle connection, busy now, or nil.
 func (p *Pool) Take(server balance.ServerID, address string, now time.Time) Conn {
 	for {
@@ -79,7 +87,7 @@
 func (p *Pool) Put(server balance.ServerID, address string, c Conn, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.done {
+	if p.done || p.open > p.Most {
 		go c.Close()
 		return
 	}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -84,16 +84,16 @@
 		resume: make(chan struct{}), gone: make(chan struct{}), since: time.Now()}
 	s.mu.Lock()
 	s.open[conn] = struct{}{}
-	open := len(s.open)
+	open, most := len(s.open), s.Most
 	s.mu.Unlock()
 	s.Counts.ClientsOpen.Store(int64(open))
-	if open > s.Most && !s.giveUpIdle() {
+	if open > most && !s.giveUpIdle() {
 		conn.turnAway = true
 		s.Counts.ClientsTurnedAway.Add(1)
 	}
 	s.wg.Add(1)
 	go conn.serve()
-	for s.Counts.ClientsOpen.Load() > int64(s.Most+max(s.Most/turnAwayPart, 2)) { // those turned away go quickly
+	for s.Counts.ClientsOpen.Load() > int64(most+max(most/turnAwayPart, 2)) { // those turned away go quickly
 		s.giveUpIdle()
 		time.Sleep(time.Millisecond)
 	}
@@ -129,6 +129,13 @@
 	return false
 }
 
+// SetMost changes the limit. Connections over a lower one go as they fall idle and others come.
+func (s *Clients) SetMost(most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Most = most
+}
+
 // Finish makes every answer from now on the last of its connection.
 func (s *Clients) Finish() { s.closing.Store(true) }
 
--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -19,6 +19,7 @@
 type Discovery struct {
 	Address string
 	Index   int64                    // of the list that is known already; Unknown if none is
+	Told    func()                   // called after each list that is told; may be nil
 	Listed  func(list exchange.List) // takes what is told, and a list of kind Failed for each failed call
 	Clock   exchange.Clock
 	Counts  *exchange.Counters
@@ -36,10 +37,12 @@
 	watchFor      = 50 * time.Second      // of the minute that is allowed: each end of a wait is a moment to miss news
 	firstWatchFor = 50 * time.Millisecond // what is newer comes at once: the first call tells whether any is
 	watchSlack    = 2 * time.Second       // for an answer past its wait
+	wholeSlack    = time.Second           // for the whole list, which has nothing to wait for
 	dialPatience  = time.Second
 	leastBackoff  = 50 * time.Millisecond // under the time in which a watch goes on
 	mostBackoff   = 3 * time.Second
-	maxList       = 8 << 20 // bytes
+	eagerBackoff  = 200 * time.Millisecond // the most while no list is known: after a change of address it is urgent
+	maxList       = 8 << 20                // bytes
 )
 
 // NewDiscovery returns a watch that Run begins.
@@ -55,8 +58,8 @@
 	}
 }
 
-// Run watches until the context ends. It closes first once a list has been told.
-func (d *Discovery) Run(ctx context.Context, first chan<- struct{}) {
+// Run watches until the context ends. Nothing is told after that.
+func (d *Discovery) Run(ctx context.Context) {
 	defer d.hangUp()
 	wait, backoff, failing := firstWatchFor, leastBackoff, false
 	for ctx.Err() == nil {
@@ -72,9 +75,8 @@
 			wait, backoff, failing = watchFor, leastBackoff, false
 			d.Counts.ListAnswers.Add(1)
 			news := d.take(list)
-			if first != nil {
-				close(first)
-				first = nil
+			if d.Told != nil {
+				d.Told()
 			}
 			if !news && time.Since(asked) < leastBackoff {
 				pauseFor(ctx, leastBackoff) // it does not wait as asked: no busy loop, and still one watch
@@ -92,7 +94,9 @@
 		default:
 		}
 		pause := backoff/2 + rand.N(backoff/2)
-		backoff = min(2*backoff, mostBackoff)
+		if backoff = min(2*backoff, mostBackoff); d.Index == Unknown {
+			backoff = min(backoff, eagerBackoff)
+		}
 		select {
 		case <-time.After(pause):
 		case <-d.kick:
@@ -148,12 +152,13 @@
 		}
 		d.conn, d.r = c, bufio.NewReaderSize(c, maxHead)
 	}
-	target := "/registry/instances"
+	target, patience := "/registry/instances", wholeSlack
 	if d.Index != Unknown {
+		patience = wait + watchSlack
 		target += fmt.Sprintf("?index=%d&wait=%d", d.Index, wait.Milliseconds())
 	}
 	conn := d.conn
-	conn.SetDeadline(time.Now().Add(wait + watchSlack))
+	conn.SetDeadline(time.Now().Add(patience))
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	head := fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, d.Address)
--- a/internal/wire/discovery_test.go
+++ b/internal/wire/discovery_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,7 +24,8 @@
 	d.Listed = func(l exchange.List) { lists <- l }
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { d.Run(ctx, first); close(done) }()
+	d.Told = sync.OnceFunc(func() { close(first) })
+	go func() { d.Run(ctx); close(done) }()
 	t.Cleanup(func() {
 		stop()
 		select {
