Heads are checked whole before net/http, and a spoilt answer is a failed attempt of its own

Checked: http.ReadRequest drops Content-Length beside Transfer-Encoding and keeps one of two equal lengths (transfer.go), so the host never saw them; request.go checked id and time only. Unknown classes went on. They were booked as Errored, whose share shuts the gate over all caches (health.go, erring); ruled out are sick servers and the lost zone, as the refusals came from the first second on. 3 s of silence were allowed 90 s, half a request 5 s.

--- a/balance/api.go
+++ b/balance/api.go
@@ -184,6 +184,7 @@
 	Cancelled        // withdrawn by the router
 	Moot             // never sent
 	Miss             // the cache lacks the key
+	Spoilt           // an answer came that can't be read
 )
 
 // NeverRan tells whether the result proves that the attempt had no effect.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -173,7 +173,7 @@
 	b.count(r, s, -1)
 	took := b.now.Sub(a.sent)
 	b.judge(s, took, o.Result)
-	if took < r.class.Aim/2 && o.Result != Cancelled && o.Result != Moot {
+	if took < r.class.Aim/2 && o.Result != Cancelled && o.Result != Moot && o.Result != Spoilt {
 		b.moveGate(s, o.Result == OK || o.Result == Miss)
 	}
 	if o.Result == NoConnect || o.Result == Reset { // quick to fail, yet no place to go
@@ -201,8 +201,7 @@
 	return min(r.arrived.Add(r.class.Aim), r.Due).Add(-b.latency)
 }
 
-// giveUp gives the final answer, a refusal only where a retry is harmless. A request that has something in
-// flight is ended by its attempt.
+// giveUp gives the final answer, a refusal only where a retry is harmless, unless an attempt is out.
 func (b *Balancer) giveUp(r *request) {
 	if r.out > 0 || r.done {
 		return
--- a/balance/health.go
+++ b/balance/health.go
@@ -39,6 +39,9 @@
 		s.heard = b.now
 	case Cancelled, Moot:
 		return
+	case Spoilt: // any server may spoil an answer: it is no sign of load, and only some in a row count
+		b.failed(s)
+		return
 	default:
 		b.failed(s)
 	}
@@ -159,9 +162,8 @@
 	return min(max(b.set.ColdFrom+(1-b.set.ColdFrom)*risen, b.set.ColdFrom), 1)
 }
 
-// budgeted keeps a cold server to its warm share of the mean cache's answers to this router, so that all
-// routers together stay under what it can do. With nothing to go by they send one an aim, all together. Where
-// one saved token at each router would be too much at once, the share is drawn for each request as well.
+// budgeted keeps a cold server to its warm share of the mean cache's answers to this router; with nothing to
+// go by all routers send one an aim. Where a token saved at each is too much, the share is drawn as well.
 func (b *Balancer) budgeted(s *server) bool {
 	warm := b.warmth(s)
 	if warm >= 1 {
--- a/balance/load_test.go
+++ b/balance/load_test.go
@@ -298,3 +298,45 @@
 		t.Errorf("the gate does not open with good answers: %.2f after %.2f", g.b.gate.open, low)
 	}
 }
+
+// Any server may spoil an answer now and then: that ejects none, shuts no gate, cuts no limit and is tried elsewhere as
+// far as the effect allows. A server that spoils one after the other is ejected.
+func TestSpoiltAnswersWeighLittle(t *testing.T) {
+	g := newRig(t, testSettings())
+	g.caches(4)
+	for i := range 400 {
+		id := fmt.Sprint("r", i)
+		g.ask(id, "read")
+		if i%8 == 0 {
+			g.answer(id, Spoilt)
+			g.want(id, 2, false, false)
+		}
+		g.answer(id, OK)
+		g.run(5 * time.Millisecond)
+	}
+	for _, s := range g.b.caches {
+		if s.ejected != 0 || s.cut != 0 {
+			t.Errorf("held against %s: %+v", s.Server, s)
+		}
+	}
+	if g.b.gate.open < 1 || g.b.erring > 0 {
+		t.Errorf("held against all: gate %v, erring %v", g.b.gate.open, g.b.erring)
+	}
+	for id, tries := range map[string]int{"read": 2, "add": 2, "once": 1} {
+		g.ask(id, id)
+		g.answer(id, Spoilt)
+		g.want(id, tries, false, id == "once")
+		g.run(5 * time.Millisecond)
+	}
+	first := g.tries["read"][0]
+	g.answer("read", OK)
+	for i := range suspectAt {
+		id := fmt.Sprint("bad", i)
+		g.ask(id, "once")
+		g.answer(id, Spoilt)
+		g.run(5 * time.Millisecond)
+	}
+	if s := g.b.servers[first]; s.ejected == 0 {
+		t.Errorf("a server that spoils all is kept in use: %+v", s)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -154,6 +154,7 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	r.clients = wire.NewClients(loop, r.counts, log, parts.clients)
+	r.clients.Knows = c.Settings.HasClass
 
 	ctx, halt := context.WithCancel(context.Background())
 	r.halt = halt
--- a/internal/exchange/counters.go
+++ b/internal/exchange/counters.go
@@ -15,7 +15,7 @@
 	Requests, BadRequests, ClientsGone              atomic.Int64
 	Served, Refused, Failed, Overdue                atomic.Int64
 	Attempts                                        atomic.Int64
-	Results                                         [balance.Miss + 1]atomic.Int64
+	Results                                         [balance.Spoilt + 1]atomic.Int64
 	Dials, ServerConnections, IdleConnections       atomic.Int64
 	ListAnswers, ListFailures                       atomic.Int64
 	PeersTold, PeersHeard, PeersDropped             atomic.Int64
@@ -24,8 +24,8 @@
 	LagMost                                         atomic.Int64 // nanoseconds; its worst ever
 }
 
-var resultNames = [balance.Miss + 1]string{"unknown", "ok", "errored", "full", "timed_out", "no_connect", "reset",
-	"cancelled", "moot", "miss"}
+var resultNames = [balance.Spoilt + 1]string{"unknown", "ok", "errored", "full", "timed_out", "no_connect", "reset",
+	"cancelled", "moot", "miss", "spoilt"}
 
 // Group is some counters of one subject, in order.
 type Group struct {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -14,6 +14,7 @@
 
 // Request is a client's request as the client side hands it over. It is not changed afterwards.
 type Request struct {
+	ID            string // the client's: new with every request
 	Class, Tenant string
 	Key           uint64
 	HasKey        bool
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -92,6 +92,16 @@
 	return s
 }
 
+// HasClass tells whether the settings name a class.
+func (p *Profile) HasClass(name string) bool {
+	for i := range p.Classes {
+		if p.Classes[i].Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // Check names the first key that a router can't work with. What the simulator's wire leaves out is no fault.
 func (p *Profile) Check() error {
 	if len(p.Classes) == 0 {
--- a/internal/wire/answer.go
+++ b/internal/wire/answer.go
@@ -35,18 +35,37 @@
 	if n := c.side.Counts.BadRequests.Add(1); n%badLogged == 1 { // a flood of them is not to fill the log
 		c.side.Log.Warn("bad request", "err", err, "client", c.RemoteAddr(), "so_far", n)
 	}
-	c.write(http.StatusBadRequest, http.Header{"Content-Type": {"text/plain; charset=utf-8"}},
-		[]byte(err.Error()+"\n"), true)
+	if !c.enter(leaving) {
+		return false
+	}
+	header := http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
+	status := statusOf(err)
+	if status == http.StatusMethodNotAllowed {
+		header["Allow"] = []string{"GET, PUT"}
+	}
+	c.write(status, header, []byte(err.Error()+"\n"), true)
 	c.linger()
 	return false
 }
 
-// linger reads on for a moment before a close, for a close over unread bytes would take the answer back.
+// linger ends the router's side and reads on for a moment before the close, for a close over unread bytes would take
+// the answer back. A body that was refused by its length may be long in coming; so many of them are waited for.
 func (c *clientConn) linger() {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
-		c.SetReadDeadline(time.Now().Add(lingerFor))
-		io.Copy(io.Discard, io.LimitReader(c.Conn, lingerMost))
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	patience, most := lingerFor, int64(lingerMost)
+	if c.coming > 0 {
+		select {
+		case c.side.draining <- struct{}{}:
+			defer func() { <-c.side.draining }()
+			patience, most = drainFor, min(c.coming, drainMost)
+		default:
+		}
 	}
+	c.SetReadDeadline(time.Now().Add(patience))
+	io.Copy(io.Discard, io.LimitReader(c.Conn, most))
 }
 
 // own answers what is asked of the router itself.
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"log/slog"
 	"net"
@@ -24,36 +25,45 @@
 	Taker  Taker
 	Counts *exchange.Counters
 	Log    *slog.Logger
-	Most   int // connections open at once; past that idle ones are given up, then new ones turned away
+	Most   int                     // connections open at once; past that idle ones are given up, then new ones turned away
+	Knows  func(class string) bool // nil: every class is known
 	Ready  atomic.Bool
 
 	mu       sync.Mutex
 	open     map[*clientConn]struct{}
+	ids      map[string]bool // of the requests in hand
+	draining chan struct{}   // holds as many as read on after a body that is too long
 	closing  atomic.Bool
 	wg       sync.WaitGroup
 	shutting chan struct{} // closed with the idle connections
 }
 
 const (
-	readPatience  = 5 * time.Second  // for the rest of a message whose first byte has come
-	writePatience = 5 * time.Second  // for a client to take an answer
-	idlePatience  = 90 * time.Second // for a client's next request
-	freshFor      = time.Second      // in which a new connection's first request is awaited
+	readPatience  = 2500 * time.Millisecond // for the rest of a message whose first byte has come
+	writePatience = 5 * time.Second         // for a client to take an answer
+	idlePatience  = 20 * time.Second        // for a client's next request
+	leastIdle     = 2 * time.Second         // a client may count on so much
+	freshPatience = 2 * time.Second         // for a new connection's first byte
+	freshFor      = 100 * time.Millisecond  // the same while descriptors are short: who connects has a request to send
+	turnAwayFor   = time.Second             // for the request of one that is turned away
 	graceForFirst = 200 * time.Millisecond
 	overdueSlack  = 30 * time.Millisecond
 	slowFor       = 250 * time.Millisecond // in which a request's rest is awaited while descriptors are short
 	lastPatience  = 500 * time.Millisecond // for the rest of a message once the router stops
+	badLogged     = 100                    // of so many bad requests one is logged
+	maxPeeks      = 16                     // connections that are looked at to give one up
 	lingerFor     = 200 * time.Millisecond
-	badLogged     = 100 // of so many bad requests one is logged
-	maxPeeks      = 16  // connections that are looked at to give one up
 	lingerMost    = 1 << 20
+	drainFor      = 2 * time.Second // for the rest of a body that was refused by its length
+	drainMost     = 64 << 20
+	maxDrains     = 4 // at once; the others get the short way
 	turnAwayPart  = 8 // connections over Most, as a part of it, that are kept open to be turned away
 )
 
 // NewClients returns a client side that is not ready yet.
 func NewClients(taker Taker, counts *exchange.Counters, log *slog.Logger, most int) *Clients {
 	return &Clients{Taker: taker, Counts: counts, Log: log, Most: most, open: map[*clientConn]struct{}{},
-		shutting: make(chan struct{})}
+		ids: map[string]bool{}, draining: make(chan struct{}, maxDrains), shutting: make(chan struct{})}
 }
 
 // Serve accepts connections until the listener is closed.
@@ -81,7 +91,7 @@
 // turned away as soon as its request has come, for the machine has accepted it already.
 func (s *Clients) admit(c net.Conn) {
 	conn := &clientConn{Conn: c, side: s, r: bufio.NewReaderSize(c, maxHead), arrived: make(chan arrival),
-		resume: make(chan struct{}), gone: make(chan struct{}), since: time.Now()}
+		resume: make(chan struct{}), gone: make(chan struct{}), since: time.Now(), accepted: time.Now()}
 	s.mu.Lock()
 	s.open[conn] = struct{}{}
 	open, most := len(s.open), s.Most
@@ -107,8 +117,26 @@
 	s.wg.Done()
 }
 
-// giveUpIdle closes the connection that has been without a whole request for longest, be it idle or slow to say
-// one; false if there is none. Where bytes have come that were not read yet it is the router that is slow.
+// claim books the id of a request in hand; false if another one has it.
+func (s *Clients) claim(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ids[id] {
+		return false
+	}
+	s.ids[id] = true
+	return true
+}
+
+func (s *Clients) release(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.ids, id)
+}
+
+// giveUpIdle closes one connection that has no whole request in hand; false if there is none. Those that were
+// refused go first, then those that never said a request, then those that are slow to, and the idle last, the oldest
+// of each kind first. Where bytes have come that were not read yet it is the router that is slow.
 func (s *Clients) giveUpIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -118,9 +146,11 @@
 			may = append(may, c)
 		}
 	}
-	slices.SortFunc(may, func(a, b *clientConn) int { return a.since.Compare(b.since) })
+	slices.SortFunc(may, func(a, b *clientConn) int {
+		return cmp.Or(cmp.Compare(order[a.phase], order[b.phase]), a.since.Compare(b.since))
+	})
 	for _, c := range may[:min(len(may), maxPeeks)] {
-		if peek(c.Conn) != unread {
+		if c.phase == leaving || peek(c.Conn) != unread {
 			c.phase = givenUp
 			c.Close()
 			return true
--- a/internal/wire/clientconn.go
+++ b/internal/wire/clientconn.go
@@ -7,7 +7,7 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
+	"os"
 	"time"
 
 	"cedarmast/internal/exchange"
@@ -29,10 +29,11 @@
 	resume  chan struct{} // the watcher may read again
 	gone    chan struct{} // closed when serve returns
 
-	watching bool     // serve's: the watcher has been let go on
-	ahead    *arrival // serve's: a byte of the next request that came before the answer to the last
-	writing  bool     // serve's: an answer has been begun
-	answered bool     // serve's: a request has been
+	watching bool      // serve's: the watcher has been let go on
+	accepted time.Time // serve's: the time that a client has to make itself understood counts from here
+	coming   int64     // serve's: the bytes of a body that was refused by its length
+	writing  bool      // serve's: an answer has been begun
+	answered bool      // serve's: a request has been
 	turnAway bool
 	// Under side.mu:
 	phase phase
@@ -47,13 +48,27 @@
 	reading              // a request has begun to come
 	inHand               // it has come whole and is not answered
 	idle                 // all that came is answered
+	leaving              // refused for good: what still comes is thrown away
 	givenUp              // closed for want of descriptors
 )
 
+// order is in which connections are given up for others.
+var order = map[phase]int{leaving: 0, fresh: 1, reading: 2, idle: 3}
+
 // mayGo tells whether the connection may be given up for another one. The caller holds side.mu.
 func (c *clientConn) mayGo() bool {
 	age := time.Since(c.since)
-	return !c.turnAway && (c.phase == idle || c.phase == fresh && age > freshFor || c.phase == reading && age > slowFor)
+	switch c.phase {
+	case leaving:
+		return true
+	case idle:
+		return age > leastIdle
+	case fresh:
+		return age > freshFor && !c.turnAway
+	case reading:
+		return age > slowFor && !c.turnAway
+	}
+	return false
 }
 
 // enter begins a phase; false if the connection has been given up meanwhile.
@@ -117,14 +132,12 @@
 
 // next waits for the next request's first byte; none comes to a connection that is closed while idle.
 func (c *clientConn) next() (arrival, bool) {
-	if c.ahead != nil {
-		a := *c.ahead
-		c.ahead = nil
-		return a, true
-	}
-	if c.turnAway {
-		c.SetReadDeadline(time.Now().Add(freshFor))
-	} else {
+	switch {
+	case c.turnAway:
+		c.SetReadDeadline(c.accepted.Add(turnAwayFor))
+	case !c.answered:
+		c.SetReadDeadline(c.accepted.Add(freshPatience))
+	default:
 		c.SetReadDeadline(time.Now().Add(idlePatience))
 	}
 	c.goOn()
@@ -160,16 +173,22 @@
 
 // one reads a request and sees to its answer; false ends the connection.
 func (c *clientConn) one(a arrival) bool {
-	patience := readPatience
+	until := time.Now().Add(readPatience)
+	if !c.answered {
+		until = c.accepted.Add(readPatience)
+	}
 	if c.side.closing.Load() {
-		patience = lastPatience
+		until = time.Now().Add(lastPatience)
 	}
-	c.SetReadDeadline(time.Now().Add(patience))
-	req, body, err := c.read()
+	c.SetReadDeadline(until)
+	req, request, err := c.read(a.at)
 	if err != nil {
 		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
 			return false
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = badf(http.StatusRequestTimeout, "the request did not come whole in time")
+		}
 		return c.bad(err)
 	}
 	c.SetReadDeadline(time.Time{})
@@ -177,17 +196,17 @@
 		return false
 	}
 	last := req.Close
-	if strings.HasPrefix(req.URL.Path, "/health/") || req.URL.Path == "/stats" {
+	if isOwn(req) {
 		return c.own(req, last)
 	}
-	if req.Method != http.MethodGet && req.Method != http.MethodPut {
-		return c.write(http.StatusMethodNotAllowed, http.Header{"Allow": {"GET, PUT"}}, nil, last)
-	}
-	request, err := parseRequest(req, body, a.at)
-	if err != nil {
-		return c.bad(err)
+	if !c.side.claim(request.ID) { // the other one keeps it, and is not disturbed
+		return c.bad(badf(http.StatusConflict, "%s: a request with this id is in hand", headerID))
 	}
+	defer c.side.release(request.ID)
 	c.side.Counts.Requests.Add(1)
+	if c.turnAway && c.side.giveUpIdle() { // another one has turned out to be silent, and this one is not
+		c.turnAway = false
+	}
 	if c.turnAway {
 		c.side.Counts.Refused.Add(1)
 		return c.write(http.StatusServiceUnavailable, retryAfter(100*time.Millisecond), nil, true)
@@ -211,17 +230,20 @@
 	overdue := time.NewTimer(time.Until(x.Due) + overdueSlack)
 	defer overdue.Stop()
 	c.goOn()
-	arrived := c.arrived
 	for {
 		select {
 		case answer := <-x.Answer():
 			return c.answer(answer, last)
-		case a := <-arrived:
+		case a := <-c.arrived:
 			if a.err != nil {
 				c.side.Taker.Depart(x)
 				return false
 			}
-			c.ahead, c.watching, arrived = &a, false, nil
+			// More came before the answer: either the length was wrong, and what went on is not what the client
+			// meant, or it sends several at once. Neither is a usual client, and none of them is served.
+			c.watching = false
+			c.side.Taker.Depart(x)
+			return c.bad(errMore)
 		case <-overdue.C: // the loop hangs
 			c.side.Counts.Overdue.Add(1)
 			c.side.Taker.Depart(x)
--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -165,7 +165,7 @@
 	if _, err := writeMessage(d.conn, head, nil); err != nil {
 		return nil, fmt.Errorf("asking for the list: %w", err)
 	}
-	if err := awaitHead(d.r); err != nil {
+	if _, err := awaitHead(d.r, 0); err != nil {
 		return nil, fmt.Errorf("waiting for the list: %w", err)
 	}
 	resp, err := http.ReadResponse(d.r, nil)
--- a/internal/wire/failure.go
+++ b/internal/wire/failure.go
@@ -54,11 +54,11 @@
 		return balance.NoConnect
 	case errors.Is(f.Cause, exchange.ErrWithdrawn):
 		return balance.Cancelled
+	case errors.Is(f.Cause, errMalformed), errors.Is(f.Cause, ErrBodyTooLarge), errors.Is(f.Cause, ErrHeadTooLarge):
+		return balance.Spoilt
 	case errors.Is(f.Cause, os.ErrDeadlineExceeded), errors.Is(f.Cause, context.DeadlineExceeded),
 		errors.Is(f.Cause, errDue):
 		return balance.TimedOut
-	case errors.Is(f.Cause, errMalformed), errors.Is(f.Cause, ErrBodyTooLarge), errors.Is(f.Cause, ErrHeadTooLarge):
-		return balance.Errored
 	}
 	return balance.Reset
 }
