Resets: the last byte commits, idle age is learned, and resets are no sign of load

Checked: a probe by age of the connection: of requests on connections idle for over 0.1 s 32% were reset at once, of younger and new ones 6%. The servers' word of 5 s does not hold there, and their close is not told. A probe in giveUp: nine of ten refusals came from begin (limit reached) with seven of nine servers "half warm" after ejections and limits cut by resets. Lines: judge cut the limit for Reset and NoConnect; failed ejected after three within 0.1 s of good answers; pool.Take knew one idle limit. Change: trust learns the age; of what may not run twice the last byte follows 2 ms later, so a dead connection proves that nothing ran; only failures over a quarter of an aim eject, and no reset cuts a limit.

--- a/balance/health.go
+++ b/balance/health.go
@@ -10,7 +10,7 @@
 func (b *Balancer) judge(s *server, took time.Duration, result Result) {
 	switch result {
 	case OK, Miss:
-		s.heard, s.fails, s.backoff = b.now, 0, 0
+		s.heard, s.good, s.fails, s.backoff = b.now, b.now, 0, 0
 		if s.ejected != 0 { // it may have restarted unseen: half warm
 			s.ejected, s.back = 0, b.now.Add(-b.set.Ramp/2)
 		}
@@ -39,7 +39,7 @@
 		s.heard = b.now
 	case Cancelled, Moot:
 		return
-	case Spoilt: // any server may spoil an answer: it is no sign of load, and only some in a row count
+	case Spoilt, Reset, NoConnect: // no sign of load, and may strike any server: only some in a row count
 		b.failed(s)
 		return
 	default:
@@ -50,10 +50,10 @@
 	}
 }
 
-// failed counts a failure; some in a row eject the server, for longer each time, if enough are left.
+// failed counts a failure; some in a row over a while eject the server, longer each time, if enough are left.
 func (b *Balancer) failed(s *server) {
-	s.fails++
-	if s.fails >= suspectAt && b.now >= s.ejected && !s.isOrigin && b.inUse(s) >= b.weight*keepInUse {
+	long := b.now.Sub(s.good) > b.aim/4 && b.now >= s.ejected
+	if s.fails++; s.fails >= suspectAt && long && !s.isOrigin && b.inUse(s) >= b.weight*keepInUse {
 		s.backoff = min(max(2*s.backoff, b.aim), 8*b.aim)
 		s.ejected = b.now.Add(s.backoff)
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -55,6 +55,7 @@
 	latency  time.Duration // smoothed time to an answer
 	cut      Time          // the last cut of limit
 	heard    Time          // last answer of any kind
+	good     Time          // last good one
 	fails    int           // failures in a row
 	ejected  Time          // not used before; 0 when in use
 	backoff  time.Duration // of the last ejection
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -136,7 +136,8 @@
 		}
 	}
 	loop.Sender = &wire.Servers{Pool: r.pool, Counts: r.counts,
-		ConnectTimeout: time.Duration(c.Settings.Limits.ConnectTimeout)}
+		ConnectTimeout: time.Duration(c.Settings.Limits.ConnectTimeout),
+		Careful:        func(class string) bool { return !c.Settings.IsSafe(class) }}
 	loop.Teller = silent{}
 
 	var err error
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -32,6 +32,8 @@
 	open  int
 	done  bool
 
+	trust trust
+
 	waiting []chan struct{} // for room, the first to come first
 }
 
@@ -55,25 +57,34 @@
 	p.wake()
 }
 
-// Take returns the server's newest idle connection, busy now, or nil.
-func (p *Pool) Take(server balance.ServerID, address string, now time.Time) Conn {
+// Take returns the server's newest idle connection, busy now, or nil. What must not run twice, if careful, passes over
+// one that has been idle for longer than is sure, and leaves it to the others.
+func (p *Pool) Take(server balance.ServerID, address string, careful bool, now time.Time) Conn {
+	most := p.trust.limit(false, p.IdleFor, now)
+	least := now.Add(-most)
+	if careful {
+		least = now.Add(-p.trust.limit(true, most, now))
+	}
 	for {
-		c := p.newest(server)
+		c := p.newest(server, careful, least)
 		if c == nil {
 			return nil
 		}
-		if c.address == address && now.Sub(c.since) < p.IdleFor && c.Acquire() {
+		if c.address == address && now.Sub(c.since) < most && c.Acquire() {
 			return c.Conn
 		}
 		c.Close()
 	}
 }
 
-func (p *Pool) newest(server balance.ServerID) *idleConn {
+// Used notes how the first word on a connection came out after it had been idle so long; a new one has not been.
+func (p *Pool) Used(idle time.Duration, good bool) { p.trust.note(idle, good, time.Now()) }
+
+func (p *Pool) newest(server balance.ServerID, careful bool, least time.Time) *idleConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := p.idle[server]
-	if len(all) == 0 {
+	if len(all) == 0 || careful && all[len(all)-1].since.Before(least) {
 		return nil
 	}
 	c := all[len(all)-1]
@@ -165,9 +176,10 @@
 // Get returns the server's newest idle connection, busy now, or nil and room for a new one, giving up the connection
 // that has been idle for longest if need be. While all are busy it waits for one, as long as the patience and the
 // context last.
-func (p *Pool) Get(ctx context.Context, server balance.ServerID, address string, patience time.Duration) (Conn, error) {
+func (p *Pool) Get(ctx context.Context, server balance.ServerID, address string, careful bool,
+	patience time.Duration) (Conn, error) {
 	get := func() (c Conn, ok bool) {
-		if c = p.Take(server, address, time.Now()); c != nil {
+		if c = p.Take(server, address, careful, time.Now()); c != nil {
 			return c, true
 		}
 		return nil, p.reserve()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -102,6 +102,16 @@
 	return false
 }
 
+// IsSafe tells whether a class may be repeated at will.
+func (p *Profile) IsSafe(class string) bool {
+	for i := range p.Classes {
+		if p.Classes[i].Name == class {
+			return effects[p.Classes[i].Effect] == balance.Safe
+		}
+	}
+	return false
+}
+
 // Check names the first key that a router can't work with. What the simulator's wire leaves out is no fault.
 func (p *Profile) Check() error {
 	if len(p.Classes) == 0 {
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -1,9 +1,11 @@
 package wire
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -17,6 +19,7 @@
 	Pool           *exchange.Pool
 	Counts         *exchange.Counters
 	ConnectTimeout time.Duration
+	Careful        func(class string) bool // of what may not run twice at will; nil: of nothing
 
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -72,8 +75,10 @@
 		}
 	}()
 	cut := context.AfterFunc(a.Context, func() { c.Close() }) // wherever it stands
-	head := requestHead(a.Exchange, time.Now())
-	if n, err := writeMessage(c.Conn, head, a.Body); n < int64(len(head)+len(a.Body)) {
+	begun := time.Now()
+	idle := c.idleFor(begun)
+	head := requestHead(a.Exchange, begun)
+	if err := s.write(a, c, head); err != nil {
 		// An answer may have come before the request was whole, as from a server that turns it away unread.
 		cut()
 		c.Close()
@@ -85,6 +90,9 @@
 			}
 		default:
 		}
+		if a.Context.Err() == nil {
+			s.Pool.Used(idle, false)
+		}
 		return answer{}, &Failure{Writing, s.cause(a, err)}
 	}
 	var got answer
@@ -108,9 +116,13 @@
 		if c.reading.Load() {
 			stage = Reading
 		}
+		if stage == Written && a.Context.Err() == nil && time.Since(begun) < s.ConnectTimeout/4 {
+			s.Pool.Used(idle, false) // reset at once, as is one that had been closed without a word
+		}
 		return answer{}, &Failure{stage, s.cause(a, got.err)}
 	}
 	s.Pool.Heard(a.Server, time.Now())
+	s.Pool.Used(idle, true)
 	if whole && got.keep && c.usable() {
 		s.Pool.Put(a.Server, a.Address, c, time.Now())
 		if !c.usable() { // it closed meanwhile, before the pool had it
@@ -122,6 +134,54 @@
 	return got, nil
 }
 
+// commitAfter is how long the last byte of a request is kept back that may not run twice at will.
+const commitAfter = 2 * time.Millisecond
+
+// errEarly is the cause where an answer or the connection's end came before the request was whole.
+var errEarly = errors.New("ended before the request was whole")
+
+func (s *Servers) careful(a *exchange.Attempt) bool { return s.Careful != nil && s.Careful(a.Class) }
+
+// write writes the request; an error means that its last byte is surely unwritten. A server begins a request with its
+// last byte: of one that may not run twice at will that byte follows a moment later, so that a connection that was
+// closed without a word, or breaks at once, shows while the attempt surely never ran.
+func (s *Servers) write(a *exchange.Attempt, c *serverConn, head []byte) error {
+	body := a.Body
+	if !s.careful(a) {
+		return writeWhole(c.Conn, head, body)
+	}
+	last := head[len(head)-1:]
+	if len(body) > 0 {
+		last, body = body[len(body)-1:], body[:len(body)-1]
+	} else {
+		head = head[:len(head)-1]
+	}
+	if err := writeWhole(c.Conn, head, body); err != nil {
+		return err
+	}
+	wait := time.NewTimer(commitAfter)
+	defer wait.Stop()
+	select {
+	case got := <-c.answers:
+		c.deliver(got) // the caller looks at it
+		return cmp.Or(got.err, errEarly)
+	case <-a.Context.Done():
+		return context.Cause(a.Context)
+	case <-wait.C:
+	}
+	if peek(c.Conn) == closed { // the reader may not have run
+		return errEarly
+	}
+	return writeWhole(c.Conn, last, nil)
+}
+
+func writeWhole(c net.Conn, head, body []byte) error {
+	if n, err := writeMessage(c, head, body); n < int64(len(head)+len(body)) {
+		return cmp.Or(err, io.ErrShortWrite)
+	}
+	return nil
+}
+
 // cause is what ended an attempt: its context, if that has ended, for it closes the connection under the rest.
 func (s *Servers) cause(a *exchange.Attempt, err error) error {
 	if a.Context.Err() != nil {
@@ -133,7 +193,7 @@
 // connect returns an idle connection or dials.
 func (s *Servers) connect(a *exchange.Attempt) (*serverConn, error) {
 	for {
-		got, err := s.Pool.Get(a.Context, a.Server, a.Address, s.ConnectTimeout)
+		got, err := s.Pool.Get(a.Context, a.Server, a.Address, s.careful(a), s.ConnectTimeout)
 		if err != nil {
 			if a.Context.Err() != nil {
 				return nil, s.ended(a)
--- a/internal/wire/serverconn.go
+++ b/internal/wire/serverconn.go
@@ -36,6 +36,7 @@
 	reading atomic.Bool // a byte of it has come
 
 	mu     sync.Mutex
+	since  time.Time // when it last fell idle; zero for a new one
 	busy   bool
 	broken bool
 	closed sync.Once
@@ -80,6 +81,16 @@
 	return !c.broken
 }
 
+// idleFor is how long the connection has been idle; a new one has not been.
+func (c *serverConn) idleFor(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.since.IsZero() {
+		return 0
+	}
+	return now.Sub(c.since)
+}
+
 // stale asks the system whether the server's close has come in though the reader has not run since: on a busy core
 // that is the difference between an attempt that never ran and one that may have. Bytes that nobody asked for count
 // alike, lest they be taken for the next request's answer.
@@ -92,7 +103,7 @@
 func (c *serverConn) idle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = false
+	c.busy, c.since = false, time.Now()
 	return !c.broken
 }
 
