A client that leaves within its request's batch leaks no attempt; long answers have a budget

Ruled out: late answers, the retry budget, ejections (a consequence). Cause: departed.take deleted the exchange while taking the batch; Handle then sent for its request, do found no exchange and dropped the Send, so its outcome never came (loop.go, do and forget). Change: exchanges are let go after the turn. An answer that serves before the request's last byte is not taken. A reset by a client is no bad request.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -107,6 +107,7 @@
 	peers    *wire.Peers // nil without messages
 	listener net.Listener
 	clock    exchange.Clock
+	long     *exchange.Budget
 	watch    atomic.Pointer[watch]
 
 	told     sync.Once
@@ -135,7 +136,8 @@
 			w.Subscribe()
 		}
 	}
-	loop.Sender = &wire.Servers{Pool: r.pool, Counts: r.counts,
+	r.long = exchange.NewBudget(c.Limits.longAnswers())
+	loop.Sender = &wire.Servers{Pool: r.pool, Counts: r.counts, Long: r.long,
 		ConnectTimeout: time.Duration(c.Settings.Limits.ConnectTimeout),
 		Careful:        func(class string) bool { return !c.Settings.IsSafe(class) }}
 	loop.Teller = silent{}
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -13,6 +13,7 @@
 const (
 	otherDescriptors = 24 // listener, discovery, datagrams, the runtime's own, standard streams: 8, the rest spare
 	memoryPart       = 0.7
+	longPart         = 4 // of the memory is for long answers
 )
 
 // share deals out the descriptors, also where the process may hold fewer than it was told. Each request in hand
@@ -27,6 +28,9 @@
 	return shares{clients: max((rest-servers)*8/9, 1), servers: max(servers, 1)}
 }
 
+// longAnswers is how many bytes of answers over the usual bound may be held at once.
+func (l Limits) longAnswers() int64 { return int64(l.MemoryMB) << 20 / longPart }
+
 // apply sets the runtime's limits: processors, and memory that the collector keeps to while it can.
 func (l Limits) apply() {
 	runtime.GOMAXPROCS(max(int(math.Ceil(l.Cores)), 1))
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -54,6 +54,7 @@
 	}
 	if c.Limits != old.Limits {
 		c.Limits.apply()
+		r.long.Grow(c.Limits.longAnswers() - old.Limits.longAnswers())
 		parts := share(c.Limits.Sockets)
 		r.pool.SetMost(parts.servers)
 		r.clients.SetMost(parts.clients)
--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -77,6 +77,7 @@
 func (e departed) take(l *Loop) balance.Event {
 	x := e.Exchange
 	if x.answered || l.exchanges[x.id] != x {
+		x.let()
 		return nil
 	}
 	l.Counts.ClientsGone.Add(1)
@@ -95,12 +96,16 @@
 		l.Log.Debug("attempt ended", "server", e.Server, "result", resultNames[e.Result], "err", e.Err,
 			"after", time.Since(e.sent))
 	}
+	answer := Answer{Kind: Served, Header: e.Header, Body: e.Body, Release: e.Release}
 	if l.exchanges[x.id] != x { // of before a fresh start of the decisions
+		answer.Let()
 		return nil
 	}
 	x.out--
-	if e.Result == balance.OK && x.Settle(Answer{Kind: Served, Header: e.Header, Body: e.Body}) {
+	if e.Result == balance.OK && x.Settle(answer) {
 		l.Counts.Served.Add(1)
+	} else {
+		answer.Let()
 	}
 	done := x.answered
 	l.forget(x)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -44,6 +44,7 @@
 	Body       []byte        // if served
 	RetryAfter time.Duration // advice, if refused
 	TimedOut   bool          // if failed: nothing came in time
+	Release    func()        // if served: to be called when the body is not needed any more; may be nil
 }
 
 // Exchange is one client's request on its way: the one thing that client side and server side share. All but the
@@ -75,6 +76,22 @@
 	return true
 }
 
+// let gives back what an answer holds that nobody has taken.
+func (x *Exchange) let() {
+	select {
+	case a := <-x.answer:
+		a.Let()
+	default:
+	}
+}
+
+// Let gives back what the answer holds.
+func (a Answer) Let() {
+	if a.Release != nil {
+		a.Release()
+	}
+}
+
 // ErrWithdrawn is the cause of an attempt's end when the router has stopped waiting for it.
 var ErrWithdrawn = errors.New("withdrawn")
 
@@ -103,6 +120,7 @@
 	Header   http.Header // with OK: end to end only
 	Body     []byte      // with OK
 	Err      error       // without OK: what went wrong, for the log
+	Release  func()      // with OK: gives back what the body holds; may be nil
 }
 
 // End reports how the attempt ended. Only the first call counts: whatever races, an attempt has one outcome.
--- a/internal/exchange/loop.go
+++ b/internal/exchange/loop.go
@@ -40,6 +40,7 @@
 	version   int64
 	timers    timers
 	started   uint64 // exchanges, for their names
+	done      []*Exchange
 	lag       lag
 }
 
@@ -111,6 +112,7 @@
 			break more
 		}
 	}
+	defer l.letGo()
 	now := l.Clock.Now()
 	for len(batch) < 2*batchLength {
 		t, ok := l.timers.due(now)
@@ -164,11 +166,20 @@
 	}
 }
 
-// forget lets go of an exchange that is answered and has no attempt out.
-func (l *Loop) forget(x *Exchange) {
-	if x.answered && x.out == 0 {
-		delete(l.exchanges, x.id)
+// forget notes that an exchange may be done with. It is let go at the end of the turn only: the decisions take a batch
+// whole, and may send for a request whose client's leaving stands behind it in the same batch. That attempt must find
+// its exchange and have its outcome, or the decisions count it as in flight for ever.
+func (l *Loop) forget(x *Exchange) { l.done = append(l.done, x) }
+
+// letGo lets go of the exchanges noted that are answered and have no attempt out.
+func (l *Loop) letGo() {
+	for i, x := range l.done {
+		if x.answered && x.out == 0 {
+			delete(l.exchanges, x.id)
+		}
+		l.done[i] = nil
 	}
+	l.done = l.done[:0]
 }
 
 func (l *Loop) fail(x *Exchange, timedOut bool) {
--- a/internal/exchange/loop_test.go
+++ b/internal/exchange/loop_test.go
@@ -435,3 +435,30 @@
 		}
 	}
 }
+
+// A client that leaves before its request has been decided on, both in one batch, leaves no attempt behind that counts
+// as in flight: enough of them would shut every server's limit for good.
+func TestClientsGoneInTheSameBatch(t *testing.T) {
+	l, attempts := startLoop(t, func(l *Loop) { // before the loop runs, so that it takes all at once
+		l.Listed(testList(balance.Complete, 1, "a", "b", "c"))
+		for range 120 {
+			x := request("read", time.Second)
+			l.Submit(x)
+			l.Depart(x)
+		}
+	})
+	for until := time.Now().Add(2 * time.Second); ; { // the attempts that were never begun end a moment later
+		x := request("read", time.Second)
+		l.Submit(x)
+		select {
+		case a := <-attempts:
+			a.End(Reply{Result: balance.OK, Body: []byte("v")})
+			return
+		case a := <-x.Answer():
+			if time.Now().After(until) {
+				t.Fatalf("every server counts as full: %+v", a)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
--- a/internal/wire/clientconn.go
+++ b/internal/wire/clientconn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"cedarmast/internal/exchange"
@@ -183,8 +184,9 @@
 	c.SetReadDeadline(until)
 	req, request, err := c.read(a.at)
 	if err != nil {
-		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
-			return false
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) ||
+			errors.Is(err, syscall.ECONNRESET) {
+			return false // the client has gone
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			err = badf(http.StatusRequestTimeout, "the request did not come whole in time")
@@ -233,6 +235,7 @@
 	for {
 		select {
 		case answer := <-x.Answer():
+			defer answer.Let()
 			return c.answer(answer, last)
 		case a := <-c.arrived:
 			if a.err != nil {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -29,6 +29,7 @@
 const (
 	maxHead = 8 << 10  // bytes of a message's head; the size of each connection's read buffer
 	maxBody = 64 << 10 // of its body
+	maxLong = 1 << 20  // of an answer's body, where the budget for long ones has room
 )
 
 // Errors of a message that breaks a bound.
@@ -39,8 +40,8 @@
 
 // readBody reads a body whole, within the bound. It leaves the body open: closing one that is not read to its end
 // would wait for the rest of it.
-func readBody(body io.Reader, length int64) ([]byte, error) {
-	if length > maxBody {
+func readBody(body io.Reader, length, most int64) ([]byte, error) {
+	if length > most {
 		return nil, ErrBodyTooLarge
 	}
 	if length == 0 {
@@ -51,8 +52,8 @@
 		_, err := io.ReadFull(body, text)
 		return text, err
 	}
-	text, err := io.ReadAll(io.LimitReader(body, maxBody+1))
-	if err == nil && len(text) > maxBody {
+	text, err := io.ReadAll(io.LimitReader(body, most+1))
+	if err == nil && int64(len(text)) > most {
 		return nil, ErrBodyTooLarge
 	}
 	return text, err
--- a/internal/wire/request.go
+++ b/internal/wire/request.go
@@ -78,7 +78,7 @@
 			return nil, q, err
 		}
 	}
-	if q.Body, err = readBody(req.Body, req.ContentLength); err != nil {
+	if q.Body, err = readBody(req.Body, req.ContentLength, maxBody); err != nil {
 		return nil, q, err
 	}
 	if c.r.Buffered() > 0 { // clients send one request at a time: this one's length is wrong, or it is no usual client
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -19,6 +19,7 @@
 	Pool           *exchange.Pool
 	Counts         *exchange.Counters
 	ConnectTimeout time.Duration
+	Long           *exchange.Budget        // of answers over the usual bound; nil: none is taken
 	Careful        func(class string) bool // of what may not run twice at will; nil: of nothing
 
 	// Dial opens a connection; nil means TCP.
@@ -53,8 +54,11 @@
 func reply(got answer) exchange.Reply {
 	switch {
 	case got.status == http.StatusOK:
-		return exchange.Reply{Result: balance.OK, Header: got.header, Body: got.body,
+		return exchange.Reply{Result: balance.OK, Header: got.header, Body: got.body, Release: got.release,
 			Fetching: got.header.Get(headerLookup) == "pending"}
+	}
+	got.let()
+	switch {
 	case got.header.Get(headerUnprocessed) == "1" &&
 		(got.status == http.StatusServiceUnavailable || got.status == http.StatusGatewayTimeout):
 		return exchange.Reply{Result: balance.Full, Err: fmt.Errorf("turned away with status %d", got.status)}
@@ -79,15 +83,17 @@
 	idle := c.idleFor(begun)
 	head := requestHead(a.Exchange, begun)
 	if err := s.write(a, c, head); err != nil {
-		// An answer may have come before the request was whole, as from a server that turns it away unread.
+		// An answer may have come before the request was whole, as from a server that turns it away unread. One that
+		// serves it is not made for it.
 		cut()
-		c.Close()
+		defer c.leave()
 		select {
 		case got := <-c.answers:
-			if got.err == nil && a.Context.Err() == nil {
+			if got.err == nil && got.status != http.StatusOK && a.Context.Err() == nil {
 				s.Pool.Heard(a.Server, time.Now())
 				return got, nil
 			}
+			got.let()
 		default:
 		}
 		if a.Context.Err() == nil {
@@ -107,6 +113,7 @@
 			}
 		default:
 			got.err = context.Cause(a.Context)
+			c.leave()
 		}
 	}
 	whole := cut() && got.err == nil
@@ -169,7 +176,7 @@
 		return context.Cause(a.Context)
 	case <-wait.C:
 	}
-	if peek(c.Conn) == closed { // the reader may not have run
+	if state := peek(c.Conn); state == closed || state == unread { // the reader may not have run
 		return errEarly
 	}
 	return writeWhole(c.Conn, last, nil)
@@ -228,7 +235,7 @@
 		}
 		return nil, err
 	}
-	return newServerConn(c, a.Server, s.Pool), nil
+	return newServerConn(c, a.Server, s.Pool, s.Long), nil
 }
 
 // ended is the cause where an attempt's own end came while there was no connection yet: the server has no part in it.
--- a/internal/wire/serverconn.go
+++ b/internal/wire/serverconn.go
@@ -24,6 +24,15 @@
 	body   []byte
 	keep   bool // the connection may be used again
 	err    error
+
+	release func() // of a long body's share of the budget; nil without
+}
+
+// let gives back what an answer holds that nobody takes.
+func (a answer) let() {
+	if a.release != nil {
+		a.release()
+	}
 }
 
 // serverConn is a connection to a server. A goroutine reads it all its life, so that a close is seen at once, also
@@ -32,19 +41,21 @@
 	net.Conn
 	server  balance.ServerID
 	pool    *exchange.Pool
-	answers chan answer // holds one: the answer to the request in hand
-	reading atomic.Bool // a byte of it has come
+	long    *exchange.Budget // of long bodies; nil: none is taken
+	answers chan answer      // holds one: the answer to the request in hand
+	reading atomic.Bool      // a byte of it has come
 
 	mu     sync.Mutex
 	since  time.Time // when it last fell idle; zero for a new one
 	busy   bool
+	left   bool // by its attempt: nobody takes an answer any more
 	broken bool
 	closed sync.Once
 }
 
 // newServerConn takes over a connection for which room has been reserved. It is busy at first.
-func newServerConn(c net.Conn, server balance.ServerID, pool *exchange.Pool) *serverConn {
-	s := &serverConn{Conn: c, server: server, pool: pool, answers: make(chan answer, 1), busy: true}
+func newServerConn(c net.Conn, server balance.ServerID, pool *exchange.Pool, long *exchange.Budget) *serverConn {
+	s := &serverConn{Conn: c, server: server, pool: pool, long: long, answers: make(chan answer, 1), busy: true}
 	go s.read()
 	return s
 }
@@ -136,7 +147,7 @@
 		}
 		c.reading.Store(true)
 		in.arm(true)
-		a := readAnswer(r)
+		a := readAnswer(r, c.reserve)
 		in.arm(false)
 		if r.Buffered() > 0 { // more than was asked for
 			a.keep = false
@@ -156,15 +167,47 @@
 }
 
 func (c *serverConn) deliver(a answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.left {
+		a.let()
+		return
+	}
 	select {
 	case c.answers <- a:
 	default: // one is there already: nobody waits for a second
+		a.let()
 	}
 }
 
+// leave closes the connection under its request: whatever comes of it is let go.
+func (c *serverConn) leave() {
+	c.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.left = true
+	select {
+	case a := <-c.answers:
+		a.let()
+	default:
+	}
+}
+
+// reserve waits until the budget has room for a long body, as long as the connection stands.
+func (c *serverConn) reserve(bytes int64) (release func(), ok bool) {
+	for c.long != nil && c.usable() {
+		if release, ok = c.long.Take(bytes); ok {
+			return release, true
+		}
+		time.Sleep(reserveEvery)
+	}
+	return nil, false
+}
+
 const (
-	maxInterim = 8                      // interim answers before the final one
-	stallFor   = 200 * time.Millisecond // in which an answer that has begun must go on: servers write it at once
+	reserveEvery = 2 * time.Millisecond   // to ask for room for a long body
+	maxInterim   = 8                      // interim answers before the final one
+	stallFor     = 200 * time.Millisecond // in which an answer that has begun must go on: servers write it at once
 )
 
 // stallReader reads a connection and, while it is armed, gives up when nothing more comes. A router that got to its
@@ -198,7 +241,10 @@
 
 // readAnswer reads one answer whole. What can't be read in one way alone is no answer, and neither is one that only the
 // connection's end would end: cut short it would look the same.
-func readAnswer(r *bufio.Reader) answer {
+//
+// A body over the usual bound is taken if there is room for it, and at once for its whole length; one in chunks, whose
+// length nobody tells, is held to the usual bound.
+func readAnswer(r *bufio.Reader, reserve func(int64) (func(), bool)) answer {
 	for interim := 0; ; interim++ {
 		text, err := awaitHead(r, 0)
 		if err != nil {
@@ -225,15 +271,25 @@
 		case frame.length < 0 && !frame.chunked:
 			return answer{err: fmt.Errorf("%w: no length", errMalformed)}
 		}
-		got, err := readBody(resp.Body, resp.ContentLength)
+		var release func()
+		most := int64(maxBody)
+		if frame.length > maxBody && frame.length <= maxLong && reserve != nil {
+			var ok bool
+			if release, ok = reserve(frame.length); ok {
+				most = maxLong
+			}
+		}
+		got, err := readBody(resp.Body, resp.ContentLength, most)
 		if err != nil {
+			answer{release: release}.let()
 			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
 			}
 			return answer{err: spoilt(err)}
 		}
 		resp.Header.Del(headerLoad)
-		return answer{status: resp.StatusCode, header: endToEnd(resp.Header), body: got, keep: !resp.Close}
+		return answer{status: resp.StatusCode, header: endToEnd(resp.Header), body: got, keep: !resp.Close,
+			release: release}
 	}
 }
 
