A return from a short ejection is not cold, and a cold budget carries no debt

Checked: a probe of each server as the decisions see it: all nine counted cold (0.6 to 0.9), two with nothing in flight, no ejection and a limit of 5 were used by nobody from 11 to 20 s: the two hot ones. send takes a token whether a server is cold or not, budgeted refills since the last look, at 1.2 of the mean share; who had more than that began in debt. Lines: judge, every return half warm; tokens never set on it (health.go). Change: half warm only when the last good answer is Ramp/8 old; tokens start at none.

--- a/balance/health.go
+++ b/balance/health.go
@@ -10,10 +10,10 @@
 func (b *Balancer) judge(s *server, took time.Duration, result Result) {
 	switch result {
 	case OK, Miss:
-		s.heard, s.good, s.fails, s.backoff = b.now, b.now, 0, 0
-		if s.ejected != 0 { // it may have restarted unseen: half warm
-			s.ejected, s.back = 0, b.now.Add(-b.set.Ramp/2)
+		if s.ejected != 0 && b.now.Sub(s.good) > b.set.Ramp/8 { // it may have restarted unseen: half warm
+			s.back, s.tokens, s.filled = b.now.Add(-b.set.Ramp/2), 0, b.now
 		}
+		s.heard, s.good, s.ejected, s.fails, s.backoff = b.now, b.now, 0, 0, 0
 		if result == OK {
 			s.latency += time.Duration(smoothing * float64(took-s.latency))
 		}
--- a/balance/load_test.go
+++ b/balance/load_test.go
@@ -366,3 +366,59 @@
 		}
 	}
 }
+
+// A server back from an ejection is taken for half warm only if it was gone for long enough to have restarted unseen,
+// and then its budget starts anew: what a hot server was sent while it was warm is no debt. With one, a router that
+// ejected servers for a moment shut out the hot ones for ten seconds, and refused what they could have taken.
+func TestReturnFromAnEjection(t *testing.T) {
+	for name, c := range map[string]struct {
+		gone, wait time.Duration
+		cold       bool
+		least      int // of 200 requests afterwards
+	}{"short": {400 * time.Millisecond, 700 * time.Millisecond, false, 150},
+		"long": {8 * time.Second, 5 * time.Second, true, 4}} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, testSettings())
+			g.caches(4)
+			for i := range 1000 { // one hot key
+				id := fmt.Sprint("r", i)
+				g.ask(id, "read")
+				g.answer(id, OK)
+				g.run(5 * time.Millisecond)
+			}
+			home := g.b.servers[g.tries["r0"][0]]
+			for end, i := g.now.Add(c.gone), 0; g.now < end; i++ {
+				id := fmt.Sprint("x", i)
+				g.ask(id, "once")
+				if g.tries[RequestID(id)][0] == home.Server {
+					g.answer(id, TimedOut)
+				} else {
+					g.answer(id, OK)
+				}
+				g.run(40 * time.Millisecond)
+			}
+			if home.fails < suspectAt {
+				t.Fatalf("never ejected: %+v", home)
+			}
+			g.run(c.wait)
+			g.ask("back", "read")
+			g.answer("back", OK)
+			if cold := g.b.warmth(home) < 1; home.ejected != 0 || cold != c.cold {
+				t.Errorf("gone for %v: ejected %v, cold %v", c.gone, home.ejected != 0, cold)
+			}
+			served := 0
+			for i := range 200 {
+				id := fmt.Sprint("s", i)
+				g.ask(id, "read")
+				if g.tries[RequestID(id)][0] == home.Server {
+					served++
+				}
+				g.answer(id, OK)
+				g.run(5 * time.Millisecond)
+			}
+			if served < c.least {
+				t.Errorf("in its first second back it got %d of 200", served)
+			}
+		})
+	}
+}
