Silent connections: an attempt that outlasts any work moves on, and a silent watch is begun anew

Checked: the router's log, no list line after the start; calls waited 50 s (discovery.go, watchFor), so nothing showed the silence. check withdrew only where the whole server was silent (balance.go). Ruled out: failed calls (0), the loop (lag under 1 ms). Change: calls of 2 s, given up 1 s later. An attempt out for 25 mean answers is withdrawn where it may be repeated. A request with nothing out is refused before half of its time.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,6 +26,7 @@
 	heatPart    = 0.25     // of a mean cache's work is the most that one key is to bring to a cache
 	commonCause = 0.2      // of answers are errors: it is what the caches share; another makes it worse
 	smoothing   = 0.2      // of latencies: about the last five answers
+	stuckAfter  = 25       // mean answers: longer than heavy work takes: the connection has fallen silent
 	firstLimit  = 12.0     // of concurrency at a server before anything was seen, over all routers
 	limitCut    = 0.85     // what a crowded server's limit is cut to, once a round trip
 	recheck     = 16       // a request that no server may take is tried again this many times in an aim
@@ -133,32 +134,30 @@
 			b.sighted(r, &r.attempts[n], r.class.Aim/2)
 		}
 	})
-	wait := r.class.Aim / 2
-	if s.ejected == 0 { // a trial gets no benefit of the doubt
-		wait = max(wait, 6*b.latency)
-	}
-	b.after(wait, func() { b.check(r, n) })
+	// After an ejection, whose backoff holds until a good answer, there is no benefit of the doubt.
+	b.after(max(r.class.Aim/2, 6*b.latency-s.backoff), func() { b.check(r, n) })
 }
 
 // check looks at an attempt that is out for long. Where second copies are allowed one is sent; else it is
-// withdrawn, but only if its server has been silent: slow work is no faster elsewhere.
+// withdrawn if its server has been silent, or no work takes as long: slow work is no faster elsewhere.
 func (b *Balancer) check(r *request, n int) {
 	a := &r.attempts[n]
 	if !a.open || r.done || r.streams || a.to.isOrigin {
 		return
 	}
-	silent := a.to.heard <= a.sent
+	silent, stuck := a.to.heard <= a.sent, b.now.Sub(a.sent) >= stuckAfter*b.latency
 	if silent {
 		b.failed(a.to)
 	}
-	if r.out > 1 || !b.mayRetry(r) {
-		return
-	}
-	if s := b.pick(r); b.set.Parallel && s != nil && !b.crowded(s) {
+	switch s := b.pick(r); {
+	case r.out > 1 || !b.mayRetry(r):
+	case b.set.Parallel && s != nil && !b.crowded(s):
 		b.retries--
 		b.send(r, s)
-	} else if !b.set.Parallel && b.set.MayCancel && silent {
+	case !b.set.Parallel && b.set.MayCancel && (silent || stuck):
 		b.do(Cancel{ID: r.ID, Attempt: n})
+	case !stuck:
+		b.after(a.sent.Add(stuckAfter*b.latency).Sub(b.now), func() { b.check(r, n) })
 	}
 }
 
@@ -196,9 +195,9 @@
 	}
 }
 
-// patience is how long a request with nothing in flight is kept: past it an answer would come late.
+// patience is how long a request with nothing in flight is kept: past it an answer or a refusal comes late.
 func (b *Balancer) patience(r *request) Time {
-	return min(r.arrived.Add(r.class.Aim), r.Due).Add(-b.latency)
+	return r.arrived.Add(min(r.class.Aim-b.latency, r.Due.Sub(r.arrived)/2-b.aim/recheck))
 }
 
 // giveUp gives the final answer, a refusal only where a retry is harmless, unless an attempt is out.
--- a/balance/load_test.go
+++ b/balance/load_test.go
@@ -422,3 +422,48 @@
 		})
 	}
 }
+
+// An attempt whose server answers others is left alone, as slow work is no faster elsewhere; but not for longer than
+// any work takes: then its connection has fallen silent, and the request is tried elsewhere while there is time.
+func TestAttemptOnASilentConnectionMovesOn(t *testing.T) {
+	set := testSettings()
+	set.Routers = 1
+	g := newRig(t, set)
+	g.caches(4)
+	quick := func(n int) {
+		for range n {
+			id := fmt.Sprint("q", g.now)
+			g.ask(id, "read")
+			g.run(10 * time.Millisecond)
+			g.answer(id, OK)
+		}
+	}
+	quick(100)
+	g.ask("stuck", "read")
+	quick(20)
+	if g.cancelled["stuck"] {
+		t.Fatal("withdrawn though its server answers, before half an aim")
+	}
+	quick(20)
+	if !g.cancelled["stuck"] {
+		t.Fatalf("left on its connection for %d mean answers", 400*time.Millisecond/g.b.latency)
+	}
+	g.answer("stuck", Cancelled)
+	g.want("stuck", 2, false, false)
+	g.ask("once", "once")
+	quick(40)
+	if g.cancelled["once"] {
+		t.Error("what must not run twice was withdrawn, for nothing")
+	}
+}
+
+// A request that nobody may take is turned away before half of its time is over: a refusal that comes later, with
+// nothing sent for it, keeps the client from asking again.
+func TestRefusedBeforeHalfTime(t *testing.T) {
+	g := newRig(t, testSettings())
+	g.give(List{Kind: Complete, Entries: []Entry{{Server: "cold", Weight: 1, Started: g.now}}})
+	g.b.servers["cold"].tokens = -1000
+	g.give(Request{ID: "r", Class: "read", Key: 1, HasKey: true, Due: g.now.Add(600 * time.Millisecond)})
+	g.run(300 * time.Millisecond)
+	g.want("r", 0, true, false)
+}
--- a/internal/wire/discovery.go
+++ b/internal/wire/discovery.go
@@ -34,9 +34,9 @@
 const Unknown = -1
 
 const (
-	watchFor      = 50 * time.Second      // of the minute that is allowed: each end of a wait is a moment to miss news
+	watchFor      = 2 * time.Second       // a connection may fall silent: nothing but the end of a wait shows it
 	firstWatchFor = 50 * time.Millisecond // what is newer comes at once: the first call tells whether any is
-	watchSlack    = 2 * time.Second       // for an answer past its wait
+	watchSlack    = time.Second           // for an answer past its wait
 	wholeSlack    = time.Second           // for the whole list, which has nothing to wait for
 	dialPatience  = time.Second
 	leastBackoff  = 50 * time.Millisecond // under the time in which a watch goes on
