--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -117,6 +117,7 @@
 	if e.Kind == balance.Failed {
 		return e.List.List
 	}
+	e.List = l.addresses.succeeded(e.List)
 	l.version = e.Version
 	if e.Kind != balance.Partial {
 		clear(l.entries)
--- /dev/null
+++ b/internal/exchange/generations_test.go
@@ -0,0 +1,122 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"reflect"
+	"testing"
+	"time"
+
+	"cedarmast/balance"
+)
+
+// served is a Sender whose servers answer at once and keep their connections.
+type served struct{ pool *Pool }
+
+func (s served) Send(a *Attempt) {
+	go func() {
+		c, err := s.pool.Get(context.Background(), a.Server, a.Address, false, time.Second)
+		if err != nil {
+			a.End(Reply{Result: balance.NoConnect, Err: err})
+			return
+		}
+		if c == nil {
+			c = &testConn{pool: s.pool}
+		}
+		s.pool.Heard(a.Server, time.Now())
+		s.pool.Put(a.Server, a.Address, c, time.Now())
+		a.End(Reply{Result: balance.OK})
+	}()
+}
+
+// Over a day servers are replaced by new ones under new ids, many at the addresses of those that have gone. Nothing that
+// is kept per server or exchange grows with the number that there have been.
+func TestManyGenerationsOfServers(t *testing.T) {
+	l := NewLoop()
+	l.Clock, l.Counts, l.Log, l.Settings = NewClock(), &Counters{}, slog.New(slog.DiscardHandler), testSettings
+	l.Pool = NewPool(50, time.Minute, l.Counts)
+	l.Sender, l.Teller = served{l.Pool}, &told{}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { l.Run(ctx); close(done) }()
+	const fleet, generations = 5, 400
+	for g := range generations {
+		id := balance.ServerID(fmt.Sprint("s", g))
+		list := List{List: balance.List{Kind: balance.Partial, Version: int64(g)}, Addresses: map[balance.ServerID]string{
+			id: fmt.Sprint("127.0.0.1:", 9000+g%fleet)}}
+		list.Entries = append(list.Entries, balance.Entry{Server: id, Weight: 1, Started: balance.Time(g + 1)})
+		if g >= fleet && g%2 == 0 { // the list tells of the one gone, or else only of its successor
+			list.Entries = append(list.Entries, balance.Entry{Server: balance.ServerID(fmt.Sprint("s", g-fleet)), State: balance.Gone})
+		}
+		l.Listed(list)
+		x := New(Request{Class: "read", Key: uint64(g), HasKey: true, Arrived: time.Now(), TimeLeft: 300 * time.Millisecond})
+		l.Submit(x)
+		if a := answerOf(t, x); a.Kind != Served {
+			t.Fatalf("generation %d: %+v", g, a)
+		}
+	}
+	until := time.Now().Add(2 * time.Second)
+	for l.Counts.IdleConnections.Load() > 2*fleet && time.Now().Before(until) {
+		time.Sleep(time.Millisecond)
+	}
+	l.Pool.Sweep(time.Now().Add(heardFor / 2))
+	time.Sleep(400 * time.Millisecond) // timers of what was asked come due
+	l.Listed(List{List: balance.List{Kind: balance.Partial}})
+	time.Sleep(20 * time.Millisecond)
+	stop()
+	<-done
+	for name, n := range map[string]int{"exchanges": len(l.exchanges), "addresses": len(l.addresses), "entries": len(l.entries),
+		"servers with idle connections": len(l.Pool.idle)} {
+		if n > 2*fleet {
+			t.Errorf("%d %s after %d generations of %d servers", n, name, generations, fleet)
+		}
+	}
+	if l.Pool.Sweep(time.Now().Add(2 * heardFor)); len(l.Pool.heard) != 0 {
+		t.Errorf("%d servers are remembered as heard", len(l.Pool.heard))
+	}
+	if n := len(l.timers.all); n > 20 {
+		t.Errorf("%d timers", n)
+	}
+}
+
+// A new server at the address of an old one ends the old one, whether or not the list has told so; a server that has
+// started anew keeps nothing of its connections. A late word of the old one does not bring it back.
+func TestSuccessorAtAnOldAddress(t *testing.T) {
+	a := addresses{}
+	at := func(kind balance.ListKind, state balance.State, names map[string]balance.Time) List {
+		l := List{List: balance.List{Kind: kind}, Addresses: map[balance.ServerID]string{}}
+		for _, name := range []string{"old", "new", "other"} {
+			if started, ok := names[name]; ok {
+				id := balance.ServerID(name)
+				l.Entries = append(l.Entries, balance.Entry{Server: id, Weight: 1, Started: started, State: state})
+				l.Addresses[id] = map[string]string{"old": "x", "new": "x", "other": "y"}[name]
+			}
+		}
+		return l
+	}
+	take := func(l List) (gone []balance.ServerID, leave []balance.ServerID) {
+		l = a.succeeded(l)
+		for _, e := range l.Entries {
+			if e.State == balance.Gone {
+				gone = append(gone, e.Server)
+			}
+		}
+		return gone, a.follow(l)
+	}
+	take(at(balance.Complete, balance.Up, map[string]balance.Time{"old": 1, "other": 1}))
+	gone, leave := take(at(balance.Partial, balance.Up, map[string]balance.Time{"new": 5}))
+	if want := []balance.ServerID{"old"}; !reflect.DeepEqual(gone, want) || !reflect.DeepEqual(leave, want) {
+		t.Errorf("gone %v, connections left %v", gone, leave)
+	}
+	if gone, _ := take(at(balance.Partial, balance.Up, map[string]balance.Time{"old": 1})); len(gone) != 1 || len(a) != 2 {
+		t.Errorf("a late word of the old one: gone %v, listed %v", gone, a)
+	}
+	if _, leave := take(at(balance.Partial, balance.Up, map[string]balance.Time{"other": 7})); len(leave) != 1 {
+		t.Errorf("started anew, left %v", leave)
+	}
+	both := at(balance.Complete, balance.Up, map[string]balance.Time{"old": 1, "new": 5, "other": 7})
+	if gone, _ := take(both); len(gone) != 1 || gone[0] != "old" {
+		t.Errorf("both in a whole list: gone %v", gone)
+	}
+}
--- a/internal/exchange/loop.go
+++ b/internal/exchange/loop.go
@@ -226,7 +226,7 @@
 func (l *Loop) send(x *Exchange, server balance.ServerID) {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	ctx, stop := context.WithDeadline(ctx, x.Due)
-	a := &Attempt{Exchange: x, Server: server, Address: l.addresses[server], Context: ctx, number: len(x.attempts),
+	a := &Attempt{Exchange: x, Server: server, Address: l.addresses[server].address, Context: ctx, number: len(x.attempts),
 		sent: time.Now(), loop: l}
 	a.cancel = func(cause error) { cancel(cause); stop() }
 	x.attempts = append(x.attempts, a)
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -17,6 +17,9 @@
 	Close() error
 }
 
+// heardFor is how long it is remembered that a server has answered: longer than any attempt takes.
+const heardFor = time.Minute
+
 // ErrNoRoom says that all connections to servers that the limits allow are busy.
 var ErrNoRoom = errors.New("no room for another connection")
 
@@ -167,6 +170,11 @@
 		}
 	}
 	p.Counts.IdleConnections.Add(-int64(len(old)))
+	for server, at := range p.heard { // of servers long gone: there are ever new ones
+		if now.Sub(at) > heardFor {
+			delete(p.heard, server)
+		}
+	}
 	p.mu.Unlock()
 	for _, c := range old {
 		c.Close()
--- a/internal/exchange/pool_test.go
+++ b/internal/exchange/pool_test.go
@@ -191,7 +191,7 @@
 	if leave := a.follow(change); !reflect.DeepEqual(leave, []balance.ServerID{"a", "b"}) {
 		t.Errorf("left %v", leave)
 	}
-	if a["a"] == "" || a["b"] != "127.0.0.1:2" {
+	if a["a"].address == "" || a["b"].address != "127.0.0.1:2" {
 		t.Errorf("addresses %v", a)
 	}
 	if leave := a.follow(testList(balance.Complete, 3, "b")); len(leave) != 3 || len(a) != 1 {
