cedarmast check, version and stats; arguments by kong

Need: operators want to know before a restart whether a configuration is good, and to read counters without curl. Without arguments a router runs as before, and kong is not touched on that path.

--- a/cmd/cedarmast/main.go
+++ b/cmd/cedarmast/main.go
@@ -8,4 +8,4 @@
 	"cedarmast/internal/daemon"
 )
 
-func main() { os.Exit(daemon.Main(os.Getenv, os.Stderr)) }
+func main() { os.Exit(daemon.Main(os.Args[1:], os.Getenv, os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/daemon/command.go
@@ -0,0 +1,125 @@
+package daemon
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"cedarmast/internal/build"
+)
+
+// command is the command line. Without arguments a router runs.
+type command struct {
+	Run     struct{}   `cmd:"" default:"1" help:"Run a router, as the file that $$GW_CONFIG names says. This is what happens without arguments."`
+	Check   checkCmd   `cmd:"" help:"Read a configuration as a start would and say whether it is good."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+	Stats   statsCmd   `cmd:"" help:"Print a running router's counters."`
+}
+
+type (
+	checkCmd struct {
+		File string `arg:"" optional:"" help:"Configuration; left out, the one that $$GW_CONFIG names."`
+	}
+	versionCmd struct{}
+	statsCmd   struct {
+		Addr string `arg:"" help:"Where the router listens, as 127.0.0.1:8081."`
+	}
+)
+
+const statsPatience = 2 * time.Second
+
+// process is what a program has of its process, apart from its signals.
+type process struct {
+	getenv         func(string) string
+	stdout, stderr io.Writer
+}
+
+// Main carries out a command line, without the program's name, and returns the status to exit with: 2 for a faulty
+// argument or configuration, 1 for what failed otherwise.
+func Main(args []string, getenv func(string) string, stdout, stderr io.Writer) int {
+	p := process{getenv, stdout, stderr}
+	if len(args) == 0 { // as the deployment starts it: nothing stands between it and its signals
+		return p.run()
+	}
+	var c command
+	status := -1
+	parser, err := kong.New(&c, kong.Name("cedarmast"), kong.Description("A router for fleets of cache servers."),
+		kong.Writers(stdout, stderr), kong.Exit(func(s int) { status = s }), kong.UsageOnError())
+	if err != nil {
+		fmt.Fprintln(stderr, "cedarmast:", err)
+		return 2
+	}
+	given, err := parser.Parse(args)
+	switch {
+	case status >= 0: // help was asked for and given
+		return status
+	case err != nil:
+		fmt.Fprintln(stderr, "cedarmast:", err)
+		return 2
+	}
+	switch given.Selected().Name {
+	case "check":
+		return p.check(c.Check.File)
+	case "version":
+		fmt.Fprintln(stdout, build.Line("cedarmast"))
+		return 0
+	case "stats":
+		return p.stats(c.Stats.Addr)
+	}
+	return p.run()
+}
+
+// check reads a configuration as a start would.
+func (p process) check(file string) int {
+	getenv := p.getenv
+	if file != "" {
+		getenv = func(name string) string {
+			if name == "GW_CONFIG" {
+				return file
+			}
+			return p.getenv(name)
+		}
+	}
+	c, err := LoadConfig(getenv)
+	if err != nil {
+		fmt.Fprintln(p.stderr, "cedarmast:", err)
+		return 2
+	}
+	fmt.Fprintf(p.stdout, "good: %s on %s, %d servers known, %d classes, %d tenants\n", c.Name, c.Listen,
+		len(c.Known.Endpoints), len(c.Settings.Classes), len(c.Settings.Tenants))
+	return 0
+}
+
+// stats asks a router for its counters.
+func (p process) stats(addr string) int {
+	err := func() error {
+		c, err := net.DialTimeout("tcp", addr, statsPatience)
+		if err != nil {
+			return err
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(statsPatience))
+		if _, err := fmt.Fprintf(c, "GET /stats HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", addr); err != nil {
+			return err
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			return err
+		}
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("%s answered %s", addr, resp.Status)
+		}
+		_, err = io.Copy(p.stdout, resp.Body)
+		return err
+	}()
+	if err != nil {
+		fmt.Fprintln(p.stderr, "cedarmast: stats:", err)
+		return 1
+	}
+	return 0
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -29,13 +28,13 @@
 	statsEvery = 10 * time.Second
 )
 
-// Main runs a router by the environment's word and returns the status to exit with: 2 for a faulty configuration, 1 for
+// run runs a router by the environment's word and returns the status to exit with: 2 for a faulty configuration, 1 for
 // a router that could not start.
-func Main(getenv func(string) string, stderr io.Writer) int {
-	lines := newLogWriter(stderr)
+func (p process) run() int {
+	lines := newLogWriter(p.stderr)
 	defer lines.Close()
 	s := catchSignals() // before anything else: SIGHUP would end a process that does not catch it
-	c, err := LoadConfig(getenv)
+	c, err := LoadConfig(p.getenv)
 	if err != nil {
 		slog.New(slog.NewTextHandler(lines, nil)).Error("not started", "err", err)
 		return 2
@@ -43,7 +42,7 @@
 	level := &slog.LevelVar{}
 	level.Set(c.level)
 	log := slog.New(slog.NewTextHandler(lines, &slog.HandlerOptions{Level: level}))
-	load := func() (*Config, error) { return LoadConfig(getenv) }
+	load := func() (*Config, error) { return LoadConfig(p.getenv) }
 	if err := Run(context.Background(), c, log, host{s, load, level}); err != nil {
 		log.Error("not started", "err", err)
 		return 1
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -31,7 +31,7 @@
 	if os.Getenv("CEDARMAST_TEST_ROUTER") == "" {
 		os.Exit(m.Run())
 	}
-	os.Exit(Main(os.Getenv, os.Stderr))
+	os.Exit(Main(nil, os.Getenv, os.Stdout, os.Stderr))
 }
 
 // freeAddress is an address for a router to come. It lies on a loopback host of this process' own: on a shared one another
@@ -61,21 +61,21 @@
 			"Limits": map[string]any{"SendCap": 3, "MayCancel": true, "RetryAfter": true, "MaxRetryAfter": 1000e6}}}
 }
 
-// process is a router in a process of its own.
-type process struct {
+// child is a router in a process of its own.
+type child struct {
 	*exec.Cmd
 	address string
 	log     *bytes.Buffer
 	exited  chan error
 }
 
-func startProcess(t *testing.T, config map[string]any) *process {
+func startProcess(t *testing.T, config map[string]any) *child {
 	t.Helper()
 	return startProcessWith(t, config, nil).ready(t)
 }
 
 // startProcessWith sends the log to a file, or keeps it if there is none.
-func startProcessWith(t *testing.T, config map[string]any, log *os.File) *process {
+func startProcessWith(t *testing.T, config map[string]any, log *os.File) *child {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	text, err := json.Marshal(config)
@@ -85,7 +85,7 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := &process{Cmd: exec.Command(os.Args[0]), address: config["listen"].(string), log: &bytes.Buffer{}, exited: make(chan error, 1)}
+	p := &child{Cmd: exec.Command(os.Args[0]), address: config["listen"].(string), log: &bytes.Buffer{}, exited: make(chan error, 1)}
 	p.Env = append(os.Environ(), "CEDARMAST_TEST_ROUTER=1", "GW_CONFIG="+path)
 	if p.Stderr = p.log; log != nil {
 		p.Stderr = log
@@ -99,7 +99,7 @@
 }
 
 // ready waits for a router to be ready.
-func (p *process) ready(t *testing.T) *process {
+func (p *child) ready(t *testing.T) *child {
 	t.Helper()
 	standin.Eventually(t, "the router is ready", func() bool {
 		status, _, err := ask(p.address, "/health/ready")
@@ -109,7 +109,7 @@
 }
 
 // end waits for the process and returns its log.
-func (p *process) end(t *testing.T) string {
+func (p *child) end(t *testing.T) string {
 	t.Helper()
 	select {
 	case err := <-p.exited:
@@ -442,7 +442,7 @@
 			t.Fatal(err)
 		}
 		var log bytes.Buffer
-		if status := Main(env, &log); status != c.status || !strings.Contains(log.String(), c.says) {
+		if status := Main(nil, env, io.Discard, &log); status != c.status || !strings.Contains(log.String(), c.says) {
 			t.Errorf("status %d, %s", status, log.String())
 		}
 	}
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -12,7 +12,7 @@
 )
 
 // rewrite replaces a process's configuration and tells it so.
-func (p *process) rewrite(t *testing.T, text []byte) {
+func (p *child) rewrite(t *testing.T, text []byte) {
 	t.Helper()
 	for _, line := range p.Env {
 		if path, ok := strings.CutPrefix(line, "GW_CONFIG="); ok {
