--- /dev/null
+++ b/cmd/rehearse/main.go
@@ -0,0 +1,10 @@
+// Command rehearse plays days of trouble against real routers on one machine and judges them by the four rules.
+package main
+
+import (
+	"os"
+
+	"cedarmast/internal/rehearse"
+)
+
+func main() { os.Exit(rehearse.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/ledger/report.go
@@ -0,0 +1,145 @@
+package ledger
+
+import (
+	"math"
+	"time"
+)
+
+// Report is a day's result. The keys of its JSON do not change; new ones may come.
+type Report struct {
+	Scenario string  `json:"scenario"`
+	Seed     uint64  `json:"seed"`
+	Router   string  `json:"router"`
+	Policy   string  `json:"policy"`
+	LengthS  float64 `json:"length_s"`
+
+	Score        float64                `json:"score"`
+	WorstWindow  float64                `json:"worst_window"`
+	WorstClass   float64                `json:"worst_class"`
+	WorstTenant  float64                `json:"worst_tenant"`
+	Nines        float64                `json:"nines"`
+	Requests     int                    `json:"requests"`
+	Tries        int                    `json:"tries"`
+	Answered     int                    `json:"answered"`
+	Refused      int                    `json:"refused_tries"`
+	Failed       int                    `json:"failed_tries"`
+	Unheard      int                    `json:"unheard_tries"`
+	Lost         int                    `json:"lost"`
+	Double       int                    `json:"double_effects"`
+	Drain        int                    `json:"drain_breaks"`
+	ColdFalls    int                    `json:"cold_falls"`
+	Held         int                    `json:"held_back"`
+	Classes      map[string]ClassReport `json:"classes"`
+	Tenants      map[string]float64     `json:"tenants"`
+	DatabasePeak float64                `json:"database_peak"`
+	Fetches      int                    `json:"database_asks"`
+	DatabaseFell int                    `json:"database_falls"`
+	Wasted       float64                `json:"work_wasted"`
+	Sends        int                    `json:"sends"`
+	Crossed      int                    `json:"sites_crossed"`
+	Connections  int                    `json:"connections_opened"`
+	MemoryMB     float64                `json:"router_memory_mb"`
+	CPU          float64                `json:"router_cpu_s"`
+	HostLateMS   float64                `json:"host_late_ms"`
+	HostCPU      float64                `json:"host_cpu_s"`
+	Seconds      []Second               `json:"seconds"`
+	Breaches     []Breach               `json:"breaches"`
+	Missed       []string               `json:"expectations_missed"`
+	RulesHeld    bool                   `json:"held"`
+}
+
+// ClassReport is one class's.
+type ClassReport struct {
+	Score    float64 `json:"score"`
+	Requests int     `json:"requests"`
+	P50      float64 `json:"p50_ms"`
+	P99      float64 `json:"p99_ms"`
+	P999     float64 `json:"p999_ms"`
+}
+
+// Second is one second of the day, by when requests were due.
+type Second struct {
+	Asked  float64 `json:"worth_asked"`
+	Earned float64 `json:"worth_earned"`
+}
+
+const windowSeconds = 10
+
+// Report closes the books. What is asked after the end of the window's seconds is in the score all the same.
+func (l *Ledger) Report() *Report {
+	r := &Report{Scenario: l.set.Name, LengthS: l.set.Length.D().Seconds(), Requests: len(l.asks), Tries: l.Counts.Tries,
+		Lost: l.Counts.Lost, Double: l.Counts.Double, Drain: l.Counts.Drain, ColdFalls: l.Counts.ColdFalls, Held: l.Counts.Held,
+		Refused: l.answers[Refused], Failed: l.answers[Failed], Unheard: l.answers[Unheard],
+		Sends: l.Counts.Sends, Crossed: l.Counts.Crossed, Connections: l.Counts.Connections, DatabaseFell: l.Counts.DatabaseFalls,
+		Classes: map[string]ClassReport{}, Tenants: map[string]float64{}, Breaches: l.breach, Missed: []string{}}
+	if r.Breaches == nil {
+		r.Breaches = []Breach{}
+	}
+	r.Seconds = make([]Second, int(math.Ceil(r.LengthS)))
+	classes, tenants := make([]Second, len(l.set.Classes)), make([]Second, len(l.set.Tenants))
+	counts := make([]int, len(classes))
+	var all Second
+	for i := range l.asks {
+		a := &l.asks[i]
+		add := func(s *Second) { s.Asked, s.Earned = s.Asked+a.Worth, s.Earned+a.earned }
+		add(&all)
+		add(&r.Seconds[min(int(a.At/time.Second), len(r.Seconds)-1)])
+		add(&classes[a.Class])
+		counts[a.Class]++
+		if a.Within {
+			add(&tenants[a.Tenant])
+		}
+		if a.served {
+			r.Answered++
+		}
+	}
+	r.Score, r.WorstClass, r.WorstTenant, r.WorstWindow = all.share(), 1, 1, 1
+	for i, c := range l.set.Classes {
+		ms := func(q float64) float64 { return float64(l.hist[i].ValueAtQuantile(q)) / 1000 }
+		r.Classes[c.Name] = ClassReport{classes[i].share(), counts[i], ms(50), ms(99), ms(99.9)}
+		r.WorstClass = min(r.WorstClass, classes[i].share())
+	}
+	for i, t := range l.set.Tenants {
+		r.Tenants[t.Name] = tenants[i].share()
+		r.WorstTenant = min(r.WorstTenant, tenants[i].share())
+	}
+	for i := 0; i == 0 || i+windowSeconds <= len(r.Seconds); i++ {
+		var w Second
+		for _, s := range r.Seconds[i:min(i+windowSeconds, len(r.Seconds))] {
+			w.Asked, w.Earned = w.Asked+s.Asked, w.Earned+s.Earned
+		}
+		r.WorstWindow = min(r.WorstWindow, w.share())
+	}
+	if r.Requests > 0 {
+		r.Nines = -math.Log10(max(1-float64(r.Answered)/float64(r.Requests), 1e-9))
+	}
+	if l.worked > 0 {
+		r.Wasted = 1 - l.useful.Seconds()/l.worked.Seconds()
+	}
+	r.RulesHeld = r.Lost == 0 && r.Double == 0 && r.Drain == 0 && r.ColdFalls == 0 && r.Held == 0
+	return r
+}
+
+func (s Second) share() float64 {
+	if s.Asked == 0 {
+		return 1
+	}
+	return s.Earned / s.Asked
+}
+
+// Expected holds a report against what its scenario expects, and settles whether the day held.
+func (r *Report) Expected(l *Ledger) {
+	e := l.set.Expect
+	for _, x := range []struct {
+		name  string
+		want  *float64
+		is    float64
+		least bool
+	}{{"score", e.Score, r.Score, true}, {"worst_window", e.WorstWindow, r.WorstWindow, true},
+		{"database_peak", e.DatabasePeak, r.DatabasePeak, false}, {"memory_mb", e.MemoryMB, r.MemoryMB, false}} {
+		if x.want != nil && (x.is < *x.want) == x.least && x.is != *x.want {
+			r.Missed = append(r.Missed, x.name)
+		}
+	}
+	r.RulesHeld = r.RulesHeld && len(r.Missed) == 0
+}
--- /dev/null
+++ b/internal/rig/router.go
@@ -0,0 +1,284 @@
+package rig
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"cedarmast/internal/settings"
+)
+
+// router is one router process, over all its starts.
+type router struct {
+	rig    *Rig
+	k      int
+	name   string
+	listen string // the same after a restart
+	path   string // of its configuration
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd // nil while none runs
+	exited  chan struct{}
+	killed  bool
+	starts  int
+	peakMB  float64
+	used    time.Duration // processor time of those that have ended
+	running bool
+}
+
+func newRouter(r *Rig, k int, name string) (*router, error) {
+	l, err := r.listen("")
+	if err != nil {
+		return nil, err
+	}
+	defer l.Close()
+	return &router{rig: r, k: k, name: name, listen: l.Addr().String(), path: filepath.Join(r.dir, name+".json")}, nil
+}
+
+// config is what a router is told at a start. It is called on the model's goroutine.
+func (t *router) config() ([]byte, error) {
+	r := t.rig
+	peerListen, peers := r.between.peers(t.k)
+	known := r.instances(t.k, 0, false)
+	return json.Marshal(map[string]any{
+		"name": t.name, "listen": t.listen, "discovery": r.agents[t.k].at(),
+		"seed":   strconv.FormatUint(r.opt.Seed*1000+uint64(t.k)*100+uint64(t.starts), 16),
+		"limits": map[string]any{"cores": r.set.Limits.Cores, "memory_mb": r.set.Limits.MemoryMB, "sockets": r.set.Limits.Descriptors},
+		"known":  known, "peer_listen": peerListen, "peers": peers, "settings": r.profile(t.k),
+	})
+}
+
+// profile is the settings object that routers are told.
+func (r *Rig) profile(k int) *settings.Profile {
+	s := r.set
+	var p settings.Profile
+	text, err := json.Marshal(map[string]any{"Classes": classes(r), "Tenants": tenants(r)})
+	if err == nil {
+		err = json.Unmarshal(text, &p) // the profile's lists have types without a name
+	}
+	if err != nil {
+		panic(err)
+	}
+	p.FleetSize, p.MyNumber, p.Zone = len(s.RouterNames()), k, r.world.RouterSite(k)
+	p.OverShareWorth, p.MembershipMode, p.FamilyInfo.Mode = s.Clients.OverShare, "push", "through"
+	for _, m := range s.Models {
+		p.Flavors = append(p.Flavors, m.Name)
+	}
+	l := &p.Limits
+	l.SendCap, l.MayCancel, l.PeerMessages = s.Rules.MaxAttempts, s.Rules.MayCancel, s.Messages.On
+	l.RetryAfter, l.MaxRetryAfter, l.ConnectTimeout = s.Rules.RetryAfter, int64(s.Rules.MaxRetryAfter), int64(s.Rules.ConnectWithin)
+	c := &p.Contract
+	c.AnswerSlack, c.AskWithin = int64(50*time.Millisecond), int64(2*time.Second)
+	c.ColdFrom, c.OverloadFactor, c.OverloadFor = 1, s.Rules.Fall, int64(s.Rules.FallFor)
+	for i, m := range s.Models {
+		if i == 0 || int64(m.Idle) < l.ConnIdle {
+			l.ConnIdle = int64(m.Idle)
+		}
+		c.ColdFrom, c.RampTime = min(c.ColdFrom, m.ColdFrom), max(c.RampTime, int64(m.ColdFor))
+	}
+	return &p
+}
+
+func classes(r *Rig) (all []map[string]any) {
+	for _, c := range r.set.Classes {
+		all = append(all, map[string]any{"Name": c.Name, "Objective": int64(c.Wanted), "Deadline": int64(c.Deadline), "Worth": c.Worth,
+			"LateShare": c.LateShare, "Effect": c.Effect, "DedupScope": map[bool]string{true: "all"}[c.Effect == "keyed"], "MemorySpan": int64(c.Memory)})
+	}
+	return all
+}
+
+func tenants(r *Rig) (all []map[string]any) {
+	whole := 0.0
+	for _, t := range r.set.Tenants {
+		whole += t.Share
+	}
+	for _, t := range r.set.Tenants {
+		all = append(all, map[string]any{"Name": t.Name, "AllowancePerS": r.set.Rate * t.Share / whole})
+	}
+	return all
+}
+
+// launch starts a router; ready hears once it answers that it is, or why it won't. It is called on the model's goroutine.
+func (r *Rig) launch(k int, ready func(error)) {
+	t := r.routers[k]
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.running {
+		return // two troubles have met; it is there already
+	}
+	t.starts++
+	text, err := t.config()
+	if err == nil {
+		err = os.WriteFile(t.path, text, 0o600)
+	}
+	if err != nil {
+		ready(err)
+		return
+	}
+	log, err := r.logFile(t.name)
+	if err != nil {
+		ready(err)
+		return
+	}
+	cmd := exec.Command(r.opt.Router[0], r.opt.Router[1:]...)
+	var last tail
+	cmd.Stdout, cmd.Stderr = io.Discard, io.MultiWriter(log, &last)
+	cmd.Env = append(append(os.Environ(), "GW_CONFIG="+t.path, "GW_NAME="+t.name, "GW_LISTEN="+t.listen, "GW_DISCOVERY="+r.agents[k].at()), r.opt.Env...)
+	// Of its own group, so that an interrupt of the terminal does not reach it, and dead with the rig, whatever ends that.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		log.Close()
+		ready(err)
+		return
+	}
+	exited := make(chan struct{})
+	t.cmd, t.exited, t.killed, t.running = cmd, exited, false, true
+	r.wg.Add(1)
+	go func() {
+		defer r.wg.Done()
+		cmd.Wait()
+		log.Close()
+		t.mu.Lock()
+		t.running = false
+		t.used += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+		if u, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
+			t.peakMB = max(t.peakMB, float64(u.Maxrss)/1024)
+		}
+		killed := t.killed
+		t.mu.Unlock()
+		close(exited)
+		if !killed && !cmd.ProcessState.Success() {
+			r.Note(r.now(), fmt.Sprintf("%s ended with %v: %s", t.name, cmd.ProcessState, last.String()))
+		}
+		if r.running.Load() {
+			r.post(func() { r.world.RouterEnded(k, killed) })
+		}
+	}()
+	r.background(func() {
+		err := t.awaitReady(exited)
+		if err != nil && last.Len() > 0 {
+			err = fmt.Errorf("%w: %s", err, strings.TrimSpace(last.String()))
+		}
+		ready(err)
+	})
+}
+
+// awaitReady asks the router until it says that it is ready.
+func (t *router) awaitReady(exited <-chan struct{}) error {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for until := time.Now().Add(readyWithin); time.Now().Before(until); {
+		if resp, err := client.Get("http://" + t.listen + "/health/ready"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-exited:
+			return fmt.Errorf("%s ended before it was ready", t.name)
+		case <-t.rig.ctx.Done():
+			return t.rig.ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return fmt.Errorf("%s is not ready after %v", t.name, readyWithin)
+}
+
+// kill ends a router outright and returns once it is gone.
+func (t *router) kill() {
+	t.mu.Lock()
+	cmd, exited, running := t.cmd, t.exited, t.running
+	t.killed = t.killed || running
+	t.mu.Unlock()
+	if running {
+		syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL)
+		<-exited
+	}
+}
+
+// terminate ends a router in order, and outright if that takes too long.
+func (t *router) terminate() {
+	t.mu.Lock()
+	cmd, exited, running := t.cmd, t.exited, t.running
+	t.mu.Unlock()
+	if !running {
+		return
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-exited:
+	case <-time.After(endsWithin):
+		t.rig.Note(t.rig.now(), t.name+" did not end in time and was killed")
+		syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL) // what it holds then is not excused
+		<-exited
+	}
+}
+
+// reload gives the router discovery at a new address. It is called on the model's goroutine.
+func (t *router) reload() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.running || t.rig.agents[t.k].move() != nil {
+		return
+	}
+	text, err := t.config()
+	if err != nil || os.WriteFile(t.path+".new", text, 0o600) != nil || os.Rename(t.path+".new", t.path) != nil {
+		return
+	}
+	t.cmd.Process.Signal(syscall.SIGHUP)
+}
+
+// memory is the most that any of the router's processes has taken, in MB.
+func (t *router) memory() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.peakMB
+}
+
+// cpu is the processor time of those that have ended.
+func (t *router) cpu() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.used
+}
+
+// tail keeps the end of what a router says, for the message if it can't start.
+type tail struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+const tailLength = 400
+
+func (t *tail) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.b.Write(p)
+	if t.b.Len() > 4*tailLength {
+		t.b.Next(t.b.Len() - tailLength)
+	}
+	return len(p), nil
+}
+
+func (t *tail) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.b.Len()
+}
+
+func (t *tail) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	text := t.b.Bytes()
+	return string(text[max(len(text)-tailLength, 0):])
+}
--- /dev/null
+++ b/internal/scenario/scenario.go
@@ -0,0 +1,213 @@
+// Package scenario holds what a rehearsal is told: the fleet, its load, the troubles of the day and what is expected of
+// the routers. It reads scenario files strictly and names file, line and key of what is wrong.
+package scenario
+
+import (
+	"fmt"
+	"time"
+)
+
+// Duration is a span of time as Go writes it: 80ms, 1.5s, 2m.
+type Duration time.Duration
+
+// D is the span as the time package has it.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// UnmarshalText reads a number with its unit.
+func (d *Duration) UnmarshalText(text []byte) error {
+	span, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no span of time such as 80ms, 1.5s or 2m", text)
+	}
+	*d = Duration(span)
+	return nil
+}
+
+// MarshalText writes it as it is read.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// Scenario is one day. The tags tell its reference page and its checks: `help` what a key means, `least` and `most` its
+// bounds; defaults stand in Default.
+type Scenario struct {
+	Name   string   `toml:"name" help:"what the day is called in reports"`
+	About  string   `toml:"about" help:"one sentence on what is rehearsed"`
+	Length Duration `toml:"length" least:"1s" most:"2h" help:"how long clients ask"`
+	Short  Duration `toml:"short" least:"1s" most:"2h" help:"the length with --short; the time line is drawn together alike"`
+	Rate   float64  `toml:"rate" least:"0.1" most:"100000" help:"requests a second, first tries alone, over all routers"`
+	Swing  float64  `toml:"swing" least:"0" most:"0.9" help:"by what part the rate goes up and down over the day"`
+
+	Sites     []Site    `toml:"site"`
+	Models    []Model   `toml:"model"`
+	Classes   []Class   `toml:"class"`
+	Tenants   []Tenant  `toml:"tenant"`
+	Troubles  []Trouble `toml:"trouble"`
+	Database  Database  `toml:"database"`
+	Network   Network   `toml:"network"`
+	Keys      Keys      `toml:"keys"`
+	Clients   Clients   `toml:"clients"`
+	Discovery Discovery `toml:"discovery"`
+	Messages  Messages  `toml:"messages"`
+	Limits    Limits    `toml:"limits"`
+	Rules     Rules     `toml:"rules"`
+	Expect    Expect    `toml:"expect"`
+}
+
+// Site is one place with nodes, routers and clients.
+type Site struct {
+	Name    string  `toml:"name" help:"its name; nodes are listed with it as their zone"`
+	Nodes   int     `toml:"nodes" least:"0" most:"10000" help:"cache nodes that stand here"`
+	Routers int     `toml:"routers" least:"0" most:"10000" help:"routers that stand here"`
+	Share   float64 `toml:"share" least:"0" most:"1" help:"of the clients; those of all sites are brought to a sum of 1"`
+}
+
+// Model is a kind of cache node.
+type Model struct {
+	Name     string   `toml:"name" help:"its name; it is the type that the list tells"`
+	Share    float64  `toml:"share" least:"0" most:"1" help:"of the nodes; those of all models are brought to a sum of 1"`
+	Cores    int      `toml:"cores" least:"1" most:"256" help:"requests that are worked on at once"`
+	Speed    float64  `toml:"speed" least:"0.01" most:"100" help:"of a core; a class's work takes its time at speed 1"`
+	Queue    int      `toml:"queue" least:"0" most:"100000" help:"requests that wait for a core; more are turned away"`
+	Cache    int      `toml:"cache" least:"1" most:"10000000" help:"keys that are kept, the longest unused dropped first"`
+	ColdFrom float64  `toml:"cold_from" least:"0.01" most:"1" help:"part of its speed at which a node starts"`
+	ColdFor  Duration `toml:"cold_for" least:"0s" most:"1h" help:"after which a node has its full speed"`
+	ConnWork Duration `toml:"conn_work" least:"0s" most:"1s" help:"work that a new connection adds to its first request"`
+	ConnMost int      `toml:"conn_most" least:"1" most:"100000" help:"connections that a node holds; more are turned away"`
+	Idle     Duration `toml:"idle" least:"100ms" most:"1h" help:"after which a node closes an idle connection"`
+}
+
+// Class is one kind of request.
+type Class struct {
+	Name      string   `toml:"name" help:"its name, and the first part of its paths"`
+	Share     float64  `toml:"share" least:"0" most:"1" help:"of the requests; those of all classes are brought to a sum of 1"`
+	Work      Duration `toml:"work" least:"100us" most:"1m" help:"mean work of a request at speed 1"`
+	Spread    float64  `toml:"spread" least:"0" most:"5" help:"standard deviation of the work, as a part of its mean (lognormal)"`
+	Wanted    Duration `toml:"wanted" least:"1ms" most:"10m" help:"an answer within this earns all its worth"`
+	Deadline  Duration `toml:"deadline" least:"1ms" most:"10m" help:"how long a client waits over all its tries"`
+	Worth     float64  `toml:"worth" least:"0" most:"1000" help:"what a request is worth"`
+	LateShare float64  `toml:"late_share" least:"0" most:"1" help:"of its worth that a late answer earns"`
+	Effect    string   `toml:"effect" oneof:"safe,keyed,unsafe" help:"how far it may be repeated"`
+	Memory    Duration `toml:"memory" least:"0s" most:"1h" help:"for how long nodes drop a repeat of a keyed request"`
+	Write     bool     `toml:"write" help:"whether it writes its key: it goes on to the database and voids kept copies"`
+}
+
+// Tenant is one customer.
+type Tenant struct {
+	Name  string  `toml:"name" help:"its name"`
+	Share float64 `toml:"share" least:"0" most:"1" help:"of the service that it has paid for"`
+	Usage float64 `toml:"usage" least:"0" most:"100" help:"what it asks for, as a multiple of its share of the rate"`
+}
+
+// Database is what stands behind the cache nodes.
+type Database struct {
+	Workers  int      `toml:"workers" least:"1" most:"100000" help:"fetches and writes that are worked on at once"`
+	Time     Duration `toml:"time" least:"100us" most:"1m" help:"that one takes"`
+	Queue    int      `toml:"queue" least:"0" most:"1000000" help:"that wait; more fail"`
+	Fall     float64  `toml:"fall" least:"0" most:"1000" help:"asked for this multiple of what it can do it stalls; 0: never"`
+	FallFor  Duration `toml:"fall_for" least:"100ms" most:"10m" help:"once that has gone on for so long"`
+	StallFor Duration `toml:"stall_for" least:"0s" most:"10m" help:"for how long it stalls then"`
+}
+
+// Network is the time that messages take.
+type Network struct {
+	Same  Duration `toml:"same" least:"0s" most:"1s" help:"one way within a site"`
+	Cross Duration `toml:"cross" least:"0s" most:"1s" help:"one way between sites"`
+}
+
+// Keys is what is asked for.
+type Keys struct {
+	Count  int     `toml:"count" least:"1" most:"100000000" help:"how many there are"`
+	Zipf   float64 `toml:"zipf" least:"0" most:"3" help:"the exponent of their popularity; 0: all alike"`
+	Offset float64 `toml:"offset" least:"0" most:"10000" help:"ranks that the head of the popularity is flattened by"`
+}
+
+// Clients is how those who ask behave.
+type Clients struct {
+	Connections int        `toml:"connections" least:"1" most:"10000" help:"that are kept open to each router at most while idle"`
+	Patience    [2]float64 `toml:"patience" least:"0.01" most:"1" help:"part of its class's deadline that one try is given, drawn between the two"`
+	Retries     int        `toml:"retries" least:"0" most:"20" help:"tries after the first"`
+	Backoff     Duration   `toml:"backoff" least:"0s" most:"1m" help:"mean wait before the first retry; it doubles with each"`
+	Honour      float64    `toml:"honour" least:"0" most:"1" help:"part of the clients that heed Retry-After"`
+	Notice      Duration   `toml:"notice" least:"0s" most:"1m" help:"after which clients are led away from a dead router"`
+	OverShare   float64    `toml:"over_share" least:"0" most:"1" help:"what a tenant's traffic over its share is worth, as a part of the usual"`
+}
+
+// Discovery is how routers hear of nodes.
+type Discovery struct {
+	Lag       [2]Duration `toml:"lag" least:"0s" most:"10m" help:"after which a change is told to a router, drawn between the two"`
+	SilentLag [2]Duration `toml:"silent_lag" least:"0s" most:"10m" help:"the same for nodes that have died or gone silent"`
+}
+
+// Messages are the datagrams between routers.
+type Messages struct {
+	On    bool        `toml:"on" help:"whether routers may send them"`
+	Delay [2]Duration `toml:"delay" least:"0s" most:"1m" help:"that they take, drawn between the two"`
+	Loss  float64     `toml:"loss" least:"0" most:"1" help:"part of them that is lost"`
+}
+
+// Limits are a router's.
+type Limits struct {
+	Cores       float64 `toml:"cores" least:"0.01" most:"256" help:"of its machine"`
+	MemoryMB    int     `toml:"memory_mb" least:"32" most:"1000000" help:"that it may take"`
+	Descriptors int     `toml:"descriptors" least:"64" most:"1000000" help:"that it may hold"`
+}
+
+// Rules are the four rules' figures and what routers may do.
+type Rules struct {
+	DrainGrace    Duration `toml:"drain_grace" least:"0s" most:"1m" help:"after being told of a drain, in which sends are still right"`
+	Fall          float64  `toml:"fall" least:"1" most:"1000" help:"a cold node sent this multiple of what it can do falls over"`
+	FallFor       Duration `toml:"fall_for" least:"100ms" most:"10m" help:"once that has gone on for so long"`
+	MaxAttempts   int      `toml:"max_attempts" least:"1" most:"100" help:"sends of one request"`
+	MayCancel     bool     `toml:"may_cancel" help:"whether routers may withdraw a send"`
+	RetryAfter    bool     `toml:"retry_after" help:"whether routers may tell clients when to come back"`
+	MaxRetryAfter Duration `toml:"max_retry_after" least:"0s" most:"10m" help:"the longest such advice"`
+	ConnectWithin Duration `toml:"connect_within" least:"10ms" most:"1m" help:"a connection that does not come up by then is given up"`
+}
+
+// Trouble is one thing that goes wrong, from At on for For.
+type Trouble struct {
+	Kind   string   `toml:"kind" oneof:"crash,silence,freeze,errors,turn-away,slow,spoil,cut,site-loss,burst,heavy,flush,deploy,shrink,grow,discovery-silence,discovery-stale,discovery-flap,router-kill,router-stop,router-reload,bad-clients,database-stall" help:"what happens; see the table of kinds"`
+	At     Duration `toml:"at" least:"0s" most:"2h" help:"when it begins"`
+	For    Duration `toml:"for" least:"0s" most:"2h" help:"how long it lasts; what has died comes back then, cold"`
+	Part   float64  `toml:"part" least:"0" most:"1" help:"part of the nodes or routers that it strikes, drawn by the seed; at least one"`
+	Nodes  []string `toml:"nodes" help:"the nodes that it strikes, by name, in place of part"`
+	Site   string   `toml:"site" help:"only what stands at this site"`
+	Router string   `toml:"router" help:"the router that it strikes, by name; cut: the one that is cut off"`
+	Size   float64  `toml:"size" least:"0" most:"1000" help:"how much: multiple of the rate, of the work, or part of the answers, by kind"`
+	Class  string   `toml:"class" help:"only requests of this class (heavy)"`
+	With   bool     `toml:"with_routers" help:"whether the site's routers go with it (site-loss)"`
+}
+
+// Expect is what the day must come to; what is left out is not looked at. The rules are expected always.
+type Expect struct {
+	Score        *float64 `toml:"score" least:"0" most:"1" help:"least score"`
+	WorstWindow  *float64 `toml:"worst_window" least:"0" most:"1" help:"least score of any ten seconds"`
+	DatabasePeak *float64 `toml:"database_peak" least:"0" most:"1000" help:"most work asked of the database in a second, as a multiple of what it can do"`
+	MemoryMB     *float64 `toml:"memory_mb" least:"1" most:"1000000" help:"most memory of any router"`
+}
+
+// Default is what a key has that a file leaves out. Lists have none: a file brings its own.
+func Default() Scenario {
+	return Scenario{
+		Length: Duration(30 * time.Second), Short: Duration(15 * time.Second), Rate: 70, Swing: 0.1,
+		Database:  Database{Workers: 8, Time: Duration(120 * time.Millisecond), Queue: 100, Fall: 3, FallFor: Duration(3 * time.Second), StallFor: Duration(5 * time.Second)},
+		Network:   Network{Same: Duration(200 * time.Microsecond), Cross: Duration(2 * time.Millisecond)},
+		Keys:      Keys{Count: 20000, Zipf: 1, Offset: 4},
+		Clients:   Clients{Connections: 32, Patience: [2]float64{0.5, 0.8}, Retries: 2, Backoff: Duration(150 * time.Millisecond), Honour: 0.9, Notice: Duration(2 * time.Second), OverShare: 0.2},
+		Discovery: Discovery{Lag: [2]Duration{Duration(time.Second), Duration(3 * time.Second)}, SilentLag: [2]Duration{Duration(4 * time.Second), Duration(12 * time.Second)}},
+		Messages:  Messages{On: true, Delay: [2]Duration{Duration(time.Millisecond), Duration(20 * time.Millisecond)}, Loss: 0.02},
+		Limits:    Limits{Cores: 1, MemoryMB: 192, Descriptors: 1024},
+		Rules: Rules{DrainGrace: Duration(2 * time.Second), Fall: 4, FallFor: Duration(2 * time.Second), MaxAttempts: 4, MayCancel: true,
+			RetryAfter: true, MaxRetryAfter: Duration(2 * time.Second), ConnectWithin: Duration(250 * time.Millisecond)},
+	}
+}
+
+// defaultModel, defaultClass and defaultTenant fill in what an entry of a list leaves out.
+var (
+	defaultModel = Model{Share: 1, Cores: 2, Speed: 1, Queue: 8, Cache: 2000, ColdFrom: 0.25, ColdFor: Duration(15 * time.Second),
+		ConnWork: Duration(time.Millisecond), ConnMost: 1000, Idle: Duration(5 * time.Second)}
+	defaultClass = Class{Share: 1, Work: Duration(100 * time.Millisecond), Spread: 1, Wanted: Duration(1200 * time.Millisecond),
+		Deadline: Duration(4 * time.Second), Worth: 1, LateShare: 0.3, Effect: "safe"}
+	defaultTenant  = Tenant{Share: 1, Usage: 1}
+	defaultSite    = Site{Share: 1}
+	defaultTrouble = Trouble{}
+)
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cedarmast/internal/exchange"
+	"cedarmast/internal/socket"
 )
 
 // Taker takes requests; exchange.Loop is one.
@@ -136,7 +137,7 @@
 	}
 	slices.SortFunc(all, byOrder)
 	for _, c := range all {
-		if over > 0 && c.mayGo() && peek(c.Conn) != unread {
+		if over > 0 && c.mayGo() && socket.Peek(c.Conn) != socket.Unread {
 			c.giveUp()
 			over--
 		}
@@ -179,7 +180,7 @@
 	}
 	slices.SortFunc(may, byOrder)
 	for _, c := range may[:min(len(may), maxPeeks)] {
-		if c.phase == leaving || peek(c.Conn) != unread {
+		if c.phase == leaving || socket.Peek(c.Conn) != socket.Unread {
 			c.giveUp()
 			return true
 		}
--- a/internal/wire/client_test.go
+++ b/internal/wire/client_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"cedarmast/internal/exchange"
+	"cedarmast/internal/socket"
 	"cedarmast/internal/standin"
 )
 
@@ -474,7 +475,7 @@
 	c := &clientConn{Conn: near, side: s, phase: reading, since: time.Now().Add(-time.Minute)} // and nobody reads
 	s.open[c] = struct{}{}
 	io.WriteString(far, getOne())
-	standin.Eventually(t, "the request is there", func() bool { return peek(near) == unread })
+	standin.Eventually(t, "the request is there", func() bool { return socket.Peek(near) == socket.Unread })
 	if s.giveUpIdle() {
 		t.Fatal("given up though the router is the slow one")
 	}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -12,6 +12,7 @@
 
 	"cedarmast/balance"
 	"cedarmast/internal/exchange"
+	"cedarmast/internal/socket"
 )
 
 // Servers carries out attempts at cache servers, each in a goroutine of its own. Nothing is sent twice by itself.
@@ -176,7 +177,7 @@
 		return context.Cause(a.Context)
 	case <-wait.C:
 	}
-	if state := peek(c.Conn); state == closed || state == unread { // the reader may not have run
+	if state := socket.Peek(c.Conn); state == socket.Closed || state == socket.Unread { // the reader may not have run
 		return errEarly
 	}
 	return writeWhole(c.Conn, last, nil)
--- a/internal/wire/serverconn.go
+++ b/internal/wire/serverconn.go
@@ -15,6 +15,7 @@
 
 	"cedarmast/balance"
 	"cedarmast/internal/exchange"
+	"cedarmast/internal/socket"
 )
 
 // answer is a server's answer, whole.
@@ -106,8 +107,8 @@
 // that is the difference between an attempt that never ran and one that may have. Bytes that nobody asked for count
 // alike, lest they be taken for the next request's answer.
 func (c *serverConn) stale() bool {
-	state := peek(c.Conn)
-	return state == unread || state == closed
+	state := socket.Peek(c.Conn)
+	return state == socket.Unread || state == socket.Closed
 }
 
 // idle makes the connection ready for its next request; false if it has ended.
@@ -223,7 +224,7 @@
 			s.SetReadDeadline(time.Now().Add(stallFor))
 		}
 		n, err := s.Conn.Read(p)
-		if n > 0 || !s.armed || !errors.Is(err, os.ErrDeadlineExceeded) || peek(s.Conn) != unread {
+		if n > 0 || !s.armed || !errors.Is(err, os.ErrDeadlineExceeded) || socket.Peek(s.Conn) != socket.Unread {
 			return n, err
 		}
 	}
