--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -10,7 +10,9 @@
 
 	"github.com/alecthomas/kong"
 
+	"cedarmast/balance"
 	"cedarmast/internal/build"
+	"cedarmast/internal/exchange"
 )
 
 // command is the command line. Without arguments a router runs.
@@ -37,12 +39,13 @@
 type process struct {
 	getenv         func(string) string
 	stdout, stderr io.Writer
+	decide         func(balance.Settings, uint64) exchange.Decider // nil: the decisions in service
 }
 
 // Main carries out a command line, without the program's name, and returns the status to exit with: 2 for a faulty
 // argument or configuration, 1 for what failed otherwise.
 func Main(args []string, getenv func(string) string, stdout, stderr io.Writer) int {
-	p := process{getenv, stdout, stderr}
+	p := process{getenv: getenv, stdout: stdout, stderr: stderr}
 	if len(args) == 0 { // as the deployment starts it: nothing stands between it and its signals
 		return p.run()
 	}
@@ -74,6 +77,12 @@
 	return p.run()
 }
 
+// RunDeciding runs a router as Main without arguments does, with other decisions than the ones in service: a baseline to
+// rehearse against.
+func RunDeciding(decide func(balance.Settings, uint64) exchange.Decider, getenv func(string) string, stderr io.Writer) int {
+	return process{getenv: getenv, stdout: io.Discard, stderr: stderr, decide: decide}.run()
+}
+
 // check reads a configuration as a start would.
 func (p process) check(file string) int {
 	getenv := p.getenv
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,7 +43,7 @@
 	level.Set(c.level)
 	log := slog.New(slog.NewTextHandler(lines, &slog.HandlerOptions{Level: level}))
 	load := func() (*Config, error) { return LoadConfig(p.getenv) }
-	if err := Run(context.Background(), c, log, host{s, load, level}); err != nil {
+	if err := Run(context.Background(), c, log, host{s, load, level, p.decide}); err != nil {
 		log.Error("not started", "err", err)
 		return 1
 	}
@@ -55,6 +55,8 @@
 	signals
 	load  func() (*Config, error) // reads the configuration again
 	level *slog.LevelVar          // of the log
+
+	decide func(balance.Settings, uint64) exchange.Decider // nil: the decisions in service
 }
 
 // signals are those that a router is told things by, each kind in a row of its own: none crowds out another.
@@ -72,7 +74,7 @@
 
 // Run runs a router until the context ends, or SIGTERM or SIGINT comes, and all that it has taken is answered.
 func Run(ctx context.Context, c *Config, log *slog.Logger, p host) error {
-	r, err := start(c, log)
+	r, err := start(c, log, p.decide)
 	if err != nil {
 		return err
 	}
@@ -119,7 +121,7 @@
 }
 
 // start brings all parts up, in the order in which they need one another. The router is ready a little later.
-func start(c *Config, log *slog.Logger) (*router, error) {
+func start(c *Config, log *slog.Logger, decide func(balance.Settings, uint64) exchange.Decider) (*router, error) {
 	c.Limits.apply()
 	parts := share(c.Limits.Sockets)
 	clock := exchange.NewClock()
@@ -130,7 +132,7 @@
 	loop := exchange.NewLoop()
 	r.loop = loop
 	loop.Clock, loop.Counts, loop.Log, loop.Pool = clock, r.counts, log, r.pool
-	loop.Settings, loop.Seed = c.Settings.Settings(), c.seed
+	loop.Settings, loop.Seed, loop.Decide = c.Settings.Settings(), c.seed, decide
 	loop.Subscribe = func() {
 		if w := r.watch.Load(); w != nil {
 			w.Subscribe()
--- a/internal/exchange/loop.go
+++ b/internal/exchange/loop.go
@@ -19,6 +19,12 @@
 	Tell(to int, content []byte)
 }
 
+// Decider makes the decisions; balance.Balancer is the one in service, others are baselines for rehearsals.
+type Decider interface {
+	Handle(now balance.Time, events []balance.Event) []balance.Action
+	View(now balance.Time) []balance.View
+}
+
 // Loop owns the decisions: one goroutine takes events in batches and carries out what is decided. It never waits
 // on a socket.
 type Loop struct {
@@ -31,11 +37,12 @@
 	Subscribe func() // asks for the list's changes; may be nil
 	Settings  balance.Settings
 	Seed      uint64
+	Decide    func(set balance.Settings, seed uint64) Decider // makes the decisions anew; nil: balance.New
 
 	events    chan event
 	stopped   chan struct{}  // closed when nothing is taken any more
 	helpers   sync.WaitGroup // goroutines that the loop has started; Run waits for them
-	balancer  *balance.Balancer
+	balancer  Decider
 	exchanges map[balance.RequestID]*Exchange
 	addresses addresses
 	entries   map[balance.ServerID]balance.Entry // as last listed: what a new balancer starts from
@@ -75,7 +82,7 @@
 func (l *Loop) Run(ctx context.Context) {
 	defer l.helpers.Wait()
 	defer close(l.stopped) // first: helpers may be waiting to post
-	l.balancer = balance.New(l.Settings, l.Seed)
+	l.balancer = l.decider()
 	wake := time.NewTimer(time.Hour)
 	defer wake.Stop()
 	for ctx.Err() == nil {
@@ -91,6 +98,13 @@
 	}
 }
 
+func (l *Loop) decider() Decider {
+	if l.Decide != nil {
+		return l.Decide(l.Settings, l.Seed)
+	}
+	return balance.New(l.Settings, l.Seed)
+}
+
 func (l *Loop) untilNext() time.Duration {
 	if len(l.timers.all) == 0 {
 		return time.Hour
@@ -159,11 +173,11 @@
 	clear(l.exchanges) // outcomes yet to come find nothing
 	l.timers = timers{}
 	l.Seed++
-	l.balancer = balance.New(l.Settings, l.Seed)
+	l.balancer = l.decider()
 	defer func() {
 		if p := recover(); p != nil { // then without the list: requests are refused until the next one comes
 			l.Log.Error("decisions panicked over the list", "panic", fmt.Sprint(p))
-			l.balancer = balance.New(l.Settings, l.Seed)
+			l.balancer = l.decider()
 		}
 	}()
 	list := balance.List{Kind: balance.Persisted, Version: l.version}
--- /dev/null
+++ b/internal/faulty/faulty.go
@@ -0,0 +1,270 @@
+// Package faulty holds small routers that each break one rule on purpose, and one that breaks none. The rehearsal kit
+// tries its ledger on them: a judge that can't convict proves nothing. None of them is meant to serve anybody.
+package faulty
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Kinds are the faults, and what each breaks; "none" breaks nothing.
+var Kinds = []struct{ Name, Breaks string }{
+	{"none", ""},
+	{"loses", "lost"},
+	{"answers-twice", "lost"},
+	{"serves-anothers-bytes", "lost"},
+	{"resends", "effect"},
+	{"refuses-what-ran", "effect"},
+	{"ignores-drains", "drain"},
+	{"floods-cold", "cold"},
+	{"holds-back", "held"},
+}
+
+// often is the part of the requests that a fault strikes where it is not in all.
+const often = 0.1
+
+type node struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Status  string `json:"status"`
+	Since   int64  `json:"since_ms"`
+}
+
+type list struct {
+	Index     int64  `json:"index"`
+	Snapshot  bool   `json:"snapshot"`
+	Endpoints []node `json:"endpoints"`
+}
+
+type router struct {
+	kind      string
+	discovery string
+
+	mu    sync.Mutex
+	nodes map[string]node
+	last  string // a body that was served before
+	busy  sync.WaitGroup
+}
+
+// Main runs a faulty router by the configuration that $GW_CONFIG names, until SIGTERM.
+func Main(kind string, getenv func(string) string, stderr io.Writer) int {
+	signal.Ignore(syscall.SIGUSR1, syscall.SIGHUP, syscall.SIGPIPE)
+	text, err := os.ReadFile(getenv("GW_CONFIG"))
+	if err != nil {
+		fmt.Fprintln(stderr, "faulty:", err)
+		return 2
+	}
+	var c struct {
+		Listen, Discovery string
+		Known             list
+	}
+	if err := json.Unmarshal(text, &c); err != nil {
+		fmt.Fprintln(stderr, "faulty:", err)
+		return 2
+	}
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		fmt.Fprintln(stderr, "faulty:", err)
+		return 1
+	}
+	r := &router{kind: kind, discovery: c.Discovery, nodes: map[string]node{}}
+	r.take(c.Known)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	go r.watch(ctx, c.Known.Index)
+	go func() {
+		<-ctx.Done()
+		l.Close()
+	}()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			break
+		}
+		go r.serve(ctx, conn)
+	}
+	r.busy.Wait()
+	return 0
+}
+
+func (r *router) take(l list) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l.Snapshot {
+		clear(r.nodes)
+	}
+	for _, n := range l.Endpoints {
+		if n.Status == "SERVING" {
+			r.nodes[n.Name] = n
+		} else if r.kind != "ignores-drains" {
+			delete(r.nodes, n.Name)
+		}
+	}
+}
+
+// watch follows discovery.
+func (r *router) watch(ctx context.Context, index int64) {
+	for ctx.Err() == nil {
+		req, err := http.NewRequestWithContext(ctx, "GET", fmt.Sprintf("http://%s/registry/instances?index=%d&wait=2000", r.discovery, index), nil)
+		if err != nil {
+			return
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		var l list
+		err = json.NewDecoder(resp.Body).Decode(&l)
+		resp.Body.Close()
+		if err == nil {
+			index = l.Index
+			r.take(l)
+		}
+	}
+}
+
+// order draws the order in which nodes are asked. One that has just started is mostly asked last.
+func (r *router) order() []node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all, cold []node
+	for _, n := range r.nodes {
+		if time.Since(time.UnixMilli(n.Since)) < 5*time.Second && rand.Float64() < 0.8 {
+			cold = append(cold, n)
+		} else {
+			all = append(all, n)
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	all = append(all, cold...)
+	if r.kind == "floods-cold" {
+		for i, n := range all {
+			if n.Since > all[0].Since {
+				all[0], all[i] = all[i], all[0]
+			}
+		}
+	}
+	return all
+}
+
+func (r *router) serve(ctx context.Context, c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for ctx.Err() == nil {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		if strings.HasPrefix(req.URL.Path, "/health/") {
+			io.WriteString(c, answer(200, "", "ready\n"))
+			continue
+		}
+		r.busy.Add(1)
+		ok := r.one(c, req, body)
+		r.busy.Done()
+		if !ok {
+			return
+		}
+	}
+}
+
+func answer(status int, lines, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), lines, len(body), body)
+}
+
+// one sees to a request; false ends its connection.
+func (r *router) one(c net.Conn, req *http.Request, body []byte) bool {
+	begun := time.Now()
+	left, _ := strconv.Atoi(strings.TrimSuffix(req.Header.Get("X-Time-Left"), "m"))
+	due := begun.Add(time.Duration(left) * time.Millisecond)
+	struck := rand.Float64() < often
+	if r.kind == "loses" && struck {
+		return false
+	}
+	ran, text := false, ""
+	for _, n := range r.order() {
+		status, got, sent := ask(n.Address, req, body, due)
+		if status == 200 {
+			text = got
+			if r.kind == "resends" && req.Method == "PUT" {
+				ask(n.Address, req, body, due)
+			}
+			break
+		}
+		if ran = ran || sent && status != 503; ran {
+			break // this one never sends again what may have run
+		}
+	}
+	switch {
+	case text == "" && !ran || r.kind == "refuses-what-ran" && req.Method == "PUT" && struck:
+		if r.kind == "holds-back" {
+			time.Sleep(time.Until(due) * 9 / 10)
+		}
+		_, err := io.WriteString(c, answer(503, "Retry-After: 0.2\r\n", ""))
+		return err == nil
+	case text == "":
+		_, err := io.WriteString(c, answer(502, "", ""))
+		return err == nil
+	}
+	r.mu.Lock()
+	other := r.last
+	r.last = text
+	r.mu.Unlock()
+	if r.kind == "serves-anothers-bytes" && struck && other != "" {
+		text = other
+	}
+	out := answer(200, "", text)
+	if r.kind == "answers-twice" && struck {
+		out += out
+	}
+	_, err := io.WriteString(c, out)
+	return err == nil
+}
+
+// ask sends a request to a node on a connection of its own; sent tells that its last byte was written.
+func ask(address string, req *http.Request, body []byte, due time.Time) (status int, text string, sent bool) {
+	c, err := net.DialTimeout("tcp", address, 250*time.Millisecond)
+	if err != nil {
+		return 0, "", false
+	}
+	defer c.Close()
+	c.SetDeadline(due.Add(-10 * time.Millisecond))
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: node\r\nX-Time-Left: %dm\r\nContent-Length: %d\r\n", req.Method, req.RequestURI,
+		max(time.Until(due).Milliseconds(), 1), len(body))
+	for _, name := range []string{"X-Correlation-Id", "X-Service-Class", "X-Account", "Idempotency-Key"} {
+		if v := req.Header.Get(name); v != "" {
+			head += name + ": " + v + "\r\n"
+		}
+	}
+	if _, err := io.WriteString(c, head+"\r\n"+string(body)); err != nil {
+		return 0, "", !errors.Is(err, syscall.EPIPE) && !errors.Is(err, syscall.ECONNRESET)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, "", true
+	}
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, "", true
+	}
+	return resp.StatusCode, string(got), true
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -286,7 +286,8 @@
 	left := t.begun + t.patience - free
 	if wait := at - free; wait > left/2+slack {
 		l.Counts.Held++
-		l.broke(at, "held", "%s was given up %v after its last send had ended, of %v that were left", id, wait, left)
+		l.broke(at, "held", "%s, sent at %v, was given up %v after its last send had ended, of %v that were left (%d sends, %d ended)",
+			id, t.begun, wait, left, t.sent, t.ended)
 	}
 }
 
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,127 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	"cedarmast/internal/scenario"
+)
+
+const ms = time.Millisecond
+
+func books(t *testing.T) *Ledger {
+	t.Helper()
+	s := scenario.Default()
+	s.Name, s.Length = "x", scenario.Duration(20*time.Second)
+	s.Classes = []scenario.Class{
+		{Name: "read", Wanted: scenario.Duration(time.Second), Deadline: scenario.Duration(3 * time.Second), Worth: 1, LateShare: 0.5, Effect: "safe"},
+		{Name: "tally", Wanted: scenario.Duration(time.Second), Deadline: scenario.Duration(3 * time.Second), Worth: 3, Effect: "keyed", Memory: scenario.Duration(2 * time.Second)},
+		{Name: "submit", Wanted: scenario.Duration(time.Second), Deadline: scenario.Duration(3 * time.Second), Worth: 3, Effect: "unsafe"}}
+	s.Tenants = []scenario.Tenant{{Name: "a", Share: 1}}
+	return New(&s, []Ask{{At: 0, Class: 0, Worth: 1, Within: true}, {At: time.Second, Class: 1, Worth: 3, Within: true}, {At: 2 * time.Second, Class: 2, Worth: 3, Within: true}})
+}
+
+// sum is what is booked of each rule: lost, effects, drains, cold falls, held back.
+func (l *Ledger) sum() [5]int {
+	r := l.Report()
+	return [5]int{r.Lost, r.Double, r.Drain, r.ColdFalls, r.Held}
+}
+
+// Each case is a day's events and what they break; the first of each pair of a rule is the same day without its fault.
+func TestRules(t *testing.T) {
+	try := func(l *Ledger, n int, id string, at Time) { l.Tried(n, id, 0, at, time.Second) }
+	for name, c := range map[string]struct {
+		day  func(l *Ledger)
+		want [5]int
+	}{
+		"served": {func(l *Ledger) {
+			try(l, 0, "a", 0)
+			l.Sent("a", 0, "n", 5*ms, true)
+			l.Made("a", "v", true)
+			l.Answered("a", Served, "v", 100*ms)
+		}, [5]int{}},
+		"served what was made for another": {func(l *Ledger) {
+			try(l, 0, "a", 0)
+			l.Made("b", "v", true)
+			l.Answered("a", Served, "v", 100*ms)
+		}, [5]int{1}},
+		"served what was spoilt": {func(l *Ledger) {
+			try(l, 0, "a", 0)
+			l.Made("a", "v", false)
+			l.Answered("a", Served, "v", 100*ms)
+		}, [5]int{1}},
+		"no answer":                            {func(l *Ledger) { try(l, 0, "a", 0); l.Answered("a", Nothing, "", 1050*ms) }, [5]int{1}},
+		"no answer, for its router was killed": {func(l *Ledger) { try(l, 0, "a", 0); l.RouterEnded(0, true); l.Answered("a", Broken, "", 1050*ms) }, [5]int{}},
+		"no answer at an end in order":         {func(l *Ledger) { try(l, 0, "a", 0); l.RouterEnded(0, false); l.Answered("a", Broken, "", 1050*ms) }, [5]int{1}},
+		"late":                                 {func(l *Ledger) { try(l, 0, "a", 0); l.Made("a", "v", true); l.Answered("a", Served, "v", 1100*ms) }, [5]int{1}},
+		"answered twice": {func(l *Ledger) {
+			try(l, 0, "a", 0)
+			l.Answered("a", Refused, "", 10*ms)
+			l.Answered("a", Refused, "", 12*ms)
+		}, [5]int{1}},
+		"a read resent":                           {func(l *Ledger) { try(l, 0, "a", 0); l.Sent("a", 0, "n", 0, true); l.Sent("a", 0, "m", 9*ms, true) }, [5]int{}},
+		"a submit turned away":                    {func(l *Ledger) { try(l, 2, "a", 0); l.Sent("a", 0, "n", 0, false); l.Sent("a", 0, "m", 9*ms, true) }, [5]int{}},
+		"a submit resent":                         {func(l *Ledger) { try(l, 2, "a", 0); l.Sent("a", 0, "n", 0, true); l.Sent("a", 0, "m", 9*ms, true) }, [5]int{0, 1}},
+		"a tally resent":                          {func(l *Ledger) { try(l, 1, "a", 0); l.Sent("a", 0, "n", 0, true); l.Sent("a", 0, "m", 1900*ms, true) }, [5]int{}},
+		"a tally resent after it is forgotten":    {func(l *Ledger) { try(l, 1, "a", 0); l.Sent("a", 0, "n", 0, true); l.Sent("a", 0, "m", 2100*ms, true) }, [5]int{0, 1}},
+		"a submit that failed may have run":       {func(l *Ledger) { try(l, 2, "a", 0); l.Sent("a", 0, "n", 0, true); l.Answered("a", Failed, "", 90*ms) }, [5]int{}},
+		"a submit refused though it may have run": {func(l *Ledger) { try(l, 2, "a", 0); l.Sent("a", 0, "n", 0, true); l.Answered("a", Refused, "", 90*ms) }, [5]int{0, 1}},
+		"two effects":                             {func(l *Ledger) { l.Effect(2, "submit", "unsafe"); l.Effect(2, "submit", "unsafe") }, [5]int{0, 1}},
+		"a request of nobody":                     {func(l *Ledger) { l.Stray("zz", "n") }, [5]int{0, 1}},
+		"a send in the grace":                     {func(l *Ledger) { l.Told(0, "n", false, 0); l.Sent("a", 0, "n", 2*time.Second, true) }, [5]int{}},
+		"a send after it":                         {func(l *Ledger) { l.Told(0, "n", false, 0); l.Sent("a", 0, "n", 2100*ms, true) }, [5]int{0, 0, 1}},
+		"told again that it drains": {func(l *Ledger) {
+			l.Told(0, "n", false, 0)
+			l.Told(0, "n", false, time.Second)
+			l.Sent("a", 0, "n", 2100*ms, true)
+		}, [5]int{0, 0, 1}},
+		"a send by another router": {func(l *Ledger) { l.Told(0, "n", false, 0); l.Sent("a", 1, "n", 3*time.Second, true) }, [5]int{}},
+		"a send after it is back": {func(l *Ledger) {
+			l.Told(0, "n", false, 0)
+			l.Told(0, "n", true, time.Second)
+			l.Sent("a", 0, "n", 3*time.Second, true)
+		}, [5]int{}},
+		"a cold fall":          {func(l *Ledger) { l.ColdFall("n", 0) }, [5]int{0, 0, 0, 1}},
+		"given up at once":     {func(l *Ledger) { try(l, 0, "a", 0); l.Answered("a", Refused, "", 400*ms) }, [5]int{}},
+		"held back":            {func(l *Ledger) { try(l, 0, "a", 0); l.Answered("a", Refused, "", 700*ms) }, [5]int{0, 0, 0, 0, 1}},
+		"a send was still out": {func(l *Ledger) { try(l, 0, "a", 0); l.Sent("a", 0, "n", 0, true); l.Answered("a", Failed, "", 990*ms) }, [5]int{}},
+		"held back after its last send": {func(l *Ledger) {
+			try(l, 0, "a", 0)
+			l.Sent("a", 0, "n", 0, true)
+			l.Ended("a", 100*ms)
+			l.Answered("a", Failed, "", 900*ms)
+		}, [5]int{0, 0, 0, 0, 1}},
+	} {
+		l := books(t)
+		if c.day(l); l.sum() != c.want {
+			t.Errorf("%s: %v, not %v; %v", name, l.sum(), c.want, l.breach)
+		}
+	}
+}
+
+// Latency and worth count from when the first try was due; a late answer earns its part; warming is not in the score.
+func TestScoreCountsRetriesWithTheirFirstTry(t *testing.T) {
+	l := books(t)
+	l.asks = append(l.asks, ask{Ask: Ask{At: -time.Second, Worth: 100, Within: true}})
+	for n, at := range []Time{1500 * ms, 1200 * ms, 2900 * ms} { // 1.5 s after, 0.2 s after, 0.9 s after
+		id := string(rune('a' + n))
+		l.Tried(n, id, 0, at-100*ms, time.Second)
+		l.Made(id, "v", true)
+		l.Answered(id, Served, "v", at)
+	}
+	r := l.Report()
+	if want := (0.5 + 3 + 3) / 7; r.Score != want || r.Requests != 3 || r.Answered != 3 {
+		t.Errorf("score %v of %d requests, not %v", r.Score, r.Requests, want)
+	}
+	if p := r.Classes["read"].P50; p < 1490 || p > 1510 {
+		t.Errorf("latency %v ms", p)
+	}
+	if r.WorstClass != 0.5 || !r.RulesHeld {
+		t.Errorf("worst class %v, held %v", r.WorstClass, r.RulesHeld)
+	}
+	low := 0.99
+	l.set.Expect.Score = &low
+	if r.Expected(l); r.RulesHeld || len(r.Missed) != 1 {
+		t.Errorf("a missed expectation: held %v, %v", r.RulesHeld, r.Missed)
+	}
+}
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -43,11 +43,45 @@
 	HostLateMS   float64                `json:"host_late_ms"`
 	HostCPU      float64                `json:"host_cpu_s"`
 	Seconds      []Second               `json:"seconds"`
-	Breaches     []Breach               `json:"breaches"`
-	Missed       []string               `json:"expectations_missed"`
-	RulesHeld    bool                   `json:"held"`
+	Marks        []Mark                 `json:"marks"`
+	Nodes        []NodeReport           `json:"nodes"`
+	// Beliefs tell, by router and node, a letter for each second: what its decisions held of the node, as far as the
+	// router says.
+	Beliefs   map[string]map[string]string `json:"beliefs"`
+	Breaches  []Breach                     `json:"breaches"`
+	Missed    []string                     `json:"expectations_missed"`
+	RulesHeld bool                         `json:"held"`
 }
 
+// Mark is something that happened in the day.
+type Mark struct {
+	AtS  float64 `json:"at_s"`
+	What string  `json:"what"`
+}
+
+// NodeReport is a node's day, by second: the part of its cores that was busy, and a letter for its state.
+type NodeReport struct {
+	Name  string    `json:"name"`
+	Load  []float64 `json:"load"`
+	State string    `json:"state"`
+}
+
+// The letters of a node's state.
+const (
+	StateUp       = 'u'
+	StateCold     = 'c'
+	StateDown     = 'd'
+	StateSilent   = 's'
+	StateDraining = 'r'
+)
+
+// The letters of what a router holds of a node.
+const (
+	BelievedUsed    = 'u'
+	BelievedAside   = 'x' // not in use: ejected, draining or gone
+	BelievedUnknown = '-'
+)
+
 // ClassReport is one class's.
 type ClassReport struct {
 	Score    float64 `json:"score"`
@@ -67,7 +101,7 @@
 
 // Report closes the books. What is asked after the end of the window's seconds is in the score all the same.
 func (l *Ledger) Report() *Report {
-	r := &Report{Scenario: l.set.Name, LengthS: l.set.Length.D().Seconds(), Requests: len(l.asks), Tries: l.Counts.Tries,
+	r := &Report{Scenario: l.set.Name, LengthS: l.set.Length.D().Seconds(), Tries: l.Counts.Tries,
 		Lost: l.Counts.Lost, Double: l.Counts.Double, Drain: l.Counts.Drain, ColdFalls: l.Counts.ColdFalls, Held: l.Counts.Held,
 		Refused: l.answers[Refused], Failed: l.answers[Failed], Unheard: l.answers[Unheard],
 		Sends: l.Counts.Sends, Crossed: l.Counts.Crossed, Connections: l.Counts.Connections, DatabaseFell: l.Counts.DatabaseFalls,
@@ -81,6 +115,10 @@
 	var all Second
 	for i := range l.asks {
 		a := &l.asks[i]
+		if a.At < 0 { // of the time before the day
+			continue
+		}
+		r.Requests++
 		add := func(s *Second) { s.Asked, s.Earned = s.Asked+a.Worth, s.Earned+a.earned }
 		add(&all)
 		add(&r.Seconds[min(int(a.At/time.Second), len(r.Seconds)-1)])
--- a/internal/model/asks.go
+++ b/internal/model/asks.go
@@ -50,7 +50,7 @@
 	used := make([]bucket, len(s.Tenants))
 	phase := other.Float64()
 	length := s.Length.D().Seconds()
-	for at := 0.0; ; {
+	for at := -s.WarmUp.D().Seconds(); ; {
 		rate := s.Rate * (1 + s.Swing*math.Sin(2*math.Pi*(2*at/length+phase)))
 		for _, t := range s.Troubles {
 			if t.Kind == "burst" && at >= t.At.D().Seconds() && at < (t.At+t.For).D().Seconds() {
@@ -97,7 +97,7 @@
 
 func (b *bucket) take(at, rate float64) bool {
 	if !b.begun {
-		b.tokens, b.begun = rate*bucketSpan, true
+		b.tokens, b.at, b.begun = rate*bucketSpan, at, true
 	}
 	b.tokens = min(b.tokens+(at-b.at)*rate, rate*bucketSpan)
 	b.at = at
--- /dev/null
+++ b/internal/model/model_test.go
@@ -0,0 +1,257 @@
+package model
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"cedarmast/internal/ledger"
+	"cedarmast/internal/scenario"
+)
+
+// virtual is a host in virtual time: its one router sends each request to a node that a test chooses, and passes on what
+// comes back.
+type virtual struct {
+	*World
+	choose  func(t *Try) *Node
+	told    map[string]string // by node, as the router was told last
+	notes   []string
+	started []int
+}
+
+func (v *virtual) Send(t *Try) {
+	n := v.choose(t)
+	if n == nil || !n.up {
+		v.After(0, func() { v.Answered(t, Answer{Outcome: ledger.Refused}, v.Now()) })
+		return
+	}
+	n.Arrive(&Job{ID: t.ID, Router: t.Router, Reply: func(r *Reply) {
+		v.After(r.Delay, func() {
+			o := ledger.Failed
+			switch {
+			case r.Spoilt:
+			case r.Status == Good:
+				o = ledger.Served
+			case r.Status == TurnedAw:
+				o = ledger.Refused
+			}
+			v.Answered(t, Answer{Outcome: o, Body: r.Body}, v.Now())
+		})
+	}})
+}
+func (v *virtual) Leave(*Try)               {}
+func (v *virtual) Down(*Node)               {}
+func (v *virtual) Up(*Node)                 {}
+func (v *virtual) Silence(*Node, int, bool) {}
+func (v *virtual) News(router int) {
+	_, whole, entries := v.List(router, 0, false)
+	for _, e := range entries {
+		v.told[e.Node.Name] = e.Status
+	}
+	for _, n := range v.Nodes {
+		listed := false
+		for _, e := range entries {
+			listed = listed || e.Node == n
+		}
+		if !listed {
+			v.told[n.Name] = "gone"
+		}
+	}
+	v.Told(router, whole, entries)
+}
+func (v *virtual) SilenceDiscovery(bool)         {}
+func (v *virtual) StartRouter(r int)             { v.started = append(v.started, r); v.RouterReady(r) }
+func (v *virtual) KillRouter(r int)              { v.RouterEnded(r, true) }
+func (v *virtual) StopRouter(r int)              { v.RouterLeaving(r); v.RouterEnded(r, false) }
+func (v *virtual) ReloadRouter(int)              {}
+func (v *virtual) BadClients(int, time.Duration) {}
+func (v *virtual) Note(_ Time, what string)      { v.notes = append(v.notes, what) }
+func (v *virtual) play() *ledger.Report {
+	for r := range v.Routers() {
+		v.RouterReady(r)
+	}
+	v.Begin()
+	for !v.Over() {
+		at, ok := v.Next()
+		if !ok {
+			at = v.set.Length.D()
+		}
+		v.Run(at)
+	}
+	return v.Ledger().Report()
+}
+
+func day(t *testing.T, seed uint64, text string, sets ...string) *virtual {
+	t.Helper()
+	s, err := scenario.Parse("day", []byte("name = \"day\"\nbase = \"calm\"\n"+text), sets...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := &virtual{told: map[string]string{}}
+	v.World = New(s, seed, v)
+	v.choose = func(t *Try) *Node { // by key, past what is down
+		for k := range uint64(len(v.Nodes)) {
+			if n := v.Nodes[(t.Key+k)%uint64(len(v.Nodes))]; n.up && !n.mute {
+				return n
+			}
+		}
+		return nil
+	}
+	return v
+}
+
+// A day of one seed is the same each time, and what is drawn does not hang on what the router does.
+func TestOneSeedOneDay(t *testing.T) {
+	play := func(seed uint64, choose func(v *virtual) func(*Try) *Node) (*ledger.Report, []Ask) {
+		v := day(t, seed, "length = \"20s\"\nshort = \"20s\"")
+		if choose != nil {
+			v.choose = choose(v)
+		}
+		var drawn []Ask
+		for _, a := range v.asks {
+			drawn = append(drawn, *a)
+		}
+		return v.play(), drawn
+	}
+	a, asked := play(1, nil)
+	b, again := play(1, nil)
+	if !reflect.DeepEqual(a, b) || !reflect.DeepEqual(asked, again) {
+		t.Error("the same seed played two days")
+	}
+	_, other := play(1, func(v *virtual) func(*Try) *Node { return func(*Try) *Node { return nil } })
+	if !reflect.DeepEqual(asked, other) {
+		t.Error("another router met other requests")
+	}
+	if _, other = play(2, nil); reflect.DeepEqual(asked, other) {
+		t.Error("another seed drew the same day")
+	}
+	if !a.RulesHeld || a.Score < 0.9 || math.Abs(float64(a.Requests)-20*70) > 150 {
+		t.Errorf("a calm day: %+v", a)
+	}
+}
+
+// A cache keeps what it fetched, drops the longest unused, and is told of writes; reads of one key share a fetch.
+func TestCacheAndFetches(t *testing.T) {
+	v := day(t, 1, "rate = 0.1\nwarm_up = \"0s\"\nlength = \"1s\"\nshort = \"1s\"", "model[0].cache=2", "model[1].cache=2", "model[0].cold_from=1.0")
+	n := v.Nodes[0]
+	ids, got := 0, []string{}
+	ask := func(class int, key uint64) {
+		ids++
+		id := fmt.Sprint("t", ids)
+		v.tries[id] = &Try{Ask: &Ask{Class: class, Key: key, Work: time.Millisecond}, ID: id, Token: id}
+		n.Arrive(&Job{ID: id, Reply: func(r *Reply) { got = append(got, r.Lookup) }})
+	}
+	v.led = ledger.New(v.set, make([]ledger.Ask, 1))
+	settle := func() string {
+		v.Run(v.Now() + 5*time.Second)
+		s := strings.Join(got, " ")
+		got = nil
+		return s
+	}
+	ask(0, 1)
+	ask(0, 1)
+	if s := settle(); s != "miss pending" || v.db.Fetches != 1 {
+		t.Errorf("two at once: %s, %d fetches", s, v.db.Fetches)
+	}
+	ask(0, 1)
+	if s := settle(); s != "hit" {
+		t.Errorf("again: %s", s)
+	}
+	ask(0, 2)
+	ask(0, 3)
+	settle()
+	ask(0, 1)
+	if s := settle(); s != "miss" {
+		t.Errorf("the longest unused of three in a cache of two: %s", s)
+	}
+	ask(2, 1) // a write
+	settle()
+	ask(0, 1)
+	if s := settle(); s != "miss" {
+		t.Errorf("after a write: %s", s)
+	}
+}
+
+// A cold node that is sent a multiple of what it can do for a while falls over and stays down; sent as much while it is
+// warm it does not, and neither does a short burst push it over.
+func TestColdNodesFall(t *testing.T) {
+	for name, c := range map[string]struct {
+		cold  bool
+		burst time.Duration
+		falls bool
+	}{"cold": {true, 4 * time.Second, true}, "warm": {false, 4 * time.Second, false}, "a burst": {true, 900 * time.Millisecond, false}} {
+		v := day(t, 1, "rate = 0.1\nwarm_up = \"0s\"\nlength = \"1s\"\nshort = \"1s\"", "model[0].queue=100000")
+		n := v.Nodes[0]
+		v.led = ledger.New(v.set, make([]ledger.Ask, 1))
+		if c.cold {
+			v.down(n, false)
+			v.start(n)
+		}
+		for at := time.Duration(0); at < c.burst; at += 10 * time.Millisecond { // 5 cores' worth; it has 2, cold 0.4
+			v.At(v.Now()+at, func() {
+				id := fmt.Sprint("t", v.Now())
+				v.tries[id] = &Try{Ask: &Ask{Work: 50 * time.Millisecond}, ID: id, Token: id}
+				n.Arrive(&Job{ID: id, Reply: func(*Reply) {}})
+			})
+		}
+		v.Run(20 * time.Second)
+		if n.fallen != c.falls || v.led.Counts.ColdFalls != map[bool]int{true: 1}[c.falls] {
+			t.Errorf("%s: fallen %v, %d falls booked", name, n.fallen, v.led.Counts.ColdFalls)
+		}
+		if v.start(n); n.up == c.falls {
+			t.Errorf("%s: up %v after a start", name, n.up)
+		}
+	}
+}
+
+// Troubles do what the reference says, and leave the fleet as it was.
+func TestTroubles(t *testing.T) {
+	const length = "length = \"40s\"\nshort = \"40s\"\nrate = 20\n"
+	trouble := func(lines string) string { return length + "[[trouble]]\nat = \"2s\"\n" + lines }
+	for name, c := range map[string]struct {
+		text string
+		at   Time
+		then func(v *virtual) bool
+	}{
+		"crash":   {trouble("kind = \"crash\"\nnodes = [\"north-c1\"]\nfor = \"8s\""), 9 * time.Second, func(v *virtual) bool { return !v.Nodes[0].up && v.told["north-c1"] == "gone" }},
+		"silence": {trouble("kind = \"silence\"\nnodes = [\"north-c1\"]\nfor = \"20s\""), 20 * time.Second, func(v *virtual) bool { return v.Nodes[0].Silent(2) && v.told["north-c1"] == "gone" }},
+		"cut":     {trouble("kind = \"cut\"\nnodes = [\"north-c1\"]\nrouter = \"south-r1\"\nfor = \"8s\""), 5 * time.Second, func(v *virtual) bool { return v.Nodes[0].Silent(1) && !v.Nodes[0].Silent(0) }},
+		"freeze":  {trouble("kind = \"freeze\"\nnodes = [\"north-c1\"]\nfor = \"8s\""), 9 * time.Second, func(v *virtual) bool { return v.Nodes[0].frozen && v.Nodes[0].busy == 2 }},
+		"site-loss": {trouble("kind = \"site-loss\"\nsite = \"north\"\nwith_routers = true\nfor = \"8s\""), 5 * time.Second,
+			func(v *virtual) bool { return v.Nodes[3].mute && !v.Nodes[4].mute && !v.dealt[0] && v.dealt[1] }},
+		"shrink": {trouble("kind = \"shrink\"\nnodes = [\"north-c1\"]\nfor = \"15s\""), 7 * time.Second,
+			func(v *virtual) bool { return v.Nodes[0].draining && v.told["north-c1"] == "DRAINING" }},
+		"deploy":          {trouble("kind = \"deploy\"\nfor = \"25s\""), 10 * time.Second, func(v *virtual) bool { return v.Nodes[0].started > 0 && v.Nodes[0].up }},
+		"grow":            {length + "[[trouble]]\nat = \"6s\"\nkind = \"grow\"\nnodes = [\"north-c1\"]", 5 * time.Second, func(v *virtual) bool { return !v.Nodes[0].up }},
+		"flap":            {trouble("kind = \"discovery-flap\"\nnodes = [\"north-c1\"]\nfor = \"5s\""), 3 * time.Second, func(v *virtual) bool { return v.Nodes[0].up && v.told["north-c1"] == "gone" }},
+		"database-stall":  {trouble("kind = \"database-stall\"\nfor = \"5s\""), 6 * time.Second, func(v *virtual) bool { return len(v.db.held) > 0 }},
+		"router-stop":     {trouble("kind = \"router-stop\"\nrouter = \"north-r1\"\nfor = \"5s\""), 5 * time.Second, func(v *virtual) bool { return !v.dealt[0] }},
+		"discovery-stale": {trouble("kind = \"discovery-stale\"\nfor = \"15s\"\n[[trouble]]\nat = \"3s\"\nkind = \"crash\"\nnodes = [\"north-c1\"]\nfor = \"25s\""), 16 * time.Second, func(v *virtual) bool { return !v.Nodes[0].up && v.told["north-c1"] == "" }},
+	} {
+		v := day(t, 3, c.text)
+		reached := false
+		v.At(c.at, func() { reached = c.then(v) })
+		r := v.play()
+		if !reached {
+			t.Errorf("%s: not so at %v", name, c.at)
+		}
+		v.Run(60 * time.Second)
+		for i, n := range v.Nodes {
+			if !n.up || n.mute || n.frozen || n.draining || len(n.silent) > 0 || v.told[n.Name] != "" && v.told[n.Name] != "SERVING" {
+				t.Errorf("%s: %s is not as it was: %+v, told %q", name, n.Name, *n, v.told[n.Name])
+			}
+			if n.busy != 0 || len(n.waiting) != 0 || len(n.fetches) != 0 {
+				t.Errorf("%s: node %d holds work at the end", name, i)
+			}
+		}
+		if name != "site-loss" && !v.dealt[0] || v.db.stalled != 0 {
+			t.Errorf("%s: routers %v, database %+v", name, v.dealt, v.db.stalled)
+		}
+		if r.Double != 0 || r.ColdFalls > 0 && name != "deploy" && name != "site-loss" {
+			t.Errorf("%s: %v", name, r.Breaches)
+		}
+	}
+}
--- a/internal/model/node.go
+++ b/internal/model/node.go
@@ -74,16 +74,22 @@
 	fetches map[uint64][]*Job // reads that wait for a key
 	seen    map[string]Time   // idempotency keys that have run, by time
 	offered fallGauge
+
+	load   []float64 // samples
+	states []byte
 }
 
 func (w *World) newNode(n int, name string, site int, kind *scenario.Model) *Node {
-	node := &Node{Name: name, N: n, Site: site, Kind: kind, world: w, silent: map[int]bool{}, slow: 1, started: -time.Hour,
+	node := &Node{Name: name, N: n, Site: site, Kind: kind, world: w, silent: map[int]bool{}, slow: 1, started: longAgo,
 		rng: Stream(w.seed, "node "+name)}
 	node.empty()
 	node.up = true
 	return node
 }
 
+// longAgo is when a node has started that was there before the day.
+const longAgo = -24 * time.Hour
+
 // empty forgets what a start forgets.
 func (n *Node) empty() {
 	n.cache, _ = simplelru.NewLRU[uint64, struct{}](n.Kind.Cache, nil) // fails only for a size under 1
@@ -121,7 +127,8 @@
 	}
 	c := &w.set.Classes[j.try.Class]
 	silent := n.Silent(j.Router)
-	turned := !silent && (n.draw() < n.away || len(n.waiting) >= n.Kind.Queue && n.busy >= n.Kind.Cores)
+	away := !silent && n.draw() < n.away // and so no load on it
+	turned := away || !silent && len(n.waiting) >= n.Kind.Queue && n.busy >= n.Kind.Cores
 	w.led.Sent(j.ID, j.Router, n.Name, w.Now(), !turned)
 	if w.routerSite(j.Router) != n.Site {
 		w.led.Crossed()
@@ -130,7 +137,7 @@
 	if j.Fresh {
 		j.work += n.Kind.ConnWork.D()
 	}
-	if n.Warmth() < 1 && n.offered.add(w.Now(), j.work.Seconds(), float64(n.Kind.Cores)*n.speed(), w.set.Rules.Fall, w.set.Rules.FallFor.D()) {
+	if !away && n.Warmth() < 1 && n.offered.add(w.Now(), j.work.Seconds(), float64(n.Kind.Cores)*n.speed(), w.set.Rules.Fall, w.set.Rules.FallFor.D()) {
 		n.fall()
 		return
 	}
--- a/internal/model/queue.go
+++ b/internal/model/queue.go
@@ -13,7 +13,7 @@
 	"time"
 )
 
-// Time counts from the day's beginning.
+// Time counts from the day's beginning; what is under 0 is the time in which caches are warmed, before it.
 type Time = time.Duration
 
 // Queue holds what is to happen. Events of one moment happen in the order in which they were put in.
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -51,6 +51,7 @@
 // New lays out a day. Nothing happens before Begin.
 func New(s *scenario.Scenario, seed uint64, host Host) *World {
 	w := &World{set: s, seed: seed, host: host, tries: map[string]*Try{}, effects: map[string]Time{}}
+	w.now = -s.WarmUp.D()
 	w.db = &database{set: &s.Database, world: w}
 	w.asks = asks(s, seed)
 	w.open = len(w.asks)
@@ -138,11 +139,41 @@
 	for _, a := range w.asks {
 		w.At(a.At, func() { w.ask(a) })
 	}
+	for at := time.Duration(0); at < w.set.Length.D(); at += time.Second {
+		w.At(at+time.Second/2, w.sample)
+	}
 	for i, t := range w.set.Troubles {
 		w.At(t.At.D(), func() { w.trouble(i, t) })
 	}
 }
 
+// sample notes each node's load and state; it is called in the middle of each second.
+func (w *World) sample() {
+	for _, n := range w.Nodes {
+		n.load = append(n.load, float64(n.busy)/float64(n.Kind.Cores))
+		state := byte(ledger.StateUp)
+		switch {
+		case !n.up:
+			state = ledger.StateDown
+		case n.mute:
+			state = ledger.StateSilent
+		case n.draining:
+			state = ledger.StateDraining
+		case n.Warmth() < 1:
+			state = ledger.StateCold
+		}
+		n.states = append(n.states, state)
+	}
+}
+
+// Samples are the nodes' days, by second.
+func (w *World) Samples() (all []ledger.NodeReport) {
+	for _, n := range w.Nodes {
+		all = append(all, ledger.NodeReport{Name: n.Name, Load: n.load, State: string(n.states)})
+	}
+	return all
+}
+
 // Over tells whether the day has ended and nothing is owed any more.
 func (w *World) Over() bool { return w.open == 0 && w.Now() >= w.set.Length.D() }
 
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -2,6 +2,7 @@
 package rehearse
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -17,26 +18,36 @@
 
 	"github.com/alecthomas/kong"
 
+	"cedarmast/internal/baseline"
 	"cedarmast/internal/build"
-	"cedarmast/internal/ledger"
+	"cedarmast/internal/daemon"
+	"cedarmast/internal/faulty"
 	"cedarmast/internal/rig"
 	"cedarmast/internal/scenario"
 )
 
 // The statuses to exit with.
 const (
-	held    = 0 // all rules and expectations
-	broken  = 1 // a rule or an expectation, or a run that could not go on
-	faulty  = 2 // scenario or argument
-	tooLate = 3 // the machine was too slow for the figures to count
+	held     = 0 // all rules and expectations
+	broken   = 1 // a rule or an expectation, or a run that could not go on
+	badInput = 2 // scenario or argument
+	tooLate  = 3 // the machine was too slow for the figures to count
 )
 
 type command struct {
-	List    struct{} `cmd:"" help:"List the scenarios that the kit brings."`
-	Show    showCmd  `cmd:"" help:"Print a scenario's file, to read or to start one's own from."`
-	Run     runCmd   `cmd:"" help:"Play a day against real routers and judge it."`
-	Keys    struct{} `cmd:"" help:"Print the reference of all keys of a scenario file, in Markdown."`
-	Version struct{} `cmd:"" help:"Print the version."`
+	List     struct{}    `cmd:"" help:"List the scenarios that the kit brings."`
+	Show     showCmd     `cmd:"" help:"Print a scenario's file, to read or to start one's own from."`
+	Run      runCmd      `cmd:"" help:"Play a day against real routers and judge it."`
+	Compare  compareCmd  `cmd:"" help:"Play a day with two routers in turn, paired by seed, and tell the difference."`
+	Selftest selftestCmd `cmd:"" help:"Try the ledger on routers that each break one rule on purpose."`
+	Baseline policyCmd   `cmd:"" hidden:"" help:"Run a router with a textbook policy."`
+	Faulty   policyCmd   `cmd:"" hidden:"" help:"Run a router that breaks a rule."`
+	Keys     struct{}    `cmd:"" help:"Print the reference of all keys of a scenario file, in Markdown."`
+	Version  struct{}    `cmd:"" help:"Print the version."`
+}
+
+type policyCmd struct {
+	Name string `arg:""`
 }
 
 type showCmd struct {
@@ -48,7 +59,9 @@
 	Seed   uint64   `default:"1" help:"Of all that is drawn."`
 	Short  bool     `help:"Play the day in its short length."`
 	Router string   `placeholder:"BIN" help:"The router's program; left out, cedarmast beside this program, else on the path."`
+	Policy string   `placeholder:"NAME" help:"Run a baseline in place of cedarmast: random or least-of-two."`
 	Set    []string `sep:"none" placeholder:"KEY=VALUE" help:"Goes over a key of the scenario, as rate=100 or site[0].nodes=5; may be repeated."`
+	HTML   string   `name:"html" placeholder:"FILE" help:"Write the report as one page that opens offline."`
 	JSON   string   `name:"json" placeholder:"FILE" help:"Write the report as JSON; - for standard output."`
 	Logs   string   `placeholder:"DIR" help:"Keep the routers' logs there."`
 }
@@ -61,7 +74,7 @@
 		kong.Writers(stdout, stderr), kong.Exit(func(s int) { status = s }))
 	if err != nil {
 		fmt.Fprintln(stderr, "rehearse:", err)
-		return faulty
+		return badInput
 	}
 	given, err := parser.Parse(args)
 	switch {
@@ -69,7 +82,17 @@
 		return status
 	case err != nil:
 		fmt.Fprintln(stderr, "rehearse:", err)
-		return faulty
+		return badInput
+	}
+	switch given.Selected().Name { // these are routers themselves, and see to their signals
+	case "baseline":
+		if decide := baseline.New(c.Baseline.Name); decide != nil {
+			return daemon.RunDeciding(decide, os.Getenv, stderr)
+		}
+		fmt.Fprintf(stderr, "rehearse: there is no policy %q\n", c.Baseline.Name)
+		return badInput
+	case "faulty":
+		return faulty.Main(c.Faulty.Name, os.Getenv, stderr)
 	}
 	// From here on an interrupt ends what was started, in order.
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
@@ -82,6 +105,10 @@
 		return p.show(c.Show)
 	case "run":
 		return p.run(c.Run)
+	case "selftest":
+		return p.selftest(c.Selftest)
+	case "compare":
+		return p.compare(c.Compare)
 	case "keys":
 		io.WriteString(stdout, scenario.Reference())
 		return held
@@ -101,7 +128,7 @@
 	var fault *scenario.Error
 	switch {
 	case errors.As(err, &fault), errors.Is(err, os.ErrNotExist), errors.Is(err, errArgument):
-		return faulty
+		return badInput
 	case errors.Is(err, rig.ErrLate):
 		return tooLate
 	}
@@ -132,23 +159,29 @@
 	return held
 }
 
-// findRouter finds the router's program.
+// findRouter finds a router by what it was called: a baseline's name, or a program; nothing means cedarmast beside this
+// program, or on the path.
 func findRouter(given string) ([]string, error) {
-	if given != "" {
+	own, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	switch {
+	case baseline.New(given) != nil:
+		return []string{own, "baseline", given}, nil
+	case given != "" && given != "cedarmast":
 		path, err := exec.LookPath(given)
 		if err != nil {
-			return nil, fmt.Errorf("%w: --router: %w", errArgument, err)
+			return nil, fmt.Errorf("%w: router %q: %w", errArgument, given, err)
 		}
 		if path, err = filepath.Abs(path); err != nil {
 			return nil, err
 		}
 		return []string{path}, nil
 	}
-	if own, err := os.Executable(); err == nil {
-		beside := filepath.Join(filepath.Dir(own), "cedarmast")
-		if _, err := os.Stat(beside); err == nil {
-			return []string{beside}, nil
-		}
+	beside := filepath.Join(filepath.Dir(own), "cedarmast")
+	if _, err := os.Stat(beside); err == nil {
+		return []string{beside}, nil
 	}
 	path, err := exec.LookPath("cedarmast")
 	if err != nil {
@@ -165,7 +198,13 @@
 	if c.Short {
 		s.Shorten()
 	}
-	router, err := findRouter(c.Router)
+	if c.Policy != "" && c.Router != "" {
+		return p.fail(fmt.Errorf("%w: --policy and --router exclude one another", errArgument))
+	}
+	if c.Policy != "" && c.Policy != "cedarmast" && baseline.New(c.Policy) == nil {
+		return p.fail(fmt.Errorf("%w: there is no policy %q; they are cedarmast, %s", errArgument, c.Policy, strings.Join(baseline.Names, ", ")))
+	}
+	router, err := findRouter(c.Policy + c.Router)
 	if err != nil {
 		return p.fail(err)
 	}
@@ -175,18 +214,18 @@
 	if report == nil {
 		return p.fail(err)
 	}
-	report.Router = filepath.Base(router[0])
+	report.Router, report.Policy = filepath.Base(router[0]), cmp.Or(c.Policy, "cedarmast")
+	if c.HTML != "" {
+		if err := writeFile(c.HTML, func(w io.Writer) error { return writeHTML(w, report) }); err != nil {
+			return p.fail(err)
+		}
+	}
 	if c.JSON == "-" {
 		writeJSON(p.stdout, report)
 	} else {
 		printReport(p.stdout, report)
 		if c.JSON != "" {
-			f, err := os.Create(c.JSON)
-			if err == nil {
-				err = writeJSON(f, report)
-				err = errors.Join(err, f.Close())
-			}
-			if err != nil {
+			if err := writeFile(c.JSON, func(w io.Writer) error { return writeJSON(w, report) }); err != nil {
 				return p.fail(err)
 			}
 		}
@@ -200,7 +239,15 @@
 	return held
 }
 
-func writeJSON(w io.Writer, r *ledger.Report) error {
+func writeFile(path string, write func(io.Writer) error) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(write(f), f.Close())
+}
+
+func writeJSON(w io.Writer, r any) error {
 	text, err := json.MarshalIndent(r, "", " ")
 	if err != nil {
 		return err
--- a/internal/rehearse/show.go
+++ b/internal/rehearse/show.go
@@ -27,7 +27,7 @@
 }
 
 func newProgress(w io.Writer, s *scenario.Scenario) *progress {
-	p := &progress{w: w, name: s.Name, length: s.Length.D(), begun: time.Now(), done: make(chan struct{}), ended: make(chan struct{})}
+	p := &progress{w: w, name: s.Name, length: s.Length.D(), begun: time.Now().Add(s.WarmUp.D()), done: make(chan struct{}), ended: make(chan struct{})}
 	if f, ok := w.(*os.File); ok {
 		if info, err := f.Stat(); err == nil {
 			p.terminal = info.Mode()&os.ModeCharDevice != 0
@@ -50,7 +50,7 @@
 		select {
 		case <-tick.C:
 			p.mu.Lock()
-			part := min(float64(time.Since(p.begun))/float64(p.length), 1)
+			part := max(min(float64(time.Since(p.begun))/float64(p.length), 1), 0)
 			fmt.Fprintf(p.w, "\r\x1b[K%s [%-30s] %v of %v", p.name, strings.Repeat("=", int(30*part)), time.Since(p.begun).Round(time.Second), p.length)
 			p.mu.Unlock()
 		case <-p.done:
--- a/internal/rig/port.go
+++ b/internal/rig/port.go
@@ -38,9 +38,9 @@
 
 const (
 	backlog = 1024
-	fillers = 2 // a queue of length 0 holds one; one more is half way
 
-	fillWithin = 20 * time.Millisecond
+	fillWithin = 20 * time.Millisecond // on loopback a connection that comes up does so at once
+	fillTries  = 10
 )
 
 func newPort(r *Rig, n *model.Node, router int) (*port, error) {
@@ -156,9 +156,10 @@
 			return
 		}
 		p.l.SetDeadline(time.Unix(1, 0))
-		setBacklog(p.l, 0)
+		setBacklog(p.l, 0) // which holds one
 		spoken := p.spoken
-		p.rig.background(func() { p.fill(spoken) })
+		l := p.l
+		p.rig.background(func() { p.fill(l, spoken) })
 		return
 	}
 	p.resetAll() // the machine is back and knows nothing of what was open
@@ -173,19 +174,34 @@
 	close(p.spoken)
 }
 
-// fill fills the queue of a listener that does not accept.
-func (p *port) fill(spoken <-chan struct{}) {
-	for range fillers {
-		c, err := net.DialTimeout("tcp", p.address, fillWithin)
-		if err != nil {
-			return // it is full
+// fill fills the queue of a listener that does not accept. What was quicker and stands in it is taken: it came up before
+// the machine fell silent, and the model is to know of what is sent on it.
+func (p *port) fill(l *net.TCPListener, spoken <-chan struct{}) {
+	for range fillTries {
+		own, err := net.DialTimeout("tcp", p.address, fillWithin)
+		if err == nil {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			select {
+			case <-spoken:
+				own.Close()
+			default:
+				p.fillers = append(p.fillers, own)
+			}
+			return
 		}
-		p.mu.Lock()
 		select {
 		case <-spoken:
-			c.Close()
+			return
 		default:
-			p.fillers = append(p.fillers, c)
+		}
+		l.SetDeadline(time.Now().Add(fillWithin))
+		if c, err := l.Accept(); err == nil {
+			p.take(c)
+		}
+		p.mu.Lock()
+		if l.SetDeadline(time.Time{}); p.silent {
+			l.SetDeadline(time.Unix(1, 0))
 		}
 		p.mu.Unlock()
 	}
--- /dev/null
+++ b/internal/rig/port_test.go
@@ -0,0 +1,110 @@
+package rig
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"cedarmast/internal/model"
+	"cedarmast/internal/scenario"
+)
+
+// testRig is a rig whose model runs on a goroutine of its own, with no routers.
+func testRig(t *testing.T) *Rig {
+	t.Helper()
+	s, err := scenario.Find("calm", "warm_up=0s", "rate=0.1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &Rig{set: s, host: "127.0.0.1", inbox: make(chan posted, 100), start: time.Now()}
+	r.ctx, r.cancel = context.WithCancel(t.Context())
+	r.world = model.New(s, 1, r)
+	r.background(func() {
+		for {
+			select {
+			case p := <-r.inbox:
+				p.f()
+			case <-r.ctx.Done():
+				return
+			}
+		}
+	})
+	t.Cleanup(func() {
+		r.cancel()
+		r.wg.Wait()
+	})
+	return r
+}
+
+// A silent node answers nothing on what is open and lets nothing new come up; when it is back what was open is reset,
+// and it serves again.
+func TestSilence(t *testing.T) {
+	r := testRig(t)
+	p, err := newPort(r, r.world.Nodes[0], 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.close()
+	ask := func(c net.Conn, patience time.Duration) error {
+		c.SetDeadline(time.Now().Add(patience))
+		io.WriteString(c, "GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil {
+			resp.Body.Close()
+		}
+		return err
+	}
+	dial := func() net.Conn {
+		t.Helper()
+		c, err := net.DialTimeout("tcp", p.address, 5*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	for round := range 3 {
+		open := dial()
+		if err := ask(open, 5*time.Second); err != nil {
+			t.Fatal(err)
+		}
+		crowd := make(chan net.Conn, 16) // come in the very moment
+		for range cap(crowd) / 2 {
+			go func() {
+				c, _ := net.DialTimeout("tcp", p.address, 100*time.Millisecond)
+				crowd <- c
+			}()
+		}
+		p.silence(true)
+		for range cap(crowd) / 2 {
+			if c := <-crowd; c != nil {
+				defer c.Close()
+			}
+		}
+		time.Sleep(300 * time.Millisecond) // until the queue is full
+		for range 8 {
+			if c, err := net.DialTimeout("tcp", p.address, 50*time.Millisecond); err == nil {
+				t.Errorf("round %d: a connection came up to a silent node", round)
+				c.Close()
+			}
+		}
+		if err := ask(open, 50*time.Millisecond); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("round %d: a silent node says %v", round, err)
+		}
+		p.silence(false)
+		if err := ask(open, 5*time.Second); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("round %d: back, and what was open goes on: %v", round, err)
+		}
+		c := dial()
+		if err := ask(c, 5*time.Second); err != nil {
+			t.Errorf("round %d: back: %v", round, err)
+		}
+		c.Close()
+		open.Close()
+	}
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -65,6 +65,9 @@
 	between *between
 	late    *hdrhistogram.Histogram // microseconds
 	rng     *rand.Rand
+	marksMu sync.Mutex
+	marks   []ledger.Mark
+	beliefs map[string]map[string][]byte
 }
 
 type posted struct {
@@ -90,7 +93,7 @@
 	pid := os.Getpid()
 	r := &Rig{set: s, opt: opt, dir: dir, host: fmt.Sprintf("127.%d.%d.%d", 80+pid>>16&31, pid>>8&255, pid&255),
 		inbox: make(chan posted, 4096), late: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
-		rng: model.Stream(opt.Seed, "host")}
+		rng: model.Stream(opt.Seed, "host"), beliefs: map[string]map[string][]byte{}}
 	r.ctx, r.cancel = context.WithCancel(ctx)
 	r.world = model.New(s, opt.Seed, r)
 	defer r.end()
@@ -114,6 +117,13 @@
 		report.MemoryMB = max(report.MemoryMB, router.memory())
 		report.CPU += router.cpu().Seconds()
 	}
+	report.Marks, report.Nodes, report.Beliefs = r.marks, r.world.Samples(), map[string]map[string]string{}
+	for router, nodes := range r.beliefs {
+		report.Beliefs[router] = map[string]string{}
+		for node, letters := range nodes {
+			report.Beliefs[router][node] = string(letters)
+		}
+	}
 	report.Expected(l)
 	if report.HostLateMS > float64(mostLate/time.Millisecond) {
 		return report, ErrLate
@@ -209,9 +219,10 @@
 
 // play runs the queue in real time until the day is over.
 func (r *Rig) play() error {
-	r.start = time.Now()
+	r.start = time.Now().Add(r.set.WarmUp.D())
 	r.running.Store(true)
 	r.world.Begin()
+	r.background(r.askBeliefs)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for !r.world.Over() {
@@ -282,7 +293,7 @@
 }
 
 // now is the time of the day.
-func (r *Rig) now() time.Duration { return max(time.Since(r.start), 0) }
+func (r *Rig) now() time.Duration { return time.Since(r.start) }
 
 // background runs f until the end.
 func (r *Rig) background(f func()) {
@@ -409,6 +420,9 @@
 func (r *Rig) BadClients(count int, span time.Duration) { r.clients.bad(count, span) }
 
 func (r *Rig) Note(at time.Duration, what string) {
+	r.marksMu.Lock()
+	r.marks = append(r.marks, ledger.Mark{AtS: at.Seconds(), What: what})
+	r.marksMu.Unlock()
 	if r.opt.Notes != nil {
 		r.opt.Notes(at, what)
 	}
--- a/internal/rig/router.go
+++ b/internal/rig/router.go
@@ -34,6 +34,7 @@
 	peakMB  float64
 	used    time.Duration // processor time of those that have ended
 	running bool
+	ready   bool // has said so since its start
 }
 
 func newRouter(r *Rig, k int, name string) (*router, error) {
@@ -132,7 +133,7 @@
 	}
 	cmd := exec.Command(r.opt.Router[0], r.opt.Router[1:]...)
 	var last tail
-	cmd.Stdout, cmd.Stderr = io.Discard, io.MultiWriter(log, &last)
+	cmd.Stdout, cmd.Stderr = io.Discard, io.MultiWriter(log, &last, &viewReader{rig: r, router: t.name})
 	cmd.Env = append(append(os.Environ(), "GW_CONFIG="+t.path, "GW_NAME="+t.name, "GW_LISTEN="+t.listen, "GW_DISCOVERY="+r.agents[k].at()), r.opt.Env...)
 	// Of its own group, so that an interrupt of the terminal does not reach it, and dead with the rig, whatever ends that.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
@@ -149,7 +150,7 @@
 		cmd.Wait()
 		log.Close()
 		t.mu.Lock()
-		t.running = false
+		t.running, t.ready = false, false
 		t.used += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
 		if u, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
 			t.peakMB = max(t.peakMB, float64(u.Maxrss)/1024)
@@ -169,6 +170,9 @@
 		if err != nil && last.Len() > 0 {
 			err = fmt.Errorf("%w: %s", err, strings.TrimSpace(last.String()))
 		}
+		t.mu.Lock()
+		t.ready = err == nil && t.running
+		t.mu.Unlock()
 		ready(err)
 	})
 }
--- a/internal/scenario/builtin.go
+++ b/internal/scenario/builtin.go
@@ -9,6 +9,12 @@
 //go:embed builtin/*.toml
 var builtin embed.FS
 
+//go:embed selftest.toml
+var selftest []byte
+
+// Selftest is the day on which the ledger is tried.
+func Selftest() (*Scenario, error) { return Parse("selftest", selftest) }
+
 // Names are the scenarios that the kit brings.
 func Names() (names []string) {
 	entries, _ := builtin.ReadDir("builtin")
--- a/internal/scenario/check.go
+++ b/internal/scenario/check.go
@@ -28,7 +28,7 @@
 	"flush":             {false, false, 0, "nodes", "nodes lose what they keep"},
 	"deploy":            {true, false, 0, "nodes", "nodes drain and start anew one after the other, all within for"},
 	"shrink":            {true, false, 0, "nodes", "nodes drain and leave; they come back after for"},
-	"grow":              {true, false, 0, "nodes", "nodes that have been absent from the start come"},
+	"grow":              {false, false, 0, "nodes", "nodes that have been absent from the start come"},
 	"discovery-silence": {true, false, 0, "", "discovery answers nothing"},
 	"discovery-stale":   {true, false, 0, "", "discovery answers, and tells nothing new"},
 	"discovery-flap":    {true, false, 0, "nodes", "nodes are told gone and back, over and over, though they serve"},
--- a/internal/scenario/read.go
+++ b/internal/scenario/read.go
@@ -1,7 +1,6 @@
 package scenario
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -46,17 +45,34 @@
 // goes over what the text has.
 func Parse(name string, text []byte, sets ...string) (*Scenario, error) {
 	tree := map[string]any{}
-	if err := decode(name, text, &tree, false); err != nil {
+	if err := decode(name, text, &tree); err != nil {
 		return nil, err
 	}
+	if base, ok := tree["base"].(string); ok {
+		under, ok := Text(base)
+		if !ok {
+			return nil, &Error{name, lines(text)["base"], "base", fmt.Sprintf("the kit brings no scenario %q", base)}
+		}
+		below := map[string]any{}
+		if err := decode(base, under, &below); err != nil {
+			return nil, err
+		}
+		tree = over(below, tree)
+	}
+	given := map[string]string{} // by key: what --set said of it
 	for _, set := range sets {
 		if err := apply(tree, set); err != nil {
 			return nil, err
 		}
+		key, _, _ := strings.Cut(set, "=")
+		given[key] = set
 	}
 	at := lines(text)
 	fault := func(key, format string, args ...any) error {
-		line := at[key]
+		if set, ok := given[key]; ok {
+			return &Error{File: "--set " + set, Key: key, What: fmt.Sprintf(format, args...)}
+		}
+		line := max(at[key], at[key+"[0]"])
 		for k := key; line == 0 && strings.ContainsAny(k, ".["); {
 			k = k[:strings.LastIndexAny(k, ".[")]
 			line = at[k]
@@ -73,13 +89,21 @@
 	return &s, nil
 }
 
-func decode(name string, text []byte, to any, strict bool) error {
-	d := toml.NewDecoder(bytes.NewReader(text))
-	if strict {
-		d.DisallowUnknownFields()
+// over lays a tree over another one: tables key by key, all else whole.
+func over(below, above map[string]any) map[string]any {
+	for key, value := range above {
+		lower, both := below[key].(map[string]any)
+		if upper, ok := value.(map[string]any); ok && both {
+			value = over(lower, upper)
+		}
+		below[key] = value
 	}
+	return below
+}
+
+func decode(name string, text []byte, to any) error {
 	var wrong *toml.DecodeError
-	err := d.Decode(to)
+	err := toml.Unmarshal(text, to)
 	if errors.As(err, &wrong) {
 		row, _ := wrong.Position()
 		return &Error{name, row, strings.Join(wrong.Key(), "."), strings.TrimPrefix(wrong.Error(), "toml: ")}
@@ -134,12 +158,12 @@
 func apply(tree map[string]any, set string) error {
 	key, value, ok := strings.Cut(set, "=")
 	if !ok {
-		return fmt.Errorf("--set %s: not of the form key=value", set)
+		return &Error{File: "--set " + set, What: "not of the form key=value"}
 	}
 	var one map[string]any
 	if toml.Unmarshal([]byte("v = "+value), &one) != nil {
 		if err := toml.Unmarshal([]byte("v = "+strconv.Quote(value)), &one); err != nil {
-			return fmt.Errorf("--set %s: %q is no value", set, value)
+			return &Error{File: "--set " + set, Key: key, What: fmt.Sprintf("%q is no value", value)}
 		}
 	}
 	parts := strings.Split(key, ".")
@@ -154,10 +178,10 @@
 			n, err := strconv.Atoi(strings.TrimSuffix(rest, "]"))
 			all, _ := at[name].([]any)
 			if err != nil || n < 0 || n >= len(all) {
-				return fmt.Errorf("--set %s: there is no %s", set, part)
+				return &Error{File: "--set " + set, Key: key, What: "there is no " + part}
 			}
 			if at, ok = all[n].(map[string]any); !ok || i == len(parts)-1 {
-				return fmt.Errorf("--set %s: %s is no single value", set, part)
+				return &Error{File: "--set " + set, Key: key, What: part + " is no single value"}
 			}
 			continue
 		}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -31,6 +31,8 @@
 type Scenario struct {
 	Name   string   `toml:"name" help:"what the day is called in reports"`
 	About  string   `toml:"about" help:"one sentence on what is rehearsed"`
+	Base   string   `toml:"base" help:"a scenario that the kit brings, whose keys hold where this file has none; a list goes over its list"`
+	WarmUp Duration `toml:"warm_up" least:"0s" most:"10m" help:"how long clients ask before the day begins, to fill caches; it is not in the score"`
 	Length Duration `toml:"length" least:"1s" most:"2h" help:"how long clients ask"`
 	Short  Duration `toml:"short" least:"1s" most:"2h" help:"the length with --short; the time line is drawn together alike"`
 	Rate   float64  `toml:"rate" least:"0.1" most:"100000" help:"requests a second, first tries alone, over all routers"`
@@ -188,7 +190,7 @@
 // Default is what a key has that a file leaves out. Lists have none: a file brings its own.
 func Default() Scenario {
 	return Scenario{
-		Length: Duration(30 * time.Second), Short: Duration(15 * time.Second), Rate: 70, Swing: 0.1,
+		WarmUp: Duration(8 * time.Second), Length: Duration(30 * time.Second), Short: Duration(15 * time.Second), Rate: 70, Swing: 0.1,
 		Database:  Database{Workers: 8, Time: Duration(120 * time.Millisecond), Queue: 100, Fall: 3, FallFor: Duration(3 * time.Second), StallFor: Duration(5 * time.Second)},
 		Network:   Network{Same: Duration(200 * time.Microsecond), Cross: Duration(2 * time.Millisecond)},
 		Keys:      Keys{Count: 20000, Zipf: 1, Offset: 4},
