--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -404,7 +404,10 @@
 	})
 }
 
-func (r *Rig) KillRouter(k int) { r.routers[k].kill() }
+func (r *Rig) KillRouter(k int) {
+	r.world.RouterEnded(k, true) // first: its clients see their connections end before its process is gone
+	r.routers[k].kill()
+}
 
 func (r *Rig) StopRouter(k int) {
 	r.world.RouterLeaving(k)
