--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -43,6 +43,7 @@
 	Crashes      int                    `json:"router_crashes"`
 	HostLateMS   float64                `json:"host_late_ms"`
 	HostCPU      float64                `json:"host_cpu_s"`
+	HostMemoryMB float64                `json:"host_memory_mb"`
 	Seconds      []Second               `json:"seconds"`
 	Marks        []Mark                 `json:"marks"`
 	Nodes        []NodeReport           `json:"nodes"`
--- a/internal/rehearse/show.go
+++ b/internal/rehearse/show.go
@@ -93,7 +93,7 @@
 	row("rules", "%d lost, %d double effects, %d sends against a drain, %d cold nodes pushed over, %d answers held back", r.Lost, r.Double, r.Drain, r.ColdFalls, r.Held)
 	row("behind", "%d sends, %d connections, %d sites crossed; database asked %d times, at most %.2f of what it can; %.1f%% of the work wasted", r.Sends, r.Connections, r.Crossed, r.Fetches, r.DatabasePeak, 100*r.Wasted)
 	row("routers", "%.0f MB at most, %.1f s of processor time together, %d crashes", r.MemoryMB, r.CPU, r.Crashes)
-	row("rig", "%.1f ms late at 99%%, %.1f s of processor time", r.HostLateMS, r.HostCPU)
+	row("rig", "%.1f ms late at 99%%, %.1f s of processor time, %.0f MB at the end", r.HostLateMS, r.HostCPU, r.HostMemoryMB)
 	w.Flush()
 	for i, b := range r.Breaches {
 		if i == 10 {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -114,6 +114,7 @@
 	report.Seed, report.DatabasePeak, report.Fetches = opt.Seed, r.world.DatabasePeak(), r.world.DatabaseAsks()
 	report.HostLateMS = float64(r.late.ValueAtQuantile(99)) / 1000
 	report.HostCPU = (cpuTime() - before).Seconds()
+	report.HostMemoryMB = residentMB(os.Getpid())
 	for _, router := range r.routers {
 		report.MemoryMB = max(report.MemoryMB, router.memory())
 		report.CPU += router.cpu().Seconds()
