--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,7 +50,7 @@
 	b.worth += smoothing / 4 * (r.worth - b.worth)
 	b.requests[q.ID] = r
 	b.retries = min(b.retries+retryShare, max(1, retryBurst*b.share()))
-	b.after(q.Due.Sub(b.now), func() { b.giveUp(r) }) // whatever else happens, it is answered in time
+	b.after(q.Due.Sub(b.now), func() { b.giveUp(r, NoTime) }) // whatever else happens, it is answered in time
 	b.place(r)
 }
 
@@ -64,13 +64,13 @@
 	} else if lead := b.fetches[r.Key]; r.HasKey && lead != nil && lead != r && !r.waited {
 		b.join(r, lead)
 	} else if len(r.attempts) == 0 && !b.admits(&b.gate, r) {
-		b.giveUp(r)
+		b.giveUp(r, Shut)
 	} else if s := b.pick(r); s != nil {
 		b.begin(r, s)
 	} else if len(r.attempts) < len(b.caches) && b.now.Add(b.aim/recheck) < b.patience(r) && b.mayRepeat(r) {
 		b.after(b.aim/recheck, func() { b.place(r) }) // a budget fills or a trial succeeds meanwhile
 	} else {
-		b.giveUp(r)
+		b.giveUp(r, NoServer)
 	}
 }
 
@@ -118,7 +118,7 @@
 	if b.mayTake(r, s) && (s.out == 0 || float64(s.out+1) <= s.limit*min(1, 0.5+r.worth/b.worth)) {
 		b.send(r, s)
 	} else {
-		b.giveUp(r)
+		b.giveUp(r, Crowded)
 	}
 }
 
@@ -175,7 +175,7 @@
 	if took < r.class.Aim/2 && o.Result != Cancelled && o.Result != Moot && o.Result != Spoilt {
 		b.moveGate(s, o.Result == OK || o.Result == Miss)
 	}
-	if o.Result == NoConnect || o.Result == Reset { // quick to fail, yet no place to go
+	if o.Result == NoConnect || o.Result == Reset || o.Result == Errored { // quick to fail, yet no place to go
 		took += r.class.Aim
 		b.holds(&s.held, s.out)
 		s.held.seconds += r.class.Aim.Seconds()
@@ -191,7 +191,7 @@
 		b.retries--
 		b.place(r)
 	default:
-		b.giveUp(r)
+		b.giveUp(r, Spent)
 	}
 }
 
@@ -201,10 +201,11 @@
 }
 
 // giveUp gives the final answer, a refusal only where a retry is harmless, unless an attempt is out.
-func (b *Balancer) giveUp(r *request) {
+func (b *Balancer) giveUp(r *request, why Why) {
 	if r.out > 0 || r.done {
 		return
 	}
+	b.givenUp[why]++
 	if r.ran() != nil && r.class.Effect != Safe {
 		b.do(Fail{ID: r.ID})
 	} else {
@@ -242,7 +243,7 @@
 	if b.admits(&b.originGate, r) {
 		b.begin(r, b.origin)
 	} else {
-		b.giveUp(r)
+		b.giveUp(r, Shut)
 	}
 }
 
@@ -250,7 +251,7 @@
 func (b *Balancer) join(r, lead *request) {
 	r.waited = true
 	lead.waiters = append(lead.waiters, r)
-	b.after(b.patience(r).Sub(b.now), func() { b.giveUp(r) })
+	b.after(b.patience(r).Sub(b.now), func() { b.giveUp(r, NoTime) })
 }
 
 // onList cuts the table. An empty one is replayed by start time, then id, as others saw the starts.
--- a/balance/health.go
+++ b/balance/health.go
@@ -19,7 +19,7 @@
 		}
 		if !s.isOrigin {
 			b.answers.add(b.now, 2*b.set.OverloadFor)
-			b.erring -= smoothing / 4 * b.erring
+			b.erred(s, 0)
 		}
 		if result == OK && !s.isOrigin { // more slowly: it is what time-outs go by
 			b.latency += time.Duration(smoothing / 4 * float64(took-b.latency))
@@ -32,7 +32,7 @@
 		}
 	case Errored:
 		s.heard = b.now
-		if b.erring += smoothing / 4 * (1 - b.erring); b.erring < commonCause {
+		if b.erred(s, 1); b.erring < commonCause {
 			b.failed(s)
 		}
 	case Full:
@@ -50,6 +50,14 @@
 	}
 }
 
+// erred smooths the share of errors in the answers of caches that don't stand out by earlier ones. A few bad
+// ones can be a fifth of what a lost zone leaves: taken for a common cause that shut the gate.
+func (b *Balancer) erred(s *server, share float64) {
+	if !b.standsOut(s) {
+		b.erring += smoothing / 4 * (share - b.erring)
+	}
+}
+
 // failed counts a failure; some in a row over a while eject the server, longer each time, if enough are left.
 func (b *Balancer) failed(s *server) {
 	long := b.now.Sub(s.good) > b.aim/4 && b.now >= s.ejected
@@ -82,9 +90,8 @@
 		g.open = min(1, g.open*(1+min(gateRise*float64(g.good), 0.5)))
 		return
 	}
-	slow := b.meanHeld() > b.aim.Seconds()/2 || b.erring >= commonCause
-	common := s.isOrigin || slow && !b.standsOut(s)
-	if g.good = 0; common && b.now.Sub(g.cut) > b.latency {
+	slow := b.meanHeld() > b.aim.Seconds()/2 && !b.standsOut(s)
+	if g.good = 0; (slow || s.isOrigin || b.erring >= commonCause) && b.now.Sub(g.cut) > b.latency {
 		g.open, g.cut = max(g.open*limitCut, gateFloor), b.now
 	}
 }
--- a/balance/load.go
+++ b/balance/load.go
@@ -52,10 +52,16 @@
 	return float64(n) / max(total, 1)
 }
 
-// meanHeld is the mean time in flight of the last sends.
-func (b *Balancer) meanHeld() float64 {
+// meanHeld is the mean time in flight of the last sends, but for those at caches that stand out: the dead
+// ones of a lost zone would pass for a jam of all.
+func (b *Balancer) meanHeld() (mean float64) {
 	memory := loadMemory * float64(max(len(b.caches), 1))
-	return b.holds(&b.held, b.out) / (memory * (1 - math.Pow(1-1/memory, float64(b.sends+1))))
+	for _, s := range b.caches {
+		if !b.standsOut(s) {
+			mean += s.held.seconds
+		}
+	}
+	return mean / (memory * (1 - math.Pow(1-1/memory, float64(b.sends+1))))
 }
 
 // meter is a rate a second that fades over a span.
--- a/balance/scale_test.go
+++ b/balance/scale_test.go
@@ -137,7 +137,10 @@
 	g := newRig(t, thinSettings())
 	g.caches(8)
 	s := g.b.caches[3]
-	s.held.seconds, g.b.held.seconds = 5, 6
+	for _, o := range g.b.caches {
+		o.held.seconds = 3
+	}
+	s.held.seconds, g.b.held.seconds = 9, 30
 	g.b.now = g.now
 	g.b.moveGate(s, false)
 	if g.b.gate.open < 1 {
--- a/balance/state.go
+++ b/balance/state.go
@@ -40,7 +40,8 @@
 	gate, originGate gate
 	worth            float64 // smoothed, of requests
 	asks             int     // calls for the list that failed, in a row
-	call             int     // the last event that a call for the list hangs on
+	givenUp          [whys]int
+	call             int // the last event that a call for the list hangs on
 }
 
 // server is what the router knows of one cache, or of the origin.
--- a/balance/view.go
+++ b/balance/view.go
@@ -29,3 +29,45 @@
 	}
 	return all
 }
+
+// Why names what a request was given up for.
+type Why int
+
+// The reasons.
+const (
+	NoTime   Why = iota // its time was up
+	Shut                // a gate was not open for it
+	NoServer            // none might take it: ejected, cold, tried already or forbidden by rule 2
+	Crowded             // the server that was chosen is at its limit
+	Spent               // an attempt ended without an answer, and no further one was allowed
+	whys
+)
+
+func (w Why) String() string {
+	return [whys]string{"no_time", "shut", "no_server", "crowded", "spent"}[w]
+}
+
+// Overall is what the decisions hold of the caches together, and why they gave requests up since their start.
+type Overall struct {
+	Gate, OriginGate float64       // the part of requests that each lets through
+	Errors           float64       // smoothed share of the caches' answers
+	Latency          time.Duration // smoothed, to an answer
+	Held             time.Duration // in flight, by the mean of the last attempts
+	Retries          float64       // left in the budget
+	Excluded         int           // caches that are ejected, or have yet to end it by a trial
+	Caches           int
+	GivenUp          [whys]int // by Why
+}
+
+// Overall tells it; nothing is changed by it.
+func (b *Balancer) Overall(now Time) Overall {
+	b.now = max(b.now, now)
+	o := Overall{Gate: b.gate.open, OriginGate: b.originGate.open, Errors: b.erring, Latency: b.latency, Retries: b.retries,
+		Held: time.Duration(b.meanHeld() * float64(time.Second)), Caches: len(b.caches), GivenUp: b.givenUp}
+	for _, s := range b.caches {
+		if s.ejected != 0 {
+			o.Excluded++
+		}
+	}
+	return o
+}
--- a/internal/exchange/view.go
+++ b/internal/exchange/view.go
@@ -20,8 +20,23 @@
 	return nil
 }
 
+// overall is a decider that tells what it holds of the caches together.
+type overall interface {
+	Overall(now balance.Time) balance.Overall
+}
+
 // view compares and writes.
 func (l *Loop) view() {
+	if d, ok := l.balancer.(overall); ok {
+		o := d.Overall(l.Clock.Now())
+		var why []any
+		for w, n := range o.GivenUp {
+			why = append(why, slog.Int(balance.Why(w).String(), n))
+		}
+		l.Log.Log(context.Background(), l.viewAt, "caches viewed", "gate", hundredths(o.Gate), "origin_gate", hundredths(o.OriginGate),
+			"errors", hundredths(o.Errors), "latency", o.Latency.Round(time.Millisecond), "held", o.Held.Round(time.Millisecond),
+			"retries", hundredths(o.Retries), "excluded", o.Excluded, "caches", o.Caches, slog.Group("given_up", why...))
+	}
 	booked, underWay := map[balance.ServerID]int{}, map[balance.ServerID]int{}
 	for _, x := range l.exchanges {
 		for _, a := range x.attempts {
@@ -41,6 +56,8 @@
 		}
 		l.Log.Log(context.Background(), level, "server viewed", "server", v.Server, "counted", v.Out, "booked", booked[v.Server],
 			"under_way", underWay[v.Server], "limit", int(v.Limit), "excluded", v.Excluded.Round(time.Millisecond), "trial", v.Trial,
-			"fails", v.Fails, "warmth", float64(int(v.Warmth*100))/100, "heard", v.Heard.Round(time.Millisecond))
+			"fails", v.Fails, "warmth", hundredths(v.Warmth), "heard", v.Heard.Round(time.Millisecond))
 	}
 }
+
+func hundredths(x float64) float64 { return float64(int(x*100)) / 100 }
