--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,6 +22,7 @@
 	suspectAt   = 3        // failures in a row; one is not proof
 	gateRise    = 0.013    // what a good answer opens a gate by, times those in a row; a fifth of bad close it
 	gateFloor   = 1.0 / 16 // of requests always pass a gate: without an answer it would never open
+	gateMean    = 0.4      // of the shortest aim: at this mean time of answers about one in twelve comes late
 	heatMemory  = 0.5      // sends a cache over which a key's heat is counted: a hot key shows within a second
 	heatPart    = 0.25     // of a mean cache's work is the most that one key is to bring to a cache
 	commonCause = 0.2      // of answers are errors: it is what the caches share; another makes it worse
@@ -131,7 +132,7 @@
 	b.after(r.class.Aim/2, func() {
 		if r.attempts[n].open {
 			b.moveGate(s, false)
-			b.sighted(r, &r.attempts[n], r.class.Aim/2)
+			b.sighted(r, &r.attempts[n], r.class.Aim/2, false)
 		}
 	})
 	// After an ejection, whose backoff holds until a good answer, there is no benefit of the doubt.
@@ -175,12 +176,17 @@
 	if took < r.class.Aim/2 && o.Result != Cancelled && o.Result != Moot && o.Result != Spoilt {
 		b.moveGate(s, o.Result == OK || o.Result == Miss)
 	}
-	if o.Result == NoConnect || o.Result == Reset || o.Result == Errored { // quick to fail, yet no place to go
+	switch o.Result {
+	case NoConnect, Reset, Errored, Full: // quick to fail, yet no place to go
 		took += r.class.Aim
 		b.holds(&s.held, s.out)
 		s.held.seconds += r.class.Aim.Seconds()
 	}
-	b.sighted(r, a, took)
+	answered := o.Result == OK || o.Result == Miss || o.Result == Full
+	if answered && !s.isOrigin {
+		b.answered(took)
+	}
+	b.sighted(r, a, took, answered)
 	switch {
 	case o.Done || r.done:
 		b.end(r, o.Result == OK)
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -185,3 +185,56 @@
 		t.Errorf("half of all answers are errors, at every cache alike, and count as %.2f", mean)
 	}
 }
+
+// meanGate is how far the routers' gates are open.
+func (f *fleet) meanGate() (open float64) {
+	for _, b := range f.routers {
+		open += b.gate.open / float64(len(f.routers))
+	}
+	return open
+}
+
+// Guard: most attempts are turned away within a millisecond and what is answered comes late. By the mean of all attempts
+// that was the quickest of fleets: gates stayed open, and seven of ten requests failed for ten seconds.
+func TestAttemptsTurnedAwayDontHideAJam(t *testing.T) {
+	f := newFleet(40, 30)
+	f.run(2*time.Second, 600)
+	for id := range f.cache {
+		f.cache[id] = func() (time.Duration, Result) {
+			if f.rng.IntN(3) > 0 {
+				return time.Millisecond, Full
+			}
+			return time.Duration(300+f.rng.IntN(300)) * time.Millisecond, OK
+		}
+	}
+	f.run(3*time.Second, 600)
+	if open := f.meanGate(); open > 0.7 {
+		t.Errorf("the gates are open by %.2f", open)
+	}
+}
+
+// Guard: two of five caches fall silent while the others answer quickly: no jam, whatever the silent ones hold.
+func TestSilentCachesDontShutTheGate(t *testing.T) {
+	f := newFleet(40, 30)
+	f.run(2*time.Second, 600)
+	for i := 18; i < 30; i++ {
+		f.cache[ServerID(fmt.Sprint("c", i))] = nil
+	}
+	f.run(3*time.Second, 600)
+	if open := f.meanGate(); open < 0.95 {
+		t.Errorf("the gates are open by %.2f", open)
+	}
+}
+
+// Guard: where nobody answers at all there is no time of answers to go by, and the gates close all the same.
+func TestGateClosesWhereNobodyAnswers(t *testing.T) {
+	f := newFleet(40, 30)
+	f.run(2*time.Second, 600)
+	for id := range f.cache {
+		f.cache[id] = nil
+	}
+	f.run(4*time.Second, 600)
+	if open := f.meanGate(); open > 0.7 {
+		t.Errorf("the gates are open by %.2f", open)
+	}
+}
--- a/balance/health.go
+++ b/balance/health.go
@@ -19,7 +19,7 @@
 		}
 		if !s.isOrigin {
 			b.answers.add(b.now, 2*b.set.OverloadFor)
-			b.erred(s, 0)
+			b.erring -= smoothing / 4 * b.erring
 		}
 		if result == OK && !s.isOrigin { // more slowly: it is what time-outs go by
 			b.latency += time.Duration(smoothing / 4 * float64(took-b.latency))
@@ -32,8 +32,15 @@
 		}
 	case Errored:
 		s.heard = b.now
-		if b.erred(s, 1); b.erring < commonCause {
+		// Of a cause that all share, an error follows a good answer; a few bad caches have mostly errors, and can
+		// be a fifth of what a lost zone leaves: taken for a common cause they shut the gate.
+		if s.fails == 0 || s.isOrigin {
+			b.erring += smoothing / 4 * (1 - b.erring)
+		}
+		if b.erring < commonCause {
 			b.failed(s)
+		} else {
+			s.fails = max(s.fails, 1)
 		}
 	case Full:
 		s.heard = b.now
@@ -50,14 +57,6 @@
 	}
 }
 
-// erred smooths the share of errors in the answers of caches that don't stand out by earlier ones. A few bad
-// ones can be a fifth of what a lost zone leaves: taken for a common cause that shut the gate.
-func (b *Balancer) erred(s *server, share float64) {
-	if !b.standsOut(s) {
-		b.erring += smoothing / 4 * (share - b.erring)
-	}
-}
-
 // failed counts a failure; some in a row over a while eject the server, longer each time, if enough are left.
 func (b *Balancer) failed(s *server) {
 	long := b.now.Sub(s.good) > b.aim/4 && b.now >= s.ejected
@@ -90,7 +89,7 @@
 		g.open = min(1, g.open*(1+min(gateRise*float64(g.good), 0.5)))
 		return
 	}
-	slow := b.meanHeld() > b.aim.Seconds()/2 && !b.standsOut(s)
+	slow := (b.taking.Seconds() > gateMean*b.aim.Seconds() || b.now.Sub(b.lastAnswer) > b.aim) && !b.standsOut(s)
 	if g.good = 0; (slow || s.isOrigin || b.erring >= commonCause) && b.now.Sub(g.cut) > b.latency {
 		g.open, g.cut = max(g.open*limitCut, gateFloor), b.now
 	}
@@ -129,11 +128,11 @@
 }
 
 // sighted notes an attempt's time in flight, to be told to some other routers: a thin one sees too little.
-func (b *Balancer) sighted(r *request, a *attempt, took time.Duration) {
+func (b *Balancer) sighted(r *request, a *attempt, took time.Duration, answered bool) {
 	if !b.thin() || !b.set.PeerMessages || a.to.isOrigin || len(b.sightings) >= maxSightings {
 		return
 	}
-	at := sighting{uint32(r.hash >> 32), a.to.hash, took - a.told}
+	at := sighting{uint32(r.hash >> 32), a.to.hash, took - a.told, answered}
 	if a.told > 0 {
 		at.key = 0 // the same attempt once more
 	}
@@ -147,14 +146,19 @@
 func (b *Balancer) onHeard(all []sighting) {
 	for _, at := range all {
 		if s := b.byHash[at.server]; s != nil {
+			b.holds(&s.held, s.out)
+			b.holds(&b.held, b.out)
 			if at.key != 0 {
 				b.sends++
 				b.heat(at.key)
 			}
-			b.holds(&s.held, s.out)
-			b.holds(&b.held, b.out)
 			s.held.seconds += at.took.Seconds()
 			b.held.seconds += at.took.Seconds()
+			if at.answered && at.key != 0 {
+				b.answered(at.took)
+			} else if at.answered { // it had been told of when half its aim was over
+				b.answered(at.took + b.aim/2)
+			}
 		}
 	}
 }
--- a/balance/load.go
+++ b/balance/load.go
@@ -10,6 +10,7 @@
 func (b *Balancer) start() {
 	b.gate, b.originGate = gate{open: 1}, gate{open: 1}
 	b.retries = retryBurst * b.share()
+	b.taking = b.aim / 4
 	b.latency = b.aim / 4 // a fresh router that takes slow work for silence ejects the fleet
 }
 
@@ -52,16 +53,11 @@
 	return float64(n) / max(total, 1)
 }
 
-// meanHeld is the mean time in flight of the last sends, but for those at caches that stand out: the dead
-// ones of a lost zone would pass for a jam of all.
-func (b *Balancer) meanHeld() (mean float64) {
-	memory := loadMemory * float64(max(len(b.caches), 1))
-	for _, s := range b.caches {
-		if !b.standsOut(s) {
-			mean += s.held.seconds
-		}
-	}
-	return mean / (memory * (1 - math.Pow(1-1/memory, float64(b.sends+1))))
+// answered moves the mean time of the last answers, here and at routers that tell of theirs. Caches that are
+// silent have no part in it: by all attempts the dead ones of a lost zone would pass for a jam of all.
+func (b *Balancer) answered(took time.Duration) {
+	b.taking += time.Duration(float64(took-b.taking) / (loadMemory * float64(max(len(b.caches), 1))))
+	b.lastAnswer = b.now
 }
 
 // meter is a rate a second that fades over a span.
--- a/balance/scale_test.go
+++ b/balance/scale_test.go
@@ -137,10 +137,7 @@
 	g := newRig(t, thinSettings())
 	g.caches(8)
 	s := g.b.caches[3]
-	for _, o := range g.b.caches {
-		o.held.seconds = 3
-	}
-	s.held.seconds, g.b.held.seconds = 9, 30
+	s.held.seconds, g.b.held.seconds, g.b.taking = 5, 6, g.b.aim
 	g.b.now = g.now
 	g.b.moveGate(s, false)
 	if g.b.gate.open < 1 {
@@ -235,9 +232,9 @@
 	if g.b.held != before {
 		t.Error("a message that names no cache changed the load term")
 	}
-	all := []sighting{{1, 2, 3 * time.Millisecond}, {4, 5, time.Hour}}
+	all := []sighting{{1, 2, 3 * time.Millisecond, true}, {4, 5, time.Hour, false}}
 	got := decodeSightings(append(encodeSightings(all), 9, 9))
-	if len(got) != 2 || got[0] != all[0] || got[1].took != 65535*time.Millisecond {
+	if len(got) != 2 || got[0] != all[0] || got[1].took != mostTold*time.Millisecond || got[1].answered {
 		t.Errorf("decoded %v", got)
 	}
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -33,6 +33,8 @@
 	weight           float64           // of caches
 	retries          float64           // the retry budget
 	latency          time.Duration     // smoothed time to an answer of the caches
+	taking           time.Duration     // mean time of the last answers, here and at routers that tell of theirs
+	lastAnswer       Time              // of any cache
 	sightings        []sighting        // not told to other routers yet
 	answers          meter             // of the caches
 	shares           []meter           // what each tenant has asked for
--- a/balance/view.go
+++ b/balance/view.go
@@ -52,7 +52,7 @@
 	Gate, OriginGate float64       // the part of requests that each lets through
 	Errors           float64       // smoothed share of the caches' answers
 	Latency          time.Duration // smoothed, to an answer
-	Held             time.Duration // in flight, by the mean of the last attempts
+	Taking           time.Duration // mean time of the last answers, those told by other routers among them
 	Retries          float64       // left in the budget
 	Excluded         int           // caches that are ejected, or have yet to end it by a trial
 	Caches           int
@@ -63,7 +63,7 @@
 func (b *Balancer) Overall(now Time) Overall {
 	b.now = max(b.now, now)
 	o := Overall{Gate: b.gate.open, OriginGate: b.originGate.open, Errors: b.erring, Latency: b.latency, Retries: b.retries,
-		Held: time.Duration(b.meanHeld() * float64(time.Second)), Caches: len(b.caches), GivenUp: b.givenUp}
+		Taking: b.taking, Caches: len(b.caches), GivenUp: b.givenUp}
 	for _, s := range b.caches {
 		if s.ejected != 0 {
 			o.Excluded++
--- a/internal/exchange/view.go
+++ b/internal/exchange/view.go
@@ -34,7 +34,7 @@
 			why = append(why, slog.Int(balance.Why(w).String(), n))
 		}
 		l.Log.Log(context.Background(), l.viewAt, "caches viewed", "gate", hundredths(o.Gate), "origin_gate", hundredths(o.OriginGate),
-			"errors", hundredths(o.Errors), "latency", o.Latency.Round(time.Millisecond), "held", o.Held.Round(time.Millisecond),
+			"errors", hundredths(o.Errors), "latency", o.Latency.Round(time.Millisecond), "taking", o.Taking.Round(time.Millisecond),
 			"retries", hundredths(o.Retries), "excluded", o.Excluded, "caches", o.Caches, slog.Group("given_up", why...))
 	}
 	booked, underWay := map[balance.ServerID]int{}, map[balance.ServerID]int{}
