--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,7 +22,6 @@
 	suspectAt   = 3        // failures in a row; one is not proof
 	gateRise    = 0.013    // what a good answer opens a gate by, times those in a row; a fifth of bad close it
 	gateFloor   = 1.0 / 16 // of requests always pass a gate: without an answer it would never open
-	gateMean    = 0.4      // of the shortest aim: at this mean time of answers about one in twelve comes late
 	heatMemory  = 0.5      // sends a cache over which a key's heat is counted: a hot key shows within a second
 	heatPart    = 0.25     // of a mean cache's work is the most that one key is to bring to a cache
 	commonCause = 0.2      // of answers are errors: it is what the caches share; another makes it worse
--- a/balance/health.go
+++ b/balance/health.go
@@ -89,7 +89,7 @@
 		g.open = min(1, g.open*(1+min(gateRise*float64(g.good), 0.5)))
 		return
 	}
-	slow := (b.taking.Seconds() > gateMean*b.aim.Seconds() || b.now.Sub(b.lastAnswer) > b.aim) && !b.standsOut(s)
+	slow := (b.taking > b.aim/2 || b.now.Sub(b.lastAnswer) > b.aim) && !b.standsOut(s)
 	if g.good = 0; (slow || s.isOrigin || b.erring >= commonCause) && b.now.Sub(g.cut) > b.latency {
 		g.open, g.cut = max(g.open*limitCut, gateFloor), b.now
 	}
