--- a/balance/load_test.go
+++ b/balance/load_test.go
@@ -34,7 +34,7 @@
 	before := g.b.taking
 	for i := range 20 {
 		id := fmt.Sprint(i)
-		g.ask(id, "read")
+		g.askKey(id, uint64(i))
 		g.answer(id, Miss)
 	}
 	if g.b.taking != before {
