After a refused connection a lone router goes where it has one open

After a first attempt only linked caches are drawn, and one that refused is left alone four times as long.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -87,7 +87,7 @@
 	}
 	for i := 0; i < maxDraws && len(seen) <= max(1, r.spread); i, hash = i+1, mix(hash) {
 		s := b.servers[b.table.lookup(hash)]
-		if s == nil || seen[s] || r.tried(s) || !b.mayTake(r, s) || !b.healthy(s) || !b.budgeted(s) {
+		if s == nil || seen[s] || r.tried(s) || b.lone() && !s.linked && len(r.attempts) > 0 || !b.mayTake(r, s) || !b.healthy(s) || !b.budgeted(s) {
 			continue
 		}
 		if seen[s] = true; !b.crowded(s) {
@@ -173,6 +173,7 @@
 	a.open, a.idle = false, o.Result.NeverRan()
 	b.count(r, s, -1)
 	b.hangUp(s)
+	s.linked = o.Result != NoConnect && o.Result != Reset && (s.linked || o.Result != TimedOut)
 	took := b.now.Sub(a.sent)
 	b.judge(s, took, o.Result)
 	refused := o.Result == NoConnect && b.lone() // a full table is no load, and the attempt no work to anyone
--- a/balance/health.go
+++ b/balance/health.go
@@ -49,7 +49,7 @@
 	case Spoilt, Reset, NoConnect: // no sign of load, and may strike any server: only some in a row count
 		if result == NoConnect && b.lone() { // it may be full of connections, and serve those that have one
 			s.refusals = min(s.refusals+1, 4)
-			s.shut = b.now.Add(b.aim / 2 << s.refusals)
+			s.shut = b.now.Add(2 * b.aim << s.refusals)
 		} else {
 			b.failed(s)
 		}
--- a/balance/load.go
+++ b/balance/load.go
@@ -47,6 +47,7 @@
 	if s.used = b.now; b.set.Streams > 1 && b.lone() {
 		b.after(keepOpen*b.aim, func() {
 			if s.out == 0 && b.now.Sub(s.used) >= keepOpen*b.aim {
+				s.linked = false
 				b.do(CloseIdle{Server: s.Server})
 			}
 		})
--- a/balance/state.go
+++ b/balance/state.go
@@ -65,6 +65,7 @@
 	back     Time          // when it was cold, if it had restarted before it came back from an ejection
 	tokens   float64       // budget while it is cold
 	shut     Time          // not used before, for it refused a connection
+	linked bool // a connection to it is likely open
 	refusals int           // of connections, in a row
 	used     Time          // when the last attempt ended
 	filled   Time          // when tokens was last brought up to date
