--- a/balance/balance.go
+++ b/balance/balance.go
@@ -87,7 +87,8 @@
 	}
 	for i := 0; i < maxDraws && len(seen) <= max(1, r.spread); i, hash = i+1, mix(hash) {
 		s := b.servers[b.table.lookup(hash)]
-		if s == nil || seen[s] || r.tried(s) || b.lone() && !s.linked && len(r.attempts) > 0 || !b.mayTake(r, s) || !b.healthy(s) || !b.budgeted(s) {
+		if s == nil || seen[s] || r.tried(s) || !b.mayTake(r, s) || !b.healthy(s) || !b.budgeted(s) ||
+			b.lone() && !s.linked && len(r.attempts) > 0 { // one refused connection is enough for a request
 			continue
 		}
 		if seen[s] = true; !b.crowded(s) {
@@ -128,7 +129,9 @@
 	n := len(r.attempts)
 	r.attempts = append(r.attempts, attempt{to: s, sent: b.now, open: true})
 	b.count(r, s, 1)
-	s.tokens--
+	if s.tokens--; b.lone() && !s.linked { // opening a connection is work as well
+		s.tokens--
+	}
 	b.do(Send{ID: r.ID, Server: s.Server})
 	b.after(r.class.Aim/2, func() {
 		if r.attempts[n].open {
@@ -172,7 +175,7 @@
 	s := a.to
 	a.open, a.idle = false, o.Result.NeverRan()
 	b.count(r, s, -1)
-	b.hangUp(s)
+	b.hangUp(s) // a time-out tells nothing of the connection
 	s.linked = o.Result != NoConnect && o.Result != Reset && (s.linked || o.Result != TimedOut)
 	took := b.now.Sub(a.sent)
 	b.judge(s, took, o.Result)
--- a/balance/health.go
+++ b/balance/health.go
@@ -97,7 +97,10 @@
 	b.unanswered++ // a lone router has none answered for an aim at the best of times, and few to stand out of
 	silent := b.now.Sub(b.lastAnswer) > b.aim && (b.unanswered >= suspectAt || !b.lone())
 	slow := (b.taking > b.aim/2 || silent) && (b.lone() || !b.standsOut(s))
-	if g.good = 0; (slow || s.isOrigin || b.erring >= commonCause) && b.now.Sub(g.cut) > b.latency {
+	if s.isOrigin { // a write or a rare object may take as long at the best of times
+		slow = s.latency > b.aim/4 || b.now.Sub(s.good) > b.aim
+	}
+	if g.good = 0; (slow || b.erring >= commonCause && !s.isOrigin) && b.now.Sub(g.cut) > b.latency {
 		g.open, g.cut = max(g.open*limitCut, gateFloor), b.now
 	}
 }
--- a/balance/load.go
+++ b/balance/load.go
@@ -72,17 +72,6 @@
 	return u.seconds
 }
 
-// recentPart counts a request of a key and returns the part that the key had before of the last sends, in two
-// generations; of less than half a generation it says little.
-func (b *Balancer) recentPart(key uint32, generation float64) float64 {
-	n, total := b.recent[0][key]+b.recent[1][key], max(float64(b.fresh+b.older), generation/2)
-	if b.fresh++; b.recent[0] == nil || float64(b.fresh) > generation {
-		b.recent, b.older, b.fresh = [2]map[uint32]int{{}, b.recent[0]}, b.fresh, 1
-	}
-	b.recent[0][key]++
-	return float64(n) / max(total, 1)
-}
-
 // answered moves the mean time of the last answers, here and at routers that tell of theirs. Caches that are
 // silent have no part in it: by all attempts the dead ones of a lost zone would pass for a jam of all.
 func (b *Balancer) answered(took time.Duration) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -65,7 +65,7 @@
 	back     Time          // when it was cold, if it had restarted before it came back from an ejection
 	tokens   float64       // budget while it is cold
 	shut     Time          // not used before, for it refused a connection
-	linked bool // a connection to it is likely open
+	linked   bool          // a connection to it is likely open
 	refusals int           // of connections, in a row
 	used     Time          // when the last attempt ended
 	filled   Time          // when tokens was last brought up to date
@@ -101,6 +101,17 @@
 	return m.count * max(1-float64(now.Sub(m.at))/float64(max(span, 1)), 0) / max(span, 1).Seconds()
 }
 
+// recentPart counts a request of a key and returns the part that the key had before of the last sends, in two
+// generations; of less than half a generation it says little.
+func (b *Balancer) recentPart(key uint32, generation float64) float64 {
+	n, total := b.recent[0][key]+b.recent[1][key], max(float64(b.fresh+b.older), generation/2)
+	if b.fresh++; b.recent[0] == nil || float64(b.fresh) > generation {
+		b.recent, b.older, b.fresh = [2]map[uint32]int{{}, b.recent[0]}, b.fresh, 1
+	}
+	b.recent[0][key]++
+	return float64(n) / max(total, 1)
+}
+
 // attempt is one Send.
 type attempt struct {
 	to   *server
