--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -19,6 +19,7 @@
 type command struct {
 	Run     struct{}   `cmd:"" default:"1" help:"Run a router, as the file that $$GW_CONFIG names says. This is what happens without arguments."`
 	Check   checkCmd   `cmd:"" help:"Read a configuration as a start would and say whether it is good."`
+	Move    moveCmd    `cmd:"" help:"Turn a configuration of the old shape into its counterpart for a router of one client process."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 	Stats   statsCmd   `cmd:"" help:"Print a running router's counters."`
 }
@@ -68,6 +69,8 @@
 	switch given.Selected().Name {
 	case "check":
 		return p.check(c.Check.File)
+	case "move":
+		return p.move(c.Move)
 	case "version":
 		fmt.Fprintln(stdout, build.Line("cedarmast"))
 		return 0
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -101,6 +101,7 @@
 	if c.Settings != nil {
 		setDefault(&c.Settings.Limits.ConnIdle, int64(defaultConnIdle))
 		setDefault(&c.Settings.Limits.ConnectTimeout, int64(defaultConnect))
+		setDefault(&c.Settings.Limits.StreamsPerConn, 1)
 		setDefault(&c.Settings.FleetSize, 1)
 	}
 }
--- a/internal/daemon/config_test.go
+++ b/internal/daemon/config_test.go
@@ -34,7 +34,8 @@
 		t.Fatal(err)
 	}
 	if c.Name != "n1" || c.Listen != "127.0.0.1:1" || c.Discovery != "127.0.0.1:2" || c.Limits.Sockets != defaultSockets ||
-		c.Limits.MemoryMB != defaultMemoryMB || c.Limits.Cores != defaultCores || c.Known.Index >= 0 || c.Settings.FleetSize != 1 {
+		c.Limits.MemoryMB != defaultMemoryMB || c.Limits.Cores != defaultCores || c.Known.Index >= 0 || c.Settings.FleetSize != 1 ||
+		c.Settings.Limits.StreamsPerConn != 1 {
 		t.Errorf("filled to %+v", c)
 	}
 }
@@ -65,6 +66,8 @@
 		{`"Effect":"safe"`, `"Effect":"odd"`, "settings.Classes[0].Effect:"},
 		{`"Name":"read"`, `"Name":""`, "settings.Classes[0].Name:"},
 		{`"Classes":[{`, `"Classes":[{"Name":"read","Objective":1,"Deadline":2,"Effect":"safe"},{`, "settings.Classes[1].Name:"},
+		{`"ConnIdle":7000000000`, `"StreamsPerConn":-1`, "settings.Limits.StreamsPerConn:"},
+		{`"ConnIdle":7000000000`, `"StreamsPerConn":1.5`, "settings.Limits.StreamsPerConn:"},
 		{`"ConnIdle":7000000000`, `"ConnIdle":-1`, "settings.Limits.ConnIdle:"},
 		{`"ConnIdle":7000000000`, `"ConnIdle":"long"`, "settings.Limits.ConnIdle:"},
 	} {
--- /dev/null
+++ b/internal/daemon/move.go
@@ -0,0 +1,87 @@
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"cedarmast/internal/migrate"
+)
+
+// moveCmd turns a configuration of the old shape into its counterpart of the new one; the old file stays as it is.
+type moveCmd struct {
+	File    string        `arg:"" help:"Configuration of the old shape. It is only read."`
+	Out     string        `help:"Where the counterpart goes; it must not be there yet. Left out: FILE with .moved at its end." placeholder:"PATH"`
+	DryRun  bool          `short:"n" help:"Say what would be changed and left behind, and write nothing."`
+	Routers int           `required:"" help:"Client processes, each with a router of its own."`
+	Number  int           `required:"" help:"Number of this router among them, from 0."`
+	Streams int           `default:"100" help:"Requests that a connection carries at once."`
+	Idle    time.Duration `default:"60s" help:"After which servers close an idle connection; 0 keeps the old value."`
+	Zones   []string      `help:"The locations; servers known elsewhere are left behind. Left out: all are kept." placeholder:"A,B"`
+	Zone    string        `help:"Location of this router. Left out: the old one." placeholder:"A"`
+	Name    string        `help:"Name of this router. Left out: the old one." placeholder:"NAME"`
+	Listen  string        `help:"Address and port for its clients. Left out: the old one." placeholder:"ADDR"`
+}
+
+// move carries the command out. The counterpart is checked as a start would before anything is written.
+func (p process) move(c moveCmd) int {
+	if c.Out == "" {
+		c.Out = c.File + ".moved"
+	}
+	err := func() error {
+		text, err := os.ReadFile(c.File)
+		if err != nil {
+			return err
+		}
+		moved, notes, err := migrate.Move(text, migrate.Shape{Routers: c.Routers, Number: c.Number, Name: c.Name, Listen: c.Listen,
+			Zone: c.Zone, Zones: c.Zones, Streams: c.Streams, ConnIdle: c.Idle})
+		if err != nil {
+			return fmt.Errorf("%s: %w", c.File, err)
+		}
+		if _, err := parseConfig(moved, p.getenv); err != nil {
+			return fmt.Errorf("%s: its counterpart would not start a router: %w", c.File, err)
+		}
+		if _, err := os.Lstat(c.Out); err == nil || !errors.Is(err, os.ErrNotExist) {
+			return fmt.Errorf("%s is there already, or can't be looked at", c.Out)
+		}
+		lost := 0
+		for _, n := range notes {
+			word := "changed"
+			if n.Lost {
+				word = "not carried"
+				lost++
+			}
+			fmt.Fprintf(p.stdout, "%s: %s: %s\n", word, n.Key, n.Text)
+		}
+		if c.DryRun {
+			fmt.Fprintf(p.stdout, "would write %s: %d not carried; nothing was written\n", c.Out, lost)
+			return nil
+		}
+		if err := writeWhole(c.Out, moved); err != nil {
+			return err
+		}
+		fmt.Fprintf(p.stdout, "wrote %s: %d not carried; %s is as it was\n", c.Out, lost, c.File)
+		return nil
+	}()
+	if err != nil {
+		fmt.Fprintln(p.stderr, "cedarmast: move:", err)
+		return 2
+	}
+	return 0
+}
+
+// writeWhole makes a file that is there whole or not at all, and takes no other's place.
+func writeWhole(path string, text []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(path), ".moved-*") // for the owner alone, as a configuration may hold secrets
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name())
+	_, err = f.Write(text)
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return err
+	}
+	return os.Link(f.Name(), path)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -144,7 +144,7 @@
 	for _, key := range []struct {
 		name  string
 		value int64
-	}{{"Limits.ConnIdle", p.Limits.ConnIdle}, {"Limits.ConnectTimeout", p.Limits.ConnectTimeout},
+	}{{"Limits.StreamsPerConn", int64(p.Limits.StreamsPerConn)}, {"Limits.ConnIdle", p.Limits.ConnIdle}, {"Limits.ConnectTimeout", p.Limits.ConnectTimeout},
 		{"Limits.MaxRetryAfter", p.Limits.MaxRetryAfter}, {"Contract.RampTime", p.Contract.RampTime},
 		{"Contract.OverloadFor", p.Contract.OverloadFor}, {"Contract.AskWithin", p.Contract.AskWithin}} {
 		if key.value < 0 {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -15,7 +15,7 @@
  "Tenants":[{"Name":"t","AllowancePerS":58,"Portion":0.37}],"Flavors":["box","origin"],
  "FamilyInfo":{"Mode":"aside","OriginKind":1},
  "Limits":{"SendCap":4,"MayCancel":true,"ParallelTries":true,"PeerMessages":true,"RetryAfter":true,
-  "MaxRetryAfter":2000000000,"ConnectTimeout":250000000,"ConnIdle":5000000000},
+  "MaxRetryAfter":2000000000,"ConnectTimeout":250000000,"ConnIdle":5000000000,"StreamsPerConn":100},
  "Contract":{"AskWithin":10000000000,"ColdFrom":0.15,"RampTime":24000000000,"OverloadFactor":2.5,"OverloadFor":3000000000}}`
 
 func TestSettingsAreReadWhole(t *testing.T) {
@@ -29,7 +29,7 @@
 		Tenants: []balance.Tenant{{Name: "t", AllowancePerS: 58}},
 		Routers: 3, Number: 1, PeerMessages: true, Zone: "z", OverShareWorth: 0.2, Aside: true, OriginKind: "origin",
 		AskForList: true, AskWithin: 10 * time.Second, MaxAttempts: 4, MayCancel: true, Parallel: true,
-		MaxRetryAfter: 2 * time.Second, ConnectTimeout: 250 * time.Millisecond,
+		MaxRetryAfter: 2 * time.Second, ConnectTimeout: 250 * time.Millisecond, Streams: 100,
 		ColdFrom: 0.15, Ramp: 24 * time.Second, OverloadFactor: 2.5, OverloadFor: 3 * time.Second,
 	}
 	if got := p.Settings(); !reflect.DeepEqual(got, want) {
