--- a/balance/health.go
+++ b/balance/health.go
@@ -79,7 +79,7 @@
 // admits lets part of the requests through a gate that is not fully open, the least worth last. Gates act at
 // thin routers, whose limits of one attempt hold nothing back, and where errors have a common cause.
 func (b *Balancer) admits(g *gate, r *request) bool {
-	if b.lone() && g == &b.gate && r.worth < r.class.Worth/8 && b.taking > b.aim/4 {
+	if b.lone() && g == &b.gate && r.worth < r.class.Worth/8 && b.taking > b.aim/3 {
 		return false // next to worthless, as traffic over a share can be: it gives way before answers are late
 	}
 	return g.open >= 1 || !b.thin() && b.erring < commonCause ||
