A lone router of one tenant compares nothing; the origin's refused dials count as before

Read in the code, shown by a test on its own: where the other tenants ask nothing at a router, asked is 0 and all of the only tenant's requests were over its share (load.go overShare), given up first. And a refused connection at the origin went on at once, up to all attempts of the request, without the retry budget (balance.go onOutcome).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -179,7 +179,7 @@
 	s.linked = o.Result != NoConnect && o.Result != Reset && (s.linked || o.Result != TimedOut)
 	took := b.now.Sub(a.sent)
 	b.judge(s, took, o.Result)
-	refused := o.Result == NoConnect && b.lone() // a full table is no load, and the attempt no work to anyone
+	refused := o.Result == NoConnect && b.lone() && !s.isOrigin // a full table is no load, a dial no work
 	if took < r.class.Aim/2 && o.Result != Cancelled && o.Result != Moot && o.Result != Spoilt && !refused {
 		b.moveGate(s, o.Result == OK || o.Result == Miss)
 	}
--- a/balance/load.go
+++ b/balance/load.go
@@ -38,7 +38,7 @@
 	if !b.lone() || allowed == 0 {
 		return rate > allowance*b.share()
 	}
-	return b.rng.Float64() > shareSlack*asked/allowed*allowance/rate
+	return asked > 0 && b.rng.Float64() > shareSlack*asked/allowed*allowance/rate // none to compare with
 }
 
 // hangUp closes a server's connections a while after the last attempt, where one carries many: then each of
--- a/balance/lone_test.go
+++ b/balance/lone_test.go
@@ -256,3 +256,18 @@
 		}
 	}
 }
+
+// Guard: a client process may serve one tenant alone; compared with others that ask nothing at its router, all that the
+// tenant asks would be over its share, and given up first.
+func TestRouterOfOneTenantComparesNothing(t *testing.T) {
+	set := loneSettings()
+	set.OverShareWorth = 0.05
+	set.Tenants = []Tenant{{Name: "t0", AllowancePerS: 100}, {Name: "t1", AllowancePerS: 100}}
+	g := newRig(t, set)
+	for i := range 200 {
+		g.now += 50 * ms
+		if g.b.now = g.now; g.b.overShare("t0") {
+			t.Fatalf("request %d of the only tenant is over its share", i)
+		}
+	}
+}
