--- a/balance/api.go
+++ b/balance/api.go
@@ -97,7 +97,7 @@
 	// it. The slice is good until the next call.
 	Order(now Time, v Visit) []Tier
 	// Begun and Ended tell of an attempt at a zone's cache; Begun returns whether the zone may have to fetch the key.
-	Begun(now Time, zone string, key uint64, hasKey, guest bool) (news bool)
+	Begun(now Time, zone string, key uint64, read, guest bool) (news bool)
 	Ended(now Time, s Stay)
 }
 
@@ -110,10 +110,11 @@
 
 // Visit is what an order is asked for.
 type Visit struct {
-	Key    uint64 // mixed: even over all its bits
-	HasKey bool
-	Safe   bool    // it may be sent again, whatever becomes of the first attempt
-	Worth  float64 // as a multiple of the mean
+	Key   uint64  // mixed: even over all its bits
+	Read  bool    // it has a key whose answer caches may keep
+	Safe  bool    // it may be sent again, whatever becomes of the first attempt
+	Worth float64 // as a multiple of the mean
+	Again bool    // an attempt of it has been made
 }
 
 // Stay is how an attempt at a zone's cache ended.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -150,7 +150,7 @@
 func (b *Balancer) welcome(r *request, s *server, part float64) bool {
 	limit := s.limit * min(1, 0.5+r.worth/b.worth)
 	return (s.out == 0 || float64(s.out+1) <= limit) &&
-		(part >= 1 || b.rng.Float64() < part*limit-float64(s.guests))
+		(part >= 1 || b.thin() && b.taking < b.aim/4 || b.rng.Float64() < part*limit-float64(s.guests))
 }
 
 func (b *Balancer) send(r *request, s *server) {
--- a/balance/health.go
+++ b/balance/health.go
@@ -197,7 +197,7 @@
 		return true
 	}
 	part := warm * math.Sqrt(max(b.set.OverloadFactor, 1)) // half the way to the fall, for uneven routers
-	rate := part * b.answers.rate(b.now, 2*b.set.OverloadFor) * s.Weight / b.weight
+	rate := part * b.answers.rate(b.now, 2*b.set.OverloadFor) * s.Weight / s.share.weight
 	if rate == 0 {
 		rate = b.share() / b.aim.Seconds()
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -52,9 +52,10 @@
 type server struct {
 	Entry
 	isOrigin bool
-	hash     uint32 // of its id
-	out      int    // attempts in flight
-	among    *pool
+	hash     uint32        // of its id
+	out      int           // attempts in flight
+	among    *pool         // whose load its own is compared with
+	share    *pool         // of whose answers here it has its part while it is cold
 	guests   int           // of them, of requests that another site is the first for
 	held     usage         // attempts in flight over the last sends
 	limit    float64       // concurrency limit, of this router alone
@@ -216,7 +217,7 @@
 
 // visit is what the tiers are told of a request.
 func (b *Balancer) visit(r *request) Visit {
-	return Visit{Key: r.hash, HasKey: r.HasKey, Safe: r.class.Effect == Safe, Worth: r.worth / max(b.worth, 1e-9)}
+	return Visit{Key: r.hash, Read: r.HasKey && !r.Write, Safe: r.class.Effect == Safe, Worth: r.worth / max(b.worth, 1e-9), Again: len(r.attempts) > 0}
 }
 
 // enter and leave tell the tiers of an attempt's begin and end.
@@ -227,7 +228,7 @@
 	if a.part = r.part; a.part < 1 {
 		a.to.guests++
 	}
-	a.news = b.tiers.Begun(b.now, a.to.Zone, r.hash, r.HasKey, a.part < 1)
+	a.news = b.tiers.Begun(b.now, a.to.Zone, r.hash, r.HasKey && !r.Write, a.part < 1)
 }
 
 func (b *Balancer) leave(r *request, a *attempt, took time.Duration, o Outcome) {
@@ -361,7 +362,7 @@
 		if l.Kind != Partial && !listed[id] {
 			s.State = Gone
 		}
-		s.among = &b.pool
+		s.among, s.share = &b.pool, &b.pool
 		if b.tiers != nil && !s.isOrigin {
 			if s.among = b.pools[s.Zone]; s.among == nil {
 				s.among = &pool{}
@@ -370,6 +371,9 @@
 				}
 				b.pools[s.Zone] = s.among
 			}
+			if s.Zone == b.set.Zone { // to a guest, a part of all: it has its own routers as well
+				s.share = s.among
+			}
 			s.among.out += s.out
 			if s.State == Up {
 				s.among.weight += s.Weight
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -44,6 +44,7 @@
 	HostLateMS   float64                `json:"host_late_ms"`
 	HostCPU      float64                `json:"host_cpu_s"`
 	HostMemoryMB float64                `json:"host_memory_mb"`
+	Events       int                    `json:"events,omitempty"` // that routers were given, in virtual time
 	Seconds      []Second               `json:"seconds"`
 	Marks        []Mark                 `json:"marks"`
 	Nodes        []NodeReport           `json:"nodes"`
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -127,6 +127,11 @@
 	return w.set.Network.Cross.D()
 }
 
+// Trip is the network's time both ways between a router and a node.
+func (w *World) Trip(router int, n *Node) time.Duration {
+	return 2 * w.oneWay(w.routerSite(router), n.Site)
+}
+
 // DatabasePeak is the most that the database was asked for in a second, as a multiple of what it can do, and DatabaseAsks
 // all that it was asked.
 func (w *World) DatabasePeak() float64 { return w.db.Peak }
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -22,8 +22,10 @@
 	"cedarmast/internal/build"
 	"cedarmast/internal/daemon"
 	"cedarmast/internal/faulty"
+	"cedarmast/internal/ledger"
 	"cedarmast/internal/rig"
 	"cedarmast/internal/scenario"
+	"cedarmast/internal/virtual"
 )
 
 // The statuses to exit with.
@@ -55,15 +57,16 @@
 }
 
 type runCmd struct {
-	Name   string   `arg:"" help:"A scenario that the kit brings, or a file."`
-	Seed   uint64   `default:"1" help:"Of all that is drawn."`
-	Short  bool     `help:"Play the day in its short length."`
-	Router string   `placeholder:"BIN" help:"The router's program; left out, cedarmast beside this program, else on the path."`
-	Policy string   `placeholder:"NAME" help:"Run a baseline in place of cedarmast: random or least-of-two; none: no routers, to see what the rig itself carries."`
-	Set    []string `sep:"none" placeholder:"KEY=VALUE" help:"Goes over a key of the scenario, as rate=100 or site[0].nodes=5; may be repeated."`
-	HTML   string   `name:"html" placeholder:"FILE" help:"Write the report as one page that opens offline."`
-	JSON   string   `name:"json" placeholder:"FILE" help:"Write the report as JSON; - for standard output."`
-	Logs   string   `placeholder:"DIR" help:"Keep the routers' logs there."`
+	Name    string   `arg:"" help:"A scenario that the kit brings, or a file."`
+	Seed    uint64   `default:"1" help:"Of all that is drawn."`
+	Short   bool     `help:"Play the day in its short length."`
+	Router  string   `placeholder:"BIN" help:"The router's program; left out, cedarmast beside this program, else on the path."`
+	Virtual bool     `help:"Play the day in virtual time: the decisions alone, with no sockets and no program, at any size."`
+	Policy  string   `placeholder:"NAME" help:"Run a baseline in place of cedarmast: random or least-of-two; none: no routers, to see what the rig itself carries."`
+	Set     []string `sep:"none" placeholder:"KEY=VALUE" help:"Goes over a key of the scenario, as rate=100 or site[0].nodes=5; may be repeated."`
+	HTML    string   `name:"html" placeholder:"FILE" help:"Write the report as one page that opens offline."`
+	JSON    string   `name:"json" placeholder:"FILE" help:"Write the report as JSON; - for standard output."`
+	Logs    string   `placeholder:"DIR" help:"Keep the routers' logs there."`
 }
 
 // Main carries out a command line, without the program's name, and returns the status to exit with.
@@ -205,6 +208,16 @@
 	if c.Policy != "" && c.Policy != "cedarmast" && !direct && baseline.New(c.Policy) == nil {
 		return p.fail(fmt.Errorf("%w: there is no policy %q; they are cedarmast, none, %s", errArgument, c.Policy, strings.Join(baseline.Names, ", ")))
 	}
+	if c.Virtual && (c.Router != "" || direct || c.Logs != "") {
+		return p.fail(fmt.Errorf("%w: --virtual has no --router, --logs or policy none", errArgument))
+	}
+	if c.Virtual {
+		report, err := virtual.Run(s, virtual.Options{Seed: c.Seed, Decide: baseline.New(c.Policy)})
+		if err != nil {
+			return p.fail(err)
+		}
+		return p.tell(c, report, "virtual", nil)
+	}
 	router := []string{"none"}
 	if !direct {
 		if router, err = findRouter(c.Policy + c.Router); err != nil {
@@ -217,7 +230,12 @@
 	if report == nil {
 		return p.fail(err)
 	}
-	report.Router, report.Policy = filepath.Base(router[0]), cmp.Or(c.Policy, "cedarmast")
+	return p.tell(c, report, filepath.Base(router[0]), err)
+}
+
+// tell writes a run's report where it is wanted; err is what the run ended with beside it.
+func (p *program) tell(c runCmd, report *ledger.Report, router string, err error) int {
+	report.Router, report.Policy = router, cmp.Or(c.Policy, "cedarmast")
 	if c.HTML != "" {
 		if err := writeFile(c.HTML, func(w io.Writer) error { return writeHTML(w, report) }); err != nil {
 			return p.fail(err)
--- a/internal/rig/agent.go
+++ b/internal/rig/agent.go
@@ -119,7 +119,7 @@
 	list := instances{Index: index, Snapshot: whole, Endpoints: []endpoint{}, told: entries}
 	for _, e := range entries {
 		ms := int64(0)
-		if e.Since > -r.set.WarmUp.D() {
+		if e.Since > -r.set.WarmUp.D() && r.set.Discovery.Starts {
 			ms = r.start.Add(e.Since).UnixMilli()
 		}
 		list.Endpoints = append(list.Endpoints, endpoint{e.Node.Name, r.nodes[e.Node.N][router].address, r.world.SiteName(e.Node),
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -46,11 +46,12 @@
 
 // Rig is one day on sockets.
 type Rig struct {
-	set   *scenario.Scenario
-	opt   Options
-	world *model.World
-	dir   string
-	host  string // loopback address of this run's own
+	set      *scenario.Scenario
+	opt      Options
+	world    *model.World
+	dir      string
+	operator string // the operators' file; empty: none
+	host     string // loopback address of this run's own
 
 	start   time.Time // of the day
 	running atomic.Bool
@@ -98,6 +99,9 @@
 	r.ctx, r.cancel = context.WithCancel(ctx)
 	r.world = model.New(s, opt.Seed, r)
 	defer r.end()
+	if r.operator, err = r.operatorFile(); err != nil {
+		return nil, err
+	}
 	if err := r.open(); err != nil {
 		return nil, err
 	}
--- a/internal/rig/router.go
+++ b/internal/rig/router.go
@@ -15,7 +15,7 @@
 	"syscall"
 	"time"
 
-	"cedarmast/internal/settings"
+	"github.com/pelletier/go-toml/v2"
 )
 
 // router is one router process, over all its starts.
@@ -57,58 +57,22 @@
 		"name": t.name, "listen": t.listen, "discovery": r.agents[t.k].at(),
 		"seed":   strconv.FormatUint(r.opt.Seed*1000+uint64(t.k)*100+uint64(t.starts), 16),
 		"limits": map[string]any{"cores": r.set.Limits.Cores, "memory_mb": r.set.Limits.MemoryMB, "sockets": r.set.Limits.Descriptors},
-		"known":  known, "peer_listen": peerListen, "peers": peers, "settings": r.profile(t.k),
+		"known":  known, "peer_listen": peerListen, "peers": peers, "settings": r.world.Profile(t.k),
 	})
 }
 
-// profile is the settings object that routers are told.
-func (r *Rig) profile(k int) *settings.Profile {
-	s := r.set
-	var p settings.Profile
-	text, err := json.Marshal(map[string]any{"Classes": classes(r), "Tenants": tenants(r)})
-	if err == nil {
-		err = json.Unmarshal(text, &p) // the profile's lists have types without a name
+// operatorFile writes the operators' file that all routers read, and returns its path; empty if nothing is to stand in it.
+func (r *Rig) operatorFile() (string, error) {
+	own := r.world.Operator()
+	if own.Sites == nil {
+		return "", nil
 	}
+	text, err := toml.Marshal(own)
 	if err != nil {
-		panic(err)
-	}
-	p.FleetSize, p.MyNumber, p.Zone = len(s.RouterNames()), k, r.world.RouterSite(k)
-	p.OverShareWorth, p.MembershipMode, p.FamilyInfo.Mode = s.Clients.OverShare, s.Discovery.Mode, "through"
-	for _, m := range s.Models {
-		p.Flavors = append(p.Flavors, m.Name)
-	}
-	l := &p.Limits
-	l.SendCap, l.MayCancel, l.PeerMessages = s.Rules.MaxAttempts, s.Rules.MayCancel, s.Messages.On
-	l.RetryAfter, l.MaxRetryAfter, l.ConnectTimeout = s.Rules.RetryAfter, int64(s.Rules.MaxRetryAfter), int64(s.Rules.ConnectWithin)
-	c := &p.Contract
-	c.AnswerSlack, c.AskWithin = int64(50*time.Millisecond), int64(2*time.Second)
-	c.ColdFrom, c.OverloadFactor, c.OverloadFor = 1, s.Rules.Fall, int64(s.Rules.FallFor)
-	for i, m := range s.Models {
-		if i == 0 || int64(m.Idle) < l.ConnIdle {
-			l.ConnIdle = int64(m.Idle)
-		}
-		c.ColdFrom, c.RampTime = min(c.ColdFrom, m.ColdFrom), max(c.RampTime, int64(m.ColdFor))
-	}
-	return &p
-}
-
-func classes(r *Rig) (all []map[string]any) {
-	for _, c := range r.set.Classes {
-		all = append(all, map[string]any{"Name": c.Name, "Objective": int64(c.Wanted), "Deadline": int64(c.Deadline), "Worth": c.Worth,
-			"LateShare": c.LateShare, "Effect": c.Effect, "DedupScope": map[bool]string{true: "all"}[c.Effect == "keyed"], "MemorySpan": int64(c.Memory)})
-	}
-	return all
-}
-
-func tenants(r *Rig) (all []map[string]any) {
-	whole := 0.0
-	for _, t := range r.set.Tenants {
-		whole += t.Share
-	}
-	for _, t := range r.set.Tenants {
-		all = append(all, map[string]any{"Name": t.Name, "AllowancePerS": r.set.Rate * t.Share / whole})
+		return "", err
 	}
-	return all
+	path := filepath.Join(r.dir, "operator.toml")
+	return path, os.WriteFile(path, text, 0o600)
 }
 
 // launch starts a router; ready hears once it answers that it is, or why it won't. It is called on the model's goroutine.
@@ -140,7 +104,7 @@
 	cmd := exec.Command(r.opt.Router[0], r.opt.Router[1:]...)
 	var last tail
 	cmd.Stdout, cmd.Stderr = io.Discard, io.MultiWriter(log, &last, &viewReader{rig: r, router: t.name})
-	cmd.Env = append(append(os.Environ(), "GW_CONFIG="+t.path, "GW_NAME="+t.name, "GW_LISTEN="+t.listen, "GW_DISCOVERY="+r.agents[k].at()), r.opt.Env...)
+	cmd.Env = append(append(os.Environ(), "GW_CONFIG="+t.path, "GW_NAME="+t.name, "GW_LISTEN="+t.listen, "GW_DISCOVERY="+r.agents[k].at(), "CEDARMAST_OPERATOR="+r.operator), r.opt.Env...)
 	// Of its own group, so that an interrupt of the terminal does not reach it, and dead with the rig, whatever ends that.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
--- a/internal/scenario/read.go
+++ b/internal/scenario/read.go
@@ -48,16 +48,18 @@
 	if err := decode(name, text, &tree); err != nil {
 		return nil, err
 	}
-	if base, ok := tree["base"].(string); ok {
-		under, ok := Text(base)
-		if !ok {
+	for base, ok := tree["base"].(string); ok; { // a base may have one as well
+		under, found := Text(base)
+		if !found {
 			return nil, &Error{name, lines(text)["base"], "base", fmt.Sprintf("the kit brings no scenario %q", base)}
 		}
 		below := map[string]any{}
 		if err := decode(base, under, &below); err != nil {
 			return nil, err
 		}
+		next, more := below["base"].(string)
 		tree = over(below, tree)
+		base, ok = next, more
 	}
 	given := map[string]string{} // by key: what --set said of it
 	for _, set := range sets {
--- a/internal/scenario/reference.go
+++ b/internal/scenario/reference.go
@@ -40,6 +40,7 @@
 	section("[clients]", reflect.ValueOf(s.Clients))
 	section("[discovery]", reflect.ValueOf(s.Discovery))
 	section("[messages], between routers", reflect.ValueOf(s.Messages))
+	section("[tiers], of routers", reflect.ValueOf(s.Tiers))
 	section("[limits], of a router", reflect.ValueOf(s.Limits))
 	section("[rules]", reflect.ValueOf(s.Rules))
 	section("[[trouble]]", reflect.ValueOf(defaultTrouble))
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -49,6 +49,7 @@
 	Clients   Clients   `toml:"clients"`
 	Discovery Discovery `toml:"discovery"`
 	Messages  Messages  `toml:"messages"`
+	Tiers     Tiers     `toml:"tiers"`
 	Limits    Limits    `toml:"limits"`
 	Rules     Rules     `toml:"rules"`
 	Expect    Expect    `toml:"expect"`
@@ -139,6 +140,7 @@
 	Mode      string      `toml:"mode" oneof:"push,on_request" help:"whether changes come by themselves or to those who ask; routers are told, and watch either way"`
 	Lag       [2]Duration `toml:"lag" least:"0s" most:"10m" help:"after which a change is told to a router, drawn between the two"`
 	SilentLag [2]Duration `toml:"silent_lag" least:"0s" most:"10m" help:"the same for nodes that have died or gone silent"`
+	Starts    bool        `toml:"starts" help:"whether the list tells when a node has started"`
 }
 
 // Messages are the datagrams between routers.
@@ -148,6 +150,14 @@
 	Loss  float64     `toml:"loss" least:"0" most:"1" help:"part of them that is lost"`
 }
 
+// Tiers are the operators' word on sites: what routers find as [sites] in the operators' file.
+type Tiers struct {
+	On     bool     `toml:"on" help:"whether routers keep to sites, their own first"`
+	Prefer []string `toml:"prefer" help:"sites by preference, at all routers alike; left out: a router's own, then by the time to connect"`
+	Spill  float64  `toml:"spill" least:"0" most:"1" help:"part of each node's limit that requests of other sites may hold; 0: as the router has it"`
+	Hold   Duration `toml:"hold" least:"0s" most:"10m" help:"least time on each step of a return; 0: as the router has it"`
+}
+
 // Limits are a router's.
 type Limits struct {
 	Cores       float64 `toml:"cores" least:"0.01" most:"256" help:"of its machine; told to the router and not enforced"`
@@ -197,7 +207,7 @@
 		Network:   Network{Same: Duration(200 * time.Microsecond), Cross: Duration(2 * time.Millisecond)},
 		Keys:      Keys{Count: 20000, Zipf: 1, Offset: 4},
 		Clients:   Clients{Connections: 32, Patience: [2]float64{0.5, 0.8}, Retries: 2, Backoff: Duration(150 * time.Millisecond), Honour: 0.9, Notice: Duration(2 * time.Second), OverShare: 0.2},
-		Discovery: Discovery{Mode: "push", Lag: [2]Duration{Duration(time.Second), Duration(3 * time.Second)}, SilentLag: [2]Duration{Duration(4 * time.Second), Duration(12 * time.Second)}},
+		Discovery: Discovery{Mode: "push", Lag: [2]Duration{Duration(time.Second), Duration(3 * time.Second)}, SilentLag: [2]Duration{Duration(4 * time.Second), Duration(12 * time.Second)}, Starts: true},
 		Messages:  Messages{On: true, Delay: [2]Duration{Duration(time.Millisecond), Duration(20 * time.Millisecond)}, Loss: 0.02},
 		Limits:    Limits{Cores: 1, MemoryMB: 192, Descriptors: 1024},
 		Rules: Rules{DrainGrace: Duration(2 * time.Second), Fall: 4, FallFor: Duration(2 * time.Second), MaxAttempts: 4, MayCancel: true,
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -15,15 +15,15 @@
 
 // Operator is the operators' own file, which names what the platform's settings have no place for. What it leaves out is off.
 type Operator struct {
-	Sites *Sites `toml:"sites"`
+	Sites *Sites `toml:"sites,omitempty"`
 }
 
 // Sites turns tiers of sites on. Its keys are those of sites.Config.
 type Sites struct {
-	Prefer []string  `toml:"prefer"`
-	Spill  float64   `toml:"spill"`
-	Steps  []float64 `toml:"steps"`
-	Hold   string    `toml:"hold"` // as Go writes spans of time: 4s
+	Prefer []string  `toml:"prefer,omitempty"`
+	Spill  float64   `toml:"spill,omitempty"`
+	Steps  []float64 `toml:"steps,omitempty"`
+	Hold   string    `toml:"hold,omitempty"` // as Go writes spans of time: 4s
 }
 
 // LoadOperator reads the operators' file; an empty path is a file that turns nothing on. Faults name file, line where there
--- a/internal/sites/sites.go
+++ b/internal/sites/sites.go
@@ -110,7 +110,8 @@
 	lookEvery   = 256      // safe requests for one that goes to a site whose distance is not known yet
 	looksMost   = 8        // of them to a site: where no time to connect is told they teach nothing
 	nearer      = 0.8      // of another's time to connect makes a site the nearer one
-	firstNews   = 12.0     // fetches out at once that routers together begin with
+	firstNews   = 24.0     // fetches out at once that routers together begin with
+	newsMemory  = 8        // fetches over which their time is averaged
 	newsCut     = 0.85     // what a late or failed fetch leaves of them
 	newsFloor   = 1.0 / 16 // of a fetch: below one it is drawn, so that something is still learned
 	knownMost   = 1 << 15  // keys in each of two generations of what sites are known to hold
@@ -209,7 +210,8 @@
 }
 
 // Order tells where a request may be served. Its own site comes first if the key is one of those that the site has now;
-// then, as a guest, each site that is well, in order. While no site is well the rest serve as they can.
+// then, as a guest, each other site that has it. A lost site comes before all for a trial. While no site is well those that
+// are not lost serve as they can, and with none of them whoever is listed.
 func (t *Tiers) Order(now balance.Time, v balance.Visit) []balance.Tier {
 	t.tiers = t.tiers[:0]
 	if len(t.order) == 0 {
@@ -227,17 +229,25 @@
 		if s.state == Home {
 			well++
 		}
-	}
-	if t.has(now, home, v, well) {
-		if home.state != Returning || t.mayFetch(home, v) {
-			t.tiers = append(t.tiers, balance.Tier{Zone: home.name, Part: 1})
+		if s != home && s.state == Lost && !v.Again && t.has(now, s, v, 1) { // a trial, or nobody would know of its return
+			t.guest(s, v)
 		}
 	}
+	has, fetches := t.has(now, home, v, well), home.state != Returning || t.mayFetch(home, v)
+	if v.Again && home.absent > wellAt { // what found nobody at home is not to wait there once more
+		has = false
+	}
+	if has && fetches {
+		t.tiers = append(t.tiers, balance.Tier{Zone: home.name, Part: 1})
+	}
 	for _, s := range t.order[1:] {
-		if s.state == Home || well == 0 && s.state != Lost {
+		if s.state != Lost && t.has(now, s, v, well) {
 			t.guest(s, v)
 		}
 	}
+	if !has && fetches && home.state != Lost { // rather than refuse what no other site has a place for
+		t.tiers = append(t.tiers, balance.Tier{Zone: home.name, Part: 1})
+	}
 	if len(t.tiers) == 0 { // nobody is well: whoever is listed is asked, and the rules for single caches hold
 		for _, s := range t.order {
 			if s.up > 0 {
@@ -320,13 +330,13 @@
 
 // Begun counts an attempt and tells whether its site may have to fetch the key: it is a guest's or a returning site's, and
 // not known to have been answered there lately.
-func (t *Tiers) Begun(now balance.Time, zone string, key uint64, hasKey, guest bool) bool {
+func (t *Tiers) Begun(now balance.Time, zone string, key uint64, read, guest bool) bool {
 	s := t.sites[zone]
 	if s == nil {
 		return false
 	}
 	s.open++
-	news := hasKey && (guest || s.state == Returning) && !t.knows(s, key)
+	news := read && (guest || s.state == Returning) && !t.knows(s, key)
 	if news {
 		t.newsOut++
 	}
@@ -446,7 +456,7 @@
 // mayFetch tells whether a site may get a request whose key it may have to fetch: if fewer are out than the origin has
 // been seen to carry. Below one they are drawn.
 func (t *Tiers) mayFetch(s *site, v balance.Visit) bool {
-	if !v.HasKey || t.knows(s, v.Key) {
+	if !v.Read || t.knows(s, v.Key) {
 		return true
 	}
 	news := t.news * min(1, 0.5+v.Worth) // what is worth little leaves part of it to the others
@@ -457,31 +467,31 @@
 	return t.newsOut == 0 && float64(t.draw*0x9e3779b97f4a7c15>>11)/(1<<53) < news
 }
 
-// fetched learns from a fetch how many may be out: one more each time that all of them came well within an aim, fewer,
-// once a fetch's time, when one was late or failed. All routers see the same origin, so all step back together.
+// fetched learns from a fetch how many may be out: more while they come well within an aim, fewer, once a fetch's time,
+// by one that is late or failed while the mean of the last ones is late as well: single ones are late for the work behind
+// them. All routers see the same origin, so all step back together.
 func (t *Tiers) fetched(now balance.Time, e balance.Stay) {
 	t.newsOut--
-	switch {
-	case e.Result == balance.OK || e.Result == balance.Miss:
-		t.newsTook += (e.Took - t.newsTook) / 8
-		if e.Took < t.set.Aim/4 {
-			if float64(2*t.newsOut+2) >= t.news {
-				if t.newsCut == 0 { // nothing has shown yet how many are too many
-					t.news += 0.25
-				} else {
-					t.news += 0.25 / max(t.news, 1)
-				}
-			}
-			return
-		}
-		if e.Took < t.set.Aim/2 {
+	took := e.Took
+	switch e.Result {
+	case balance.OK, balance.Miss:
+	case balance.Errored, balance.TimedOut:
+		took = max(took, t.set.Aim)
+	case balance.Cancelled:
+		if took < t.set.Aim/2 {
 			return
 		}
-	case e.Result == balance.Moot, e.Result == balance.Cancelled && e.Took < t.set.Aim/2,
-		e.Result == balance.NoConnect, e.Result == balance.Full:
-		return // it did not fetch
+	default: // it did not fetch
+		return
 	}
-	if now.Sub(t.newsCut) > t.newsTook {
+	t.newsTook += (took - t.newsTook) / newsMemory
+	switch {
+	case took < t.set.Aim/2 && float64(2*t.newsOut+2) < t.news: // they are not used up
+	case took < t.set.Aim/2 && t.newsCut == 0: // nothing has shown yet how many are too many
+		t.news += 0.25
+	case took < t.set.Aim/2:
+		t.news += 0.25 / max(t.news, 1)
+	case t.newsTook > t.set.Aim/2 && now.Sub(t.newsCut) > t.newsTook:
 		t.news, t.newsCut = max(t.news*newsCut, newsFloor), now
 	}
 }
--- /dev/null
+++ b/internal/sites/sites_test.go
@@ -0,0 +1,237 @@
+package sites
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cedarmast/balance"
+)
+
+const aim = time.Second
+
+// rig is one router's tiers with a clock.
+type rig struct {
+	*Tiers
+	t   *testing.T
+	now balance.Time
+	key uint64
+}
+
+func newRig(t *testing.T, c Config) *rig {
+	c.Aim = aim
+	if err := c.Check(); err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{Tiers: New(c), t: t, now: 1e15}
+	r.list(3, 3, 3)
+	return r
+}
+
+func (r *rig) list(north, south, west int) {
+	up := map[string]int{}
+	for zone, n := range map[string]int{"north": north, "south": south, "west": west} {
+		if n > 0 {
+			up[zone] = n
+		}
+	}
+	r.Listed(r.now, up)
+}
+
+// ask takes the first site that an even spread of keys is offered, and ends the attempt there.
+func (r *rig) ask(n int, every time.Duration, answer func(zone string) (balance.Result, time.Duration)) map[string]int {
+	to := map[string]int{}
+	for range n {
+		r.now = r.now.Add(every)
+		r.key++
+		v := balance.Visit{Key: r.key * 0x9e3779b97f4a7c15 >> 7, Read: true, Safe: true, Worth: 1}
+		zone := "none"
+		for _, tier := range r.Order(r.now, v) {
+			if tier.Part > 0 {
+				zone = tier.Zone
+				news := r.Begun(r.now, zone, v.Key, true, tier.Part < 1)
+				result, took := answer(zone)
+				r.Ended(r.now, balance.Stay{Zone: zone, Key: v.Key, Took: took, Result: result, News: news, Connect: connects[zone]})
+				break
+			}
+		}
+		to[zone]++
+	}
+	return to
+}
+
+var connects = map[string]time.Duration{"north": 30 * time.Millisecond, "south": time.Millisecond, "west": 10 * time.Millisecond}
+
+func well(string) (balance.Result, time.Duration) { return balance.OK, aim / 10 }
+
+func without(lost ...string) func(string) (balance.Result, time.Duration) {
+	return func(zone string) (balance.Result, time.Duration) {
+		for _, name := range lost {
+			if zone == name {
+				return balance.TimedOut, aim / 2
+			}
+		}
+		return well(zone)
+	}
+}
+
+func (r *rig) want(zone string, s State) {
+	r.t.Helper()
+	if got := r.sites[zone].state; got != s {
+		r.t.Errorf("%s is %v, not %v", zone, got, s)
+	}
+}
+
+// Guard: the order of sites decides who floods whom. It is as stated; else home, then by the time to connect, which a few of
+// the requests are spent on learning, and does not change for a little.
+func TestOrder(t *testing.T) {
+	for want, c := range map[string]Config{"[west south north]": {Prefer: []string{"west", "south"}},
+		"[north south west]": {Home: "north"}, "[south west north]": {}} {
+		r := newRig(t, c)
+		r.ask(4*lookEvery, time.Millisecond, well)
+		var got []string
+		for _, s := range r.order {
+			got = append(got, s.name)
+		}
+		if fmt.Sprint(got) != want {
+			t.Errorf("%+v: %v, not %s", c, got, want)
+		}
+		for range 50 {
+			r.connected(r.sites["west"], 9*time.Millisecond)
+			r.connected(r.sites["south"], 9100*time.Microsecond)
+		}
+		if fmt.Sprint(r.order[0].name) != got[0] {
+			t.Errorf("%s first, for a tenth of the way", r.order[0].name)
+		}
+	}
+}
+
+// Guard: a silent site is given up within two aims, asked single trials only, and comes back by steps; each takes its time.
+func TestLostAndBack(t *testing.T) {
+	r := newRig(t, Config{Home: "south"})
+	r.ask(100, aim/50, well)
+	r.ask(100, aim/50, without("south"))
+	r.want("south", Lost)
+	if to := r.ask(1000, aim/50, without("south")); to["south"] > 8 {
+		t.Errorf("%d requests in 20 aims went to a lost site", to["south"])
+	}
+	last, begun := 0, balance.Time(0)
+	for r.sites["south"].state != Home {
+		to := r.ask(100, aim/50, well)["south"]
+		if r.sites["south"].state == Returning && begun == 0 {
+			begun = r.now
+		}
+		if to < last-15 {
+			t.Errorf("%d of 100 at home, %d before", to, last)
+		}
+		if last = to; r.now.Sub(begun) > 60*aim && begun != 0 {
+			t.Fatal("it never came home")
+		}
+	}
+	if took := r.now.Sub(begun); took < time.Duration(holdAims*len(defaultSteps)-2)*aim {
+		t.Errorf("it was home after %v", took)
+	}
+}
+
+// Guard: a return that fails on its third step went back to the start, and one that flaps was taken home again and again.
+func TestReturnsThatFail(t *testing.T) {
+	r := newRig(t, Config{Home: "south"})
+	r.ask(150, aim/50, without("south"))
+	for r.sites["south"].step < 2 {
+		r.ask(10, aim/50, well)
+	}
+	for r.sites["south"].step == 2 { // it answers, and can't keep up
+		r.ask(1, aim/50, func(zone string) (balance.Result, time.Duration) {
+			if zone == "south" {
+				return balance.Full, 0
+			}
+			return well(zone)
+		})
+	}
+	if s := r.sites["south"]; s.state != Returning || s.step != 1 || s.drawn != 2 {
+		t.Errorf("%v at step %d, drawn out by %v", s.state, s.step, s.drawn)
+	}
+	changes, was := 0, r.sites["south"].state
+	for n := range 40 { // three aims gone, three back
+		how := well
+		if n%2 == 0 {
+			how = without("south")
+		}
+		r.ask(150, aim/50, how)
+		if s := r.sites["south"].state; s != was {
+			changes, was = changes+1, s
+		}
+	}
+	if home := r.sites["south"].state == Home; home || changes > 40 || r.sites["south"].drawn != holdMost {
+		t.Errorf("home %v after flapping, %d changes seen, drawn out by %v", home, changes, r.sites["south"].drawn)
+	}
+}
+
+// Guard: what is only slow, full or failing behind is there. Taken for lost it would push its load onto the others.
+func TestSlowIsNotLost(t *testing.T) {
+	for _, result := range []balance.Result{balance.OK, balance.Full, balance.Errored, balance.Spoilt} {
+		r := newRig(t, Config{Home: "south"})
+		r.ask(200, aim/50, func(string) (balance.Result, time.Duration) { return result, 2 * aim })
+		r.want("south", Home)
+	}
+}
+
+// Guard: the list's word. A site without caches is lost at once and one that is listed again is tried at once; silence is seen
+// whatever the list says (TestLostAndBack). With all sites lost whoever is listed is asked, or none would ever come back.
+func TestListAndLast(t *testing.T) {
+	r := newRig(t, Config{Home: "south"})
+	r.list(3, 0, 3)
+	if to := r.ask(50, aim/50, well); to["south"] > 0 {
+		t.Errorf("%v while none is listed at south", to)
+	}
+	r.list(3, 3, 3)
+	r.ask(2, aim/50, well)
+	r.want("south", Returning)
+	r.ask(600, aim/50, without("north", "south", "west"))
+	if to := r.ask(100, aim/50, without("north", "south", "west")); to["none"] > 0 {
+		t.Errorf("%v while all are lost", to)
+	}
+	r.ask(3000, aim/50, well)
+	for _, zone := range []string{"north", "south", "west"} {
+		if r.sites[zone].state == Lost {
+			t.Errorf("%s is still lost", zone)
+		}
+	}
+}
+
+// Guard: keys that a site has to fetch, guests' and a cold return's alike, wait on one limit, which late fetches lower, whoever
+// else asks the origin. Keys that it has answered for cost nothing.
+func TestFetchesAreBounded(t *testing.T) {
+	r := newRig(t, Config{Home: "south", Share: 0.1})
+	r.ask(150, aim/50, without("south"))
+	before := r.news
+	var out []uint64
+	for key := range uint64(200) { // none ends
+		v := balance.Visit{Key: 1<<40 + key<<20, Read: true, Worth: 1}
+		if all := r.Order(r.now, v); len(all) > 0 && all[0].Part > 0 {
+			if r.Begun(r.now, all[0].Zone, v.Key, true, true) {
+				out = append(out, v.Key)
+			}
+		}
+	}
+	if len(out) == 0 || float64(len(out)) > before {
+		t.Errorf("%d fetches out, %.1f allowed", len(out), before)
+	}
+	for range 20 {
+		for _, key := range out {
+			r.now = r.now.Add(aim)
+			r.Ended(r.now, balance.Stay{Zone: "north", Key: key, Took: aim, Result: balance.Errored, News: true})
+			r.Begun(r.now, "north", key, true, true)
+		}
+	}
+	if r.news > before/2 {
+		t.Errorf("%.1f fetches allowed while they fail, %.1f before", r.news, before)
+	}
+	r.learn(r.sites["north"], 77)
+	if all := r.Order(r.now, balance.Visit{Key: 77, Read: true}); all[0].Part == 0 {
+		t.Error("a key that is known is refused")
+	}
+	if len(r.known[0])+len(r.known[1]) > 2*knownMost {
+		t.Error("what is known is not bounded")
+	}
+}
--- /dev/null
+++ b/internal/virtual/virtual.go
@@ -0,0 +1,439 @@
+// Package virtual is the rehearsal kit's second host: it plays a day in virtual time, with the decisions of each router driven
+// directly and no socket between. What breaks at hundreds of routers is decided in code that needs none.
+//
+// Against the host on sockets it leaves out what takes processor time, descriptors and memory, bad clients, and the way of a
+// request's bytes: a request reaches its node at once, and its answer takes the network's time both ways.
+package virtual
+
+import (
+	"cmp"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"cedarmast/balance"
+	"cedarmast/internal/exchange"
+	"cedarmast/internal/ledger"
+	"cedarmast/internal/model"
+	"cedarmast/internal/scenario"
+)
+
+// Options are a run's.
+type Options struct {
+	Seed   uint64
+	Decide func(set balance.Settings, seed uint64) exchange.Decider // nil: the decisions in service
+}
+
+// Figures of the host on sockets that are settings there or come of what it does.
+const (
+	epoch      = int64(1e15)            // of routers' clocks at the day's beginning: listed starts lie after 0
+	margin     = 2 * time.Millisecond   // by which a router answers before its client's time is up
+	hears      = time.Millisecond       // that discovery's word takes on the router's own machine
+	comesUp    = 300 * time.Millisecond // that a router takes to start
+	turnsAway  = 450 * time.Millisecond // after it was told to end, in which a router still takes requests
+	endsWithin = 3400 * time.Millisecond
+)
+
+// host is a day in virtual time.
+type host struct {
+	*model.World
+	set     *scenario.Scenario
+	opt     Options
+	routers []*router
+	rng     *rand.Rand
+	mute    int // troubles that silence discovery
+	marks   []ledger.Mark
+	events  int
+}
+
+// router is one router: its decisions and what it has in hand.
+type router struct {
+	h         *host
+	k, starts int
+	running   bool
+	ending    bool
+	decide    exchange.Decider
+	index     int64
+	known     bool // has been told a list
+	news      bool // something is on its way to it
+	exchanges map[balance.RequestID]*exch
+	idle      map[*model.Node][]balance.Time // connections, by when they were used last
+	open      map[*model.Node][]*attempt
+	begun     uint64
+}
+
+// exch is a request at a router.
+type exch struct {
+	*model.Try
+	id       balance.RequestID
+	number   uint64
+	due      balance.Time
+	attempts []*attempt
+	out      int
+	answered bool
+}
+
+type attempt struct {
+	x       *exch
+	n       int
+	node    *model.Node
+	ended   bool
+	connect time.Duration
+}
+
+// Run plays a day and returns its report: the same to the byte for one scenario, seed and build.
+func Run(s *scenario.Scenario, opt Options) (*ledger.Report, error) {
+	h := &host{set: s, opt: opt, rng: model.Stream(opt.Seed, "host")}
+	h.World = model.New(s, opt.Seed, h)
+	for k := range h.Routers() {
+		h.routers = append(h.routers, &router{h: h, k: k})
+		h.routers[k].start()
+		h.RouterReady(k)
+	}
+	h.Begin()
+	for !h.Over() {
+		at, ok := h.Next()
+		if !ok {
+			if h.Now() >= s.Length.D() {
+				return nil, errors.New("the day has stopped with requests in hand")
+			}
+			at = s.Length.D()
+		}
+		h.World.Run(at)
+	}
+	l := h.Ledger()
+	r := l.Report()
+	r.Seed, r.DatabasePeak, r.Fetches, r.Marks, r.Nodes = opt.Seed, h.DatabasePeak(), h.DatabaseAsks(), h.marks, h.Samples()
+	r.Beliefs = map[string]map[string]string{}
+	r.Events = h.events
+	r.Expected(l)
+	return r, nil
+}
+
+func (h *host) at() balance.Time { return balance.Time(epoch + int64(h.Now())) }
+
+func (r *router) start() {
+	set := r.h.Profile(r.k).Settings()
+	r.h.Operator().Apply(&set)
+	decide := r.h.opt.Decide
+	if decide == nil {
+		decide = func(set balance.Settings, seed uint64) exchange.Decider { return balance.New(set, seed) }
+	}
+	r.decide = decide(set, r.h.opt.Seed*1000003+uint64(r.k)*101+uint64(r.starts))
+	r.starts++
+	r.running, r.ending, r.known = true, false, false
+	r.exchanges, r.idle, r.open = map[balance.RequestID]*exch{}, map[*model.Node][]balance.Time{}, map[*model.Node][]*attempt{}
+	r.hear()
+}
+
+// hear takes what discovery has to tell.
+func (r *router) hear() {
+	h := r.h
+	index, whole, entries := h.List(r.k, r.index, r.known)
+	l := balance.List{Kind: balance.Partial, Version: index}
+	if whole {
+		l.Kind = balance.Complete
+	}
+	for _, e := range entries {
+		entry := balance.Entry{Server: balance.ServerID(e.Node.Name), Kind: e.Node.Kind.Name, Zone: h.SiteName(e.Node), Weight: 1,
+			State: map[string]balance.State{"SERVING": balance.Up, "DRAINING": balance.Draining, "DELETED": balance.Gone}[e.Status]}
+		if e.Since > -h.set.WarmUp.D() && h.set.Discovery.Starts {
+			entry.Started = balance.Time(epoch + int64(e.Since))
+		}
+		if entry.Started != 0 || entry.State != balance.Up {
+			delete(r.idle, e.Node)
+		}
+		l.Entries = append(l.Entries, entry)
+	}
+	r.index, r.known = index, true
+	h.Told(r.k, whole, entries)
+	r.give(l)
+}
+
+// give hands the decisions one event and does what they say.
+func (r *router) give(e balance.Event) {
+	r.h.events++
+	for _, a := range r.decide.Handle(r.h.at(), []balance.Event{e}) {
+		switch a := a.(type) {
+		case balance.Send:
+			if x := r.exchanges[a.ID]; x != nil {
+				r.send(x, r.h.Node(string(a.Server)))
+			}
+		case balance.Refuse:
+			r.answer(r.exchanges[a.ID], model.Answer{Outcome: ledger.Refused, RetryAfter: a.RetryAfter})
+		case balance.Fail:
+			r.answer(r.exchanges[a.ID], model.Answer{Outcome: ledger.Failed})
+		case balance.Cancel:
+			if x := r.exchanges[a.ID]; x != nil && a.Attempt < len(x.attempts) {
+				at := x.attempts[a.Attempt]
+				r.h.After(0, func() { r.end(at, balance.Cancelled, "") })
+			}
+		case balance.SetTimer:
+			life := r.starts
+			r.h.After(a.After, func() {
+				if r.running && r.starts == life {
+					r.give(balance.Timer{Token: a.Token})
+				}
+			})
+		case balance.Tell:
+			r.h.tell(a)
+		case balance.CloseIdle:
+			delete(r.idle, r.h.Node(string(a.Server)))
+		}
+	}
+}
+
+func (h *host) tell(a balance.Tell) {
+	m := h.set.Messages
+	if a.To < 0 || a.To >= len(h.routers) || h.rng.Float64() < m.Loss {
+		return
+	}
+	to := h.routers[a.To]
+	h.After(m.Delay[0].D()+time.Duration(h.rng.Float64()*float64(m.Delay[1]-m.Delay[0])), func() {
+		if to.running {
+			to.give(balance.Heard{Content: a.Content})
+		}
+	})
+}
+
+// Send brings a client's try to its router.
+func (h *host) Send(t *model.Try) {
+	r := h.routers[t.Router]
+	if !r.running {
+		h.After(0, func() { h.Answered(t, model.Answer{Outcome: ledger.Unheard}, h.Now()) })
+		return
+	}
+	r.begun++
+	x := &exch{Try: t, number: r.begun, id: balance.RequestID(strconv.FormatUint(r.begun, 36)), due: h.at().Add(t.Patience - margin)}
+	r.exchanges[x.id] = x
+	c := &h.set.Classes[t.Class]
+	r.give(balance.Request{ID: x.id, Class: c.Name, Tenant: h.set.Tenants[t.Tenant].Name, Key: t.Key, HasKey: true, Write: c.Write, Due: x.due})
+}
+
+// send begins an attempt: on an idle connection, or on a new one, which a silent node lets wait and a dead one refuses.
+func (r *router) send(x *exch, n *model.Node) {
+	h := r.h
+	a := &attempt{x: x, n: len(x.attempts), node: n}
+	x.attempts = append(x.attempts, a)
+	r.open[n] = append(r.open[n], a)
+	x.out++
+	if x.answered {
+		h.After(0, func() { r.end(a, balance.Moot, "") })
+		return
+	}
+	h.After(x.due.Sub(h.at()), func() { r.end(a, balance.TimedOut, "") })
+	fresh := !r.takeIdle(n)
+	trip := h.Trip(r.k, n)
+	switch {
+	case fresh && n.Up() && n.Silent(r.k):
+		h.After(h.set.Rules.ConnectWithin.D(), func() { r.end(a, balance.NoConnect, "") })
+		return
+	case !n.Up():
+		how := balance.NoConnect
+		if !fresh {
+			how = balance.Reset
+		}
+		h.After(trip, func() { r.end(a, how, "") })
+		return
+	}
+	if fresh {
+		a.connect = max(trip, time.Nanosecond)
+		h.Ledger().Connected()
+	}
+	n.Arrive(&model.Job{ID: x.ID, Router: r.k, Fresh: fresh, Reply: func(reply *model.Reply) {
+		h.After(reply.Delay, func() {
+			result := balance.Errored
+			switch {
+			case reply.Spoilt:
+				result = balance.Spoilt
+			case reply.Status == model.Good:
+				result = balance.OK
+			case reply.Status == model.TurnedAw:
+				result = balance.Full
+			}
+			if !a.ended && result != balance.Spoilt && r.running {
+				r.idle[n] = append(r.idle[n], h.at())
+			}
+			r.end(a, result, reply.Body)
+		})
+	}})
+}
+
+// takeIdle takes the newest idle connection to a node, if one is young enough.
+func (r *router) takeIdle(n *model.Node) bool {
+	all := r.idle[n]
+	if len(all) == 0 {
+		return false
+	}
+	newest := all[len(all)-1]
+	r.idle[n] = all[:len(all)-1]
+	return r.h.at().Sub(newest) < n.Kind.Idle.D()*9/10
+}
+
+// end ends an attempt, once.
+func (r *router) end(a *attempt, result balance.Result, body string) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	r.open[a.node] = slices.DeleteFunc(r.open[a.node], func(o *attempt) bool { return o == a })
+	x := a.x
+	x.out--
+	if r.exchanges[x.id] != x {
+		return // of before a restart
+	}
+	if result == balance.TimedOut || result == balance.Cancelled || result == balance.Reset || result == balance.NoConnect {
+		delete(r.idle, a.node)
+	}
+	if result == balance.OK && !x.answered {
+		r.answer(x, model.Answer{Outcome: ledger.Served, Body: body})
+	}
+	done := x.answered
+	r.give(balance.Outcome{ID: x.id, Attempt: a.n, Server: balance.ServerID(a.node.Name), Result: result, Done: done, Connect: a.connect})
+	r.letGo(x)
+}
+
+// answer gives a request's final answer, once.
+func (r *router) answer(x *exch, a model.Answer) {
+	if x == nil || x.answered {
+		return
+	}
+	x.answered = true
+	h := r.h
+	h.After(0, func() { h.Answered(x.Try, a, h.Now()); r.letGo(x) })
+}
+
+func (r *router) letGo(x *exch) {
+	if x.answered && x.out == 0 && r.exchanges[x.id] == x {
+		delete(r.exchanges, x.id)
+		if r.ending && len(r.exchanges) == 0 {
+			r.halt(false)
+		}
+	}
+}
+
+// Leave tells a router that a client has gone.
+func (h *host) Leave(t *model.Try) {
+	r := h.routers[t.Router]
+	for _, x := range r.exchanges { // rare: an answer that never came
+		if x.Try == t && !x.answered {
+			x.answered = true
+			r.give(balance.ClientGone{ID: x.id})
+			for _, a := range x.attempts {
+				r.end(a, balance.Cancelled, "")
+			}
+			r.letGo(x)
+			return
+		}
+	}
+}
+
+// Down resets what is open at a node.
+func (h *host) Down(n *model.Node) {
+	for _, r := range h.routers {
+		delete(r.idle, n)
+		for _, a := range slices.Clone(r.open[n]) {
+			h.After(0, func() { r.end(a, balance.Reset, "") })
+		}
+	}
+}
+
+// Silence: a machine that speaks again knows nothing of what was open.
+func (h *host) Silence(n *model.Node, k int, on bool) {
+	if !on {
+		delete(h.routers[k].idle, n)
+	}
+}
+
+// News tells a router that its discovery has something new.
+func (h *host) News(k int) {
+	if h.routers[k].news {
+		return // it hears of that together with what is on its way
+	}
+	h.routers[k].news = true
+	h.After(hears, func() {
+		h.routers[k].news = false
+		if h.mute == 0 && h.routers[k].running {
+			h.routers[k].hear()
+		}
+	})
+}
+
+func (h *host) SilenceDiscovery(on bool) {
+	if on {
+		h.mute++
+		return
+	}
+	if h.mute--; h.mute == 0 {
+		for k := range h.routers {
+			h.News(k)
+		}
+	}
+}
+
+func (h *host) StartRouter(k int) {
+	h.After(comesUp, func() {
+		if !h.routers[k].running {
+			h.routers[k].start()
+			h.RouterReady(k)
+		}
+	})
+}
+
+func (h *host) KillRouter(k int) {
+	if h.routers[k].running {
+		h.routers[k].halt(true)
+	}
+}
+
+// halt ends a router; clients of what it had in hand hear nothing more.
+func (r *router) halt(killed bool) {
+	h := r.h
+	r.running, r.ending = false, false
+	all := slices.SortedFunc(maps.Values(r.exchanges), func(a, b *exch) int { return cmp.Compare(a.number, b.number) })
+	clear(r.exchanges)
+	for _, x := range all {
+		if !x.answered {
+			x.answered = true
+			h.After(0, func() { h.Answered(x.Try, model.Answer{Outcome: ledger.Broken}, h.Now()) })
+		}
+	}
+	h.RouterEnded(r.k, killed)
+}
+
+func (h *host) StopRouter(k int) {
+	r := h.routers[k]
+	if !r.running {
+		return
+	}
+	h.RouterLeaving(k)
+	life := r.starts
+	h.After(turnsAway, func() {
+		if r.running && r.starts == life {
+			if r.ending = true; len(r.exchanges) == 0 {
+				r.halt(false)
+			}
+		}
+	})
+	h.After(endsWithin, func() {
+		if r.running && r.starts == life {
+			r.halt(false)
+		}
+	})
+}
+
+// ReloadRouter: discovery at a new address tells its whole list.
+func (h *host) ReloadRouter(k int) {
+	h.routers[k].known = false
+	h.News(k)
+}
+
+func (h *host) Up(*model.Node)                { /* nothing was open, and dials see it */ }
+func (h *host) BadClients(int, time.Duration) { /* decisions never hear of them */ }
+
+func (h *host) Note(at model.Time, what string) {
+	h.marks = append(h.marks, ledger.Mark{AtS: at.Seconds(), What: what})
+}
--- /dev/null
+++ b/internal/virtual/virtual_test.go
@@ -0,0 +1,82 @@
+package virtual
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"cedarmast/internal/baseline"
+	"cedarmast/internal/ledger"
+	"cedarmast/internal/scenario"
+)
+
+func play(t *testing.T, name, policy string, seed uint64, sets ...string) *ledger.Report {
+	t.Helper()
+	s, err := scenario.Find(name, sets...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Shorten()
+	r, err := Run(s, Options{Seed: seed, Decide: baseline.New(policy)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// One seed is one day to the byte, or nothing that is found here could be played again; another seed is another day.
+func TestOneSeedOneDay(t *testing.T) {
+	text := func(seed uint64) string {
+		out, err := json.Marshal(play(t, "router-restarts", "", seed))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(out)
+	}
+	a, again, other := text(1), text(1), text(2)
+	if a != again || a == other {
+		t.Errorf("the same seed gives the same day: %v; another seed another: %v", a == again, a != other)
+	}
+}
+
+// The ledger convicts here as on sockets: a policy that knows no cold server pushes over one that returns.
+func TestVirtualDaysAreJudged(t *testing.T) {
+	day := func(policy string) *ledger.Report {
+		return play(t, "deploy", policy, 1, "rate=110", "rules.fall=1.5", "rules.fall_for=\"1s\"")
+	}
+	if bad, good := day("random"), day(""); bad.ColdFalls == 0 || good.ColdFalls > 0 {
+		t.Errorf("cold nodes pushed over: %d by random choice, %d by the decisions in service", bad.ColdFalls, good.ColdFalls)
+	}
+}
+
+// The hard cases of losing and regaining a site: all rules are kept, what is expected is reached, and the same build without
+// tiers is not much better; with them few requests cross.
+func TestSiteDays(t *testing.T) {
+	for _, name := range scenario.Names() {
+		if !strings.HasPrefix(name, "site-") || name == "site-fleet" {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			on, off := play(t, name, "", 3), play(t, name, "no-sites", 3)
+			if !on.RulesHeld || on.Score < off.Score-0.04 || 2*on.Crossed > off.Crossed+on.Sends/10 {
+				t.Errorf("score %.3f, %.3f without tiers; crossed %d of %d, %d; %v %+v", on.Score, off.Score, on.Crossed, on.Sends,
+					off.Crossed, on.Missed, on.Breaches)
+			}
+		})
+	}
+}
+
+// Limits of a site hold without agreement among 200 routers, and where one in ten of those lives that the settings name.
+func TestSiteLostBeforeManyRouters(t *testing.T) {
+	for living, kill := range map[string]string{"all": "", "a tenth": `,{kind="router-kill",part=0.9,at="0s",for="1m"}`} {
+		t.Run(living, func(t *testing.T) {
+			t.Parallel()
+			r := play(t, "site-fleet", "", 1, `length="14s"`, "rate=700", "database.workers=80", "expect.score=0.6",
+				`trouble=[{kind="site-loss",site="south",at="4s",for="5s"}`+kill+`]`)
+			if !r.RulesHeld || r.DatabasePeak > 1.3 {
+				t.Errorf("score %.3f, database asked for %.2f of what it can; %v %+v", r.Score, r.DatabasePeak, r.Missed, r.Breaches)
+			}
+		})
+	}
+}
