--- a/balance/api.go
+++ b/balance/api.go
@@ -99,6 +99,18 @@
 	// Begun and Ended tell of an attempt at a zone's cache; Begun returns whether the zone may have to fetch the key.
 	Begun(now Time, zone string, key uint64, read, guest bool) (news bool)
 	Ended(now Time, s Stay)
+	// View tells what is held of each site, in order, and how many fetches for others' keys may be out at once.
+	View() (sites []SiteView, fetches float64)
+}
+
+// SiteView is what is held of one site.
+type SiteView struct {
+	Zone    string
+	State   string
+	Part    float64       // of its keys that it has now
+	Up      int           // caches listed as up
+	Absent  float64       // smoothed part of attempts that found nobody
+	Connect time.Duration // smoothed; 0 if not known
 }
 
 // Tier is a zone, and the part of each cache's limit that the request may hold there: 1 where it is at home, less as a
--- a/balance/view.go
+++ b/balance/view.go
@@ -56,7 +56,9 @@
 	Retries          float64       // left in the budget
 	Excluded         int           // caches that are ejected, or have yet to end it by a trial
 	Caches           int
-	GivenUp          [whys]int // by Why
+	GivenUp          [whys]int  // by Why
+	Sites            []SiteView // with tiers, in order
+	Fetches          float64    // that may be out at once for keys that a site may not have, with tiers
 }
 
 // Overall tells it; nothing is changed by it.
@@ -69,5 +71,8 @@
 			o.Excluded++
 		}
 	}
+	if b.tiers != nil {
+		o.Sites, o.Fetches = b.tiers.View()
+	}
 	return o
 }
--- a/internal/exchange/view.go
+++ b/internal/exchange/view.go
@@ -36,6 +36,10 @@
 		l.Log.Log(context.Background(), l.viewAt, "caches viewed", "gate", hundredths(o.Gate), "origin_gate", hundredths(o.OriginGate),
 			"errors", hundredths(o.Errors), "latency", o.Latency.Round(time.Millisecond), "taking", o.Taking.Round(time.Millisecond),
 			"retries", hundredths(o.Retries), "excluded", o.Excluded, "caches", o.Caches, slog.Group("given_up", why...))
+		for n, s := range o.Sites {
+			l.Log.Log(context.Background(), l.viewAt, "site viewed", "site", s.Zone, "order", n, "state", s.State, "part", hundredths(s.Part),
+				"up", s.Up, "absent", hundredths(s.Absent), "connect", s.Connect.Round(10*time.Microsecond), "fetches", hundredths(o.Fetches))
+		}
 	}
 	booked, underWay := map[balance.ServerID]int{}, map[balance.ServerID]int{}
 	for _, x := range l.exchanges {
--- a/internal/sites/sites.go
+++ b/internal/sites/sites.go
@@ -522,24 +522,14 @@
 	t.known[0][s.mark(key)] = struct{}{}
 }
 
-// View is what is held of one site.
-type View struct {
-	Site    string
-	State   State
-	Part    float64 // of its keys that it has, of a router whose home it is
-	Up      int
-	Absent  float64
-	Connect time.Duration
-}
-
-// Views tells it of each site, by preference, and how many fetches on others' behalf may be out at once.
-func (t *Tiers) Views() (all []View, fetches float64) {
+// View tells what is held of each site.
+func (t *Tiers) View() (all []balance.SiteView, fetches float64) {
 	for _, s := range t.order {
-		part := map[State]float64{Home: 1, Failing: failingPart, Lost: 0}[s.state]
+		part := map[State]float64{Home: 1, Failing: failingPart}[s.state]
 		if s.state == Returning {
 			part = t.set.Steps[s.step]
 		}
-		all = append(all, View{s.name, s.state, part, s.up, s.absent, s.connect})
+		all = append(all, balance.SiteView{Zone: s.name, State: s.state.String(), Part: part, Up: s.up, Absent: s.absent, Connect: s.connect})
 	}
 	return all, t.news
 }
--- a/internal/sites/sites_test.go
+++ b/internal/sites/sites_test.go
@@ -235,3 +235,35 @@
 		t.Error("what is known is not bounded")
 	}
 }
+
+// BenchmarkRequest is one request and its answer, all decisions included, before fleets of three sites.
+func BenchmarkRequest(b *testing.B) {
+	for _, caches := range []int{30, 300, 3000} {
+		for _, how := range []string{"off", "home", "lost"} {
+			b.Run(fmt.Sprint(caches, "/", how), func(b *testing.B) {
+				set := balance.Settings{Routers: 3, Zone: "z0", MaxAttempts: 3, Classes: []balance.Class{{Name: "read", Aim: aim, Worth: 1, Effect: balance.Safe}}}
+				if how != "off" {
+					set.Tiers = func() balance.Tiers { return New(Config{Home: "z0"}) }
+				}
+				r, l := balance.New(set, 1), balance.List{Kind: balance.Complete}
+				for i := range caches {
+					if zone := fmt.Sprint("z", i%3); how != "lost" || zone != "z0" {
+						l.Entries = append(l.Entries, balance.Entry{Server: balance.ServerID(fmt.Sprint("c", i)), Zone: zone, Weight: 1})
+					}
+				}
+				now := balance.Time(1e15)
+				r.Handle(now, []balance.Event{l})
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					now = now.Add(time.Millisecond)
+					id := balance.RequestID(fmt.Sprint(i))
+					for _, a := range r.Handle(now, []balance.Event{balance.Request{ID: id, Class: "read", Key: uint64(i % 5000), HasKey: true, Due: now.Add(aim)}}) {
+						if s, ok := a.(balance.Send); ok {
+							r.Handle(now.Add(time.Microsecond), []balance.Event{balance.Outcome{ID: id, Server: s.Server, Result: balance.OK, Done: true}})
+						}
+					}
+				}
+			})
+		}
+	}
+}
