--- a/internal/sites/sites_test.go
+++ b/internal/sites/sites_test.go
@@ -236,6 +236,110 @@
 	}
 }
 
+// first is the site that a request is offered first, with its part.
+func (r *rig) first(v balance.Visit) string {
+	all := r.Order(r.now, v)
+	return fmt.Sprintf("%s %.1f", all[0].Zone, all[0].Part)
+}
+
+// Guard: a request that may not be sent again was spent on a trial of a silent site, or waited there a second time; and what no
+// other site had a place for was refused though its own, on its way back, had one.
+func TestWhoGoesWhere(t *testing.T) {
+	r := newRig(t, Config{Home: "south"})
+	r.ask(8, aim/50, without("south"))
+	r.want("south", Failing)
+	v := balance.Visit{Key: 1, Read: true, Worth: 1}
+	if got := r.first(v); got != "south 1.0" {
+		t.Errorf("a key of the quarter that a failing site keeps goes to %s", got)
+	}
+	v.Again = true
+	if got := r.first(v); got != "north 0.5" {
+		t.Errorf("once nobody has answered at home it goes to %s", got)
+	}
+	v.Key = 0xffff
+	if all := r.Order(r.now, v); all[len(all)-1].Zone != "south" {
+		t.Errorf("home is no last resort: %v", all)
+	}
+	r.ask(100, aim/50, without("south"))
+	r.want("south", Lost)
+	r.now = r.now.Add(5 * aim)
+	if got := r.first(balance.Visit{Key: 5, Read: true, Worth: 1}); got != "north 0.5" {
+		t.Errorf("an unsafe request goes to %s, which is lost", got)
+	}
+	if got := r.first(balance.Visit{Key: 5, Read: true, Safe: true, Worth: 1}); got != "south 1.0" {
+		t.Errorf("the trial goes to %s", got)
+	}
+	r.list(3, 0, 3)
+	r.list(3, 3, 3)
+	if got := r.first(balance.Visit{Key: 5, Safe: true, Worth: 1}); got != "south 1.0" {
+		t.Errorf("listed again it is not tried at once: %s", got)
+	}
+	for _, s := range r.sites { // while no site is home, those that are there keep all
+		s.state = Failing
+	}
+	if got := r.first(balance.Visit{Key: 0xffff, Worth: 1}); got != "south 1.0" {
+		t.Errorf("with all failing a key goes to %s", got)
+	}
+}
+
+// Guard: a key that had gone home went away again as the part grew; a return cut short began from the start; what a site knew
+// before it was lost was not counted as a fetch; fetches of little worth took the places of others.
+func TestWhatAReturnKeeps(t *testing.T) {
+	r := newRig(t, Config{Home: "south"})
+	r.ask(150, aim/50, without("south"))
+	south := r.sites["south"]
+	for south.step < 2 {
+		r.ask(10, aim/50, well)
+	}
+	for key := range uint64(1 << 16) {
+		v := balance.Visit{Key: key, Worth: 1}
+		if low := r.has(r.now, south, v, 1); low != (key < 1<<14) {
+			t.Fatalf("key %x is at home: %v, at a quarter", key, low)
+		}
+	}
+	r.learn(south, 9)
+	r.list(3, 0, 3)
+	if r.knows(south, 9) {
+		t.Error("a site that was lost is taken to have kept what it had")
+	}
+	r.list(3, 3, 3)
+	r.ask(1, aim/50, well)
+	if south.state != Returning || south.step != 1 {
+		t.Errorf("%v at step %d after a loss on step 2", south.state, south.step)
+	}
+	r.now = r.now.Add(100 * aim) // nobody asks: that is no proof that it is well
+	r.climb(r.now, south)
+	r.climb(r.now, south)
+	if south.step > 2 {
+		t.Errorf("step %d without an answer", south.step)
+	}
+	r.newsOut, r.news = 0, 2
+	r.Begun(r.now, "north", 100, true, true)
+	high, low := balance.Visit{Key: 101, Read: true, Worth: 1}, balance.Visit{Key: 102, Read: true, Worth: 0.1}
+	if north := r.sites["north"]; !r.mayFetch(north, high) || r.mayFetch(north, low) {
+		t.Error("what is worth little leaves no place")
+	}
+	r.learn(r.sites["north"], 100)
+	if r.Begun(r.now, "north", 100, true, true) {
+		t.Error("a known key counts as a fetch")
+	}
+	for key := range uint64(3 * knownMost) {
+		r.learn(south, key)
+	}
+	if n := len(r.known[0]) + len(r.known[1]); n > 2*knownMost {
+		t.Errorf("%d keys are remembered", n)
+	}
+	before := r.news
+	for range 3 { // single late ones among quick ones
+		r.newsTook = aim / 10
+		r.newsOut++
+		r.fetched(r.now.Add(9*aim), balance.Stay{Took: aim, Result: balance.OK, News: true})
+	}
+	if r.news < before {
+		t.Error("a single late fetch lowers the limit")
+	}
+}
+
 // BenchmarkRequest is one request and its answer, all decisions included, before fleets of three sites.
 func BenchmarkRequest(b *testing.B) {
 	for _, caches := range []int{30, 300, 3000} {
