--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -126,3 +126,23 @@
 		t.Errorf("a missed expectation: held %v, %v", r.RulesHeld, r.Missed)
 	}
 }
+
+// The time to regain a day's service counts from the end of the last trouble, and a lucky second is none of it.
+func TestRegained(t *testing.T) {
+	at := func(s int) scenario.Duration { return scenario.Duration(time.Duration(s) * time.Second) }
+	troubles := []scenario.Trouble{{At: at(2), For: at(2)}, {At: at(3), For: at(3)}}
+	for want, earned := range map[float64][]float64{
+		0: {1, 1, 0, 0, 0, 0, 1, 1, 1, 1, 1, 1},
+		3: {1, 1, 0, 0, 0, 0, 0.4, 0.5, 0.5, 1, 1, 1},
+		2: {0.8, 0.8, 0, 0, 0, 0, 0.7, 0.1, 0.8, 0.8, 0.8, 0.8},
+		6: {1, 1, 0, 0, 0, 0, 0.5, 0.5, 0.5, 0.5, 0.5, 1},
+	} {
+		var all []Second
+		for _, e := range earned {
+			all = append(all, Second{Asked: 1, Earned: e})
+		}
+		if got := regained(all, troubles); got != want {
+			t.Errorf("%v: %v s, not %v", earned, got, want)
+		}
+	}
+}
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"cedarmast/internal/scenario"
 )
 
 // Report is a day's result. The keys of its JSON do not change; new ones may come.
@@ -37,6 +39,7 @@
 	Wasted       float64                `json:"work_wasted"`
 	Sends        int                    `json:"sends"`
 	Crossed      int                    `json:"sites_crossed"`
+	Regained     float64                `json:"regained_s"` // see regained
 	Connections  int                    `json:"connections_opened"`
 	MemoryMB     float64                `json:"router_memory_mb"`
 	CPU          float64                `json:"router_cpu_s"`
@@ -151,6 +154,7 @@
 		}
 		r.WorstWindow = min(r.WorstWindow, w.share())
 	}
+	r.Regained = regained(r.Seconds, l.set.Troubles)
 	if r.Requests > 0 {
 		r.Nines = -math.Log10(max(1-float64(r.Answered)/float64(r.Requests), 1e-9))
 	}
@@ -161,6 +165,28 @@
 	return r
 }
 
+// regained is how long after the end of the last trouble three seconds on end earn 95% of what those before the first one
+// earned: 0 where nothing was lost or the trouble outlasts the day, the rest of the day if it never happens.
+func regained(seconds []Second, troubles []scenario.Trouble) float64 {
+	first, last := len(seconds), 0
+	for _, t := range troubles {
+		first, last = min(first, int(t.At.D()/time.Second)), max(last, int((t.At+t.For).D()/time.Second))
+	}
+	sum := func(part []Second) (all Second) {
+		for _, s := range part {
+			all.Asked, all.Earned = all.Asked+s.Asked, all.Earned+s.Earned
+		}
+		return all
+	}
+	before := sum(seconds[:first]).share()
+	for at := last; at+3 <= len(seconds); at++ {
+		if now := sum(seconds[at : at+3]); now.share() >= 0.95*before {
+			return float64(at - last)
+		}
+	}
+	return float64(max(len(seconds)-last, 0))
+}
+
 func (s Second) share() float64 {
 	if s.Asked == 0 {
 		return 1
--- a/internal/rehearse/compare.go
+++ b/internal/rehearse/compare.go
@@ -5,24 +5,28 @@
 	"fmt"
 	"io"
 	"math"
+	"strings"
 	"text/tabwriter"
 
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 
+	"cedarmast/internal/baseline"
 	"cedarmast/internal/ledger"
 	"cedarmast/internal/rig"
 	"cedarmast/internal/scenario"
+	"cedarmast/internal/virtual"
 )
 
 type compareCmd struct {
-	Name   string   `arg:"" help:"A scenario that the kit brings, or a file."`
-	Router []string `required:"" sep:"none" placeholder:"ROUTER" help:"Twice: a program, cedarmast, or a baseline (random, least-of-two). The first is A, the second B."`
-	Seeds  int      `default:"5" help:"How many days, each played by both."`
-	From   uint64   `default:"1" help:"The first seed."`
-	Short  bool     `help:"Play the day in its short length."`
-	Set    []string `sep:"none" placeholder:"KEY=VALUE" help:"Goes over a key of the scenario; may be repeated."`
-	JSON   string   `name:"json" placeholder:"FILE" help:"Write all reports and the comparison as JSON."`
+	Name    string   `arg:"" help:"A scenario that the kit brings, or a file."`
+	Router  []string `required:"" sep:"none" placeholder:"ROUTER" help:"Twice: a program, cedarmast, or a baseline (random, least-of-two). The first is A, the second B."`
+	Seeds   int      `default:"5" help:"How many days, each played by both."`
+	From    uint64   `default:"1" help:"The first seed."`
+	Short   bool     `help:"Play the day in its short length."`
+	Virtual bool     `help:"Play the days in virtual time: the decisions alone, so routers are cedarmast or a baseline."`
+	Set     []string `sep:"none" placeholder:"KEY=VALUE" help:"Goes over a key of the scenario; may be repeated."`
+	JSON    string   `name:"json" placeholder:"FILE" help:"Write all reports and the comparison as JSON."`
 }
 
 // Pair is one day played by both.
@@ -68,6 +72,8 @@
 	{"answered_part", func(r *ledger.Report) float64 { return float64(r.Answered) / float64(max(r.Requests, 1)) }},
 	{"database_asks", func(r *ledger.Report) float64 { return float64(r.Fetches) }},
 	{"database_peak", func(r *ledger.Report) float64 { return r.DatabasePeak }},
+	{"sites_crossed", func(r *ledger.Report) float64 { return float64(r.Crossed) }},
+	{"regained_s", func(r *ledger.Report) float64 { return r.Regained }},
 	{"work_wasted", func(r *ledger.Report) float64 { return r.Wasted }},
 	{"router_cpu_s", func(r *ledger.Report) float64 { return r.CPU }},
 	{"router_memory_mb", func(r *ledger.Report) float64 { return r.MemoryMB }},
@@ -85,6 +91,12 @@
 	var routers [2][]string
 	for i, name := range c.Router {
 		var err error
+		if c.Virtual {
+			if name != "cedarmast" && baseline.New(name) == nil {
+				return p.fail(fmt.Errorf("%w: --virtual has no router %q: it is cedarmast or one of %s", errArgument, name, strings.Join(baseline.Names, ", ")))
+			}
+			continue
+		}
 		if routers[i], err = findRouter(name); err != nil {
 			return p.fail(err)
 		}
@@ -105,7 +117,12 @@
 			}
 			all.Scenario = s.Name
 			fmt.Fprintf(p.stderr, "seed %d, %s\n", seed, c.Router[which])
-			report, err := rig.Run(p.ctx, s, rig.Options{Seed: seed, Router: routers[which]})
+			var report *ledger.Report
+			if c.Virtual {
+				report, err = virtual.Run(s, virtual.Options{Seed: seed, Decide: baseline.New(c.Router[which])})
+			} else {
+				report, err = rig.Run(p.ctx, s, rig.Options{Seed: seed, Router: routers[which]})
+			}
 			if errors.Is(err, rig.ErrLate) {
 				late = true
 			} else if err != nil {
