--- a/internal/rehearse/compare.go
+++ b/internal/rehearse/compare.go
@@ -9,7 +9,6 @@
 	"text/tabwriter"
 
 	"gonum.org/v1/gonum/stat"
-	"gonum.org/v1/gonum/stat/distuv"
 
 	"cedarmast/internal/baseline"
 	"cedarmast/internal/ledger"
@@ -119,7 +118,7 @@
 			fmt.Fprintf(p.stderr, "seed %d, %s\n", seed, c.Router[which])
 			var report *ledger.Report
 			if c.Virtual {
-				report, err = virtual.Run(s, virtual.Options{Seed: seed, Decide: baseline.New(c.Router[which])})
+				report, err = virtual.Run(p.ctx, s, virtual.Options{Seed: seed, Decide: baseline.New(c.Router[which])})
 			} else {
 				report, err = rig.Run(p.ctx, s, rig.Options{Seed: seed, Router: routers[which]})
 			}
@@ -166,9 +165,8 @@
 			Least: math.Inf(1), Most: math.Inf(-1)}
 		if len(d) > 1 {
 			one.Spread = stat.StdDev(d, nil)
-			t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(len(d) - 1)}
-			one.Half = t.Quantile(0.975) * one.Spread / math.Sqrt(float64(len(d)))
 		}
+		_, one.Half = interval(d)
 		for _, x := range d {
 			one.Least, one.Most = min(one.Least, x), max(one.Most, x)
 			if x > 0 {
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -41,6 +41,7 @@
 	Show     showCmd     `cmd:"" help:"Print a scenario's file, to read or to start one's own from."`
 	Run      runCmd      `cmd:"" help:"Play a day against real routers and judge it."`
 	Compare  compareCmd  `cmd:"" help:"Play a day with two routers in turn, paired by seed, and tell the difference."`
+	Sweep    sweepCmd    `cmd:"" help:"Play a day in virtual time at several settings and seeds, and tell how they differ."`
 	Selftest selftestCmd `cmd:"" help:"Try the ledger on routers that each break one rule on purpose."`
 	Baseline policyCmd   `cmd:"" hidden:"" help:"Run a router with a textbook policy."`
 	Faulty   policyCmd   `cmd:"" hidden:"" help:"Run a router that breaks a rule."`
@@ -112,6 +113,8 @@
 		return p.selftest(c.Selftest)
 	case "compare":
 		return p.compare(c.Compare)
+	case "sweep":
+		return p.sweep(c.Sweep)
 	case "keys":
 		io.WriteString(stdout, scenario.Reference())
 		return held
@@ -212,7 +215,7 @@
 		return p.fail(fmt.Errorf("%w: --virtual has no --router, --logs or policy none", errArgument))
 	}
 	if c.Virtual {
-		report, err := virtual.Run(s, virtual.Options{Seed: c.Seed, Decide: baseline.New(c.Policy)})
+		report, err := virtual.Run(p.ctx, s, virtual.Options{Seed: c.Seed, Decide: baseline.New(c.Policy)})
 		if err != nil {
 			return p.fail(err)
 		}
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -7,7 +7,9 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -35,6 +37,9 @@
 	comesUp    = 300 * time.Millisecond // that a router takes to start
 	turnsAway  = 450 * time.Millisecond // after it was told to end, in which a router still takes requests
 	endsWithin = 3400 * time.Millisecond
+
+	mostActions = 100_000   // of one event, and
+	mostAtOnce  = 1_000_000 // events at one moment: past these the decisions go on for ever
 )
 
 // host is a day in virtual time.
@@ -47,6 +52,8 @@
 	mute    int // troubles that silence discovery
 	marks   []ledger.Mark
 	events  int
+	instant int   // of them at the present moment
+	fault   error // of the decisions: they go on for ever
 }
 
 // router is one router: its decisions and what it has in hand.
@@ -85,7 +92,7 @@
 }
 
 // Run plays a day and returns its report: the same to the byte for one scenario, seed and build.
-func Run(s *scenario.Scenario, opt Options) (*ledger.Report, error) {
+func Run(ctx context.Context, s *scenario.Scenario, opt Options) (*ledger.Report, error) {
 	h := &host{set: s, opt: opt, rng: model.Stream(opt.Seed, "host")}
 	h.World = model.New(s, opt.Seed, h)
 	for k := range h.Routers() {
@@ -102,7 +109,13 @@
 			}
 			at = s.Length.D()
 		}
+		if at > h.Now() {
+			h.instant = 0
+		}
 		h.World.Run(at)
+		if err := cmp.Or(h.fault, ctx.Err()); err != nil {
+			return nil, err
+		}
 	}
 	l := h.Ledger()
 	r := l.Report()
@@ -155,8 +168,18 @@
 
 // give hands the decisions one event and does what they say.
 func (r *router) give(e balance.Event) {
-	r.h.events++
-	for _, a := range r.decide.Handle(r.h.at(), []balance.Event{e}) {
+	h := r.h
+	if h.fault != nil {
+		return
+	}
+	h.events++
+	acts := r.decide.Handle(h.at(), []balance.Event{e})
+	if h.instant++; h.instant > mostAtOnce || len(acts) > mostActions {
+		h.fault = fmt.Errorf("the decisions of %s go on for ever: %d events at %v, the last one %T with %d actions",
+			h.set.RouterNames()[r.k], h.instant, h.Now(), e, len(acts))
+		return
+	}
+	for _, a := range acts {
 		switch a := a.(type) {
 		case balance.Send:
 			if x := r.exchanges[a.ID]; x != nil {
--- a/internal/virtual/virtual_test.go
+++ b/internal/virtual/virtual_test.go
@@ -1,11 +1,15 @@
 package virtual
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"strings"
 	"testing"
 
+	"cedarmast/balance"
 	"cedarmast/internal/baseline"
+	"cedarmast/internal/exchange"
 	"cedarmast/internal/ledger"
 	"cedarmast/internal/scenario"
 )
@@ -17,7 +21,7 @@
 		t.Fatal(err)
 	}
 	s.Shorten()
-	r, err := Run(s, Options{Seed: seed, Decide: baseline.New(policy)})
+	r, err := Run(t.Context(), s, Options{Seed: seed, Decide: baseline.New(policy)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -85,3 +89,27 @@
 		})
 	}
 }
+
+// forever is a decision module that never comes to an end: it sets one timer after the other, due at once.
+type forever struct{ exchange.Decider }
+
+func (f forever) Handle(balance.Time, []balance.Event) []balance.Action {
+	return []balance.Action{balance.SetTimer{Token: 1}}
+}
+
+// Guard: decisions that go on for ever at one moment would hang the kit without a word. They are named; an interrupt ends a day too.
+func TestDecisionsThatNeverEnd(t *testing.T) {
+	s, err := scenario.Find("calm")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = Run(t.Context(), s, Options{Decide: func(balance.Settings, uint64) exchange.Decider { return forever{} }})
+	if err == nil || !strings.Contains(err.Error(), "-r1 go on for ever: ") {
+		t.Errorf("%v", err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := Run(ctx, s, Options{}); !errors.Is(err, context.Canceled) {
+		t.Errorf("%v", err)
+	}
+}
