--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -42,6 +42,7 @@
 	Run      runCmd      `cmd:"" help:"Play a day against real routers and judge it."`
 	Compare  compareCmd  `cmd:"" help:"Play a day with two routers in turn, paired by seed, and tell the difference."`
 	Sweep    sweepCmd    `cmd:"" help:"Play a day in virtual time at several settings and seeds, and tell how they differ."`
+	Hunt     huntCmd     `cmd:"" help:"Search in virtual time for the days on which the decisions do worst, and shrink them."`
 	Selftest selftestCmd `cmd:"" help:"Try the ledger on routers that each break one rule on purpose."`
 	Baseline policyCmd   `cmd:"" hidden:"" help:"Run a router with a textbook policy."`
 	Faulty   policyCmd   `cmd:"" hidden:"" help:"Run a router that breaks a rule."`
@@ -113,6 +114,8 @@
 		return p.selftest(c.Selftest)
 	case "compare":
 		return p.compare(c.Compare)
+	case "hunt":
+		return p.hunt(c.Hunt)
 	case "sweep":
 		return p.sweep(c.Sweep)
 	case "keys":
--- a/internal/scenario/check.go
+++ b/internal/scenario/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -40,6 +41,9 @@
 	"database-stall":    {true, false, 0, "", "the database finishes nothing"},
 }
 
+// Kinds are the kinds of trouble, by name.
+func Kinds() []string { return slices.Sorted(maps.Keys(kinds)) }
+
 // Strikes tells what a kind of trouble strikes: nodes, routers, site, or nothing of these.
 func Strikes(kind string) string { return kinds[kind].strikes }
 
--- a/internal/scenario/reference.go
+++ b/internal/scenario/reference.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"reflect"
-	"slices"
 	"strings"
 )
 
@@ -46,12 +45,7 @@
 	section("[[trouble]]", reflect.ValueOf(defaultTrouble))
 	section("[expect]", reflect.ValueOf(s.Expect))
 	b.WriteString("\n## Kinds of trouble\n\n| kind | strikes | needs | what happens |\n| --- | --- | --- | --- |\n")
-	var names []string
-	for name := range kinds {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range Kinds() {
 		k, needs := kinds[name], []string{}
 		if k.needsFor {
 			needs = append(needs, "for")
