--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -225,7 +225,7 @@
 // Send brings a client's try to its router.
 func (h *host) Send(t *model.Try) {
 	r := h.routers[t.Router]
-	if !r.running {
+	if !r.running || r.ending { // nobody listens there any more
 		h.After(0, func() { h.Answered(t, model.Answer{Outcome: ledger.Unheard}, h.Now()) })
 		return
 	}
