Sites: an attempt keeps its zone, explicit zeros are refused, ending routers take nothing

Found by reading the change once more. - A server whose listed zone changed with an attempt out: the end was booked at the new zone, the old site counted the attempt for ever and was never let go (1 and -1 out, by the new test). leave() in balance/state.go read a.to.Zone; the attempt keeps its zone now. - spill = 0, steps = [] and hold = "0s" were taken for keys left out, so that spill = 0 meant 0.5. Each test was seen to fail without its fix.

--- a/balance/state.go
+++ b/balance/state.go
@@ -133,6 +133,7 @@
 	anew bool          // its server may be asked again: what it missed has been fetched since
 	part float64       // of its server's limit that was open to it, with tiers
 	news bool          // its site may have had to fetch the key, with tiers
+	zone string        // its server's as it was sent: the list may name another one since, with tiers
 }
 
 // request is one client's request until its answer is given and its attempts have ended.
@@ -228,7 +229,8 @@
 	if a.part = r.part; a.part < 1 {
 		a.to.guests++
 	}
-	a.news = b.tiers.Begun(b.now, a.to.Zone, r.hash, r.HasKey && !r.Write, a.part < 1)
+	a.zone = a.to.Zone
+	a.news = b.tiers.Begun(b.now, a.zone, r.hash, r.HasKey && !r.Write, a.part < 1)
 }
 
 func (b *Balancer) leave(r *request, a *attempt, took time.Duration, o Outcome) {
@@ -241,7 +243,7 @@
 	if o.Result == NoConnect && b.lone() { // a full table is no absence
 		o.Result = Moot
 	}
-	b.tiers.Ended(b.now, Stay{Zone: a.to.Zone, Key: r.hash, Took: took, Connect: o.Connect, Result: o.Result, News: a.news})
+	b.tiers.Ended(b.now, Stay{Zone: a.zone, Key: r.hash, Took: took, Connect: o.Connect, Result: o.Result, News: a.news})
 }
 
 // forget ends a request's books and returns the reads that wait for its fetch; after a good one they may ask
--- a/internal/model/profile.go
+++ b/internal/model/profile.go
@@ -13,7 +13,10 @@
 	if !t.On {
 		return &settings.Operator{}
 	}
-	own := &settings.Sites{Prefer: t.Prefer, Spill: t.Spill}
+	own := &settings.Sites{Prefer: t.Prefer}
+	if t.Spill > 0 {
+		own.Spill = &t.Spill
+	}
 	if t.Hold > 0 {
 		own.Hold = t.Hold.D().String()
 	}
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -21,7 +21,7 @@
 // Sites turns tiers of sites on. Its keys are those of sites.Config.
 type Sites struct {
 	Prefer []string  `toml:"prefer,omitempty"`
-	Spill  float64   `toml:"spill,omitempty"`
+	Spill  *float64  `toml:"spill,omitempty"`
 	Steps  []float64 `toml:"steps,omitempty"`
 	Hold   string    `toml:"hold,omitempty"` // as Go writes spans of time: 4s
 }
@@ -71,17 +71,28 @@
 	if o.Sites == nil {
 		return sites.Config{}, nil
 	}
-	c := sites.Config{Prefer: o.Sites.Prefer, Spill: o.Sites.Spill, Steps: o.Sites.Steps, Home: set.Zone, Share: 1 / float64(max(set.Routers, 1))}
+	c := sites.Config{Prefer: o.Sites.Prefer, Steps: o.Sites.Steps, Home: set.Zone, Share: 1 / float64(max(set.Routers, 1))}
 	for i, class := range set.Classes {
 		if i == 0 || class.Aim < c.Aim {
 			c.Aim = class.Aim
 		}
 	}
+	if o.Sites.Spill != nil { // 0 is not taken for a key left out
+		if c.Spill = *o.Sites.Spill; !(c.Spill > 0) {
+			return c, fmt.Errorf("spill: %v is not over 0", c.Spill)
+		}
+	}
+	if o.Sites.Steps != nil && len(o.Sites.Steps) == 0 {
+		return c, errors.New("steps: none")
+	}
 	if o.Sites.Hold != "" {
 		var err error
 		if c.Hold, err = time.ParseDuration(o.Sites.Hold); err != nil {
 			return c, fmt.Errorf("hold: %q is no span of time such as 800ms or 4s", o.Sites.Hold)
 		}
+		if c.Hold <= 0 {
+			return c, fmt.Errorf("hold: %v is not over 0", c.Hold)
+		}
 	}
 	return c, c.Check()
 }
--- a/internal/sites/sites.go
+++ b/internal/sites/sites.go
@@ -233,10 +233,9 @@
 			t.guest(s, v)
 		}
 	}
-	has, fetches := t.has(now, home, v, well), home.state != Returning || t.mayFetch(home, v)
-	if v.Again && home.absent > wellAt { // what found nobody at home is not to wait there once more
-		has = false
-	}
+	// What found nobody at home is not to wait there once more, nor to use up a trial.
+	has := !(v.Again && home.absent > wellAt) && t.has(now, home, v, well)
+	fetches := home.state != Returning || t.mayFetch(home, v)
 	if has && fetches {
 		t.tiers = append(t.tiers, balance.Tier{Zone: home.name, Part: 1})
 	}
--- a/internal/sites/sites_test.go
+++ b/internal/sites/sites_test.go
@@ -340,6 +340,25 @@
 	}
 }
 
+// Guard: the list named another zone for a server with an attempt out. The attempt was booked off the new zone, and the old one
+// counted it for ever: never let go, and the new one with less than none.
+func TestServerChangesItsZone(t *testing.T) {
+	tiers := New(Config{})
+	b := balance.New(balance.Settings{Tiers: func() balance.Tiers { return tiers },
+		Classes: []balance.Class{{Name: "read", Aim: aim, Worth: 1}}}, 1)
+	list := func(zone string) balance.List {
+		return balance.List{Kind: balance.Complete, Entries: []balance.Entry{{Server: "a", Zone: zone, Weight: 1}}}
+	}
+	b.Handle(1e15, []balance.Event{list("old"), balance.Request{ID: "r", Class: "read", Key: 1, HasKey: true, Due: 2e15}})
+	if tiers.sites["old"].open != 1 {
+		t.Fatal("no attempt was made")
+	}
+	b.Handle(1e15+1, []balance.Event{list("new"), balance.Outcome{ID: "r", Server: "a", Result: balance.OK, Done: true}})
+	if o, n := tiers.sites["old"].open, tiers.sites["new"].open; o != 0 || n != 0 {
+		t.Errorf("%d attempts out at the old zone, %d at the new", o, n)
+	}
+}
+
 // BenchmarkRequest is one request and its answer, all decisions included, before fleets of three sites.
 func BenchmarkRequest(b *testing.B) {
 	for _, caches := range []int{30, 300, 3000} {
--- a/internal/virtual/virtual_test.go
+++ b/internal/virtual/virtual_test.go
@@ -113,3 +113,12 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// Guard: clients that know no other router come to one that is ending. It took their requests, was never done, and lost those in
+// hand when its time was up; nobody listens there by then, and they are told so.
+func TestEndingRouterTakesNothing(t *testing.T) {
+	stops := `trouble=[{kind="router-stop",at="13.6s",for="1.3s",part=0.4},{kind="router-stop",at="14.3s",for="8.8s",part=0.35}]`
+	if r := play(t, "calm", "", 1, stops); r.Lost > 0 || r.Unheard == 0 { // all three are ending at once
+		t.Errorf("%d lost, %d unheard; %v", r.Lost, r.Unheard, r.Breaches)
+	}
+}
