--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,146 @@
+package admin
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+type word struct {
+	server string
+	out    bool
+}
+
+// newServer starts a server whose orders the test sees.
+func newServer(t *testing.T, healthy *atomic.Bool, maintain func(string, bool) error) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{Healthy: healthy.Load, Maintain: maintain, Log: slog.New(slog.DiscardHandler)}
+	done := make(chan struct{})
+	go func() { s.Serve(l); close(done) }()
+	t.Cleanup(func() { l.Close(); s.Close(); <-done })
+	return l.Addr().String()
+}
+
+// call makes one call of the given text and returns its status, 0 where none came.
+func call(t *testing.T, address, text string) int {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(3 * time.Second))
+	io.WriteString(c, text)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+func ask(method, path string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: b\r\n\r\n", method, path)
+}
+
+func TestCalls(t *testing.T) {
+	var healthy atomic.Bool
+	healthy.Store(true)
+	var last word
+	address := newServer(t, &healthy, func(server string, out bool) error {
+		switch last = (word{server, out}); server {
+		case "nobody":
+			return ErrUnknown
+		case "stuck":
+			return errors.New("stuck")
+		}
+		return nil
+	})
+	for _, c := range []struct {
+		text   string
+		status int
+		word   word
+	}{
+		{ask("GET", "/healthcheck"), 200, word{}},
+		{ask("PUT", "/healthcheck"), 405, word{}},
+		{ask("PUT", "/cache-servers/s-1/maint"), 200, word{"s-1", true}},
+		{ask("PUT", "/cache-servers/s-1/ready"), 200, word{"s-1", false}},
+		{ask("PUT", "/cache-servers/a%2Fb%20c/maint"), 200, word{"a/b c", true}},
+		{"PUT /cache-servers/s-2/maint HTTP/1.1\r\nHost: b\r\nContent-Length: 2\r\n\r\nok", 200, word{"s-2", true}},
+		{"PUT /cache-servers/s-3/maint HTTP/1.1\r\nHost: b\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 200, word{"s-3", true}},
+		{ask("PUT", "/cache-servers/nobody/maint"), 404, word{"nobody", true}},
+		{ask("PUT", "/cache-servers/stuck/ready"), 503, word{"stuck", false}},
+		{ask("GET", "/cache-servers/s-1/maint"), 405, word{}},
+		{ask("PUT", "/cache-servers/s-1/burn"), 404, word{}},
+		{ask("PUT", "/cache-servers/s-1"), 404, word{}},
+		{ask("PUT", "/cache-servers//maint"), 404, word{}},
+		{ask("PUT", "/cache-servers/s-1/maint/x"), 404, word{}},
+		{ask("GET", "/else"), 404, word{}},
+		{"nonsense\r\n\r\n", 400, word{}},
+		{"PUT /cache-servers/s-1/maint HTTP/1.1\r\nHost: b\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nok", 400, word{}},
+	} {
+		last = word{}
+		if status := call(t, address, c.text); status != c.status || last != c.word {
+			t.Errorf("%.60q: %d with %+v, want %d with %+v", c.text, status, last, c.status, c.word)
+		}
+	}
+	healthy.Store(false)
+	if status := call(t, address, ask("GET", "/healthcheck")); status != 503 {
+		t.Errorf("not serving: %d", status)
+	}
+}
+
+// A call whose body is cut off is no whole call: nothing is carried out.
+func TestHalfACallDoesNothing(t *testing.T) {
+	var healthy atomic.Bool
+	var orders atomic.Int64
+	address := newServer(t, &healthy, func(string, bool) error { orders.Add(1); return nil })
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, "PUT /cache-servers/s-1/maint HTTP/1.1\r\nHost: b\r\nContent-Length: 9\r\n\r\nok")
+	c.(*net.TCPConn).CloseWrite()
+	io.Copy(io.Discard, c)
+	c.Close()
+	if orders.Load() != 0 {
+		t.Error("half a call was carried out")
+	}
+}
+
+// Callers that hold connections with no whole call, many more than there are places, keep nobody from an answer.
+func TestSilentCallersGiveWay(t *testing.T) {
+	var healthy atomic.Bool
+	healthy.Store(true)
+	address := newServer(t, &healthy, func(string, bool) error { return nil })
+	for i := range 4 * MostCalls {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			io.WriteString(c, "GET /healthcheck HTTP/1.1\r\nHo")
+		}
+	}
+	begun := time.Now()
+	for range 5 {
+		if status := call(t, address, ask("GET", "/healthcheck")); status != 200 {
+			t.Errorf("status %d", status)
+		}
+	}
+	if took := time.Since(begun); took > time.Second {
+		t.Errorf("five calls took %v", took)
+	}
+}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -24,7 +24,8 @@
 	PeerListen string            `json:"peer_listen"` // empty: no messages between routers
 	Peers      []string          `json:"peers"`
 	Known      *wire.Endpoints   `json:"known"`
-	Log        string            `json:"log"` // the least level that is logged
+	Operators  string            `json:"operator"` // where operators' calls come; empty: none do
+	Log        string            `json:"log"`      // the least level that is logged
 	Settings   *settings.Profile `json:"settings"`
 
 	seed     uint64
@@ -50,8 +51,8 @@
 	defaultConnect  = 250 * time.Millisecond
 )
 
-// LoadConfig reads the file that $GW_CONFIG names; $GW_NAME, $GW_LISTEN, $GW_DISCOVERY and $CEDARMAST_LOG stand in
-// for keys that it lacks. $CEDARMAST_OPERATOR names the operators' own file, if there is one.
+// LoadConfig reads the file that $GW_CONFIG names; $GW_NAME, $GW_LISTEN, $GW_DISCOVERY, $GW_OPERATOR and $CEDARMAST_LOG
+// stand in for keys that it lacks. $CEDARMAST_OPERATOR names the operators' own file, if there is one.
 func LoadConfig(getenv func(string) string) (*Config, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
@@ -84,7 +85,7 @@
 		value *string
 		env   string
 	}{{&c.Name, "GW_NAME"}, {&c.Listen, "GW_LISTEN"}, {&c.Discovery, "GW_DISCOVERY"},
-		{&c.Log, "CEDARMAST_LOG"}} {
+		{&c.Operators, "GW_OPERATOR"}, {&c.Log, "CEDARMAST_LOG"}} {
 		if *key.value == "" {
 			*key.value = getenv(key.env)
 		}
@@ -127,9 +128,12 @@
 			return fmt.Errorf("%s: %q is no address:port", key.name, key.value)
 		}
 	}
-	if c.PeerListen != "" {
-		if _, err := netip.ParseAddrPort(c.PeerListen); err != nil {
-			return fmt.Errorf("peer_listen: %q is no address:port", c.PeerListen)
+	for _, key := range []struct{ name, value string }{{"peer_listen", c.PeerListen}, {"operator", c.Operators}} {
+		if key.value == "" {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(key.value); err != nil {
+			return fmt.Errorf("%s: %q is no address:port", key.name, key.value)
 		}
 	}
 	for i, peer := range c.Peers {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,13 +15,16 @@
 	"time"
 
 	"cedarmast/balance"
+	"cedarmast/internal/admin"
 	"cedarmast/internal/exchange"
+	"cedarmast/internal/socket"
 	"cedarmast/internal/wire"
 )
 
 const (
 	acceptFor  = 450 * time.Millisecond  // after SIGTERM: connections still come for up to 0.4 s
 	finishFor  = 3400 * time.Millisecond // after SIGTERM: SIGKILL comes no sooner than 0.3 s later
+	parkFor    = 1500 * time.Millisecond // after SIGTERM, for idle clients of a process that is replaced to ask once more
 	bindFor    = 5 * time.Second         // for an earlier process to let go of the address
 	listFor    = 500 * time.Millisecond  // at the start, for discovery's first word
 	sweepEvery = 250 * time.Millisecond
@@ -43,7 +46,7 @@
 	level.Set(c.level)
 	log := slog.New(slog.NewTextHandler(lines, &slog.HandlerOptions{Level: level}))
 	load := func() (*Config, error) { return LoadConfig(p.getenv) }
-	if err := Run(context.Background(), c, log, host{s, load, level, p.decide}); err != nil {
+	if err := Run(context.Background(), c, log, host{s, load, level, p.decide, p.getenv("TMPDIR")}); err != nil {
 		log.Error("not started", "err", err)
 		return 1
 	}
@@ -57,6 +60,7 @@
 	level *slog.LevelVar          // of the log
 
 	decide func(balance.Settings, uint64) exchange.Decider // nil: the decisions in service
+	shared string                                          // a directory that processes of one router share; empty: none
 }
 
 // signals are those that a router is told things by, each kind in a row of its own: none crowds out another.
@@ -74,7 +78,7 @@
 
 // Run runs a router until the context ends, or SIGTERM or SIGINT comes, and all that it has taken is answered.
 func Run(ctx context.Context, c *Config, log *slog.Logger, p host) error {
-	r, err := start(c, log, p.decide)
+	r, err := start(c, log, p.decide, p.shared)
 	if err != nil {
 		return err
 	}
@@ -112,6 +116,15 @@
 	long     *exchange.Budget
 	watch    atomic.Pointer[watch]
 
+	replacement
+	admin    *admin.Server // nil without an operators' address
+	adminAt  net.Listener
+	serving  chan struct{} // closed when clients may come
+	limitsMu sync.Mutex
+	limits   Limits // of the router, both its processes together while there are two
+	paired   bool
+	longMost int64
+
 	told     sync.Once
 	listed   chan struct{} // closed when discovery has told a list
 	accepted chan struct{} // closed when no connection is accepted any more
@@ -121,12 +134,16 @@
 }
 
 // start brings all parts up, in the order in which they need one another. The router is ready a little later.
-func start(c *Config, log *slog.Logger, decide func(balance.Settings, uint64) exchange.Decider) (*router, error) {
-	c.Limits.apply()
-	parts := share(c.Limits.Sockets)
+func start(c *Config, log *slog.Logger, decide func(balance.Settings, uint64) exchange.Decider, shared string) (*router, error) {
 	clock := exchange.NewClock()
 	r := &router{config: c, log: log, counts: &exchange.Counters{}, accepted: make(chan struct{}),
-		listed: make(chan struct{}), clock: clock}
+		listed: make(chan struct{}), serving: make(chan struct{}), clock: clock, replacement: replacement{dir: shared, listen: c.Listen}}
+	listener, left, err := r.takeOver()
+	if err != nil {
+		return nil, fmt.Errorf("taking over: %w", err)
+	}
+	predecessor := r.peer
+	parts := share(c.Limits.of(predecessor != nil).Sockets)
 	r.pool = exchange.NewPool(parts.servers, reuseFor(time.Duration(c.Settings.Limits.ConnIdle)), r.counts)
 
 	loop := exchange.NewLoop()
@@ -139,13 +156,35 @@
 			w.Subscribe()
 		}
 	}
-	r.long = exchange.NewBudget(c.Limits.longAnswers())
+	r.long = exchange.NewBudget(0)
 	loop.Sender = &wire.Servers{Pool: r.pool, Counts: r.counts, Long: r.long,
 		ConnectTimeout: time.Duration(c.Settings.Limits.ConnectTimeout),
 		Careful:        func(class string) bool { return !c.Settings.IsSafe(class) }}
 	loop.Teller = silent{}
+	known, from := c.Known, c.Known.Index
+	if left != nil {
+		loop.Maintenance = left.Maintenance.Copy()
+		if left.Known != nil && len(left.Known.Endpoints) > 0 { // newer than the file; its version may be of another discovery
+			known, from = left.Known, wire.Unknown
+		}
+	} else if word, ok := r.keptWord(); ok {
+		loop.Maintenance = word.Copy()
+	}
+	defer func() {
+		if err == nil {
+			return
+		}
+		r.part()
+		for _, l := range []net.Listener{listener, r.adminAt} {
+			if l != nil {
+				l.Close()
+			}
+		}
+		if r.peers != nil {
+			r.peers.Close()
+		}
+	}()
 
-	var err error
 	if c.PeerListen != "" && c.Settings.Limits.PeerMessages {
 		if r.peers, err = wire.ListenPeers(c.PeerListen, c.Peers); err != nil {
 			return nil, err
@@ -153,37 +192,60 @@
 		r.peers.Counts, r.peers.Heard = r.counts, loop.Heard
 		loop.Teller = r.peers
 	}
-	if r.listener, err = listen(c.Listen); err != nil {
-		if r.peers != nil {
-			r.peers.Close()
+	if c.Operators != "" {
+		if r.adminAt, err = listen(c.Operators, net.ListenConfig{}); err != nil {
+			return nil, fmt.Errorf("operator: %w", err)
 		}
-		return nil, fmt.Errorf("listen: %w", err)
 	}
+	if listener == nil {
+		if listener, err = listen(c.Listen, socket.Shared); err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+	}
+	r.listener = listener
 	r.clients = wire.NewClients(loop, r.counts, log, parts.clients)
 	r.clients.Knows = c.Settings.HasClass
+	r.keepTo(c.Limits, predecessor != nil)
 
 	ctx, halt := context.WithCancel(context.Background())
 	r.halt = halt
 	r.background(func() { loop.Run(ctx) })
-	loop.Listed(c.Known.List(balance.Persisted, clock))
-	r.watchFrom(c.Discovery, c.Known.Index)
+	loop.Listed(known.List(balance.Persisted, clock))
+	r.watchFrom(c.Discovery, from)
 	if r.peers != nil {
 		r.background(r.peers.Run)
 	}
 	r.background(func() { r.housekeep(ctx) })
 	r.background(func() {
 		defer close(r.accepted)
+		if predecessor != nil { // which serves as well: what it accepts is in better hands until this one is ready
+			select {
+			case <-r.serving:
+			case <-predecessor.Ended:
+			case <-ctx.Done():
+			}
+		}
 		r.clients.Serve(r.listener)
 	})
-	r.background(func() { r.beReady(ctx, c, parts) })
+	r.background(func() { r.beReady(ctx, c.Name, known.Index, parts) })
+	if r.adminAt != nil {
+		r.admin = &admin.Server{Healthy: r.clients.Serving, Maintain: r.maintain, Log: log}
+		r.background(func() { r.admin.Serve(r.adminAt) })
+	}
+	if predecessor != nil {
+		log.Info("taken over from a running process", "servers", len(known.Endpoints), "servers_out", len(loop.Maintenance.Out))
+		r.background(func() { r.pair(predecessor) })
+	} else {
+		r.awaitSuccessors()
+	}
 	return r, nil
 }
 
 // beReady says that clients may come: once there is a list that discovery has told of late, or, while it is silent, the
 // one that was known. Without any list there is nothing to serve from.
-func (r *router) beReady(ctx context.Context, c *Config, parts shares) {
+func (r *router) beReady(ctx context.Context, name string, known int64, parts shares) {
 	var enough <-chan time.Time
-	if c.Known.Index != wire.Unknown {
+	if known != wire.Unknown {
 		enough = time.After(listFor)
 	}
 	select {
@@ -193,14 +255,15 @@
 		return
 	}
 	r.clients.Ready.Store(true)
-	r.log.Info("ready", "name", c.Name, "listen", c.Listen, "known_index", c.Known.Index,
+	close(r.serving)
+	r.log.Info("ready", "name", name, "listen", r.listen, "known_index", known,
 		"clients_most", parts.clients, "server_connections_most", parts.servers)
 }
 
 // listen binds the address, which an earlier process of the same name may hold for a moment yet.
-func listen(address string) (net.Listener, error) {
+func listen(address string, how net.ListenConfig) (net.Listener, error) {
 	for until := time.Now().Add(bindFor); ; time.Sleep(20 * time.Millisecond) {
-		l, err := net.Listen("tcp", address)
+		l, err := how.Listen(context.Background(), "tcp", address)
 		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until) {
 			return l, err
 		}
@@ -243,21 +306,37 @@
 	}
 }
 
-// stop takes what still comes for a moment, answers everything and lets go of all parts.
+// stop takes what still comes for a moment, answers everything and lets go of all parts. Where another process accepts from
+// the same listener, this one accepts nothing more, and leaves its idle connections open for longer: their clients go to
+// the other one with the answer to a next request, and none finds its connection closed under it.
 func (r *router) stop() {
 	expire := time.AfterFunc(finishFor, r.loop.Expire)
 	defer expire.Stop()
+	replaced := r.stopReplacing()
 	r.clients.Finish()
-	time.Sleep(acceptFor)
-	r.listener.Close()
-	<-r.accepted
+	if replaced {
+		r.listener.Close()
+		<-r.accepted
+		for until := time.Now().Add(parkFor); time.Now().Before(until) && r.counts.ClientsOpen.Load() > 0; {
+			time.Sleep(parkFor / 50)
+		}
+	} else {
+		time.Sleep(acceptFor)
+		r.listener.Close()
+		<-r.accepted
+	}
 	r.clients.CloseIdle()
 	r.clients.Wait()
+	if r.admin != nil {
+		r.adminAt.Close()
+		r.admin.Close()
+	}
 	r.halt()
 	r.watch.Load().end()
 	if r.peers != nil {
 		r.peers.Close()
 	}
+	r.part()
 	r.wg.Wait()
 	r.pool.Close()
 }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -65,10 +65,28 @@
 type child struct {
 	*exec.Cmd
 	address string
-	log     *bytes.Buffer
+	log     *syncBuffer
 	exited  chan error
 }
 
+// syncBuffer is a log that may be read while it is written.
+type syncBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 func startProcess(t *testing.T, config map[string]any) *child {
 	t.Helper()
 	return startProcessWith(t, config, nil).ready(t)
@@ -85,7 +103,7 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := &child{Cmd: exec.Command(os.Args[0]), address: config["listen"].(string), log: &bytes.Buffer{}, exited: make(chan error, 1)}
+	p := &child{Cmd: exec.Command(os.Args[0]), address: config["listen"].(string), log: &syncBuffer{}, exited: make(chan error, 1)}
 	p.Env = append(os.Environ(), "CEDARMAST_TEST_ROUTER=1", "GW_CONFIG="+path)
 	if p.Stderr = p.log; log != nil {
 		p.Stderr = log
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -33,6 +33,14 @@
 // longAnswers is how many bytes of answers over the usual bound may be held at once.
 func (l Limits) longAnswers() int64 { return int64(l.MemoryMB) << 20 / longPart }
 
+// of is the part that a process keeps to: half while there are two of one router.
+func (l Limits) of(paired bool) Limits {
+	if paired {
+		l.MemoryMB, l.Sockets = l.MemoryMB/2, l.Sockets/2
+	}
+	return l
+}
+
 // apply sets the runtime's limits: processors, and memory that the collector keeps to while it can. Little is alive at
 // a time, so by the usual percentage the collector would run many times a second, at a tenth of the work.
 func (l Limits) apply() {
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -47,18 +47,14 @@
 		name     string
 		was, now any
 	}{{"name", old.Name, c.Name}, {"listen", old.Listen, c.Listen}, {"peer_listen", old.PeerListen, c.PeerListen},
-		{"peers", old.Peers, c.Peers}, {"settings", old.Settings, c.Settings},
+		{"peers", old.Peers, c.Peers}, {"operator", old.Operators, c.Operators}, {"settings", old.Settings, c.Settings},
 		{"CEDARMAST_OPERATOR", old.operator, c.operator}} {
 		if !reflect.DeepEqual(key.was, key.now) {
 			r.log.Warn("a changed key waits for a restart", "key", key.name)
 		}
 	}
 	if c.Limits != old.Limits {
-		c.Limits.apply()
-		r.long.Grow(c.Limits.longAnswers() - old.Limits.longAnswers())
-		parts := share(c.Limits.Sockets)
-		r.pool.SetMost(parts.servers)
-		r.clients.SetMost(parts.clients)
+		r.keepTo(c.Limits, r.isPaired())
 	}
 	p.level.Set(c.level)
 	if c.Discovery != old.Discovery {
--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -38,6 +38,16 @@
 	}
 }
 
+// postUrgent brings what goes before all that waits; false if the loop has ended.
+func (l *Loop) postUrgent(e event) bool {
+	select {
+	case l.urgent <- e:
+		return true
+	case <-l.stopped:
+		return false
+	}
+}
+
 // Submit hands over a request. Its exchange gets one Answer, by Due unless the loop hangs.
 func (l *Loop) Submit(x *Exchange) {
 	left := x.TimeLeft
@@ -137,7 +147,7 @@
 			}
 		})
 	}
-	return e.List.List
+	return l.Maintenance.overAll(e.List.List, l.entries)
 }
 
 func (expired) take(l *Loop) balance.Event {
--- a/internal/exchange/loop.go
+++ b/internal/exchange/loop.go
@@ -39,7 +39,11 @@
 	Seed      uint64
 	Decide    func(set balance.Settings, seed uint64) Decider // makes the decisions anew; nil: balance.New
 
+	Maintenance Maintenance // the operators' word, as held at the start; the loop's from Run on
+
 	events    chan event
+	urgent    chan event     // emptied before the others: operators wait for it, whatever the load
+	confirm   []func()       // to be called at the end of the turn
 	stopped   chan struct{}  // closed when nothing is taken any more
 	helpers   sync.WaitGroup // goroutines that the loop has started; Run waits for them
 	balancer  Decider
@@ -62,8 +66,9 @@
 
 // NewLoop readies a loop; the other fields are to be set before Run.
 func NewLoop() *Loop {
-	return &Loop{events: make(chan event, queueLength), stopped: make(chan struct{}),
-		exchanges: map[balance.RequestID]*Exchange{}, addresses: addresses{},
+	return &Loop{events: make(chan event, queueLength), urgent: make(chan event), stopped: make(chan struct{}),
+		Maintenance: NewMaintenance(),
+		exchanges:   map[balance.RequestID]*Exchange{}, addresses: addresses{},
 		entries: map[balance.ServerID]balance.Entry{}}
 }
 
@@ -89,6 +94,7 @@
 		wake.Reset(l.untilNext())
 		var first event
 		select {
+		case first = <-l.urgent:
 		case first = <-l.events:
 		case <-wake.C:
 		case <-ctx.Done():
@@ -125,6 +131,12 @@
 	}
 more:
 	for len(batch) < batchLength {
+		select {
+		case e := <-l.urgent:
+			take(e)
+			continue
+		default:
+		}
 		select {
 		case e := <-l.events:
 			take(e)
@@ -133,6 +145,7 @@
 		}
 	}
 	defer l.letGo()
+	defer l.confirmAll()
 	now := l.Clock.Now()
 	for len(batch) < 2*batchLength {
 		t, ok := l.timers.due(now)
@@ -184,7 +197,7 @@
 	for _, e := range l.entries {
 		list.Entries = append(list.Entries, e)
 	}
-	for _, a := range l.balancer.Handle(l.Clock.Now(), []balance.Event{list}) {
+	for _, a := range l.balancer.Handle(l.Clock.Now(), []balance.Event{l.Maintenance.overAll(list, l.entries)}) {
 		l.do(l.Clock.Now(), a)
 	}
 }
@@ -194,6 +207,14 @@
 // its exchange and have its outcome, or the decisions count it as in flight for ever.
 func (l *Loop) forget(x *Exchange) { l.done = append(l.done, x) }
 
+// confirmAll tells those who wait for the turn's end.
+func (l *Loop) confirmAll() {
+	for _, f := range l.confirm {
+		f()
+	}
+	l.confirm = nil
+}
+
 // letGo lets go of the exchanges noted that are answered and have no attempt out.
 func (l *Loop) letGo() {
 	for i, x := range l.done {
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -195,6 +195,9 @@
 	s.Most = most
 }
 
+// Serving tells whether clients may come.
+func (s *Clients) Serving() bool { return s.Ready.Load() && !s.closing.Load() }
+
 // Finish makes every answer from now on the last of its connection.
 func (s *Clients) Finish() { s.closing.Store(true) }
 
--- a/internal/wire/list.go
+++ b/internal/wire/list.go
@@ -1,8 +1,11 @@
 package wire
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"slices"
+	"time"
 
 	"cedarmast/balance"
 	"cedarmast/internal/exchange"
@@ -64,3 +67,18 @@
 	}
 	return list
 }
+
+// EndpointsOf is a whole list in discovery's form, in the order of names.
+func EndpointsOf(l exchange.List) *Endpoints {
+	e := &Endpoints{Index: l.Version, Snapshot: true, Endpoints: []endpoint{}}
+	for _, entry := range l.Entries {
+		p := endpoint{Name: string(entry.Server), Address: l.Addresses[entry.Server], Zone: entry.Zone, Type: entry.Kind,
+			Group: entry.Cell, Status: "SERVING", Weight: entry.Weight, SinceMS: int64(entry.Started) / int64(time.Millisecond)}
+		if entry.State == balance.Draining {
+			p.Status = "DRAINING"
+		}
+		e.Endpoints = append(e.Endpoints, p)
+	}
+	slices.SortFunc(e.Endpoints, func(a, b endpoint) int { return cmp.Compare(a.Name, b.Name) })
+	return e
+}
--- a/internal/wire/peers.go
+++ b/internal/wire/peers.go
@@ -1,12 +1,14 @@
 package wire
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 
 	"cedarmast/internal/exchange"
+	"cedarmast/internal/socket"
 )
 
 // maxDatagram is the longest message between routers.
@@ -45,9 +47,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	if p.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)); err != nil {
+	conn, err := socket.Shared.ListenPacket(context.Background(), "udp", at.String())
+	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
+	p.conn = conn.(*net.UDPConn)
 	return p, nil
 }
 
