--- a/balance/api.go
+++ b/balance/api.go
@@ -210,6 +210,8 @@
 	}
 	// ClientGone ends a request with nothing more owed.
 	ClientGone struct{ ID RequestID }
+	// Retuned brings new settings. What was learned stays, and requests in hand keep the class that they came with.
+	Retuned struct{ Settings }
 	// Heard is a message from another router.
 	Heard struct{ Content []byte }
 	// Timer is a SetTimer come due.
@@ -221,6 +223,7 @@
 func (Outcome) event()    {}
 func (Opened) event()     {}
 func (ClientGone) event() {}
+func (Retuned) event()    {}
 func (Heard) event()      {}
 func (Timer) event()      {}
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -42,6 +42,7 @@
 	erring           float64           // smoothed share of errors among the caches' answers
 	gate, originGate gate
 	worth            float64 // smoothed, of requests
+	former           []Class // that the last new settings left out: what came with one may be on its way here yet
 	asks             int     // calls for the list that failed, in a row
 	givenUp          [whys]int
 	call             int   // the last event that a call for the list hangs on
@@ -158,11 +159,7 @@
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)), aim: time.Second,
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, table: newTable(), fetches: map[uint64]*request{},
 		timers: map[int64]func(){}, shares: make([]meter, len(set.Tenants))}
-	for i, c := range set.Classes {
-		if i == 0 || c.Aim < b.aim {
-			b.aim = c.Aim
-		}
-	}
+	b.setPace()
 	if set.Tiers != nil {
 		b.tiers = set.Tiers()
 	}
@@ -170,6 +167,36 @@
 	return b
 }
 
+// setPace takes the shortest aim of any class for the pace.
+func (b *Balancer) setPace() {
+	for i, c := range b.set.Classes {
+		if i == 0 || c.Aim < b.aim {
+			b.aim = c.Aim
+		}
+	}
+}
+
+// retune takes new settings. The old classes are left as they are, for requests in hand point to theirs; tenants keep what
+// they have asked for, by their names. Tiers stay as they were made.
+func (b *Balancer) retune(set Settings) {
+	old, asked := b.set, b.shares
+	b.former = nil
+	for _, c := range old.Classes {
+		if !slices.ContainsFunc(set.Classes, func(n Class) bool { return n.Name == c.Name }) {
+			b.former = append(b.former, c)
+		}
+	}
+	b.set, b.shares = set, make([]meter, len(set.Tenants))
+	b.set.Tiers = old.Tiers
+	b.set.Classes = slices.Clone(set.Classes)
+	b.setPace()
+	for i, t := range set.Tenants {
+		if j := slices.IndexFunc(old.Tenants, func(o Tenant) bool { return o.Name == t.Name }); j >= 0 {
+			b.shares[i] = asked[j]
+		}
+	}
+}
+
 // Handle takes the events of one moment and returns what is to be done, in order. An event of something
 // unknown changes nothing.
 func (b *Balancer) Handle(now Time, events []Event) []Action {
@@ -195,6 +222,8 @@
 			if r := b.requests[e.ID]; r != nil {
 				b.end(r, false)
 			}
+		case Retuned:
+			b.retune(e.Settings)
 		case Heard:
 			b.onHeard(decodeSightings(e.Content))
 		case Timer:
@@ -281,11 +310,13 @@
 	return nil
 }
 
-// class finds a request's class; one that the settings don't name is never repeated.
+// class finds a request's class; one that the settings don't name, nor did until lately, is never repeated.
 func (b *Balancer) class(q Request) *Class {
-	for i := range b.set.Classes {
-		if b.set.Classes[i].Name == q.Class {
-			return &b.set.Classes[i]
+	for _, all := range [][]Class{b.set.Classes, b.former} {
+		for i := range all {
+			if all[i].Name == q.Class {
+				return &all[i]
+			}
 		}
 	}
 	return &Class{Aim: q.Due.Sub(b.now), Worth: 1}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -28,6 +28,7 @@
 	Log        string            `json:"log"`      // the least level that is logged
 	Settings   *settings.Profile `json:"settings"`
 
+	raw      map[string]any // the file as it stands
 	seed     uint64
 	level    slog.Level
 	operator *settings.Operator // the operators' own file
@@ -81,6 +82,9 @@
 		}
 		return nil, fmt.Errorf("not a JSON object: %w", err)
 	}
+	if err := json.Unmarshal(text, &c.raw); err != nil {
+		return nil, fmt.Errorf("not a JSON object: %w", err)
+	}
 	for _, key := range []struct {
 		value *string
 		env   string
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"cedarmast/balance"
 	"cedarmast/internal/admin"
 	"cedarmast/internal/exchange"
+	"cedarmast/internal/settings"
 	"cedarmast/internal/socket"
 	"cedarmast/internal/wire"
 )
@@ -120,6 +121,8 @@
 	admin    *admin.Server // nil without an operators' address
 	adminAt  net.Listener
 	serving  chan struct{} // closed when clients may come
+	servers  *wire.Servers
+	profile  atomic.Pointer[settings.Profile] // the settings that hold now
 	limitsMu sync.Mutex
 	limits   Limits // of the router, both its processes together while there are two
 	paired   bool
@@ -157,9 +160,11 @@
 		}
 	}
 	r.long = exchange.NewBudget(0)
-	loop.Sender = &wire.Servers{Pool: r.pool, Counts: r.counts, Long: r.long,
+	r.profile.Store(c.Settings)
+	r.servers = &wire.Servers{Pool: r.pool, Counts: r.counts, Long: r.long,
 		ConnectTimeout: time.Duration(c.Settings.Limits.ConnectTimeout),
-		Careful:        func(class string) bool { return !c.Settings.IsSafe(class) }}
+		Careful:        func(class string) bool { return !r.profile.Load().IsSafe(class) }}
+	loop.Sender = r.servers
 	loop.Teller = silent{}
 	known, from := c.Known, c.Known.Index
 	if left != nil {
@@ -204,8 +209,8 @@
 	}
 	r.listener = listener
 	r.clients = wire.NewClients(loop, r.counts, log, parts.clients)
-	r.clients.Knows = c.Settings.HasClass
-	r.keepTo(c.Limits, predecessor != nil)
+	r.clients.Knows = func(class string) bool { return r.profile.Load().HasClass(class) }
+	r.keepTo(func() { r.limits, r.paired = c.Limits, predecessor != nil })
 
 	ctx, halt := context.WithCancel(context.Background())
 	r.halt = halt
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"reflect"
+	"time"
 
+	"cedarmast/internal/settings"
 	"cedarmast/internal/wire"
 )
 
@@ -43,18 +46,26 @@
 		return
 	}
 	old := r.config
+	if key := settings.Missing(old.raw, c.raw, "known", "log", "seed"); key != "" {
+		r.log.Error("configuration not taken; the old one stays", "err", key+": missing, and the file in use has it")
+		return
+	}
+	if was, is := old.Settings.Limits.SendCap, c.Settings.Limits.SendCap; was > 0 && is <= 0 {
+		r.log.Error("configuration not taken; the old one stays", "err", fmt.Sprintf("settings.Limits.SendCap: %d is not over 0", is))
+		return
+	}
 	for _, key := range []struct {
 		name     string
 		was, now any
 	}{{"name", old.Name, c.Name}, {"listen", old.Listen, c.Listen}, {"peer_listen", old.PeerListen, c.PeerListen},
-		{"peers", old.Peers, c.Peers}, {"operator", old.Operators, c.Operators}, {"settings", old.Settings, c.Settings},
+		{"peers", old.Peers, c.Peers}, {"operator", old.Operators, c.Operators},
 		{"CEDARMAST_OPERATOR", old.operator, c.operator}} {
 		if !reflect.DeepEqual(key.was, key.now) {
 			r.log.Warn("a changed key waits for a restart", "key", key.name)
 		}
 	}
 	if c.Limits != old.Limits {
-		r.keepTo(c.Limits, r.isPaired())
+		r.setLimits(c.Limits)
 	}
 	p.level.Set(c.level)
 	if c.Discovery != old.Discovery {
@@ -64,9 +75,39 @@
 		r.watch.Load().end()
 		r.watchFrom(c.Discovery, wire.Unknown)
 	}
+	next := *old // what waits for a restart stays as it is, and is named again at the next SIGHUP
+	next.Settings = r.retune(old.Settings, c.Settings)
 	r.log.Info("configuration taken", "discovery", c.Discovery, "log", c.Log, "memory_mb", c.Limits.MemoryMB,
 		"sockets", c.Limits.Sockets)
-	next := *old // what waits for a restart stays as it is, and is named again at the next SIGHUP
+	next.raw = c.raw
 	next.Discovery, next.Limits, next.Log, next.level = c.Discovery, c.Limits, c.Log, c.level
 	r.config = &next
 }
+
+// retune takes new settings as far as a running router can and returns those that hold from now on.
+func (r *router) retune(old, now *settings.Profile) *settings.Profile {
+	taken, wait := old.Retuned(now)
+	for _, key := range wait {
+		r.log.Warn("a changed key waits for a restart", "key", "settings."+key)
+	}
+	if reflect.DeepEqual(old, taken) {
+		return old
+	}
+	r.pool.SetIdleFor(reuseFor(time.Duration(taken.Limits.ConnIdle)))
+	r.servers.SetConnectTimeout(time.Duration(taken.Limits.ConnectTimeout))
+	r.loop.Retune(taken.Settings())
+	r.profile.Store(taken) // last: a new class is let in once the decisions know it
+	var appeared, vanished []string
+	for _, c := range taken.Classes {
+		if !old.HasClass(c.Name) {
+			appeared = append(appeared, c.Name)
+		}
+	}
+	for _, c := range old.Classes {
+		if !taken.HasClass(c.Name) {
+			vanished = append(vanished, c.Name)
+		}
+	}
+	r.log.Info("settings taken", "classes", len(taken.Classes), "appeared", appeared, "vanished", vanished, "attempts", taken.Limits.SendCap)
+	return taken
+}
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -144,3 +144,76 @@
 	p.Process.Signal(syscall.SIGTERM)
 	p.end(t)
 }
+
+// New settings at SIGHUP: a class appears and another one vanishes, with a request of it in hand, which is answered. Broken
+// files change nothing, and each is named.
+func TestNewSettingsOnSIGHUP(t *testing.T) {
+	release := make(chan struct{})
+	a := standin.NewServer(t, func(r *standin.Request) bool {
+		if r.URL.Path == "/once/slow" {
+			<-release
+		}
+		return r.Answer(200, "a")
+	})
+	config := testConfig(t, a.Address, standin.NewDiscovery(t, 1).Address, 256)
+	p := startProcess(t, config)
+	status := func(path string) int {
+		got, _, err := ask(p.address, path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return got
+	}
+	settings := config["settings"].(map[string]any)
+	first := settings["Classes"].([]any)
+	text := string(marshal(t, config))
+	slow := make(chan int, 1)
+	go func() { s, _, _ := ask(p.address, "/once/slow"); slow <- s }()
+	standin.Eventually(t, "it is in hand", func() bool { return a.Requests() == 1 })
+	settings["Classes"] = []any{first[0], map[string]any{"Name": "next", "Objective": 500e6, "Deadline": 3000e6, "Worth": 1, "Effect": "unsafe"}}
+	if got := status("/next/k"); got != 404 {
+		t.Errorf("before: %d", got)
+	}
+	good := string(marshal(t, config))
+	p.rewrite(t, []byte(good))
+	standin.Eventually(t, "the new class is served", func() bool { return status("/next/k") == 200 })
+	if got := status("/once/k"); got != 404 {
+		t.Errorf("a class that is gone: %d", got)
+	}
+	close(release)
+	if got := <-slow; got != 200 {
+		t.Errorf("in hand over the change: %d", got)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{good, "", "not a JSON object"},
+		{good, good[:len(good)/2], "not a JSON object"},
+		{`"SendCap":3`, `"SendCap":0`, "settings.Limits.SendCap: 0 is not over 0"},
+		{`"SendCap":3`, `"SendCap":-2`, "settings.Limits.SendCap: -2 is under 0"},
+		{`"SendCap":3`, `"SendCap":2.5`, "SendCap"},
+		{`"SendCap":3`, `"SendCap":"3"`, "SendCap"},
+		{`,"SendCap":3`, ``, "settings.Limits.SendCap: missing"},
+		{`"Deadline":3000000000`, `"Deadline":0`, "Deadline: 0 is not over 0"},
+		{`"Deadline":3000000000`, `"Deadline":null`, "Deadline: 0 is not over 0"},
+		{`"Deadline":3000000000,`, ``, "Deadline: 0 is not over 0"},
+		{`"Worth":1`, `"Worst":1`, "Worth: missing"},
+		{`"discovery"`, `"discover"`, "discovery"},
+	} {
+		broken := strings.Replace(good, c.old, c.new, 1)
+		if broken == good {
+			t.Fatalf("%s: nothing was changed", c.want)
+		}
+		from := len(p.log.String())
+		p.rewrite(t, []byte(broken))
+		standin.Eventually(t, "the fault is named: "+c.want, func() bool {
+			log := p.log.String()[from:]
+			return strings.Contains(log, "not taken") && strings.Contains(log, c.want)
+		})
+		if status("/next/k") != 200 || status("/once/k") != 404 {
+			t.Errorf("%s: something was taken", c.want)
+		}
+	}
+	p.rewrite(t, []byte(text))
+	standin.Eventually(t, "the old settings are back", func() bool { return status("/once/k") == 200 })
+	p.Process.Signal(syscall.SIGTERM)
+	p.end(t)
+}
--- a/internal/daemon/replace.go
+++ b/internal/daemon/replace.go
@@ -80,7 +80,7 @@
 		return
 	}
 	r.log.Info("the other process has gone; all limits are this one's")
-	r.keepTo(r.fullLimits(), false)
+	r.setPaired(false)
 	if first {
 		r.awaitSuccessors()
 	}
@@ -127,7 +127,7 @@
 		p.Refuse("another replacement is under way, or the process is ending")
 		return
 	}
-	r.keepTo(r.fullLimits(), true)
+	r.setPaired(true)
 	list, word, err := r.loop.Held()
 	if err == nil {
 		r.peer = p
@@ -239,12 +239,17 @@
 	return word, err == nil
 }
 
-// keepTo sets the limits of this process: all that the router has, or half while there are two processes.
-func (r *router) keepTo(l Limits, paired bool) {
+// setLimits sets the router's limits.
+func (r *router) setLimits(l Limits) { r.keepTo(func() { r.limits = l }) }
+
+// setPaired says whether there are two processes, which keep to half of the limits each.
+func (r *router) setPaired(paired bool) { r.keepTo(func() { r.paired = paired }) }
+
+func (r *router) keepTo(change func()) {
 	r.limitsMu.Lock()
 	defer r.limitsMu.Unlock()
-	r.limits, r.paired = l, paired
-	now := r.limits.of(paired)
+	change()
+	now := r.limits.of(r.paired)
 	now.apply()
 	parts := share(now.Sockets)
 	r.pool.SetMost(parts.servers)
@@ -252,15 +257,3 @@
 	r.long.Grow(now.longAnswers() - r.longMost)
 	r.longMost = now.longAnswers()
 }
-
-func (r *router) fullLimits() Limits {
-	r.limitsMu.Lock()
-	defer r.limitsMu.Unlock()
-	return r.limits
-}
-
-func (r *router) isPaired() bool {
-	r.limitsMu.Lock()
-	defer r.limitsMu.Unlock()
-	return r.paired
-}
--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -22,6 +22,10 @@
 	}
 	listed  struct{ List }
 	heard   struct{ content []byte }
+	retuned struct {
+		settings balance.Settings
+		done     chan<- struct{}
+	}
 	expired struct{}
 )
 
@@ -61,6 +65,18 @@
 // Depart says that the exchange's client has gone; nothing more is owed.
 func (l *Loop) Depart(x *Exchange) { l.post(departed{x}) }
 
+// Retune brings new settings and returns once the decisions have them, or the loop has ended. Tiers stay as they are.
+func (l *Loop) Retune(settings balance.Settings) {
+	done := make(chan struct{})
+	if !l.postUrgent(retuned{settings, done}) {
+		return
+	}
+	select {
+	case <-done:
+	case <-l.stopped:
+	}
+}
+
 // Listed brings a server list, or with kind Failed the news that there was none.
 func (l *Loop) Listed(list List) { l.post(listed{list}) }
 
@@ -150,6 +166,13 @@
 	return l.Maintenance.overAll(e.List.List, l.entries)
 }
 
+func (e retuned) take(l *Loop) balance.Event {
+	e.settings.Tiers = l.Settings.Tiers
+	l.tuned.Store(&e.settings)
+	l.confirm = append(l.confirm, func() { close(e.done) })
+	return balance.Retuned{Settings: e.settings}
+}
+
 func (expired) take(l *Loop) balance.Event {
 	l.Log.Warn("ended before their time", "exchanges", len(l.exchanges))
 	l.endAll()
--- a/internal/exchange/loop.go
+++ b/internal/exchange/loop.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cedarmast/balance"
@@ -42,10 +43,11 @@
 	Maintenance Maintenance // the operators' word, as held at the start; the loop's from Run on
 
 	events    chan event
-	urgent    chan event     // emptied before the others: operators wait for it, whatever the load
-	confirm   []func()       // to be called at the end of the turn
-	stopped   chan struct{}  // closed when nothing is taken any more
-	helpers   sync.WaitGroup // goroutines that the loop has started; Run waits for them
+	urgent    chan event                       // emptied before the others: operators wait for it, whatever the load
+	tuned     atomic.Pointer[balance.Settings] // since the start, in the place of Settings; nil: none
+	confirm   []func()                         // to be called at the end of the turn
+	stopped   chan struct{}                    // closed when nothing is taken any more
+	helpers   sync.WaitGroup                   // goroutines that the loop has started; Run waits for them
 	balancer  Decider
 	exchanges map[balance.RequestID]*Exchange
 	addresses addresses
@@ -74,7 +76,11 @@
 
 // deadline is the whole time of a class, and a second for one that the settings don't name.
 func (l *Loop) deadline(class string) time.Duration {
-	for _, c := range l.Settings.Classes {
+	set := &l.Settings
+	if tuned := l.tuned.Load(); tuned != nil {
+		set = tuned
+	}
+	for _, c := range set.Classes {
 		if c.Name == class && c.Deadline > 0 {
 			return c.Deadline
 		}
@@ -105,10 +111,14 @@
 }
 
 func (l *Loop) decider() Decider {
+	set := l.Settings
+	if tuned := l.tuned.Load(); tuned != nil {
+		set = *tuned
+	}
 	if l.Decide != nil {
-		return l.Decide(l.Settings, l.Seed)
+		return l.Decide(set, l.Seed)
 	}
-	return balance.New(l.Settings, l.Seed)
+	return balance.New(set, l.Seed)
 }
 
 func (l *Loop) untilNext() time.Duration {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -60,10 +60,20 @@
 	p.wake()
 }
 
+// SetIdleFor changes the time after which an idle connection is not used again.
+func (p *Pool) SetIdleFor(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.IdleFor = d
+}
+
 // Take returns the server's newest idle connection, busy now, or nil. What must not run twice, if careful, passes over
 // one that has been idle for longer than is sure, and leaves it to the others.
 func (p *Pool) Take(server balance.ServerID, address string, careful bool, now time.Time) Conn {
-	most := p.trust.limit(false, p.IdleFor, now)
+	p.mu.Lock()
+	most := p.IdleFor
+	p.mu.Unlock()
+	most = p.trust.limit(false, most, now)
 	least := now.Add(-most)
 	if careful {
 		least = now.Add(-p.trust.limit(true, most, now))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"reflect"
 	"slices"
 	"strings"
@@ -147,7 +148,7 @@
 	for _, key := range []struct {
 		name  string
 		value int64
-	}{{"Limits.StreamsPerConn", int64(p.Limits.StreamsPerConn)}, {"Limits.ConnIdle", p.Limits.ConnIdle}, {"Limits.ConnectTimeout", p.Limits.ConnectTimeout},
+	}{{"Limits.SendCap", int64(p.Limits.SendCap)}, {"Limits.StreamsPerConn", int64(p.Limits.StreamsPerConn)}, {"Limits.ConnIdle", p.Limits.ConnIdle}, {"Limits.ConnectTimeout", p.Limits.ConnectTimeout},
 		{"Limits.MaxRetryAfter", p.Limits.MaxRetryAfter}, {"Contract.RampTime", p.Contract.RampTime},
 		{"Contract.OverloadFor", p.Contract.OverloadFor}, {"Contract.AskWithin", p.Contract.AskWithin}} {
 		if key.value < 0 {
@@ -157,6 +158,85 @@
 	return nil
 }
 
+// Retuned is what of new settings a running router can take: all but what its place in the fleet and its sockets hang on.
+// The keys that wait for a restart are named.
+func (p *Profile) Retuned(now *Profile) (next *Profile, wait []string) {
+	taken := *now
+	for _, key := range []struct {
+		name    string
+		was, is any
+		keep    func()
+	}{
+		{"MyNumber", p.MyNumber, now.MyNumber, func() { taken.MyNumber = p.MyNumber }},
+		{"Zone", p.Zone, now.Zone, func() { taken.Zone = p.Zone }},
+		{"MembershipMode", p.MembershipMode, now.MembershipMode, func() { taken.MembershipMode = p.MembershipMode }},
+		{"Flavors", p.Flavors, now.Flavors, func() { taken.Flavors = p.Flavors }},
+		{"FamilyInfo", p.FamilyInfo, now.FamilyInfo, func() { taken.FamilyInfo = p.FamilyInfo }},
+		{"Limits.PeerMessages", p.Limits.PeerMessages, now.Limits.PeerMessages, func() { taken.Limits.PeerMessages = p.Limits.PeerMessages }},
+		{"Limits.StreamsPerConn", p.Limits.StreamsPerConn, now.Limits.StreamsPerConn, func() { taken.Limits.StreamsPerConn = p.Limits.StreamsPerConn }},
+	} {
+		if !reflect.DeepEqual(key.was, key.is) {
+			key.keep()
+			wait = append(wait, key.name)
+		}
+	}
+	return &taken, wait
+}
+
+// Missing names the first key that an object had and its successor lacks, dotted; empty if there is none. Of a list each
+// element must have the keys that all elements had before. Keys that skip names, dotted, may go.
+func Missing(was, now any, skip ...string) string {
+	var walk func(path string, was, now any) string
+	walk = func(path string, was, now any) string {
+		switch was := was.(type) {
+		case map[string]any:
+			now, _ := now.(map[string]any)
+			for _, key := range slices.Sorted(maps.Keys(was)) {
+				at := strings.TrimPrefix(path+"."+key, ".")
+				if slices.Contains(skip, at) {
+					continue
+				}
+				value, ok := now[key]
+				if !ok {
+					return at
+				}
+				if fault := walk(at, was[key], value); fault != "" {
+					return fault
+				}
+			}
+		case []any:
+			common := commonKeys(was)
+			now, _ := now.([]any)
+			for i, value := range now {
+				if fault := walk(fmt.Sprintf("%s[%d]", path, i), common, value); fault != "" {
+					return fault
+				}
+			}
+		}
+		return ""
+	}
+	return walk("", was, now)
+}
+
+// commonKeys are the keys that all of a list's objects have, with nothing behind them; nil if its elements are no objects.
+func commonKeys(list []any) any {
+	var common map[string]any
+	for i, element := range list {
+		object, ok := element.(map[string]any)
+		if !ok {
+			return nil
+		}
+		if i == 0 {
+			common = map[string]any{}
+			for key := range object {
+				common[key] = nil
+			}
+		}
+		maps.DeleteFunc(common, func(key string, _ any) bool { _, ok := object[key]; return !ok })
+	}
+	return common
+}
+
 // Unread names the keys of a settings object that a Profile has no place for, dotted and in order: the platform's own, or
 // misspelt ones. Upper and lower case count as the same, as they do when settings are read.
 func Unread(settings map[string]any) []string {
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"cedarmast/balance"
@@ -25,6 +26,15 @@
 
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+
+	retuned atomic.Int64 // nanoseconds; 0: ConnectTimeout
+}
+
+// SetConnectTimeout changes the time for a connection to come up.
+func (s *Servers) SetConnectTimeout(d time.Duration) { s.retuned.Store(int64(d)) }
+
+func (s *Servers) connectTimeout() time.Duration {
+	return cmp.Or(time.Duration(s.retuned.Load()), s.ConnectTimeout)
 }
 
 // Send begins an attempt.
@@ -124,7 +134,7 @@
 		if c.reading.Load() {
 			stage = Reading
 		}
-		if stage == Written && a.Context.Err() == nil && time.Since(begun) < s.ConnectTimeout/4 {
+		if stage == Written && a.Context.Err() == nil && time.Since(begun) < s.connectTimeout()/4 {
 			s.Pool.Used(idle, false) // reset at once, as is one that had been closed without a word
 		}
 		return answer{}, &Failure{stage, s.cause(a, got.err)}
@@ -201,7 +211,7 @@
 // connect returns an idle connection or dials.
 func (s *Servers) connect(a *exchange.Attempt) (*serverConn, error) {
 	for {
-		got, err := s.Pool.Get(a.Context, a.Server, a.Address, s.careful(a), s.ConnectTimeout)
+		got, err := s.Pool.Get(a.Context, a.Server, a.Address, s.careful(a), s.connectTimeout())
 		if err != nil {
 			if a.Context.Err() != nil {
 				return nil, s.ended(a)
@@ -250,7 +260,7 @@
 }
 
 func (s *Servers) dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: s.ConnectTimeout, KeepAlive: -1}
+	dialer := net.Dialer{Timeout: s.connectTimeout(), KeepAlive: -1}
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
