--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -161,7 +161,7 @@
 	}
 	r.long = exchange.NewBudget(0)
 	r.profile.Store(c.Settings)
-	r.servers = &wire.Servers{Pool: r.pool, Counts: r.counts, Long: r.long,
+	r.servers = &wire.Servers{Pool: r.pool, Counts: r.counts,
 		ConnectTimeout: time.Duration(c.Settings.Limits.ConnectTimeout),
 		Careful:        func(class string) bool { return !r.profile.Load().IsSafe(class) }}
 	loop.Sender = r.servers
@@ -209,6 +209,7 @@
 	}
 	r.listener = listener
 	r.clients = wire.NewClients(loop, r.counts, log, parts.clients)
+	r.clients.Long = r.long
 	r.clients.Knows = func(class string) bool { return r.profile.Load().HasClass(class) }
 	r.keepTo(func() { r.limits, r.paired = c.Limits, predecessor != nil })
 
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -15,7 +15,7 @@
 	serversPart      = 38 // percent of the descriptors: requests take a third at either side, silent and idle clients more
 	memoryPart       = 0.7
 	collectAt        = 300 // percent of growth at which the collector runs; the limit of memory makes it run before
-	longPart         = 4   // of the memory is for long answers
+	longPart         = 4   // of the memory is for long requests
 )
 
 // share deals out the descriptors, also where the process may hold fewer than it was told. Each request in hand
@@ -30,8 +30,8 @@
 	return shares{clients: max((rest-servers)*8/9, 1), servers: max(servers, 1)}
 }
 
-// longAnswers is how many bytes of answers over the usual bound may be held at once.
-func (l Limits) longAnswers() int64 { return int64(l.MemoryMB) << 20 / longPart }
+// longBodies is how many bytes of requests over the usual bound may be held at once.
+func (l Limits) longBodies() int64 { return int64(l.MemoryMB) << 20 / longPart }
 
 // of is the part that a process keeps to: half while there are two of one router.
 func (l Limits) of(paired bool) Limits {
--- a/internal/daemon/replace.go
+++ b/internal/daemon/replace.go
@@ -254,6 +254,6 @@
 	parts := share(now.Sockets)
 	r.pool.SetMost(parts.servers)
 	r.clients.SetMost(parts.clients)
-	r.long.Grow(now.longAnswers() - r.longMost)
-	r.longMost = now.longAnswers()
+	r.long.Grow(now.longBodies() - r.longMost)
+	r.longMost = now.longBodies()
 }
--- a/internal/exchange/budget.go
+++ b/internal/exchange/budget.go
@@ -2,7 +2,7 @@
 
 import "sync/atomic"
 
-// Budget bounds the bytes of long answers that are held at once: connections bound the short ones, but a few hundred
+// Budget bounds the bytes of long requests that are held at once: connections bound the short ones, but a few hundred
 // long ones would be more than a small machine has.
 type Budget struct{ left atomic.Int64 }
 
--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -122,7 +122,7 @@
 		l.Log.Debug("attempt ended", "server", e.Server, "result", resultNames[e.Result], "err", e.Err,
 			"after", time.Since(e.sent))
 	}
-	answer := Answer{Kind: Served, Header: e.Header, Body: e.Body, Release: e.Release}
+	answer := Answer{Kind: Served, Header: e.Header, Body: e.Body, Rest: e.Rest, Length: e.Length}
 	if l.exchanges[x.id] != x { // of before a fresh start of the decisions
 		answer.Let()
 		return nil
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -42,9 +43,10 @@
 	Kind       Kind
 	Header     http.Header   // end to end only, if served
 	Body       []byte        // if served
+	Rest       io.ReadCloser // if served: what follows the body of a long answer; nil if that is all
+	Length     int64         // with Rest: of the body and what follows, in bytes; -1 if nobody tells
 	RetryAfter time.Duration // advice, if refused
 	TimedOut   bool          // if failed: nothing came in time
-	Release    func()        // if served: to be called when the body is not needed any more; may be nil
 }
 
 // Exchange is one client's request on its way: the one thing that client side and server side share. All but the
@@ -87,8 +89,8 @@
 
 // Let gives back what the answer holds.
 func (a Answer) Let() {
-	if a.Release != nil {
-		a.Release()
+	if a.Rest != nil {
+		a.Rest.Close()
 	}
 }
 
@@ -118,11 +120,12 @@
 // Reply is how an attempt ended.
 type Reply struct {
 	Result   balance.Result
-	Fetching bool        // a miss behind another request's fetch of the key
-	Header   http.Header // with OK: end to end only
-	Body     []byte      // with OK
-	Err      error       // without OK: what went wrong, for the log
-	Release  func()      // with OK: gives back what the body holds; may be nil
+	Fetching bool          // a miss behind another request's fetch of the key
+	Header   http.Header   // with OK: end to end only
+	Body     []byte        // with OK
+	Err      error         // without OK: what went wrong, for the log
+	Rest     io.ReadCloser // with OK: what follows, of a long answer; nil if Body is all
+	Length   int64         // with Rest: of all; -1 if nobody tells
 }
 
 // End reports how the attempt ended. Only the first call counts: whatever races, an attempt has one outcome.
--- a/internal/wire/answer.go
+++ b/internal/wire/answer.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,6 +14,8 @@
 // answer writes a final answer.
 func (c *clientConn) answer(a exchange.Answer, last bool) bool {
 	switch {
+	case a.Kind == exchange.Served && a.Rest != nil:
+		return c.passOn(a, last)
 	case a.Kind == exchange.Served:
 		return c.write(http.StatusOK, a.Header, a.Body, last)
 	case a.Kind == exchange.Refused:
@@ -86,6 +89,65 @@
 	return c.write(http.StatusNotFound, plain, []byte("not found\n"), last)
 }
 
+// passOn writes a long answer as it comes. Where it breaks the client's connection ends short of what was said, so that the
+// client can tell.
+func (c *clientConn) passOn(a exchange.Answer, last bool) bool {
+	last = last || c.turnAway || c.side.closing.Load()
+	chunked := a.Length < 0 && !c.old
+	last = last || a.Length < 0 && c.old // it ends with its connection
+	head := fmt.Appendf(make([]byte, 0, 512), "HTTP/1.1 %d %s\r\n", http.StatusOK, http.StatusText(http.StatusOK))
+	head = appendHeader(head, a.Header)
+	if a.Length >= 0 {
+		head = fmt.Appendf(head, "Content-Length: %d\r\n", a.Length)
+	} else if chunked {
+		head = appendLine(head, "Transfer-Encoding", "chunked")
+	}
+	if last {
+		head = appendLine(head, "Connection", "close")
+	}
+	head = append(head, "\r\n"...)
+	c.writing = true
+	err := c.writeOn(head, a.Body, chunked)
+	buf := make([]byte, restMost/2)
+	for err == nil {
+		n, ended := a.Rest.Read(buf)
+		if n > 0 {
+			err = c.writeOn(nil, buf[:n], chunked)
+		}
+		if err == nil && ended != nil {
+			err = ended
+		}
+	}
+	if err != io.EOF {
+		c.side.Log.Debug("long answer cut short", "err", err, "client", c.RemoteAddr())
+		if tcp, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+			tcp.SetLinger(0) // an orderly end could be taken for the answer's
+		}
+		return false
+	}
+	if chunked {
+		if _, err := io.WriteString(c.Conn, "0\r\n\r\n"); err != nil {
+			return false
+		}
+	}
+	c.writing = false
+	return !last
+}
+
+// writeOn writes a part of a long answer. A client may be slow; it is given up when it takes nothing for a while.
+func (c *clientConn) writeOn(head, part []byte, chunked bool) error {
+	if chunked && len(part) > 0 {
+		head = fmt.Appendf(head, "%x\r\n", len(part))
+	}
+	parts := net.Buffers{head, part}
+	if chunked && len(part) > 0 {
+		parts = append(parts, []byte("\r\n"))
+	}
+	c.SetWriteDeadline(time.Now().Add(partPatience))
+	_, err := parts.WriteTo(c.Conn)
+	return err
+}
+
 // write writes an answer; false ends the connection.
 func (c *clientConn) write(status int, header http.Header, body []byte, last bool) bool {
 	last = last || c.turnAway || c.side.closing.Load()
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -28,6 +28,7 @@
 	Log    *slog.Logger
 	Most   int                     // connections open at once; past that idle ones are given up, then new ones turned away
 	Knows  func(class string) bool // nil: every class is known
+	Long   *exchange.Budget        // of requests over the usual bound; nil: none is taken
 	Ready  atomic.Bool
 
 	mu       sync.Mutex
@@ -40,8 +41,11 @@
 }
 
 const (
-	readPatience  = 2500 * time.Millisecond // for the rest of a message whose first byte has come
+	headPatience  = 2500 * time.Millisecond // for the rest of a head whose first byte has come
+	bodyPatience  = 2 * time.Second         // for a body, and by its length on top
+	bodyRate      = 32 << 10                // bytes a second that a body must keep up, half of what the slowest clients do
 	writePatience = 5 * time.Second         // for a client to take an answer
+	partPatience  = 10 * time.Second        // to take a part of a long one
 	idlePatience  = 20 * time.Second        // for a client's next request
 	leastIdle     = 2 * time.Second         // a client may count on so much
 	hardlyIdle    = 50 * time.Millisecond   // but for this little while a request would be turned away
@@ -50,10 +54,10 @@
 	turnAwayFor   = time.Second             // for the request of one that is turned away
 	graceForFirst = 200 * time.Millisecond
 	overdueSlack  = 30 * time.Millisecond
-	slowFor       = 250 * time.Millisecond // in which a request's rest is awaited while descriptors are short
-	lastPatience  = 500 * time.Millisecond // for the rest of a message once the router stops
-	badLogged     = 100                    // of so many bad requests one is logged
-	maxPeeks      = 16                     // connections that are looked at to give one up
+	slowFor       = 250 * time.Millisecond  // in which a request's rest is awaited while descriptors are short
+	lastPatience  = 1500 * time.Millisecond // for the rest of a head once the router stops
+	badLogged     = 100                     // of so many bad requests one is logged
+	maxPeeks      = 16                      // connections that are looked at to give one up
 	lingerFor     = 200 * time.Millisecond
 	lingerMost    = 1 << 20
 	drainFor      = 2 * time.Second // for the rest of a body that was refused by its length
@@ -93,7 +97,8 @@
 // admit starts a connection. Over the limit the one that has been idle for longest goes; if none is, this one is
 // turned away as soon as its request has come, for the machine has accepted it already.
 func (s *Clients) admit(c net.Conn) {
-	conn := &clientConn{Conn: c, side: s, r: bufio.NewReaderSize(c, maxHead), arrived: make(chan arrival),
+	in := &timedReader{Conn: c}
+	conn := &clientConn{Conn: c, side: s, in: in, r: bufio.NewReaderSize(in, maxHead), arrived: make(chan arrival),
 		resume: make(chan struct{}), gone: make(chan struct{}), since: time.Now(), accepted: time.Now()}
 	s.mu.Lock()
 	s.open[conn] = struct{}{}
--- a/internal/wire/clientconn.go
+++ b/internal/wire/clientconn.go
@@ -14,6 +14,20 @@
 	"cedarmast/internal/exchange"
 )
 
+// timedReader reads a connection and notes when bytes came last.
+type timedReader struct {
+	net.Conn
+	last time.Time
+}
+
+func (t *timedReader) Read(p []byte) (int, error) {
+	n, err := t.Conn.Read(p)
+	if n > 0 {
+		t.last = time.Now()
+	}
+	return n, err
+}
+
 // arrival says that the next request's first byte has come, or why none will.
 type arrival struct {
 	at  time.Time
@@ -25,6 +39,7 @@
 type clientConn struct {
 	net.Conn
 	side    *Clients
+	in      *timedReader
 	r       *bufio.Reader
 	arrived chan arrival
 	resume  chan struct{} // the watcher may read again
@@ -35,6 +50,8 @@
 	coming   int64     // serve's: the bytes of a body that was refused by its length
 	writing  bool      // serve's: an answer has been begun
 	answered bool      // serve's: a request has been
+	held     []func()  // serve's: give back what the body in hand has of the budget
+	old      bool      // serve's: the client speaks HTTP/1.0 and knows no chunks
 	turnAway bool
 	// Under side.mu:
 	phase phase
@@ -212,14 +229,11 @@
 
 // one reads a request and sees to its answer; false ends the connection.
 func (c *clientConn) one(a arrival) bool {
-	until := time.Now().Add(readPatience)
-	if !c.answered {
-		until = c.accepted.Add(readPatience)
-	}
+	patience := headPatience
 	if c.side.closing.Load() {
-		until = time.Now().Add(lastPatience)
+		patience = lastPatience
 	}
-	c.SetReadDeadline(until)
+	c.SetReadDeadline(time.Now().Add(patience))
 	req, request, err := c.read(a.at)
 	if err != nil {
 		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) ||
@@ -235,7 +249,11 @@
 	if !c.enter(inHand) {
 		return false
 	}
+	if c.held != nil {
+		defer c.letBody()
+	}
 	last := req.Close
+	c.old = !req.ProtoAtLeast(1, 1)
 	if isOwn(req) {
 		return c.own(req, last)
 	}
--- a/internal/wire/head.go
+++ b/internal/wire/head.go
@@ -26,6 +26,7 @@
 type framing struct {
 	length  int64 // -1 if it says none
 	chunked bool
+	closes  bool // the connection ends with the message
 }
 
 // awaitHead waits until the buffer holds a whole head and returns it where it lies, valid until the next read. So many
@@ -100,6 +101,10 @@
 			met = append(met, key)
 		}
 		switch key {
+		case "Connection":
+			for word := range bytes.SplitSeq(value, []byte(",")) {
+				f.closes = f.closes || bytes.EqualFold(bytes.TrimSpace(word), []byte("close"))
+			}
 		case "Content-Length":
 			n, ok := parseLength(value)
 			if !ok || f.length >= 0 || f.chunked {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -28,8 +28,9 @@
 
 const (
 	maxHead = 8 << 10  // bytes of a message's head; the size of each connection's read buffer
-	maxBody = 64 << 10 // of its body
-	maxLong = 1 << 20  // of an answer's body, where the budget for long ones has room
+	maxBody = 64 << 10 // of its body, where it is held whole
+	maxHeld = 1 << 20  // of a request's body that is held whole, where the budget for long ones has room
+	maxLong = 64 << 20 // of a body that is passed on as it comes
 )
 
 // Errors of a message that breaks a bound.
--- a/internal/wire/request.go
+++ b/internal/wire/request.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return nil, q, err
 	}
-	if frame.length > maxBody {
+	if frame.length > maxBody && (c.side.Long == nil || frame.length > maxHeld) {
 		c.coming = frame.length
 		return nil, q, ErrBodyTooLarge
 	}
@@ -78,15 +78,68 @@
 			return nil, q, err
 		}
 	}
-	if q.Body, err = readBody(req.Body, req.ContentLength, maxBody); err != nil {
-		return nil, q, err
+	if frame.chunked || frame.length > 0 {
+		if q.Body, err = c.readBody(req.Body, req.ContentLength); err != nil {
+			c.letBody()
+			return nil, q, err
+		}
+	}
+	if c.in.last.After(q.Arrived) { // a request's time counts from its last byte
+		q.Arrived = c.in.last
 	}
 	if c.r.Buffered() > 0 { // clients send one request at a time: this one's length is wrong, or it is no usual client
+		c.letBody()
 		return nil, q, errMore
 	}
 	return req, q, nil
 }
 
+// readBody reads a body at its client's pace, as long as that is no less than it must be. Past the usual bound its bytes
+// are taken from the budget.
+func (c *clientConn) readBody(body io.Reader, length int64) ([]byte, error) {
+	if length > 0 && length <= maxBody {
+		c.SetReadDeadline(time.Now().Add(bodyPatience + time.Duration(float64(length)/bodyRate*float64(time.Second))))
+		return readBody(body, length, maxBody)
+	}
+	begun := time.Now()
+	var text []byte
+	for {
+		if len(text) == cap(text) {
+			if len(text) >= maxBody {
+				if c.side.Long == nil || len(text) >= maxHeld {
+					return nil, ErrBodyTooLarge
+				}
+				let, ok := c.side.Long.Take(int64(cap(text)))
+				if !ok {
+					return nil, errNoRoom
+				}
+				c.held = append(c.held, let)
+			}
+			text = append(make([]byte, 0, max(2*cap(text), maxHead)), text...)
+		}
+		c.SetReadDeadline(begun.Add(bodyPatience + time.Duration(float64(len(text))/bodyRate*float64(time.Second))))
+		n, err := body.Read(text[len(text):cap(text)])
+		text = text[:len(text)+n]
+		if err == io.EOF {
+			return text, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// letBody gives back what the body in hand has of the budget.
+func (c *clientConn) letBody() {
+	for _, let := range c.held {
+		let()
+	}
+	c.held = nil
+}
+
+// errNoRoom is the answer to a long request while others fill the memory that there is for them.
+var errNoRoom = badRequest{http.StatusServiceUnavailable, "too many long requests at once"}
+
 // errMore is the fault of a client that sends on before it is answered.
 var errMore = badRequest{http.StatusBadRequest, "more than one request at a time"}
 
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -21,7 +21,6 @@
 	Pool           *exchange.Pool
 	Counts         *exchange.Counters
 	ConnectTimeout time.Duration
-	Long           *exchange.Budget        // of answers over the usual bound; nil: none is taken
 	Careful        func(class string) bool // of what may not run twice at will; nil: of nothing
 
 	// Dial opens a connection; nil means TCP.
@@ -65,8 +64,12 @@
 func reply(got answer) exchange.Reply {
 	switch {
 	case got.status == http.StatusOK:
-		return exchange.Reply{Result: balance.OK, Header: got.header, Body: got.body, Release: got.release,
+		r := exchange.Reply{Result: balance.OK, Header: got.header, Body: got.body,
 			Fetching: got.header.Get(headerLookup) == "pending"}
+		if got.rest != nil {
+			r.Rest, r.Length = got.rest, got.length
+		}
+		return r
 	}
 	got.let()
 	switch {
@@ -141,6 +144,15 @@
 	}
 	s.Pool.Heard(a.Server, time.Now())
 	s.Pool.Used(idle, true)
+	if got.rest != nil {
+		if !whole { // its time was up as it began
+			c.Close()
+			got.let()
+			return answer{}, &Failure{Reading, s.cause(a, context.DeadlineExceeded)}
+		}
+		got.rest.own()
+		return got, nil
+	}
 	if whole && got.keep && c.usable() {
 		s.Pool.Put(a.Server, a.Address, c, time.Now())
 		if !c.usable() { // it closed meanwhile, before the pool had it
@@ -248,7 +260,7 @@
 		}
 		return nil, err
 	}
-	return newServerConn(c, a.Server, s.Pool, s.Long), nil
+	return newServerConn(c, a.Server, a.Address, s.Pool), nil
 }
 
 // ended is the cause where an attempt's own end came while there was no connection yet: the server has no part in it.
