--- a/balance/health.go
+++ b/balance/health.go
@@ -18,7 +18,7 @@
 			s.latency += time.Duration(smoothing * float64(took-s.latency))
 		}
 		if !s.isOrigin {
-			b.answers.add(b.now, 2*b.set.OverloadFor)
+			b.answers.add(b.now, 2*b.set.OverloadFor, 1/b.ready(&b.pool))
 			b.erring -= smoothing / 4 * b.erring
 		}
 		if result == OK && !s.isOrigin { // more slowly: it is what time-outs go by
@@ -189,15 +189,16 @@
 	return min(max(b.set.ColdFrom+(1-b.set.ColdFrom)*risen, b.set.ColdFrom), 1)
 }
 
-// budgeted keeps a cold server to its warm share of the mean cache's answers to this router; with nothing to
+// budgeted keeps a cold server to its warm share of a warm cache's answers to this router; with nothing to
 // go by all routers send one an aim. Where a token saved at each is too much, the share is drawn as well.
 func (b *Balancer) budgeted(s *server) bool {
 	warm := b.warmth(s)
 	if warm >= 1 {
 		return true
 	}
-	part := warm * math.Sqrt(max(b.set.OverloadFactor, 1)) // half the way to the fall, for uneven routers
-	rate := part * b.answers.rate(b.now, 2*b.set.OverloadFor) * s.Weight / s.share.weight
+	half := math.Sqrt(max(b.set.OverloadFactor, 1)) // the way to the fall, for uneven routers and cold means
+	part, ready := warm*half, max(b.ready(s.share), s.share.weight/half)
+	rate := part * b.answers.rate(b.now, 2*b.set.OverloadFor) * s.Weight * b.ready(&b.pool) / ready
 	if rate == 0 {
 		rate = b.share() / b.aim.Seconds()
 	}
--- a/balance/load.go
+++ b/balance/load.go
@@ -28,7 +28,7 @@
 	if own < 0 {
 		return false
 	}
-	rate, allowance := b.shares[own].add(b.now, span), b.set.Tenants[own].AllowancePerS
+	rate, allowance := b.shares[own].add(b.now, span, 1), b.set.Tenants[own].AllowancePerS
 	if !b.lone() || allowed == 0 {
 		return rate > allowance*b.share()
 	}
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -303,6 +304,49 @@
 	}
 }
 
+// Where most servers are cold at once, each has its share of what a warm one answers, not of a mean that the cold ones pull
+// down: the fewer answers they got the smaller their budgets were, while the warm ones refused what they could not take.
+// And it has no more than that: what the warm ones answer is what a warm server stands.
+func TestManyColdServersHaveTheirShare(t *testing.T) {
+	g := newRig(t, testSettings())
+	g.caches(2)
+	n, sent := 0, map[ServerID]int{}
+	step := func(d time.Duration) {
+		for end := g.now.Add(d); g.now < end; g.run(10 * time.Millisecond) {
+			n++
+			id := fmt.Sprint(n)
+			g.give(Request{ID: RequestID(id), Class: "read", Key: uint64(n), HasKey: true, Due: g.now + 1000*ms})
+			if tries := g.tries[RequestID(id)]; len(tries) > 0 {
+				sent[tries[0]]++
+				g.answer(id, OK)
+			}
+		}
+	}
+	step(5 * time.Second)
+	list := List{Kind: Partial}
+	for i := range 6 {
+		list.Entries = append(list.Entries, Entry{Server: ServerID(fmt.Sprint("cold", i)), Weight: 1, Started: g.now})
+	}
+	g.give(list)
+	step(500 * time.Millisecond)
+	clear(sent)
+	step(2 * time.Second)
+	cold, warm := 0, 0
+	for server, n := range sent {
+		if strings.HasPrefix(string(server), "cold") {
+			cold += n
+		} else {
+			warm += n
+		}
+	}
+	// Warm at a quarter to a third, times the root of 3, they stand for two to three and a half warm ones beside the two. By the
+	// mean of all eight they had a third.
+	part := float64(cold) / float64(cold+warm)
+	if part < 0.45 || part > 0.75 {
+		t.Errorf("%d requests at six cold servers, %d at two warm ones: %.2f", cold, warm, part)
+	}
+}
+
 // FuzzRules drives random events, with every outcome the wire has, and checks rules 1 to 3 after each batch.
 func FuzzRules(f *testing.F) {
 	for seed := range uint64(60) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -37,7 +37,7 @@
 	lastAnswer       Time              // of any cache
 	unanswered       int               // attempts since then that went badly
 	sightings        []sighting        // not told to other routers yet
-	answers          meter             // of the caches
+	answers          meter             // of the caches, for each weight of 1 that was warm as they came
 	shares           []meter           // what each tenant has asked for
 	erring           float64           // smoothed share of errors among the caches' answers
 	gate, originGate gate
@@ -79,7 +79,9 @@
 // pool is caches whose load is compared: all of them, or with tiers those of a zone.
 type pool struct {
 	weight float64 // of those that are up
-	out    int     // attempts in flight, to others that are known as well
+	warm   float64 // of them, by their warmth; 0: to be summed up
+	warmAt Time
+	out    int // attempts in flight, to others that are known as well
 	held   usage
 }
 
@@ -103,9 +105,9 @@
 	at    Time
 }
 
-// add counts one more and returns the rate.
-func (m *meter) add(now Time, span time.Duration) float64 {
-	m.count, m.at = m.rate(now, span)*span.Seconds()+1, now
+// add counts so many more and returns the rate.
+func (m *meter) add(now Time, span time.Duration, n float64) float64 {
+	m.count, m.at = m.rate(now, span)*span.Seconds()+n, now
 	return m.rate(now, span)
 }
 
@@ -356,6 +358,20 @@
 	return u.seconds
 }
 
+// ready is the weight of a pool's caches by their warmth: what its answers are shared out over. It is summed up anew at
+// most once in a sixteenth of an aim.
+func (b *Balancer) ready(p *pool) float64 {
+	if p.warm == 0 || b.now.Sub(p.warmAt) >= b.aim/recheck {
+		p.warm, p.warmAt = 0, b.now
+		for _, s := range b.caches {
+			if p == &b.pool || s.share == p {
+				p.warm += s.Weight * b.warmth(s)
+			}
+		}
+	}
+	return max(p.warm, 1e-9)
+}
+
 // share is this router's part of what all routers do, as far as it can know.
 func (b *Balancer) share() float64 { return 1 / float64(max(b.set.Routers, 1)) }
 
@@ -386,7 +402,7 @@
 		}
 		s.Entry, s.hash, s.isOrigin = e, hashID(e.Server), b.set.OriginKind != "" && e.Kind == b.set.OriginKind
 	}
-	b.origin, b.caches, b.weight, b.out, b.byHash = nil, nil, 0, 0, map[uint32]*server{}
+	b.origin, b.caches, b.weight, b.warm, b.out, b.byHash = nil, nil, 0, 0, 0, map[uint32]*server{}
 	old := b.pools
 	b.pools = map[string]*pool{}
 	weights := map[ServerID]float64{}
