--- a/internal/wire/answer.go
+++ b/internal/wire/answer.go
@@ -46,6 +46,9 @@
 	if status == http.StatusMethodNotAllowed {
 		header["Allow"] = []string{"GET, PUT"}
 	}
+	if status == http.StatusServiceUnavailable {
+		header["Retry-After"] = retryAfter(comeAgainAfter)["Retry-After"]
+	}
 	c.write(status, header, []byte(err.Error()+"\n"), true)
 	c.linger()
 	return false
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -41,30 +41,31 @@
 }
 
 const (
-	headPatience  = 2500 * time.Millisecond // for the rest of a head whose first byte has come
-	bodyPatience  = 2 * time.Second         // for a body, and by its length on top
-	bodyRate      = 32 << 10                // bytes a second that a body must keep up, half of what the slowest clients do
-	writePatience = 5 * time.Second         // for a client to take an answer
-	partPatience  = 10 * time.Second        // to take a part of a long one
-	idlePatience  = 20 * time.Second        // for a client's next request
-	leastIdle     = 2 * time.Second         // a client may count on so much
-	hardlyIdle    = 50 * time.Millisecond   // but for this little while a request would be turned away
-	freshPatience = 2 * time.Second         // for a new connection's first byte
-	freshFor      = 100 * time.Millisecond  // the same while descriptors are short: who connects has a request to send
-	turnAwayFor   = time.Second             // for the request of one that is turned away
-	graceForFirst = 200 * time.Millisecond
-	overdueSlack  = 30 * time.Millisecond
-	slowFor       = 250 * time.Millisecond  // in which a request's rest is awaited while descriptors are short
-	lastPatience  = 1500 * time.Millisecond // for the rest of a head once the router stops
-	badLogged     = 100                     // of so many bad requests one is logged
-	maxPeeks      = 16                      // connections that are looked at to give one up
-	lingerFor     = 200 * time.Millisecond
-	lingerMost    = 1 << 20
-	drainFor      = 2 * time.Second // for the rest of a body that was refused by its length
-	drainMost     = 64 << 20
-	maxDrains     = 4 // at once; the others get the short way
-	idlePart      = 3 // of Most, that idle connections may be
-	turnAwayPart  = 8 // connections over Most, as a part of it, that are kept open to be turned away
+	headPatience   = 2500 * time.Millisecond // for the rest of a head whose first byte has come
+	bodyPatience   = 2 * time.Second         // for a body, and by its length on top
+	bodyRate       = 32 << 10                // bytes a second that a body must keep up, half of what the slowest clients do
+	writePatience  = 5 * time.Second         // for a client to take an answer
+	partPatience   = 10 * time.Second        // to take a part of a long one
+	idlePatience   = 20 * time.Second        // for a client's next request
+	leastIdle      = 2 * time.Second         // a client may count on so much
+	hardlyIdle     = 50 * time.Millisecond   // but for this little while a request would be turned away
+	freshPatience  = 2 * time.Second         // for a new connection's first byte
+	freshFor       = 100 * time.Millisecond  // the same while descriptors are short: who connects has a request to send
+	turnAwayFor    = time.Second             // for the request of one that is turned away
+	graceForFirst  = 200 * time.Millisecond
+	overdueSlack   = 30 * time.Millisecond
+	slowFor        = 250 * time.Millisecond  // in which a request's rest is awaited while descriptors are short
+	lastPatience   = 1500 * time.Millisecond // for the rest of a head once the router stops
+	badLogged      = 100                     // of so many bad requests one is logged
+	maxPeeks       = 16                      // connections that are looked at to give one up
+	lingerFor      = 200 * time.Millisecond
+	lingerMost     = 1 << 20
+	drainFor       = 2 * time.Second // for the rest of a body that was refused by its length
+	drainMost      = 64 << 20
+	maxDrains      = 4                      // at once; the others get the short way
+	comeAgainAfter = 100 * time.Millisecond // what one that is turned away for want of room is told
+	idlePart       = 3                      // of Most, that idle connections may be
+	turnAwayPart   = 8                      // connections over Most, as a part of it, that are kept open to be turned away
 )
 
 // NewClients returns a client side that is not ready yet.
--- a/internal/wire/clientconn.go
+++ b/internal/wire/clientconn.go
@@ -267,7 +267,7 @@
 	}
 	if c.turnAway {
 		c.side.Counts.Refused.Add(1)
-		return c.write(http.StatusServiceUnavailable, retryAfter(100*time.Millisecond), nil, true)
+		return c.write(http.StatusServiceUnavailable, retryAfter(comeAgainAfter), nil, true)
 	}
 	return c.exchange(exchange.New(request), last)
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -29,7 +29,7 @@
 const (
 	maxHead = 8 << 10  // bytes of a message's head; the size of each connection's read buffer
 	maxBody = 64 << 10 // of its body, where it is held whole
-	maxHeld = 1 << 20  // of a request's body that is held whole, where the budget for long ones has room
+	maxHeld = 32 << 20 // of a request's body, which is held whole where the budget for long ones has room
 	maxLong = 64 << 20 // of a body that is passed on as it comes
 )
 
--- a/internal/wire/request.go
+++ b/internal/wire/request.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return nil, q, err
 	}
-	if frame.length > maxBody && (c.side.Long == nil || frame.length > maxHeld) {
+	if frame.length > maxBody && frame.length > c.side.longest() {
 		c.coming = frame.length
 		return nil, q, ErrBodyTooLarge
 	}
@@ -105,17 +105,21 @@
 	var text []byte
 	for {
 		if len(text) == cap(text) {
+			grown := max(2*cap(text), maxHead)
+			if length > int64(len(text)) {
+				grown = int(min(int64(grown), length+1)) // one more, for its end to be read
+			}
 			if len(text) >= maxBody {
-				if c.side.Long == nil || len(text) >= maxHeld {
+				if int64(len(text)) >= c.side.longest() {
 					return nil, ErrBodyTooLarge
 				}
-				let, ok := c.side.Long.Take(int64(cap(text)))
+				let, ok := c.side.Long.Take(int64(grown - cap(text)))
 				if !ok {
 					return nil, errNoRoom
 				}
 				c.held = append(c.held, let)
 			}
-			text = append(make([]byte, 0, max(2*cap(text), maxHead)), text...)
+			text = append(make([]byte, 0, grown), text...)
 		}
 		c.SetReadDeadline(begun.Add(bodyPatience + time.Duration(float64(len(text))/bodyRate*float64(time.Second))))
 		n, err := body.Read(text[len(text):cap(text)])
@@ -129,6 +133,14 @@
 	}
 }
 
+// longest is the longest body that is taken, by the bound and by the memory for long ones.
+func (s *Clients) longest() int64 {
+	if s.Long == nil {
+		return maxBody
+	}
+	return max(min(maxHeld, s.Long.Most()), maxBody)
+}
+
 // letBody gives back what the body in hand has of the budget.
 func (c *clientConn) letBody() {
 	for _, let := range c.held {
