--- a/internal/daemon/replace.go
+++ b/internal/daemon/replace.go
@@ -76,12 +76,14 @@
 		r.peer = nil
 	}
 	ending, first := r.ending, r.waiting == nil
+	if !ending {
+		r.setPaired(false) // before another successor is heard: it is to find and keep its half
+	}
 	r.mu.Unlock()
 	if ending {
 		return
 	}
 	r.log.Info("the other process has gone; all limits are this one's")
-	r.setPaired(false)
 	if first {
 		r.awaitSuccessors()
 	}
