--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,5 +1,4 @@
-// The types, events and actions of this package are in api.go, state and plumbing in state.go. The decisions
-// are here (the way of a request), in health.go (health, budgets), load.go (load) and table.go (the table).
+// The way of a request. health.go decides on health and budgets, load.go on load, table.go on the table.
 
 package balance
 
@@ -100,8 +99,7 @@
 // crowded, of more for a hot key, which a thin router, blind to what the caches hold, spreads at random.
 func (b *Balancer) draw(r *request, zone string) *server {
 	var best *server
-	seen := map[*server]bool{}
-	hash := r.hash
+	seen, hash := map[*server]bool{}, r.hash
 	for skip := b.rng.IntN(r.spread + 1); skip > 0 && b.thin() && len(r.attempts) == 0; skip-- {
 		hash = mix(hash)
 	}
--- a/balance/health.go
+++ b/balance/health.go
@@ -201,6 +201,10 @@
 	rate := part * b.answers.rate(b.now, 2*b.set.OverloadFor) * s.Weight * b.ready(&b.pool) / ready
 	if rate == 0 {
 		rate = b.share() / b.aim.Seconds()
+	} else if b.thin() && !b.lone() { // to save a token takes longer than the server is cold: looks are drawn
+		seen := max(b.looked.rate(b.now, b.set.OverloadFor/2)*s.Weight, 0.25/b.set.OverloadFor.Seconds())
+		b.looked.add(b.now, b.set.OverloadFor/2, 1/max(b.cold, s.Weight))
+		return b.rng.Float64() < min(part, rate/seen)
 	}
 	s.tokens = min(s.tokens+rate*b.now.Sub(s.filled).Seconds(), max(1, rate*b.set.OverloadFor.Seconds()/2))
 	s.filled = b.now
--- a/balance/load.go
+++ b/balance/load.go
@@ -5,9 +5,7 @@
 // start sets what is taken for true before anything was seen.
 func (b *Balancer) start() {
 	b.gate, b.originGate = gate{open: 1}, gate{open: 1}
-	b.retries = retryBurst * b.share()
-	b.taking = b.aim / 4
-	b.latency = b.aim / 4 // a fresh router that takes slow work for silence ejects the fleet
+	b.retries, b.taking, b.latency = retryBurst*b.share(), b.aim/4, b.aim/4 // less: slow work passes for silence
 }
 
 // overShare counts a tenant's request and tells whether it is over the tenant's share: over its allowance
--- a/balance/scale_test.go
+++ b/balance/scale_test.go
@@ -331,3 +331,60 @@
 		g.b.Handle(g.now, []Event{Outcome{ID: id, Result: OK, Done: true}})
 	}
 }
+
+// Rule 4, and service: hundreds of routers that see a cache once in ten seconds can't save up a token each before it is warm. While
+// half of a fleet was replaced none of them sent the new caches anything for five seconds, and the old ones were jammed. Together they
+// are to send a cold cache a part of its share from the first second on, and no more of it while they ask ten times as often.
+func TestHundredsOfRoutersUseColdCachesAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		every time.Duration // between a router's requests, once the caches are listed
+	}{{"usual", 50 * time.Millisecond}, {"ten times", 5 * time.Millisecond}} {
+		t.Run(c.name, func(t *testing.T) {
+			set := thinSettings()
+			set.ColdFrom, set.OverloadFactor, set.OverloadFor, set.Ramp = 0.25, 4, 2*time.Second, 17*time.Second
+			const routers, warm, cold = 60, 60, 30
+			sent, asked := 0, 0
+			for i := range routers {
+				g := newRig(t, set)
+				g.b = New(set, uint64(i))
+				one := func(every time.Duration) {
+					asked++
+					id := fmt.Sprint(asked)
+					g.askKey(id, mix(uint64(asked)))
+					for _, to := range g.tries[RequestID(id)] {
+						if to[0] == 'n' {
+							sent++
+						}
+					}
+					g.run(every)
+					if to := g.tries[RequestID(id)]; len(to) > 0 { // the caches answer no more than usual
+						result := OK
+						if every < 50*time.Millisecond && asked%10 > 0 {
+							result = Full
+						}
+						g.give(Outcome{ID: RequestID(id), Attempt: len(to) - 1, Server: to[len(to)-1], Result: result, Done: true})
+					}
+				}
+				g.caches(warm)
+				for range 100 {
+					one(50 * time.Millisecond)
+				}
+				l := List{Kind: Partial}
+				for n := range cold {
+					l.Entries = append(l.Entries, Entry{Server: ServerID(fmt.Sprint("n", n)), Weight: 1, Started: g.now})
+				}
+				g.give(l)
+				for range 2 * time.Second / c.every {
+					one(c.every)
+				}
+			}
+			// A warm cache had 40 of the usual requests in two seconds. A quarter of it is what a cold one can do, if that was
+			// all that the warm one could; the multiple of that it must not get, and a part of it should come at once.
+			can := 40.0 * routers / warm * set.ColdFrom // in those two seconds
+			if got := float64(sent) / cold; got < can/2 || got > can*set.OverloadFactor {
+				t.Errorf("a cold cache got %.1f attempts in two seconds, of which it can serve %.1f", got, can)
+			}
+		})
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -38,6 +38,7 @@
 	unanswered       int               // attempts since then that went badly
 	sightings        []sighting        // not told to other routers yet
 	answers          meter             // of the caches, for each weight of 1 that was warm as they came
+	looked           meter             // how often a thin router has looked at a cold cache, for each weight of 1 that is cold
 	shares           []meter           // what each tenant has asked for
 	erring           float64           // smoothed share of errors among the caches' answers
 	gate, originGate gate
@@ -80,6 +81,7 @@
 type pool struct {
 	weight float64 // of those that are up
 	warm   float64 // of them, by their warmth; 0: to be summed up
+	cold   float64 // of them, that are not warm yet; summed up with warm
 	warmAt Time
 	out    int // attempts in flight, to others that are known as well
 	held   usage
@@ -366,10 +368,13 @@
 // most once in a sixteenth of an aim.
 func (b *Balancer) ready(p *pool) float64 {
 	if p.warm == 0 || b.now.Sub(p.warmAt) >= b.aim/recheck {
-		p.warm, p.warmAt = 0, b.now
+		p.warm, p.cold, p.warmAt = 0, 0, b.now
 		for _, s := range b.caches {
 			if p == &b.pool || s.share == p {
-				p.warm += s.Weight * b.warmth(s)
+				warm := b.warmth(s)
+				if p.warm += s.Weight * warm; warm < 1 {
+					p.cold += s.Weight
+				}
 			}
 		}
 	}
