--- a/scripts/standing.sh
+++ b/scripts/standing.sh
@@ -28,4 +28,8 @@
 	tee "$place/out" || true
 cp -rn "$place/clone/journal/." journal/
 git add journal
+if ! grep -q '^GATE ' "$place/out"; then
+	echo "no verdict: the test was not played to its end"
+	exit 1
+fi
 grep -q '^GATE passed' "$place/out"
