--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"cedarmast/internal/rehearse"
+	"cedarmast/internal/kit/rehearse"
 )
 
 func main() { os.Exit(rehearse.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/internal/ledger/ledger.go
+++ b/internal/kit/ledger/ledger.go
@@ -9,7 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"cedarmast/internal/scenario"
+	"cedarmast/internal/kit/scenario"
 )
 
 // slack is what a limit in time has on sockets beyond its own span.
--- a/internal/ledger/ledger_test.go
+++ b/internal/kit/ledger/ledger_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"cedarmast/internal/scenario"
+	"cedarmast/internal/kit/scenario"
 )
 
 const ms = time.Millisecond
--- a/internal/ledger/report.go
+++ b/internal/kit/ledger/report.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"cedarmast/internal/scenario"
+	"cedarmast/internal/kit/scenario"
 )
 
 // Report is a day's result. The keys of its JSON do not change; new ones may come.
--- a/internal/model/asks.go
+++ b/internal/kit/model/asks.go
@@ -7,7 +7,7 @@
 	"sort"
 	"time"
 
-	"cedarmast/internal/scenario"
+	"cedarmast/internal/kit/scenario"
 )
 
 // Ask is what a client wants: one or several tries at one request.
--- a/internal/model/database.go
+++ b/internal/kit/model/database.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"cedarmast/internal/scenario"
+	"cedarmast/internal/kit/scenario"
 )
 
 // database is what stands behind the nodes: workers, a queue, and a stall when it is asked for too much for too long.
--- a/internal/model/model_test.go
+++ b/internal/kit/model/model_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"cedarmast/internal/ledger"
-	"cedarmast/internal/scenario"
+	"cedarmast/internal/kit/ledger"
+	"cedarmast/internal/kit/scenario"
 )
 
 // virtual is a host in virtual time: its one router sends each request to a node that a test chooses, and passes on what
--- a/internal/model/node.go
+++ b/internal/kit/model/node.go
@@ -6,7 +6,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"cedarmast/internal/scenario"
+	"cedarmast/internal/kit/scenario"
 )
 
 // Status is an answer's, as HTTP has it.
--- a/internal/model/registry.go
+++ b/internal/kit/model/registry.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"cedarmast/internal/scenario"
+	"cedarmast/internal/kit/scenario"
 )
 
 // Entry is what discovery says of a node.
--- a/internal/model/trouble.go
+++ b/internal/kit/model/trouble.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"cedarmast/internal/scenario"
+	"cedarmast/internal/kit/scenario"
 )
 
 // struck draws the nodes that a trouble strikes; the same for each seed.
--- a/internal/model/world.go
+++ b/internal/kit/model/world.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
-	"cedarmast/internal/ledger"
-	"cedarmast/internal/scenario"
+	"cedarmast/internal/kit/ledger"
+	"cedarmast/internal/kit/scenario"
 )
 
 // Host does what the model asks for, on sockets or in virtual time. It calls back on the goroutine that runs the queue.
--- a/internal/rehearse/compare.go
+++ b/internal/kit/rehearse/compare.go
@@ -10,11 +10,11 @@
 
 	"gonum.org/v1/gonum/stat"
 
-	"cedarmast/internal/baseline"
-	"cedarmast/internal/ledger"
-	"cedarmast/internal/rig"
-	"cedarmast/internal/scenario"
-	"cedarmast/internal/virtual"
+	"cedarmast/internal/kit/baseline"
+	"cedarmast/internal/kit/ledger"
+	"cedarmast/internal/kit/rig"
+	"cedarmast/internal/kit/scenario"
+	"cedarmast/internal/kit/virtual"
 )
 
 type compareCmd struct {
--- a/internal/rehearse/html.go
+++ b/internal/kit/rehearse/html.go
@@ -8,7 +8,7 @@
 	"slices"
 	"strings"
 
-	"cedarmast/internal/ledger"
+	"cedarmast/internal/kit/ledger"
 )
 
 //go:embed page.html.tmpl
--- a/internal/rehearse/hunt.go
+++ b/internal/kit/rehearse/hunt.go
@@ -15,10 +15,10 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"cedarmast/internal/ledger"
-	"cedarmast/internal/model"
-	"cedarmast/internal/scenario"
-	"cedarmast/internal/virtual"
+	"cedarmast/internal/kit/ledger"
+	"cedarmast/internal/kit/model"
+	"cedarmast/internal/kit/scenario"
+	"cedarmast/internal/kit/virtual"
 )
 
 type huntCmd struct {
--- a/internal/rehearse/rehearse.go
+++ b/internal/kit/rehearse/rehearse.go
@@ -18,14 +18,14 @@
 
 	"github.com/alecthomas/kong"
 
-	"cedarmast/internal/baseline"
 	"cedarmast/internal/build"
 	"cedarmast/internal/daemon"
-	"cedarmast/internal/faulty"
-	"cedarmast/internal/ledger"
-	"cedarmast/internal/rig"
-	"cedarmast/internal/scenario"
-	"cedarmast/internal/virtual"
+	"cedarmast/internal/kit/baseline"
+	"cedarmast/internal/kit/faulty"
+	"cedarmast/internal/kit/ledger"
+	"cedarmast/internal/kit/rig"
+	"cedarmast/internal/kit/scenario"
+	"cedarmast/internal/kit/virtual"
 )
 
 // The statuses to exit with.
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/kit/rehearse/rehearse_test.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"cedarmast/internal/daemon"
-	"cedarmast/internal/ledger"
-	"cedarmast/internal/rig"
-	"cedarmast/internal/scenario"
+	"cedarmast/internal/kit/ledger"
+	"cedarmast/internal/kit/rig"
+	"cedarmast/internal/kit/scenario"
 )
 
 // The test binary is the kit itself, and the routers that it starts, when it is called as such.
--- a/internal/rehearse/selftest.go
+++ b/internal/kit/rehearse/selftest.go
@@ -7,10 +7,10 @@
 	"sync"
 	"text/tabwriter"
 
-	"cedarmast/internal/faulty"
-	"cedarmast/internal/ledger"
-	"cedarmast/internal/rig"
-	"cedarmast/internal/scenario"
+	"cedarmast/internal/kit/faulty"
+	"cedarmast/internal/kit/ledger"
+	"cedarmast/internal/kit/rig"
+	"cedarmast/internal/kit/scenario"
 )
 
 type selftestCmd struct {
--- a/internal/rehearse/show.go
+++ b/internal/kit/rehearse/show.go
@@ -10,8 +10,8 @@
 	"text/tabwriter"
 	"time"
 
-	"cedarmast/internal/ledger"
-	"cedarmast/internal/scenario"
+	"cedarmast/internal/kit/ledger"
+	"cedarmast/internal/kit/scenario"
 )
 
 // progress tells how far a day is: a line that is written over on a terminal, plain lines elsewhere.
--- a/internal/rehearse/sweep.go
+++ b/internal/kit/rehearse/sweep.go
@@ -23,10 +23,10 @@
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"cedarmast/internal/baseline"
 	"cedarmast/internal/build"
-	"cedarmast/internal/scenario"
-	"cedarmast/internal/virtual"
+	"cedarmast/internal/kit/baseline"
+	"cedarmast/internal/kit/scenario"
+	"cedarmast/internal/kit/virtual"
 )
 
 type sweepCmd struct {
--- a/internal/rig/agent.go
+++ b/internal/kit/rig/agent.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"cedarmast/internal/model"
+	"cedarmast/internal/kit/model"
 )
 
 // agent is discovery on one router's machine.
--- a/internal/rig/beliefs.go
+++ b/internal/kit/rig/beliefs.go
@@ -6,7 +6,7 @@
 	"syscall"
 	"time"
 
-	"cedarmast/internal/ledger"
+	"cedarmast/internal/kit/ledger"
 )
 
 // askBeliefs has each router say once a second what its decisions hold of the nodes. A router of another make says
--- a/internal/rig/clients.go
+++ b/internal/kit/rig/clients.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
-	"cedarmast/internal/ledger"
-	"cedarmast/internal/model"
+	"cedarmast/internal/kit/ledger"
+	"cedarmast/internal/kit/model"
 	"cedarmast/internal/socket"
 )
 
--- a/internal/rig/port.go
+++ b/internal/kit/rig/port.go
@@ -13,7 +13,7 @@
 	"syscall"
 	"time"
 
-	"cedarmast/internal/model"
+	"cedarmast/internal/kit/model"
 )
 
 // port is where one router reaches one node: its own listener, so that a node can be silent towards one router alone.
--- a/internal/rig/port_test.go
+++ b/internal/kit/rig/port_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"cedarmast/internal/model"
-	"cedarmast/internal/scenario"
+	"cedarmast/internal/kit/model"
+	"cedarmast/internal/kit/scenario"
 	"cedarmast/internal/standin"
 )
 
--- a/internal/rig/rig.go
+++ b/internal/kit/rig/rig.go
@@ -19,9 +19,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"cedarmast/internal/ledger"
-	"cedarmast/internal/model"
-	"cedarmast/internal/scenario"
+	"cedarmast/internal/kit/ledger"
+	"cedarmast/internal/kit/model"
+	"cedarmast/internal/kit/scenario"
 )
 
 // Options are what a run is told beside its scenario.
--- a/internal/scenario/scenario_test.go
+++ b/internal/kit/scenario/scenario_test.go
@@ -106,7 +106,7 @@
 // The reference page in the docs is the one that the types make, and has every key.
 func TestReferenceIsUpToDate(t *testing.T) {
 	text := Reference()
-	page, err := os.ReadFile("../../docs/operate/scenario-keys.md")
+	page, err := os.ReadFile("../../../docs/operate/scenario-keys.md")
 	if err != nil || string(page) != text {
 		t.Errorf("docs/operate/scenario-keys.md is not what `rehearse keys` prints (%v)", err)
 	}
--- a/internal/virtual/virtual.go
+++ b/internal/kit/virtual/virtual.go
@@ -18,9 +18,9 @@
 
 	"cedarmast/balance"
 	"cedarmast/internal/exchange"
-	"cedarmast/internal/ledger"
-	"cedarmast/internal/model"
-	"cedarmast/internal/scenario"
+	"cedarmast/internal/kit/ledger"
+	"cedarmast/internal/kit/model"
+	"cedarmast/internal/kit/scenario"
 )
 
 // Options are a run's.
--- a/internal/virtual/virtual_test.go
+++ b/internal/kit/virtual/virtual_test.go
@@ -8,10 +8,10 @@
 	"testing"
 
 	"cedarmast/balance"
-	"cedarmast/internal/baseline"
 	"cedarmast/internal/exchange"
-	"cedarmast/internal/ledger"
-	"cedarmast/internal/scenario"
+	"cedarmast/internal/kit/baseline"
+	"cedarmast/internal/kit/ledger"
+	"cedarmast/internal/kit/scenario"
 )
 
 func play(t *testing.T, name, policy string, seed uint64, sets ...string) *ledger.Report {
