--- a/internal/kit/rig/between.go
+++ b/internal/kit/rig/between.go
@@ -25,12 +25,12 @@
 		return b, nil
 	}
 	for k := range routers {
-		home, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(r.host+":0")))
+		home, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(r.routersHost+":0")))
 		if err != nil {
 			return b, err
 		}
+		defer home.Close() // the router binds it, once all are drawn: no two have the same
 		b.home[k] = home.LocalAddr().(*net.UDPAddr).AddrPort()
-		home.Close() // the router binds it; the address is this run's own
 		b.socks = append(b.socks, make([]*net.UDPConn, routers))
 	}
 	for k := range routers {
--- a/internal/kit/rig/port_test.go
+++ b/internal/kit/rig/port_test.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &Rig{set: s, host: "127.0.0.1", inbox: make(chan posted, 100), start: time.Now()}
+	r := &Rig{set: s, host: "127.0.0.1", routersHost: "127.0.0.2", inbox: make(chan posted, 100), start: time.Now()}
 	r.ctx, r.cancel = context.WithCancel(t.Context())
 	r.world = model.New(s, 1, r)
 	r.background(func() {
--- a/internal/kit/rig/rig.go
+++ b/internal/kit/rig/rig.go
@@ -53,6 +53,10 @@
 	operator string // the operators' file; empty: none
 	host     string // loopback address of this run's own
 
+	// routersHost is another one, at which routers alone bind: a port that one gives back when it dies is free when it
+	// starts again, whatever the rig has opened meanwhile.
+	routersHost string
+
 	start   time.Time // of the day
 	running atomic.Bool
 	inbox   chan posted
@@ -93,7 +97,8 @@
 		}
 	}
 	pid := os.Getpid()
-	r := &Rig{set: s, opt: opt, dir: dir, host: fmt.Sprintf("127.%d.%d.%d", 80+pid>>16&31, pid>>8&255, pid&255),
+	host := func(from int) string { return fmt.Sprintf("127.%d.%d.%d", from+pid>>16&31, pid>>8&255, pid&255) }
+	r := &Rig{set: s, opt: opt, dir: dir, host: host(80), routersHost: host(112),
 		inbox: make(chan posted, 4096), late: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
 		rng: model.Stream(opt.Seed, "host"), beliefs: map[string]map[string][]byte{}}
 	r.ctx, r.cancel = context.WithCancel(ctx)
@@ -179,11 +184,12 @@
 		r.agents = append(r.agents, a)
 	}
 	for k, name := range names {
-		router, err := newRouter(r, k, name)
+		l, err := r.listen(r.routersHost + ":0")
 		if err != nil {
 			return err
 		}
-		r.routers = append(r.routers, router)
+		defer l.Close() // the router binds it, once all are drawn
+		r.routers = append(r.routers, newRouter(r, k, name, l.Addr().String()))
 	}
 	return nil
 }
--- a/internal/kit/rig/router.go
+++ b/internal/kit/rig/router.go
@@ -39,13 +39,8 @@
 	ready   bool // has said so since its start
 }
 
-func newRouter(r *Rig, k int, name string) (*router, error) {
-	l, err := r.listen("")
-	if err != nil {
-		return nil, err
-	}
-	defer l.Close()
-	return &router{rig: r, k: k, name: name, listen: l.Addr().String(), path: filepath.Join(r.dir, name+".json")}, nil
+func newRouter(r *Rig, k int, name, listen string) *router {
+	return &router{rig: r, k: k, name: name, listen: listen, path: filepath.Join(r.dir, name+".json")}
 }
 
 // config is what a router is told at a start. It is called on the model's goroutine.
