--- a/internal/kit/ledger/recovery.go
+++ b/internal/kit/ledger/recovery.go
@@ -142,7 +142,7 @@
 	capacity := float64(l.set.Database.Workers) / l.set.Database.Time.D().Seconds()
 	for _, t := range l.set.Troubles {
 		end := t.At + t.For
-		from := first(l.set.Troubles, t)
+		from := first(l.set, t)
 		began, ended := int(t.At.D()/time.Second), int(end.D()/time.Second)
 		r := TroubleReport{Kind: t.Kind, AtS: t.At.D().Seconds(), EndS: end.D().Seconds()}
 		steady := min(from, steadyFor)
@@ -162,13 +162,14 @@
 	return all
 }
 
-// first is the second in which the first of the troubles begins that t follows on within ten seconds.
-func first(all []scenario.Trouble, t scenario.Trouble) int {
+// first is the second in which the first of the troubles begins that t follows on within ten seconds. What lasts until the day
+// is over is how the day is, and no trouble that the fleet comes back from.
+func first(s *scenario.Scenario, t scenario.Trouble) int {
 	from := t.At
 	for again := true; again; {
 		again = false
-		for _, o := range all {
-			if o.At < from && o.At+o.For+scenario.Duration(steadyFor*time.Second) > from {
+		for _, o := range s.Troubles {
+			if o.At < from && o.At+o.For < s.Length && o.At+o.For+scenario.Duration(steadyFor*time.Second) > from {
 				from, again = o.At, true
 			}
 		}
--- a/internal/kit/model/node.go
+++ b/internal/kit/model/node.go
@@ -42,6 +42,7 @@
 	work  time.Duration
 	look  string
 	began bool
+	came  Time
 }
 
 // Node is a cache node.
@@ -116,7 +117,7 @@
 // the meantime; then nothing comes of it.
 func (n *Node) Arrive(j *Job) {
 	w := n.world
-	j.node, j.life, j.try = n, n.life, w.tries[j.ID]
+	j.node, j.life, j.try, j.came = n, n.life, w.tries[j.ID], w.Now()
 	if j.try == nil {
 		w.led.Stray(j.ID, n.Name)
 		n.answer(j, &Reply{Status: Unknown})
@@ -236,7 +237,7 @@
 		n.serve(j)
 		return
 	}
-	if at, ok := w.effects[j.try.Token]; c.Effect == "keyed" && ok && w.Now()-at < c.Memory.D() {
+	if at, ok := w.effects[j.try.Token]; c.Effect == "keyed" && ok && j.came-at < c.Memory.D() {
 		n.serve(j) // a repeat: dropped, and answered as the first was
 		return
 	}
--- /dev/null
+++ b/internal/kit/model/repeat_test.go
@@ -0,0 +1,30 @@
+package model
+
+import (
+	"testing"
+	"time"
+)
+
+// A repeat that comes while its key is remembered is dropped, however long the node takes over it. Judged by the moment at which
+// work ended, a client's retry that a cold node worked on for twelve seconds took effect twice, on days on which no router
+// had done anything wrong.
+func TestRepeatIsJudgedByWhenItCame(t *testing.T) {
+	for later, effects := range map[time.Duration]int{2 * time.Second: 1, 12 * time.Second: 2} {
+		v := day(t, 1, "rate = 0.1\nlength = \"60s\"")
+		a := &Ask{N: 0, Class: 2, Work: 100 * time.Millisecond} // tally: keyed, remembered for 10 s
+		sent := func(n *Node, at time.Duration) {
+			v.At(at, func() {
+				try := a.try(v.set, v.Now())
+				v.tries[try.ID] = try
+				n.Arrive(&Job{ID: try.ID, Reply: func(*Reply) {}})
+			})
+		}
+		sent(v.Nodes[0], time.Second)
+		v.Nodes[1].slow = 150 // the second takes 15 s
+		sent(v.Nodes[1], time.Second+later)
+		v.Run(40 * time.Second)
+		if got := v.Ledger().Counts.Double + 1; got != effects {
+			t.Errorf("a repeat after %v: %d effects, not %d", later, got, effects)
+		}
+	}
+}
