Stored state and phases of coming back: an order outlives kill -9; off by default

Cause: a router that is killed knew nothing of what it had been told: an operator's order died with it where no $TMPDIR lasts, and while discovery is silent it starts from its configuration's list, however old. Nothing said when a router that has started counts as back.

Saves are on a goroutine of their own; a disk that fails costs a warning. /stats has the phase.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,7 +27,6 @@
 	finishFor  = 3400 * time.Millisecond // after SIGTERM: SIGKILL comes no sooner than 0.3 s later
 	parkFor    = 1500 * time.Millisecond // after SIGTERM, for idle clients of a process that is replaced to ask once more
 	bindFor    = 5 * time.Second         // for an earlier process to let go of the address
-	listFor    = 500 * time.Millisecond  // at the start, for discovery's first word
 	sweepEvery = 250 * time.Millisecond
 	statsEvery = 10 * time.Second
 )
@@ -118,6 +117,7 @@
 	watch    atomic.Pointer[watch]
 
 	replacement
+	stored
 	admin    *admin.Server // nil without an operators' address
 	adminAt  net.Listener
 	serving  chan struct{} // closed when clients may come
@@ -167,6 +167,9 @@
 	loop.Sender = r.servers
 	loop.Teller = silent{}
 	known, from := c.Known, c.Known.Index
+	if kept := r.restore(c, loop); kept != c.Known && left == nil {
+		known, from = kept, wire.Unknown // its version may be of another discovery by now
+	}
 	if left != nil {
 		loop.Maintenance, loop.Settings.Answered = left.Maintenance.Copy(), left.Answered
 		if left.Known != nil && len(left.Known.Endpoints) > 0 { // newer than the file; its version may be of another discovery
@@ -222,6 +225,9 @@
 		r.background(r.peers.Run)
 	}
 	r.background(func() { r.housekeep(ctx) })
+	if r.store != nil {
+		r.background(func() { r.keepState(ctx) })
+	}
 	r.background(func() {
 		defer close(r.accepted)
 		if predecessor != nil { // which serves as well: what it accepts is in better hands until this one is ready
@@ -250,20 +256,12 @@
 // beReady says that clients may come: once there is a list that discovery has told of late, or, while it is silent, the
 // one that was known. Without any list there is nothing to serve from.
 func (r *router) beReady(ctx context.Context, name string, known int64, parts shares) {
-	var enough <-chan time.Time
-	if known != wire.Unknown {
-		enough = time.After(listFor)
-	}
-	select {
-	case <-r.listed:
-	case <-enough:
-	case <-ctx.Done():
-		return
-	}
-	r.clients.Ready.Store(true)
-	close(r.serving)
-	r.log.Info("ready", "name", name, "listen", r.listen, "known_index", known,
-		"clients_most", parts.clients, "server_connections_most", parts.servers)
+	r.comeBack(ctx, known != wire.Unknown, func() {
+		r.clients.Ready.Store(true)
+		close(r.serving)
+		r.log.Info("ready", "name", name, "listen", r.listen, "known_index", known,
+			"clients_most", parts.clients, "server_connections_most", parts.servers)
+	})
 }
 
 // listen binds the address, which an earlier process of the same name may hold for a moment yet.
@@ -333,6 +331,7 @@
 	}
 	r.clients.CloseIdle()
 	r.clients.Wait()
+	r.saveNow()
 	if r.admin != nil {
 		r.adminAt.Close()
 		r.admin.Close()
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -475,7 +475,7 @@
 	delete(config, "known")
 	p := startProcessWith(t, config, nil)
 	standin.Eventually(t, "it is live", func() bool { status, _, _ := ask(p.address, "/health/live"); return status == 200 })
-	time.Sleep(listFor + 100*time.Millisecond)
+	time.Sleep(500*time.Millisecond + 100*time.Millisecond)
 	if status, _, err := ask(p.address, "/health/ready"); err != nil || status != 503 {
 		t.Errorf("ready without a list: %d %v", status, err)
 	}
--- a/internal/daemon/replace.go
+++ b/internal/daemon/replace.go
@@ -178,6 +178,7 @@
 		return err
 	}
 	r.keepWord()
+	r.saveNow()
 	if r.peer != nil {
 		return r.peer.Order(server, out)
 	}
@@ -187,6 +188,7 @@
 func (r *router) maintainAlike(server string, out bool) error {
 	err := r.loop.MaintainAlike(balance.ServerID(server), out)
 	r.keepWord()
+	r.saveNow()
 	return err
 }
 
--- /dev/null
+++ b/internal/daemon/stored_test.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"cedarmast/internal/standin"
+)
+
+// startStoring starts a process that stores its state in a folder.
+func startStoring(t *testing.T, config map[string]any, dir string) *child {
+	t.Helper()
+	own := filepath.Join(t.TempDir(), "operator.toml")
+	if err := os.WriteFile(own, fmt.Appendf(nil, "[state]\ndir = %q\nevery = \"1s\"\n", dir), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("CEDARMAST_OPERATOR", own)
+	return startProcessWith(t, config, nil).ready(t)
+}
+
+// An order outlives kill -9 from the moment of its yes, with a list that discovery can't tell anew: the router starts from what it had stored,
+// which knows a server that its configuration does not. A disk that fails costs a warning and nothing else.
+func TestStoredStateOutlivesAKill(t *testing.T) {
+	answer := func(body string) *standin.Server {
+		return standin.NewServer(t, func(r *standin.Request) bool { return r.Answer(200, body) })
+	}
+	a, b := answer("a"), answer("b")
+	discovery := standin.NewDiscovery(t, 0, standin.Endpoint{Name: "a", Address: a.Address, Status: "SERVING", Weight: 1},
+		standin.Endpoint{Name: "b", Address: b.Address, Status: "SERVING", Weight: 1})
+	config := testConfig(t, a.Address, discovery.Address, 256)
+	delete(config, "known")
+	config["operator"] = freeAddress(t)
+	dir := t.TempDir()
+	p := startStoring(t, config, dir)
+	standin.Eventually(t, "the order is taken", func() bool {
+		return call(t, config["operator"].(string), "PUT", "/cache-servers/a/maint") == 200
+	})
+	p.Process.Kill()
+	<-p.exited
+	discovery.Break(500)
+	p = startStoring(t, config, dir)
+	if !strings.Contains(p.log.String(), "stored state taken up") {
+		t.Errorf("the log: %s", p.log)
+	}
+	for n := range 8 {
+		if status, body, err := ask(p.address, fmt.Sprintf("/read/k%d", n)); err != nil || status != 200 || body != "b" {
+			t.Errorf("%d %q %v: a is out, and b is on the stored list alone", status, body, err)
+		}
+	}
+	if err := os.RemoveAll(dir); err != nil {
+		t.Fatal(err)
+	}
+	if status := call(t, config["operator"].(string), "PUT", "/cache-servers/a/ready"); status != 200 {
+		t.Errorf("an order without a disk: %d", status)
+	}
+	standin.Eventually(t, "it says that nothing is stored", func() bool { return strings.Contains(p.log.String(), "the state can't be stored") })
+	if status, _, err := ask(p.address, "/read/k"); err != nil || status != 200 {
+		t.Errorf("%d %v", status, err)
+	}
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	standin.Eventually(t, "it stores again", func() bool { return strings.Contains(p.log.String(), "the state is stored again") })
+	all, err := filepath.Glob(filepath.Join(dir, "state-*.[01]"))
+	if err != nil || len(all) == 0 {
+		t.Errorf("%v %v", all, err)
+	}
+}
+
+// A router counts as back once discovery has spoken and it has served for a while, and says so in its counters.
+func TestBackAtFullService(t *testing.T) {
+	cache := standin.NewServer(t, func(r *standin.Request) bool { return r.Answer(200, "v") })
+	discovery := standin.NewDiscovery(t, 0, standin.Endpoint{Name: "a", Address: cache.Address, Status: "SERVING", Weight: 1})
+	p := startProcess(t, testConfig(t, cache.Address, discovery.Address, 256))
+	began := time.Now()
+	for range 30 {
+		if status, _, err := ask(p.address, "/read/k"); err != nil || status != 200 {
+			t.Fatalf("%d %v", status, err)
+		}
+	}
+	standin.Eventually(t, "it is back", func() bool { return strings.Contains(p.log.String(), "back at full service") })
+	if took := time.Since(began); took > 1500*time.Millisecond {
+		t.Logf("back after %v: a busy machine", took)
+	}
+	if _, stats, err := ask(p.address, "/stats"); err != nil || !strings.Contains(stats, `"phase": 2`) {
+		t.Errorf("%s %v", stats, err)
+	}
+}
--- a/internal/exchange/counters.go
+++ b/internal/exchange/counters.go
@@ -23,6 +23,8 @@
 	Lag                                             atomic.Int64 // nanoseconds; the decision loop's recent worst
 	Astray                                          atomic.Int64 // attempts that count as in flight and are not booked
 	LagMost                                         atomic.Int64 // nanoseconds; its worst ever
+	Phase                                           atomic.Int64 // of coming back: 0 without a list, 1 serving, 2 at full service
+	FullAfter                                       atomic.Int64 // nanoseconds from the start to full service; 0 before
 }
 
 var resultNames = [balance.Spoilt + 1]string{"unknown", "ok", "errored", "full", "timed_out", "no_connect", "reset",
@@ -62,6 +64,7 @@
 		{"discovery", []Value{one("answers", &c.ListAnswers), one("failures", &c.ListFailures)}},
 		{"peers", []Value{one("told", &c.PeersTold), one("heard", &c.PeersHeard), one("dropped", &c.PeersDropped)}},
 		{"loop", []Value{one("panics", &c.Panics), one("astray", &c.Astray), lag("lag_us", &c.Lag), lag("lag_most_us", &c.LagMost)}},
+		{"recovery", []Value{one("phase", &c.Phase), {"full_after_ms", time.Duration(c.FullAfter.Load()).Milliseconds()}}},
 	}
 }
 
--- a/internal/kit/harness/harness_test.go
+++ b/internal/kit/harness/harness_test.go
@@ -8,6 +8,7 @@
 
 	"cedarmast/internal/daemon"
 	"cedarmast/internal/kit/ledger"
+	"cedarmast/internal/kit/model"
 	"cedarmast/internal/kit/rig"
 	"cedarmast/internal/kit/scenario"
 )
@@ -124,3 +125,25 @@
 		t.Errorf("earned %.2f in the end", after)
 	}
 }
+
+// TestStoredState takes a node out at one of eight real processes, kills that and starts it again. With what it had stored, or with the
+// newest file torn, it still leaves the node out; with its disk lost, or an old one, it sends there: the guard taken out.
+func TestStoredState(t *testing.T) {
+	for state, keeps := range map[string]bool{"kept": true, "torn": true, "lost": false, "old": false} {
+		t.Run(state, func(t *testing.T) {
+			t.Parallel()
+			r := Fleet{Router: own, Sets: []string{"stored.on=true"}, Drive: func(c *rig.Control) {
+				c.Await(second)
+				if status, err := c.Order(0, "north-c1", true); status != 200 || err != nil {
+					t.Errorf("the order: %d, %v", status, err)
+				}
+				c.Await(3500 * time.Millisecond) // the torn file is not the only one with the order
+				c.Kill(0)
+				c.Start(0, model.Finds{State: state})
+			}}.Play(t)
+			if r.Lost+r.Double+r.Drain+r.ColdFalls+r.Held > 0 || r.Crashes > 0 || (r.StaleSends == 0) != keeps {
+				t.Errorf("%d crashes, %d stale sends, %v", r.Crashes, r.StaleSends, r.Breaches)
+			}
+		})
+	}
+}
--- a/internal/kit/model/link.go
+++ b/internal/kit/model/link.go
@@ -109,7 +109,7 @@
 			if n == int(t.Size) {
 				back = t.For.D()
 			}
-			w.After(back, func() { w.host.StartRouter(r, t.Known == "old") })
+			w.After(back, func() { w.host.StartRouter(r, finds(t)) })
 		}
 	}
 }
--- a/internal/kit/model/model_test.go
+++ b/internal/kit/model/model_test.go
@@ -64,7 +64,7 @@
 }
 func (v *virtual) SilenceDiscovery(bool)         {}
 func (v *virtual) StallRouter(int, bool)         {}
-func (v *virtual) StartRouter(r int, _ bool)     { v.started = append(v.started, r); v.RouterReady(r) }
+func (v *virtual) StartRouter(r int, _ Finds)    { v.started = append(v.started, r); v.RouterReady(r) }
 func (v *virtual) KillRouter(r int)              { v.RouterEnded(r, true) }
 func (v *virtual) StopRouter(r int)              { v.RouterLeaving(r); v.RouterEnded(r, false) }
 func (v *virtual) ReloadRouter(int)              {}
--- a/internal/kit/model/trouble.go
+++ b/internal/kit/model/trouble.go
@@ -88,7 +88,7 @@
 			func(n *Node) { delete(n.silent, r); w.silence(n, r, false) })
 	case "site-loss":
 		if t.With {
-			w.routersGone(w.struckRouters(i, scenario.Trouble{Site: t.Site}), span, false, w.host.KillRouter)
+			w.routersGone(w.struckRouters(i, scenario.Trouble{Site: t.Site}), span, Finds{}, w.host.KillRouter)
 		}
 		setting(w.vanish, w.comeBack)
 	case "flush":
@@ -118,9 +118,9 @@
 	case "discovery-flap":
 		w.flap(nodes, w.Now()+span)
 	case "router-kill":
-		w.routersGone(w.struckRouters(i, t), span, t.Known == "old", w.host.KillRouter)
+		w.routersGone(w.struckRouters(i, t), span, finds(t), w.host.KillRouter)
 	case "router-stop":
-		w.routersGone(w.struckRouters(i, t), span, t.Known == "old", w.host.StopRouter)
+		w.routersGone(w.struckRouters(i, t), span, finds(t), w.host.StopRouter)
 	case "router-crash-loop":
 		w.crashLoop(i, t, w.struckRouters(i, t))
 	case "router-link":
@@ -219,14 +219,16 @@
 	next()
 }
 
+func finds(t scenario.Trouble) Finds { return Finds{t.Known == "old", t.State} }
+
 // routersGone ends routers one way or another and starts them again.
-func (w *World) routersGone(all []int, span time.Duration, old bool, end func(int)) {
+func (w *World) routersGone(all []int, span time.Duration, f Finds, end func(int)) {
 	for _, r := range all {
 		end(r)
 	}
 	w.After(span, func() {
 		for _, r := range all {
-			w.host.StartRouter(r, old)
+			w.host.StartRouter(r, f)
 		}
 	})
 }
--- a/internal/kit/model/world.go
+++ b/internal/kit/model/world.go
@@ -17,7 +17,7 @@
 	Silence(n *Node, router int, on bool)     // towards one router
 	News(router int)                          // a router's agent has something new to tell
 	SilenceDiscovery(on bool)                 // all agents
-	StartRouter(r int, old bool)              // with the list of the day's beginning if old; World.RouterReady follows
+	StartRouter(r int, f Finds)               // World.RouterReady follows
 	KillRouter(r int)                         // outright
 	StopRouter(r int)                         // in order; World.RouterEnded follows
 	StallRouter(r int, on bool)               // its process stands still, or goes on
@@ -26,6 +26,12 @@
 	Note(at Time, what string)                // something has happened that a report marks
 }
 
+// Finds is what a router finds that starts again.
+type Finds struct {
+	OldList bool   // in its configuration: the list of the day's beginning
+	State   string // of what it had stored: as scenario.Trouble.State
+}
+
 // World is one day.
 type World struct {
 	Queue
--- a/internal/kit/rig/between_test.go
+++ b/internal/kit/rig/between_test.go
@@ -36,3 +36,20 @@
 		}
 	}
 }
+
+// TestRunsSideBySideHaveTheirOwnHosts guards against days that are played side by side in one process and take one another's ports, as
+// between the moment in which a rig gives a router's back and the router's start.
+func TestRunsSideBySideHaveTheirOwnHosts(t *testing.T) {
+	seen := map[string]bool{}
+	for range 5 {
+		host, routers, giveBack, err := claimHosts()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer giveBack()
+		if seen[host] || seen[routers] || host == routers {
+			t.Errorf("%s and %s are another run's", host, routers)
+		}
+		seen[host], seen[routers] = true, true
+	}
+}
--- a/internal/kit/rig/control.go
+++ b/internal/kit/rig/control.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"cedarmast/internal/kit/model"
 	"cedarmast/internal/kit/scenario"
 )
 
@@ -28,11 +29,10 @@
 	}
 }
 
-// Kill ends a router outright. Stop ends it in order, and Start starts it again, with the list of the day's beginning in its
-// configuration if old; those two return before it has gone or is ready.
-func (c *Control) Kill(router int)            { c.do(func() { c.rig.KillRouter(router) }) }
-func (c *Control) Stop(router int)            { c.do(func() { c.rig.StopRouter(router) }) }
-func (c *Control) Start(router int, old bool) { c.do(func() { c.rig.StartRouter(router, old) }) }
+// Kill ends a router outright. Stop ends it in order, and Start starts it again; those two return before it has gone or is ready.
+func (c *Control) Kill(router int)                 { c.do(func() { c.rig.KillRouter(router) }) }
+func (c *Control) Stop(router int)                 { c.do(func() { c.rig.StopRouter(router) }) }
+func (c *Control) Start(router int, f model.Finds) { c.do(func() { c.rig.StartRouter(router, f) }) }
 
 // Stall has a router's process stand still, or go on.
 func (c *Control) Stall(router int, on bool) { c.do(func() { c.rig.world.Stall(router, on) }) }
--- a/internal/kit/rig/rig.go
+++ b/internal/kit/rig/rig.go
@@ -97,9 +97,12 @@
 			return nil, err
 		}
 	}
-	pid := os.Getpid()
-	host := func(from int) string { return fmt.Sprintf("127.%d.%d.%d", from+pid>>16&31, pid>>8&255, pid&255) }
-	r := &Rig{set: s, opt: opt, dir: dir, host: host(80), routersHost: host(112),
+	host, routersHost, giveBack, err := claimHosts()
+	if err != nil {
+		return nil, err
+	}
+	defer giveBack()
+	r := &Rig{set: s, opt: opt, dir: dir, host: host, routersHost: routersHost,
 		inbox: make(chan posted, 4096), late: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
 		rng: model.Stream(opt.Seed, "host"), beliefs: map[string]map[string][]byte{}}
 	r.ctx, r.cancel = context.WithCancel(ctx)
@@ -138,6 +141,25 @@
 	return report, nil
 }
 
+// claimHosts finds two loopback addresses for one run alone, of this process or any other: whoever listens at the claim port of the
+// first has both.
+func claimHosts() (host, routersHost string, giveBack func(), err error) {
+	for i := range claimTries {
+		id := (os.Getpid() + i*4099) & (1<<21 - 1)
+		at := func(from int) string { return fmt.Sprintf("127.%d.%d.%d", from+id>>16, id>>8&255, id&255) }
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("%s:%d", at(80), claimPort)); err == nil {
+			return at(80), at(112), func() { l.Close() }, nil
+		}
+	}
+	return "", "", nil, fmt.Errorf("no loopback address is free for this run: %w", err)
+}
+
+const (
+	claimPort  = 65000 // none that the system draws
+	claimTries = 1000
+)
+
 // fits tells whether the machine can carry the scenario, by its descriptors and cores.
 func fits(s *scenario.Scenario) error {
 	nodes, routers := len(s.NodeNames()), len(s.RouterNames())
@@ -233,6 +255,9 @@
 func (r *Rig) play() error {
 	r.start = time.Now().Add(r.set.WarmUp.D())
 	r.running.Store(true)
+	for _, t := range r.routers {
+		t.copyState(r.stateDir("state"), r.stateDir("beginning"))
+	}
 	r.world.Begin()
 	r.background(r.askBeliefs)
 	if r.opt.Drive != nil {
@@ -415,8 +440,8 @@
 	}
 }
 
-func (r *Rig) StartRouter(k int, old bool) {
-	r.routers[k].old = old
+func (r *Rig) StartRouter(k int, f model.Finds) {
+	r.routers[k].finds(f)
 	r.launch(k, func(err error) {
 		if err == nil {
 			r.post(func() { r.world.RouterReady(k) })
--- a/internal/kit/rig/router.go
+++ b/internal/kit/rig/router.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,6 +17,9 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"cedarmast/internal/kit/model"
+	"cedarmast/internal/settings"
 )
 
 // router is one router process, over all its starts.
@@ -66,7 +70,15 @@
 // operatorFile writes the operators' file that all routers read, and returns its path; empty if nothing is to stand in it.
 func (r *Rig) operatorFile() (string, error) {
 	own := r.world.Operator()
-	if own.Sites == nil {
+	if r.set.Stored.On {
+		for _, dir := range []string{"state", "beginning"} {
+			if err := os.Mkdir(r.stateDir(dir), 0o700); err != nil {
+				return "", err
+			}
+		}
+		own.State = &settings.State{Dir: r.stateDir("state"), Every: "1s"}
+	}
+	if own.Sites == nil && own.State == nil {
 		return "", nil
 	}
 	text, err := toml.Marshal(own)
@@ -77,6 +89,53 @@
 	return path, os.WriteFile(path, text, 0o600)
 }
 
+// stateDir is a folder of stored states: state, which routers write, and beginning, as it was when the day began.
+func (r *Rig) stateDir(name string) string { return filepath.Join(r.dir, name) }
+
+// stateFiles are a router's in a folder, the newest first.
+func (t *router) stateFiles(dir string) []string {
+	all, _ := filepath.Glob(filepath.Join(dir, "state-"+strings.ReplaceAll(t.listen, ":", "_")+".[01]"))
+	age := func(path string) time.Time {
+		info, err := os.Stat(path)
+		if err != nil {
+			return time.Time{}
+		}
+		return info.ModTime()
+	}
+	slices.SortFunc(all, func(a, b string) int { return age(b).Compare(age(a)) })
+	return all
+}
+
+// copyState puts a router's files of one folder in the place of those in another.
+func (t *router) copyState(from, to string) {
+	for _, path := range t.stateFiles(to) {
+		os.Remove(path)
+	}
+	for _, path := range t.stateFiles(from) {
+		if text, err := os.ReadFile(path); err == nil {
+			os.WriteFile(filepath.Join(to, filepath.Base(path)), text, 0o600)
+		}
+	}
+}
+
+// finds lays out what a router is to find at its next start. It is called on the model's goroutine, with no process running.
+func (t *router) finds(f model.Finds) {
+	t.old = f.OldList
+	dir := t.rig.stateDir("state")
+	switch f.State {
+	case "lost":
+		t.copyState(t.rig.stateDir("nowhere"), dir)
+	case "old":
+		t.copyState(t.rig.stateDir("beginning"), dir)
+	case "torn":
+		if all := t.stateFiles(dir); len(all) > 0 {
+			if info, err := os.Stat(all[0]); err == nil {
+				os.Truncate(all[0], info.Size()/2)
+			}
+		}
+	}
+}
+
 // launch starts a router; ready hears once it answers that it is, or why it won't. It is called on the model's goroutine.
 func (r *Rig) launch(k int, ready func(error)) {
 	if r.opt.Direct {
--- a/internal/kit/scenario/check.go
+++ b/internal/kit/scenario/check.go
@@ -157,6 +157,8 @@
 			return fault(key("nodes"), "%s names no node: give nodes, part or site", t.Kind)
 		case kind.strikes == "routers" && t.Part == 0 && t.Router == "" && t.Site == "":
 			return fault(key("router"), "%s names no router: give router, part or site", t.Kind)
+		case t.State != "kept" && !s.Stored.On:
+			return fault(key("state"), "%s needs routers that store anything: stored.on is false", t.State)
 		case t.To != "" && t.Kind != "router-link":
 			return fault(key("to"), "only router-link has one")
 		case t.To != "" && !slices.Contains(routerNames, t.To) && !slices.ContainsFunc(s.Sites, func(site Site) bool { return site.Name == t.To }):
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -50,6 +50,7 @@
 	Discovery Discovery `toml:"discovery"`
 	Messages  Messages  `toml:"messages"`
 	Tiers     Tiers     `toml:"tiers"`
+	Stored    Stored    `toml:"stored"`
 	Limits    Limits    `toml:"limits"`
 	Rules     Rules     `toml:"rules"`
 	Expect    Expect    `toml:"expect"`
@@ -158,6 +159,11 @@
 	Hold   Duration `toml:"hold" least:"0s" most:"10m" help:"least time on each step of a return; 0: as the router has it"`
 }
 
+// Stored is the operators' word on stored state: what routers find as [state] in the operators' file.
+type Stored struct {
+	On bool `toml:"on" help:"whether routers have a disk that lasts, and store their state there"`
+}
+
 // Limits are a router's.
 type Limits struct {
 	Cores       float64 `toml:"cores" least:"0.01" most:"256" help:"of its machine; told to the router and not enforced"`
@@ -196,6 +202,7 @@
 	Delay   [2]Duration `toml:"delay" least:"0s" most:"10m" help:"router-link: that messages take beside the usual time, drawn between the two"`
 	Repeats float64     `toml:"repeats" least:"0" most:"1" help:"router-link: part of the messages that comes twice"`
 	Reorder float64     `toml:"reorder" least:"0" most:"1" help:"router-link: part of the messages that is held until a later one has overtaken it, half a second at most"`
+	State   string      `toml:"state" oneof:"kept,lost,old,torn" help:"the same kinds, with stored.on: what a restarted router finds of what it had stored: all, nothing, what stood there at the day's beginning, or the newest file cut short"`
 	Known   string      `toml:"known" oneof:"current,old" help:"router-kill, router-stop, router-crash-loop: the list that a restarted router finds in its configuration: discovery's of that moment, or that of the day's beginning"`
 }
 
@@ -240,5 +247,5 @@
 		Deadline: Duration(4 * time.Second), Worth: 1, LateShare: 0.3, Effect: "safe"}
 	defaultTenant  = Tenant{Share: 1, Usage: 1}
 	defaultSite    = Site{Share: 1}
-	defaultTrouble = Trouble{Way: "both", Known: "current"}
+	defaultTrouble = Trouble{Way: "both", Known: "current", State: "kept"}
 )
--- a/internal/kit/virtual/virtual.go
+++ b/internal/kit/virtual/virtual.go
@@ -74,6 +74,8 @@
 	stalled   bool
 	held      []func() // what came while it stood still
 	calls     int      // for the list, so far
+	stored    float64  // with a disk: what the caches answered when it ended
+	storedAt  balance.Time
 }
 
 // exch is a request at a router.
@@ -101,7 +103,7 @@
 	h.World = model.New(s, opt.Seed, h)
 	for k := range h.Routers() {
 		h.routers = append(h.routers, &router{h: h, k: k})
-		h.routers[k].start(false)
+		h.routers[k].start(model.Finds{})
 		h.RouterReady(k)
 	}
 	h.Begin()
@@ -148,9 +150,12 @@
 
 // start starts a router. Its first call for the list brings all of it, unless discovery is silent: then it goes on from the list in
 // its configuration, which may be the one of the day's beginning.
-func (r *router) start(old bool) {
+func (r *router) start(f model.Finds) {
 	set := r.h.Profile(r.k).Settings()
 	r.h.Operator().Apply(&set)
+	if (f.State == "kept" || f.State == "torn") && r.h.at().Sub(r.storedAt) <= set.Ramp {
+		set.Answered = r.stored // a torn file leaves the one before, a save older
+	}
 	decide := r.h.opt.Decide
 	if decide == nil {
 		decide = func(set balance.Settings, seed uint64) exchange.Decider { return balance.New(set, seed) }
@@ -162,7 +167,7 @@
 	r.stalled, r.held = false, nil
 	h := r.h
 	switch {
-	case old:
+	case f.OldList:
 		r.give(r.list(balance.Persisted, 0, h.Beginning()))
 	case h.mute > 0:
 		_, _, entries := h.List(r.k, 0, false)
@@ -472,10 +477,10 @@
 	}
 }
 
-func (h *host) StartRouter(k int, old bool) {
+func (h *host) StartRouter(k int, f model.Finds) {
 	h.After(comesUp, func() {
 		if !h.routers[k].running {
-			h.routers[k].start(old)
+			h.routers[k].start(f)
 			h.RouterReady(k)
 		}
 	})
@@ -505,6 +510,11 @@
 func (r *router) halt(killed bool) {
 	h := r.h
 	r.running, r.ending = false, false
+	if d, ok := r.decide.(interface {
+		Overall(balance.Time) balance.Overall
+	}); ok && h.set.Stored.On {
+		r.stored, r.storedAt = d.Overall(h.at()).Answered, h.at()
+	}
 	all := slices.SortedFunc(maps.Values(r.exchanges), func(a, b *exch) int { return cmp.Compare(a.number, b.number) })
 	clear(r.exchanges)
 	for _, x := range all {
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -16,6 +16,64 @@
 // Operator is the operators' own file, which names what the platform's settings have no place for. What it leaves out is off.
 type Operator struct {
 	Sites *Sites `toml:"sites,omitempty"`
+	State *State `toml:"state,omitempty"`
+}
+
+// State turns stored state on: what a router that starts again takes up.
+type State struct {
+	Dir   string `toml:"dir"`                // that lasts, there already, of this router or of several
+	Every string `toml:"every,omitempty"`    // a save, as Go writes spans of time: 5s
+	List  string `toml:"list_for,omitempty"` // how old a stored list may be that is taken up: 24h
+}
+
+// Defaults of [state].
+const (
+	saveEvery = 5 * time.Second
+	listFor   = 24 * time.Hour
+)
+
+// Period is the span between two saves, and MaxListAge how old a stored list may be; both were checked when the file was read.
+func (s *State) Period() time.Duration     { return span(s.Every, saveEvery) }
+func (s *State) MaxListAge() time.Duration { return span(s.List, listFor) }
+
+func span(text string, otherwise time.Duration) time.Duration {
+	if d, err := time.ParseDuration(text); err == nil {
+		return d
+	}
+	return otherwise
+}
+
+// Stored is the section on stored state; nil where it is off.
+func (o *Operator) Stored() *State {
+	if o == nil {
+		return nil
+	}
+	return o.State
+}
+
+func (s *State) check() error {
+	if s == nil {
+		return nil
+	}
+	if info, err := os.Stat(s.Dir); err != nil || !info.IsDir() {
+		return fmt.Errorf("dir: %q is no directory that is there", s.Dir)
+	}
+	for _, key := range []struct {
+		name, text string
+		least      time.Duration
+	}{{"every", s.Every, time.Second}, {"list_for", s.List, 0}} {
+		if key.text == "" {
+			continue
+		}
+		d, err := time.ParseDuration(key.text)
+		if err != nil {
+			return fmt.Errorf("%s: %q is no span of time such as 5s or 24h", key.name, key.text)
+		}
+		if d < key.least {
+			return fmt.Errorf("%s: %v is under %v", key.name, d, key.least)
+		}
+	}
+	return nil
 }
 
 // Sites turns tiers of sites on. Its keys are those of sites.Config.
@@ -55,6 +113,9 @@
 	if _, err := o.sites(balance.Settings{}); err != nil {
 		return nil, fmt.Errorf("%s: sites.%w", path, err)
 	}
+	if err := o.State.check(); err != nil {
+		return nil, fmt.Errorf("%s: state.%w", path, err)
+	}
 	return &o, nil
 }
 
