--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,7 +24,8 @@
 	heatMemory  = 0.5      // sends a cache over which a key's heat is counted: a hot key shows within a second
 	heatPart    = 0.25     // of a mean cache's work is the most that one key is to bring to a cache
 	ownMemory   = 8        // times as many sends tell a key's heat where no other router tells of its own
-	ownAnswers  = 20       // the last so many make the mean there: two a cache would be a minute's
+	ownAnswers  = 20       // the last so many make the mean there, and at least elsewhere: a fifth off
+	meanAnswers = 100      // the last so many at most make it elsewhere: a tenth off, whatever the caches
 	commonCause = 0.2      // of answers are errors: it is what the caches share; another makes it worse
 	smoothing   = 0.2      // of latencies: about the last five answers
 	stuckAfter  = 25       // mean answers: longer than heavy work takes: the connection has fallen silent
@@ -98,8 +99,7 @@
 // draw takes the request's caches by hash and rehash, past those out of use: the first of two that is not
 // crowded, of more for a hot key, which a thin router, blind to what the caches hold, spreads at random.
 func (b *Balancer) draw(r *request, zone string) *server {
-	var best *server
-	seen, hash := map[*server]bool{}, r.hash
+	best, seen, hash := (*server)(nil), map[*server]bool{}, r.hash
 	for skip := b.rng.IntN(r.spread + 1); skip > 0 && b.thin() && len(r.attempts) == 0; skip-- {
 		hash = mix(hash)
 	}
--- a/balance/health.go
+++ b/balance/health.go
@@ -101,8 +101,8 @@
 		return
 	}
 	b.unanswered++
-	if g.good = 0; (slow || b.erring >= commonCause && !s.isOrigin) && b.now.Sub(g.cut) > b.latency {
-		g.open, g.cut = max(g.open*limitCut, gateFloor), b.now
+	if g.good /= 2; (slow || b.erring >= commonCause && !s.isOrigin) && b.now.Sub(g.cut) > b.latency {
+		g.good, g.open, g.cut = 0, max(g.open*limitCut, gateFloor), b.now
 	}
 }
 
@@ -138,8 +138,7 @@
 
 // heat is over how many caches past the first a key spreads, to bring none over heatPart of the mean's work.
 func (b *Balancer) heat(key uint32) int {
-	caches := float64(len(b.caches))
-	memory := heatMemory * caches
+	caches, memory := float64(len(b.caches)), heatMemory*float64(len(b.caches))
 	if b.lone() { // of a handful of own sends any key that came twice would pass for hot
 		memory *= ownMemory
 	}
--- a/balance/load.go
+++ b/balance/load.go
@@ -46,13 +46,14 @@
 	}
 }
 
-// answered moves the mean time of the last answers, here and at routers that tell of theirs. Caches that are
-// silent have no part in it: by all attempts the dead ones of a lost zone would pass for a jam of all.
+// answered moves the mean time of an aim's answers, twenty to a hundred, here and at routers that tell of
+// theirs. Silent caches have no part in it: else the dead ones of a lost zone would pass for a jam of all.
 func (b *Balancer) answered(took time.Duration) {
-	last := loadMemory * float64(max(len(b.caches), 1))
+	pace := float64(b.aim) / float64(max(b.now.Sub(b.lastAnswer), 1)) // answers in an aim
 	if b.lone() {
-		last = min(last, ownAnswers)
+		pace = 0
 	}
+	last := min(loadMemory*float64(max(len(b.caches), 1)), meanAnswers, max(pace, ownAnswers))
 	b.taking += time.Duration(float64(took-b.taking) / last)
 	b.lastAnswer, b.unanswered = b.now, 0
 }
