--- a/internal/kit/harness/harness_test.go
+++ b/internal/kit/harness/harness_test.go
@@ -147,3 +147,31 @@
 		})
 	}
 }
+
+// A full disk costs a router nothing but what it would have stored: it serves on, and takes an order all the same. Killed then, it has
+// forgotten the order; one that came once there was room again is kept.
+func TestFullDisk(t *testing.T) {
+	t.Parallel()
+	for name, late := range map[string]bool{"as it is full": false, "once there is room": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := Fleet{Router: own, Sets: []string{"stored.on=true"}, Drive: func(c *rig.Control) {
+				c.FillDisk(0, true)
+				c.Await(second)
+				if status, err := c.Order(0, "north-c1", true); status != 200 || err != nil {
+					t.Errorf("an order on a full disk: %d, %v", status, err)
+				}
+				if late {
+					c.FillDisk(0, false)
+				}
+				c.Await(3500 * time.Millisecond)
+				c.Kill(0)
+				c.FillDisk(0, false)
+				c.Start(0, model.Finds{State: "kept"})
+			}}.Play(t)
+			if r.Lost+r.Double+r.Drain+r.ColdFalls+r.Held > 0 || r.Crashes > 0 || (r.StaleSends == 0) != late {
+				t.Errorf("%d crashes, %d stale sends, %v", r.Crashes, r.StaleSends, r.Breaches)
+			}
+		})
+	}
+}
--- a/internal/kit/model/model_test.go
+++ b/internal/kit/model/model_test.go
@@ -63,6 +63,7 @@
 	v.Told(router, whole, entries)
 }
 func (v *virtual) SilenceDiscovery(bool)         {}
+func (v *virtual) FillDisk(int, bool)            {}
 func (v *virtual) StallRouter(int, bool)         {}
 func (v *virtual) StartRouter(r int, _ Finds)    { v.started = append(v.started, r); v.RouterReady(r) }
 func (v *virtual) KillRouter(r int)              { v.RouterEnded(r, true) }
--- a/internal/kit/model/trouble.go
+++ b/internal/kit/model/trouble.go
@@ -125,6 +125,15 @@
 		w.crashLoop(i, t, w.struckRouters(i, t))
 	case "router-link":
 		w.strikeLinks(i, t, span)
+	case "disk-full":
+		all := w.struckRouters(i, t)
+		fill := func(full bool) {
+			for _, r := range all {
+				w.host.FillDisk(r, full)
+			}
+		}
+		fill(true)
+		w.After(span, func() { fill(false) })
 	case "router-stall":
 		all := w.struckRouters(i, t)
 		w.stall(all, 1)
--- a/internal/kit/model/world.go
+++ b/internal/kit/model/world.go
@@ -21,6 +21,7 @@
 	KillRouter(r int)                         // outright
 	StopRouter(r int)                         // in order; World.RouterEnded follows
 	StallRouter(r int, on bool)               // its process stands still, or goes on
+	FillDisk(r int, full bool)                // what it stores is not written, or is again
 	ReloadRouter(r int)                       // with discovery at a new address
 	BadClients(count int, span time.Duration) // for so long
 	Note(at Time, what string)                // something has happened that a report marks
--- a/internal/kit/rehearse/hunt.go
+++ b/internal/kit/rehearse/hunt.go
@@ -82,7 +82,7 @@
 		}
 	}
 	for _, kind := range scenario.Kinds() { // none that decisions never hear of, or that needs a layout of its own
-		if !slices.Contains([]string{"bad-clients", "grow", "router-reload", "cut"}, kind) && !slices.Contains(c.Without, kind) {
+		if !slices.Contains([]string{"bad-clients", "grow", "router-reload", "cut", "disk-full"}, kind) && (kind != "router-link" || s.Messages.On) && !slices.Contains(c.Without, kind) {
 			h.kinds = append(h.kinds, kind)
 		}
 	}
@@ -171,6 +171,8 @@
 		switch kind {
 		case "errors", "turn-away", "spoil":
 			t.Size = float64(1+rng.IntN(10)) / 10
+		case "router-crash-loop":
+			t.Size = float64(1 + rng.IntN(3))
 		case "slow":
 			t.Size = float64(2 + rng.IntN(8))
 		case "heavy":
--- a/internal/kit/rig/control.go
+++ b/internal/kit/rig/control.go
@@ -37,6 +37,9 @@
 // Stall has a router's process stand still, or go on.
 func (c *Control) Stall(router int, on bool) { c.do(func() { c.rig.world.Stall(router, on) }) }
 
+// FillDisk has nothing that a router stores be written, or has it written again.
+func (c *Control) FillDisk(router int, full bool) { c.do(func() { c.rig.FillDisk(router, full) }) }
+
 // Strike strikes the links between some routers and others, as a trouble of kind router-link does, until heal is called.
 func (c *Control) Strike(routers, others []int, t scenario.Trouble) (heal func()) {
 	var end func()
--- a/internal/kit/rig/limits.go
+++ b/internal/kit/rig/limits.go
@@ -18,6 +18,7 @@
 func (r *Rig) limit(t *router, pid int) {
 	most := uint64(r.set.Limits.Descriptors)
 	unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: most, Max: most}, nil) // fails only for one that has ended
+	limitFiles(pid, t.full)
 	exited := t.exited
 	r.background(func() {
 		tick := time.NewTicker(watchEvery)
@@ -37,6 +38,15 @@
 	})
 }
 
+// limitFiles lets a process write no byte to any file, or as much as it will. Pipes and sockets are none.
+func limitFiles(pid int, full bool) {
+	most := uint64(unix.RLIM_INFINITY)
+	if full {
+		most = 0
+	}
+	unix.Prlimit(pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: most, Max: unix.RLIM_INFINITY}, nil) // fails only for one that has ended
+}
+
 // residentMB is the memory that a process has now, of its own; 0 if it has ended.
 func residentMB(pid int) float64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
--- a/internal/kit/rig/rig.go
+++ b/internal/kit/rig/rig.go
@@ -461,6 +461,8 @@
 
 func (r *Rig) StallRouter(k int, on bool) { r.routers[k].stall(on) }
 
+func (r *Rig) FillDisk(k int, full bool) { r.routers[k].fillDisk(full) }
+
 func (r *Rig) ReloadRouter(k int) { r.routers[k].reload() }
 
 func (r *Rig) BadClients(count int, span time.Duration) { r.clients.bad(count, span) }
--- a/internal/kit/rig/router.go
+++ b/internal/kit/rig/router.go
@@ -44,6 +44,7 @@
 	asked   bool          // to end
 	running bool
 	ready   bool // has said so since its start
+	full    bool // its disk
 	old     bool // its next start finds the list of the day's beginning; the model's goroutine's
 }
 
@@ -165,7 +166,8 @@
 	cmd := exec.Command(r.opt.Router[0], r.opt.Router[1:]...)
 	var last tail
 	cmd.Stdout, cmd.Stderr = io.Discard, io.MultiWriter(log, &last, &viewReader{rig: r, router: t.name})
-	cmd.Env = append(append(os.Environ(), "GW_CONFIG="+t.path, "GW_NAME="+t.name, "GW_LISTEN="+t.listen, "GW_DISCOVERY="+r.agents[k].at(), "CEDARMAST_OPERATOR="+r.operator), r.opt.Env...)
+	cmd.Env = append(append(os.Environ(), "GW_CONFIG="+t.path, "GW_NAME="+t.name, "GW_LISTEN="+t.listen, "GW_DISCOVERY="+r.agents[k].at(), "CEDARMAST_OPERATOR="+r.operator,
+		"TMPDIR="), r.opt.Env...) // nothing lasts but what the scenario says
 	// Of its own group, so that an interrupt of the terminal does not reach it, and dead with the rig, whatever ends that.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -254,6 +256,15 @@
 	}
 }
 
+// fillDisk has the system refuse what the process writes to files, as a full disk does, or has it take that again.
+func (t *router) fillDisk(full bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.full = full; t.running {
+		limitFiles(t.cmd.Process.Pid, full)
+	}
+}
+
 // terminate ends a router in order, and outright if that takes too long.
 func (t *router) terminate() {
 	t.mu.Lock()
--- a/internal/kit/scenario/check.go
+++ b/internal/kit/scenario/check.go
@@ -39,6 +39,7 @@
 	"router-link":       {true, false, 0, "routers", "messages between routers are lost, late, repeated or overtaken, on the links between those struck and to"},
 	"router-stall":      {true, false, 0, "routers", "routers' processes stand still and go on as if no time had passed"},
 	"router-crash-loop": {true, true, 100, "routers", "routers are killed, and die size times more after starts at drawn times, all within for; then they stay"},
+	"disk-full":         {true, false, 0, "routers", "routers' disks take no more: nothing they store is written, with stored.on"},
 	"router-reload":     {false, false, 0, "routers", "routers are told to read their configuration again, with discovery at a new address"},
 	"bad-clients":       {true, true, 1000, "", "size clients that send what can't be read, or nothing"},
 	"database-stall":    {true, false, 0, "", "the database finishes nothing"},
@@ -157,6 +158,8 @@
 			return fault(key("nodes"), "%s names no node: give nodes, part or site", t.Kind)
 		case kind.strikes == "routers" && t.Part == 0 && t.Router == "" && t.Site == "":
 			return fault(key("router"), "%s names no router: give router, part or site", t.Kind)
+		case t.Kind == "disk-full" && !s.Stored.On:
+			return fault(key("kind"), "disk-full strikes what routers store, and stored.on is false")
 		case t.State != "kept" && !s.Stored.On:
 			return fault(key("state"), "%s needs routers that store anything: stored.on is false", t.State)
 		case t.To != "" && t.Kind != "router-link":
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -185,7 +185,7 @@
 
 // Trouble is one thing that goes wrong, from At on for For.
 type Trouble struct {
-	Kind   string   `toml:"kind" oneof:"crash,router-link,router-stall,router-crash-loop,silence,freeze,errors,hot-key,turn-away,slow,spoil,cut,site-loss,burst,heavy,flush,deploy,shrink,grow,discovery-silence,discovery-stale,discovery-flap,router-kill,router-stop,router-reload,bad-clients,database-stall" help:"what happens; see the table of kinds"`
+	Kind   string   `toml:"kind" oneof:"crash,router-link,router-stall,router-crash-loop,disk-full,silence,freeze,errors,hot-key,turn-away,slow,spoil,cut,site-loss,burst,heavy,flush,deploy,shrink,grow,discovery-silence,discovery-stale,discovery-flap,router-kill,router-stop,router-reload,bad-clients,database-stall" help:"what happens; see the table of kinds"`
 	At     Duration `toml:"at" least:"0s" most:"2h" help:"when it begins"`
 	For    Duration `toml:"for" least:"0s" most:"2h" help:"how long it lasts; what has died comes back then, cold"`
 	Part   float64  `toml:"part" least:"0" most:"1" help:"part of the nodes or routers that it strikes, drawn by the seed; at least one"`
--- a/internal/kit/virtual/virtual.go
+++ b/internal/kit/virtual/virtual.go
@@ -76,6 +76,7 @@
 	calls     int      // for the list, so far
 	stored    float64  // with a disk: what the caches answered when it ended
 	storedAt  balance.Time
+	diskFull  bool
 }
 
 // exch is a request at a router.
@@ -506,13 +507,16 @@
 	}
 }
 
+// FillDisk: nothing new is stored.
+func (h *host) FillDisk(k int, full bool) { h.routers[k].diskFull = full }
+
 // halt ends a router; clients of what it had in hand hear nothing more.
 func (r *router) halt(killed bool) {
 	h := r.h
 	r.running, r.ending = false, false
 	if d, ok := r.decide.(interface {
 		Overall(balance.Time) balance.Overall
-	}); ok && h.set.Stored.On {
+	}); ok && h.set.Stored.On && !r.diskFull {
 		r.stored, r.storedAt = d.Overall(h.at()).Answered, h.at()
 	}
 	all := slices.SortedFunc(maps.Values(r.exchanges), func(a, b *exch) int { return cmp.Compare(a.number, b.number) })
