--- /dev/null
+++ b/internal/hive/antenna/antenna.go
@@ -0,0 +1,189 @@
+// Package antenna is how the system's own processes call one another: gob over TCP, many calls on one connection, each
+// with its own deadline. A connection that brings nothing within a call's time is given up and dialled anew.
+package antenna
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors; they name the call and the peer.
+var Error = errs.Class("antenna")
+
+// ErrNotBegun is the cause where a call was surely not begun: no connection came up.
+var ErrNotBegun = errors.New("no connection")
+
+const (
+	dialPatience = 400 * time.Millisecond
+	// unacknowledged is how long sent bytes may stay without the peer's word, in milliseconds.
+	unacknowledged = 1500
+	tcpUserTimeout = 18
+)
+
+// Peer is another process, by its address. It is safe for use by many goroutines.
+type Peer struct {
+	Address string
+
+	mu     sync.Mutex
+	client *rpc.Client
+	heard  time.Time
+	dials  chan struct{} // holds one while a dial is under way
+}
+
+// NewPeer returns a peer that has not been called yet.
+func NewPeer(address string) *Peer { return &Peer{Address: address, dials: make(chan struct{}, 1)} }
+
+// Call makes one call and waits for its answer or the context's end.
+func Call[A, R any](ctx context.Context, p *Peer, method string, args *A) (R, error) {
+	var none R
+	client, err := p.connect(ctx)
+	if err != nil {
+		return none, Error.New("%s at %s: %w: %w", method, p.Address, ErrNotBegun, err)
+	}
+	begun, reply := time.Now(), new(R)
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if call.Error == nil {
+			p.mu.Lock()
+			p.heard = time.Now()
+			p.mu.Unlock()
+			return *reply, nil
+		}
+		var said rpc.ServerError
+		if !errors.As(call.Error, &said) {
+			p.drop(client)
+		}
+		return none, Error.New("%s at %s: %w", method, p.Address, call.Error)
+	case <-ctx.Done():
+		p.mu.Lock()
+		silent := p.heard.Before(begun)
+		p.mu.Unlock()
+		if silent && !errors.Is(context.Cause(ctx), context.Canceled) { // it may be cut: a new connection shows
+			p.drop(client)
+		}
+		return none, Error.New("%s at %s: %w", method, p.Address, ctx.Err())
+	}
+}
+
+func (p *Peer) connect(ctx context.Context) (*rpc.Client, error) {
+	p.mu.Lock()
+	client := p.client
+	p.mu.Unlock()
+	if client != nil {
+		return client, nil
+	}
+	select {
+	case p.dials <- struct{}{}:
+		defer func() { <-p.dials }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	p.mu.Lock()
+	client = p.client
+	p.mu.Unlock()
+	if client != nil { // another call's dial brought it
+		return client, nil
+	}
+	dialer := net.Dialer{Timeout: dialPatience, KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { // best effort: without it a call's own deadline shows a cut
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, unacknowledged)
+		})
+	}}
+	c, err := dialer.DialContext(ctx, "tcp", p.Address)
+	if err != nil {
+		return nil, err
+	}
+	client = rpc.NewClient(c)
+	p.mu.Lock()
+	p.client = client
+	p.mu.Unlock()
+	return client, nil
+}
+
+func (p *Peer) drop(client *rpc.Client) {
+	p.mu.Lock()
+	if p.client == client {
+		p.client = nil
+	}
+	p.mu.Unlock()
+	client.Close()
+}
+
+// Close ends the connection; calls under way fail.
+func (p *Peer) Close() {
+	p.mu.Lock()
+	client := p.client
+	p.client = nil
+	p.mu.Unlock()
+	if client != nil {
+		client.Close()
+	}
+}
+
+// Peers keeps one Peer for each address. What has not been asked for in a while is let go.
+type Peers struct {
+	mu  sync.Mutex
+	all map[string]*kept
+}
+
+type kept struct {
+	*Peer
+	used time.Time
+}
+
+const (
+	mostPeers = 1024
+	unusedFor = time.Minute
+)
+
+// NewPeers returns an empty set.
+func NewPeers() *Peers { return &Peers{all: map[string]*kept{}} }
+
+// At returns the peer at an address.
+func (s *Peers) At(address string) *Peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	k := s.all[address]
+	if k == nil {
+		if len(s.all) >= mostPeers {
+			for a, old := range s.all {
+				if now.Sub(old.used) > unusedFor {
+					old.Close()
+					delete(s.all, a)
+				}
+			}
+		}
+		k = &kept{Peer: NewPeer(address)}
+		s.all[address] = k
+	}
+	k.used = now
+	return k.Peer
+}
+
+// Serve answers calls of the named service until the listener is closed.
+func Serve(l net.Listener, name string, service any) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName(name, service); err != nil {
+		return Error.Wrap(err)
+	}
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(10 * time.Millisecond) // for want of descriptors; connections come back
+			continue
+		}
+		go server.ServeConn(c)
+	}
+}
--- /dev/null
+++ b/internal/hive/apiary/apiary.go
@@ -0,0 +1,94 @@
+// Package apiary is what the system's programs share at their start: the command line, the settings, the log, the end.
+package apiary
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"cedarmast/internal/build"
+	"cedarmast/internal/hive/guard"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/urfave/cli/v3"
+)
+
+// Program is one of the system's programs.
+type Program struct {
+	Name, Usage string
+	Run         func(ctx context.Context, set guard.Settings, log hclog.Logger) error
+}
+
+const watchEvery = 5 * time.Second
+
+// Main is the program's whole main. Its status is 2 for a fault of the command line or the settings, 1 for one later on.
+func Main(p Program) {
+	settings := &cli.StringFlag{Name: "settings", Usage: "path of the settings file", Sources: cli.EnvVars(guard.EnvPath)}
+	level := &cli.StringFlag{Name: "log", Usage: "least level that is logged: trace, debug, info, warn, error", Value: "info"}
+	root := &cli.Command{Name: p.Name, Usage: p.Usage, Flags: []cli.Flag{settings, level}, Commands: []*cli.Command{
+		{Name: "run", Usage: "serve until SIGTERM", Action: func(ctx context.Context, c *cli.Command) error {
+			return p.run(ctx, c.String("settings"), c.String("log"))
+		}},
+		{Name: "check", Usage: "check a settings file and end", Action: func(_ context.Context, c *cli.Command) error {
+			if _, err := guard.Read(c.String("settings")); err != nil {
+				return cli.Exit(err.Error(), 2)
+			}
+			fmt.Println("good")
+			return nil
+		}},
+		{Name: "version", Usage: "tell which build this is", Action: func(context.Context, *cli.Command) error {
+			fmt.Println(build.Line(p.Name))
+			return nil
+		}},
+	}}
+	if err := root.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, p.Name+":", err)
+		os.Exit(1)
+	}
+}
+
+func (p Program) run(ctx context.Context, path, level string) error {
+	if path == "" {
+		return cli.Exit("no settings file: set "+guard.EnvPath+" or --settings", 2)
+	}
+	set, err := guard.Read(path)
+	if err != nil {
+		return cli.Exit(err.Error(), 2)
+	}
+	log := hclog.New(&hclog.LoggerOptions{Name: p.Name, Level: hclog.LevelFromString(level), Output: os.Stderr, DisableTime: true})
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go watch(ctx, path, set, log)
+	if err := p.Run(ctx, set, log); err != nil {
+		log.Error("ended", "err", err)
+		return cli.Exit(err.Error(), 1)
+	}
+	return nil
+}
+
+// watch tells when the settings file has changed, by a signal or without one. What a process is told about itself holds for
+// its life; where others are it learns from the common state, so that a change needs no more than a word in the log.
+func watch(ctx context.Context, path string, set guard.Settings, log hclog.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-time.After(watchEvery):
+		}
+		now, err := guard.Read(path)
+		if err != nil {
+			log.Warn("settings file not taken", "err", err)
+			continue
+		}
+		if fmt.Sprint(now.Seeds) != fmt.Sprint(set.Seeds) {
+			log.Info("other seeds are named", "seeds", now.Seeds)
+			set = now
+		}
+	}
+}
--- /dev/null
+++ b/internal/hive/comb/comb.go
@@ -0,0 +1,566 @@
+// Package comb is the store of configuration's process: a core machine's part in the log, the common state that it makes,
+// and the answers to those who ask what is new.
+package comb
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/gob"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"cedarmast/internal/hive/antenna"
+	"cedarmast/internal/hive/guard"
+	"cedarmast/internal/hive/honey"
+	"cedarmast/internal/hive/queen"
+	"cedarmast/internal/hive/wax"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("comb")
+
+const (
+	tick         = 30 * time.Millisecond
+	freshFor     = 900 * time.Millisecond // a majority heard within this: what is told is current
+	renewBytes   = 4 << 20                // of journal, then a snapshot begins a new one
+	renewEntries = 4000
+	batch        = 256
+	retryDisk    = 100 * time.Millisecond
+	liveFor      = 2 * time.Second  // a core machine heard within this may hold a duty
+	absentFor    = 12 * time.Second // a cache router that has asked nobody for so long is taken out
+	enrolAgain   = time.Second
+	leaveWithin  = 700 * time.Millisecond
+)
+
+// Comb is the process. Run starts it.
+type Comb struct {
+	set   guard.Settings
+	log   hclog.Logger
+	peers *antenna.Peers
+
+	in        chan []queen.Message
+	proposals chan *proposal
+	barriers  chan *reading
+	quit      chan struct{}
+	done      chan struct{}
+
+	// The loop's own:
+	node    *queen.Node
+	journal *wax.Journal
+	waiting map[uint64]*proposal
+	reads   map[uint64]*reading
+	token   uint64
+	senders map[string]chan []queen.Message
+	led     time.Time // since when this node has led
+	duty    time.Time // of the last look at duties
+
+	mu       sync.Mutex
+	history  *honey.History
+	changed  chan struct{} // closed and made anew with every change
+	leader   string        // address
+	leads    bool
+	fresh    bool
+	turned   time.Time // when the loop last came round
+	core     []string
+	applied  uint64               // the last entry of the log that the state has
+	attended map[string]time.Time // cache routers that asked here
+	present  map[string]time.Time // at the leader: that asked anywhere
+	enrolled map[string]time.Time // when their entry was last proposed
+	told     time.Time            // when the leader was last told who asked here
+	status   Status
+}
+
+// Status is what a comb tells of itself.
+type Status struct {
+	ID, Role, Leader     string
+	Term, Commit, Index  uint64
+	Members              []string
+	Journal              int64 // bytes
+	Version              string
+	Servers, Routers     int
+	Duty                 honey.Duty
+	Fresh, DiskFails     bool
+	Syncs, Messages, Put uint64
+}
+
+type proposal struct {
+	data  []byte
+	term  uint64
+	reply chan answer
+}
+
+type reading struct{ reply chan barrierEnd }
+
+type barrierEnd struct {
+	index uint64
+	ok    bool
+}
+
+type answer struct {
+	honey.Outcome
+	known bool // what became of it is known
+	begun bool // it may be in the log
+}
+
+// Run opens the disk, serves the other processes and takes part in the log until the context ends.
+func Run(ctx context.Context, set guard.Settings, log hclog.Logger) error {
+	if set.DataDir == "" {
+		return Error.New("self.data_dir: missing: the log needs a disk")
+	}
+	c := &Comb{set: set, log: log, peers: antenna.NewPeers(), in: make(chan []queen.Message, 256), proposals: make(chan *proposal, 1024),
+		barriers: make(chan *reading, 256), quit: make(chan struct{}), done: make(chan struct{}),
+		waiting: map[uint64]*proposal{}, reads: map[uint64]*reading{}, senders: map[string]chan []queen.Message{},
+		changed: make(chan struct{}), attended: map[string]time.Time{}, present: map[string]time.Time{},
+		enrolled: map[string]time.Time{}}
+	if err := c.open(); err != nil {
+		return err
+	}
+	defer c.journal.Close()
+	listener, err := net.Listen("tcp", set.Inner(set.IP, guard.CombPort))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	go antenna.Serve(listener, "Comb", &service{c})
+	go c.loop()
+	log.Info("started", "id", c.node.Self().ID, "address", c.node.Self().Addr, "members", len(c.node.Members()))
+	<-ctx.Done()
+	close(c.quit)
+	<-c.done
+	listener.Close()
+	log.Info("ended in order")
+	return nil
+}
+
+// open reads the disk. An empty one is a first start or a loss: in the second case this machine counts as a new one.
+func (c *Comb) open() error {
+	journal, held, err := wax.Open(c.set.DataDir)
+	if err != nil {
+		return err
+	}
+	c.journal = journal
+	self := queen.Member{ID: held.ID, Addr: c.set.Inner(c.set.IP, guard.CombPort)}
+	var contacts []string
+	var first []queen.Member
+	seed := false
+	for _, s := range c.set.Seeds {
+		ip := guard.HostOf(s)
+		addr := c.set.Inner(ip, guard.CombPort)
+		contacts = append(contacts, addr)
+		first = append(first, queen.Member{ID: ip, Addr: addr})
+		seed = seed || ip == c.set.IP
+	}
+	state := honey.New()
+	if held.ID == "" {
+		switch {
+		case c.set.FirstStart && seed:
+			self.ID, held.Snapshot.Conf = c.set.IP, first
+		default:
+			var lot [6]byte
+			rand.Read(lot[:])
+			self.ID = c.set.IP + "~" + hex.EncodeToString(lot[:])
+		}
+		held.ID = self.ID
+		for wait := true; wait; { // a disk that is full or slow may come round
+			if err = c.journal.Begin(held.ID, held); err == nil {
+				break
+			}
+			c.log.Error("disk not ready", "err", err)
+			time.Sleep(retryDisk)
+		}
+	} else if len(held.Snapshot.Data) > 0 {
+		if state, err = decodeState(held.Snapshot.Data); err != nil {
+			return err
+		}
+	}
+	c.history, c.applied = honey.NewHistory(state), held.Snapshot.Index
+	var lot [8]byte
+	rand.Read(lot[:])
+	c.node = queen.New(self, held.Hard, held.Snapshot, held.Entries, contacts, queen.Usual,
+		uint64(lot[0])|uint64(lot[1])<<8|uint64(lot[2])<<16|uint64(lot[3])<<24, time.Now())
+	c.node.SeenHere, c.node.Attended = c.seenHere, c.heardOf
+	return nil
+}
+
+func encodeState(s *honey.State) []byte {
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(s); err != nil {
+		panic(err) // a plain struct
+	}
+	return b.Bytes()
+}
+
+func decodeState(data []byte) (*honey.State, error) {
+	s := honey.New()
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(s); err != nil {
+		return nil, Error.New("snapshot: %w", err)
+	}
+	return s, nil
+}
+
+// loop is the one goroutine that owns the node and the journal.
+func (c *Comb) loop() {
+	defer close(c.done)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	quit := c.quit
+	var leave <-chan time.Time
+	for {
+		select {
+		case m := <-c.in:
+			c.step(m)
+		case p := <-c.proposals:
+			c.propose(p)
+		case r := <-c.barriers:
+			c.barrier(r)
+		case <-ticker.C:
+		case <-quit:
+			quit = nil
+			if c.node.Role() == queen.Leader {
+				c.node.HandOver()
+			}
+			leave = time.After(leaveWithin)
+		case <-leave:
+			return
+		}
+	more:
+		for range batch {
+			select {
+			case m := <-c.in:
+				c.step(m)
+			case p := <-c.proposals:
+				c.propose(p)
+			case r := <-c.barriers:
+				c.barrier(r)
+			default:
+				break more
+			}
+		}
+		c.node.Tick(time.Now())
+		if c.node.Role() == queen.Leader {
+			c.lead()
+		} else {
+			c.led = time.Time{}
+		}
+		c.node.Flush()
+		for c.carryOut() {
+		}
+		c.publish()
+		c.renew()
+	}
+}
+
+func (c *Comb) step(all []queen.Message) {
+	now := time.Now()
+	for _, m := range all {
+		c.node.Step(now, m)
+	}
+}
+
+func (c *Comb) propose(p *proposal) {
+	index, term, ok := c.node.Propose(p.data)
+	if !ok {
+		p.reply <- answer{}
+		return
+	}
+	p.term = term
+	if old := c.waiting[index]; old != nil { // of an earlier time as leader: its entry was replaced
+		old.reply <- answer{begun: true}
+	}
+	c.waiting[index] = p
+}
+
+func (c *Comb) barrier(r *reading) {
+	c.token++
+	c.reads[c.token] = r
+	c.node.Barrier(c.token)
+}
+
+// carryOut saves, sends and applies what the node has ready; false if there is nothing.
+func (c *Comb) carryOut() bool {
+	r := c.node.Take()
+	if r.Empty() {
+		return false
+	}
+	if !c.save(r) {
+		return false
+	}
+	c.node.Saved()
+	for _, m := range r.Messages {
+		c.send(m)
+	}
+	if r.Snapshot != nil {
+		state, err := decodeState(r.Snapshot.Data)
+		if err != nil {
+			c.log.Error("snapshot not readable", "err", err)
+		} else {
+			c.mu.Lock()
+			c.history, c.applied = honey.NewHistory(state), r.Snapshot.Index
+			c.mu.Unlock()
+		}
+	}
+	c.apply(r.Committed)
+	for _, read := range r.Reads {
+		if w := c.reads[read.Token]; w != nil {
+			delete(c.reads, read.Token)
+			w.reply <- barrierEnd{read.Index, read.OK}
+		}
+	}
+	return true
+}
+
+// save writes to the disk. While it takes nothing this machine does nothing either: it hands over once, and whatever hangs
+// on the write is neither said nor done.
+func (c *Comb) save(r queen.Ready) bool {
+	if r.Hard == nil && r.Snapshot == nil && len(r.Entries) == 0 {
+		return true
+	}
+	for failed := false; ; {
+		err := c.journal.Save(r.Hard, r.Snapshot, r.Entries)
+		if err == nil {
+			c.mu.Lock()
+			c.status.Syncs++
+			c.status.DiskFails = false
+			c.mu.Unlock()
+			return true
+		}
+		if !failed {
+			failed = true
+			c.log.Error("disk takes nothing; waiting for it", "err", err)
+			c.node.GiveWay()
+			for _, m := range c.node.Take().Messages {
+				if m.Kind == queen.TakeOver {
+					c.send(m)
+				}
+			}
+			c.mu.Lock()
+			c.status.DiskFails, c.fresh, c.leads, c.leader = true, false, false, ""
+			c.mu.Unlock()
+		}
+		c.refuseAll()
+		select {
+		case <-c.quit:
+			return false
+		case <-time.After(retryDisk):
+		}
+		if err := c.journal.Reopen(); err != nil {
+			c.log.Error("journal not opened", "err", err)
+		}
+	}
+}
+
+// refuseAll answers what waits for a loop that can't go on. Of what may be in the log nothing is promised.
+func (c *Comb) refuseAll() {
+	for {
+		select {
+		case <-c.in:
+		case p := <-c.proposals:
+			p.reply <- answer{}
+		case r := <-c.barriers:
+			r.reply <- barrierEnd{}
+		default:
+			return
+		}
+	}
+}
+
+// apply takes committed entries on and answers who waits for them.
+func (c *Comb) apply(entries []queen.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range entries {
+		out := honey.Outcome{Status: honey.Done}
+		if len(e.Data) > 0 {
+			var err error
+			if _, out, err = c.history.Apply(e.Index, e.Data); err != nil {
+				c.log.Error("entry not readable", "index", e.Index, "err", err)
+			}
+		}
+		if p := c.waiting[e.Index]; p != nil {
+			delete(c.waiting, e.Index)
+			p.reply <- answer{Outcome: out, known: p.term == e.Term, begun: true}
+		}
+	}
+	c.applied = entries[len(entries)-1].Index
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// publish shows the rest of the process where the node stands.
+func (c *Comb) publish() {
+	_, leader := c.node.Leader()
+	members := c.node.Members()
+	core := make([]string, 0, len(members))
+	for _, m := range members {
+		core = append(core, m.Addr)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.turned = time.Now()
+	fresh := c.node.Fresh(freshFor)
+	if leader != c.leader || fresh != c.fresh {
+		close(c.changed)
+		c.changed = make(chan struct{})
+	}
+	c.leader, c.leads, c.fresh, c.core = leader, c.node.Role() == queen.Leader, fresh, core
+	c.status.Role, c.status.Term, c.status.Commit = c.node.Role().String(), c.node.Term(), c.node.Commit()
+	c.status.ID, c.status.Journal = c.node.Self().ID, c.journal.Size()
+}
+
+// renew begins a new journal with a snapshot when the present one has grown long.
+func (c *Comb) renew() {
+	if c.journal.Size() < renewBytes && c.node.LogSize() < renewEntries {
+		return
+	}
+	c.mu.Lock()
+	index, data := c.history.State.Index, encodeState(c.history.State)
+	c.mu.Unlock()
+	if !c.node.Compact(index, data) {
+		return
+	}
+	hard, snap, entries := c.node.Held()
+	if err := c.journal.Renew(hard, snap, entries); err != nil {
+		c.log.Error("no room for a new journal; the old one goes on", "err", err)
+	}
+}
+
+// lead does what falls to the leader: it appoints the duty's holder and takes silent cache routers out.
+func (c *Comb) lead() {
+	now := time.Now()
+	if c.led.IsZero() {
+		c.led, c.duty = now, now
+		c.log.Info("leads", "term", c.node.Term())
+	}
+	if now.Sub(c.duty) < liveFor/4 {
+		return
+	}
+	c.duty = now
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state := c.history.State
+	live := c.node.Live(liveFor)
+	holder := ""
+	for _, m := range live { // in the order of addresses
+		if ip := guard.HostOf(m.Addr); holder == "" || ip < holder {
+			holder = ip
+		}
+	}
+	lives := false
+	for _, m := range live {
+		lives = lives || guard.HostOf(m.Addr) == state.Duty.Holder
+	}
+	if !lives && holder != "" && now.Sub(c.led) > liveFor/2 {
+		c.node.Propose(honey.Command{Appoint: holder}.Encode())
+	}
+	if now.Sub(c.led) < absentFor {
+		return
+	}
+	for node := range state.Routers {
+		if at, ok := c.present[node]; (!ok || now.Sub(at) > absentFor) && now.Sub(c.attended[node]) > absentFor {
+			c.node.Propose(honey.Command{Absent: node, Epoch: state.Duty.Epoch}.Encode())
+		}
+	}
+	for node, at := range c.present {
+		if now.Sub(at) > 2*absentFor {
+			delete(c.present, node)
+		}
+	}
+}
+
+// seenHere is who has asked this machine for news, for the leader, at times.
+func (c *Comb) seenHere() (seen []string) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.told) < absentFor/4 {
+		return nil
+	}
+	c.told = now
+	for node, at := range c.attended {
+		switch age := now.Sub(at); {
+		case age < absentFor/3:
+			seen = append(seen, node)
+		case age > 2*absentFor:
+			delete(c.attended, node)
+			delete(c.enrolled, node)
+		}
+	}
+	return seen
+}
+
+func (c *Comb) heardOf(seen []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, node := range seen {
+		c.present[node] = time.Now()
+	}
+}
+
+// send hands a message to its address's sender; what can't go out in time is dropped, for the node says it again.
+func (c *Comb) send(m queen.Message) {
+	to := c.senders[m.ToAddr]
+	if to == nil {
+		to = make(chan []queen.Message, 64)
+		c.senders[m.ToAddr] = to
+		go c.sender(m.ToAddr, to)
+	}
+	select {
+	case to <- []queen.Message{m}:
+	default:
+	}
+}
+
+func (c *Comb) sender(address string, in <-chan []queen.Message) {
+	peer := c.peers.At(address)
+	for {
+		var all []queen.Message
+		select {
+		case all = <-in:
+		case <-c.done:
+			return
+		}
+	more:
+		for len(all) < 64 {
+			select {
+			case next := <-in:
+				all = append(all, next...)
+			default:
+				break more
+			}
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 600*time.Millisecond)
+		_, err := antenna.Call[[]queen.Message, bool](ctx, peer, "Comb.Deliver", &all)
+		cancel()
+		if err != nil {
+			c.log.Debug("not delivered", "err", err)
+		}
+	}
+}
+
+// wait waits until the loop's published state passes the test, or the context ends.
+func (c *Comb) wait(ctx context.Context, test func() bool) bool {
+	for {
+		c.mu.Lock()
+		ok, changed := test(), c.changed
+		c.mu.Unlock()
+		if ok {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+var errNoLeader = fmt.Errorf("no leader that has a majority")
--- /dev/null
+++ b/internal/hive/comb/service.go
@@ -0,0 +1,222 @@
+package comb
+
+import (
+	"context"
+	"time"
+
+	"cedarmast/internal/hive/antenna"
+	"cedarmast/internal/hive/honey"
+	"cedarmast/internal/hive/queen"
+)
+
+// service is what other processes may call. Its methods have net/rpc's form.
+type service struct{ c *Comb }
+
+// Proposal is a command on its way to the leader.
+type Proposal struct {
+	Data      []byte
+	WaitMS    int64 // how long its outcome is waited for
+	Forwarded bool  // by another comb: it is not passed on again
+}
+
+// Reply is what became of a proposal.
+type Reply struct {
+	honey.Outcome
+	Known bool // else it may or may not come into force
+}
+
+// Deliver takes messages of the agreement.
+func (s *service) Deliver(all *[]queen.Message, ok *bool) error {
+	select {
+	case s.c.in <- *all:
+		*ok = true
+	default: // the loop is held up: the sender says it again
+	}
+	return nil
+}
+
+// Propose brings a command into the log, by way of the leader. Commands may be brought twice: the state takes the same one
+// once, so an attempt without a clear end is made again while there is time.
+func (s *service) Propose(p *Proposal, r *Reply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(p.WaitMS)*time.Millisecond)
+	defer cancel()
+	for {
+		here, at := s.c.whereLeader(ctx)
+		switch {
+		case here:
+			done := &proposal{data: p.Data, reply: make(chan answer, 1)}
+			select {
+			case s.c.proposals <- done:
+			case <-ctx.Done():
+				return errNoLeader
+			}
+			select {
+			case a := <-done.reply:
+				if a.known {
+					r.Outcome, r.Known = a.Outcome, true
+					return nil
+				}
+			case <-ctx.Done():
+				return nil // in the log, perhaps
+			}
+		case p.Forwarded || at == "":
+			if ctx.Err() != nil || p.Forwarded {
+				return errNoLeader
+			}
+		default:
+			on := *p
+			on.Forwarded = true
+			if until, ok := ctx.Deadline(); ok {
+				on.WaitMS = max(time.Until(until).Milliseconds(), 1)
+			}
+			call, done := context.WithTimeout(ctx, 1500*time.Millisecond)
+			reply, err := antenna.Call[Proposal, Reply](call, s.c.peers.At(at), "Comb.Propose", &on)
+			done()
+			if err == nil && reply.Known {
+				*r = reply
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(25 * time.Millisecond):
+		}
+	}
+}
+
+// whereLeader waits for a leader: here, or at an address.
+func (c *Comb) whereLeader(ctx context.Context) (here bool, at string) {
+	c.wait(ctx, func() bool {
+		here, at = c.leads, c.leader
+		return here || at != ""
+	})
+	return here, at
+}
+
+// Asked is a question for what is surely committed.
+type Asked struct {
+	WaitMS    int64
+	Forwarded bool
+}
+
+// Barrier returns an index: a state that has it holds all that was acknowledged before the call.
+func (s *service) Barrier(a *Asked, index *uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(a.WaitMS)*time.Millisecond)
+	defer cancel()
+	for {
+		here, at := s.c.whereLeader(ctx)
+		switch {
+		case here:
+			r := &reading{reply: make(chan barrierEnd, 1)}
+			select {
+			case s.c.barriers <- r:
+			case <-ctx.Done():
+				return errNoLeader
+			}
+			select {
+			case end := <-r.reply:
+				if end.ok {
+					*index = end.index
+					return nil
+				}
+			case <-ctx.Done():
+				return errNoLeader
+			}
+		case a.Forwarded || at == "":
+			if a.Forwarded {
+				return errNoLeader
+			}
+		default:
+			on := Asked{WaitMS: a.WaitMS, Forwarded: true}
+			call, done := context.WithTimeout(ctx, 800*time.Millisecond)
+			got, err := antenna.Call[Asked, uint64](call, s.c.peers.At(at), "Comb.Barrier", &on)
+			done()
+			if err == nil {
+				*index = got
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errNoLeader
+		case <-time.After(25 * time.Millisecond):
+		}
+	}
+}
+
+// Manifest returns the newest configuration as it was put.
+func (s *service) Manifest(a *Asked, body *[]byte) error {
+	var index uint64
+	if err := s.Barrier(a, &index); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(a.WaitMS)*time.Millisecond)
+	defer cancel()
+	if !s.c.caughtUp(ctx, index) {
+		return errNoLeader
+	}
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	*body = s.c.history.State.Body
+	return nil
+}
+
+func (c *Comb) caughtUp(ctx context.Context, index uint64) bool {
+	return c.wait(ctx, func() bool { return c.applied >= index })
+}
+
+// News answers one who asks what is new, at once if there is any or if this machine can't tell, else when there is.
+func (s *service) News(a *honey.Ask, n *honey.News) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(a.HoldMS)*time.Millisecond)
+	defer cancel()
+	s.c.attend(a.Router)
+	if a.Barrier {
+		var index uint64
+		if err := s.Barrier(&Asked{WaitMS: a.HoldMS}, &index); err != nil {
+			return err
+		}
+		if !s.c.caughtUp(ctx, index) {
+			return errNoLeader
+		}
+	} else {
+		s.c.wait(ctx, func() bool { return s.c.history.State.Index > a.Have || !s.c.current() })
+	}
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	*n = s.c.history.Since(a.Have)
+	n.Core, n.Fresh = s.c.core, s.c.current()
+	return nil
+}
+
+// current tells whether this machine follows a leader with a majority. The caller holds the lock.
+func (c *Comb) current() bool { return c.fresh && time.Since(c.turned) < freshFor }
+
+// attend notes a cache router that asks, and has one that is new, or has moved, put into the roster.
+func (c *Comb) attend(r honey.Router) {
+	if r.Node == "" {
+		return
+	}
+	now := time.Now()
+	c.mu.Lock()
+	c.attended[r.Node] = now
+	enrol := c.history.State.Routers[r.Node] != r && now.Sub(c.enrolled[r.Node]) > enrolAgain && c.leader != ""
+	if enrol {
+		c.enrolled[r.Node] = now
+	}
+	c.mu.Unlock()
+	if enrol {
+		go (&service{c}).Propose(&Proposal{Data: honey.Command{Router: &r}.Encode(), WaitMS: 1000}, &Reply{})
+	}
+}
+
+// Status tells where this machine stands.
+func (s *service) Status(_ *bool, out *Status) error {
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	*out = s.c.status
+	state := s.c.history.State
+	out.Leader, out.Fresh, out.Members, out.Index = s.c.leader, s.c.current(), s.c.core, state.Index
+	out.Version, out.Servers, out.Routers, out.Duty = state.Version.String(), len(state.Servers), len(state.Routers), state.Duty
+	return nil
+}
--- /dev/null
+++ b/internal/hive/flight/flight.go
@@ -0,0 +1,373 @@
+// Package flight carries out attempts at servers in the form that they speak: it writes a request once, says for which server
+// it is meant, and judges by stamp, length and id what comes back. It sends nothing a second time by itself.
+package flight
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"cedarmast/balance"
+	"cedarmast/internal/exchange"
+	"cedarmast/internal/socket"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors; they name the step and the server.
+var Error = errs.Class("flight")
+
+// The headers that servers and clients speak, in canonical form.
+const (
+	HeaderID       = "Try-Id"
+	HeaderLeft     = "Time-Left"
+	HeaderStamp    = "Postmark"
+	HeaderFor      = "Addressee"
+	HeaderNotRun   = "Not-Delivered"
+	HeaderLoad     = "Load"
+	HeaderLabels   = "Labels"
+	HeaderServerID = "Server-Id"
+)
+
+// StatusKey is where a reply's header holds the server's status: no header has such a name.
+const StatusKey = ":status"
+
+const (
+	connectWithin = 350 * time.Millisecond
+	commitAfter   = 1500 * time.Microsecond // the last byte of what may run once is kept back so long
+	stallWithin   = 1500 * time.Millisecond // an answer that has begun goes on within this
+	maxHead       = 32 << 10
+	maxBody       = 64 << 20
+	maxSurplus    = 4 // answers to earlier requests that are passed over
+	userTimeout   = 18
+)
+
+// Order is what a request adds for its attempts, kept until its answer is out.
+type Order struct {
+	ID       string // Try-Id; empty: one is made, for what is asked on the own account
+	OnceOnly bool
+	Stamped  bool // a success without stamp is none
+
+	mu   sync.Mutex
+	last *exchange.Reply // the last answer of a server that ran it and failed
+	sent bool            // it may have run somewhere
+}
+
+// Failure returns the last failure that a server itself answered; nil if there is none.
+func (o *Order) Failure() *exchange.Reply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.last
+}
+
+// MayHaveRun tells whether a server may have begun the request.
+func (o *Order) MayHaveRun() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.sent
+}
+
+func (o *Order) note(sent bool) {
+	o.mu.Lock()
+	o.sent = sent || o.sent
+	o.mu.Unlock()
+}
+
+// Sender carries out attempts.
+type Sender struct {
+	Pool   *exchange.Pool
+	Counts *exchange.Counters
+	OwnID  func() string
+
+	mu     sync.Mutex
+	orders map[*exchange.Exchange]*Order
+}
+
+// NewSender returns a sender with its own pool of so many connections.
+func NewSender(most int, counts *exchange.Counters, ownID func() string) *Sender {
+	return &Sender{Pool: exchange.NewPool(most, 8*time.Second, counts), Counts: counts, OwnID: ownID,
+		orders: map[*exchange.Exchange]*Order{}}
+}
+
+// Begin notes an exchange's order before it is submitted, End lets it go.
+func (s *Sender) Begin(x *exchange.Exchange, o *Order) {
+	s.mu.Lock()
+	s.orders[x] = o
+	s.mu.Unlock()
+}
+
+// End lets an exchange's order go.
+func (s *Sender) End(x *exchange.Exchange) {
+	s.mu.Lock()
+	delete(s.orders, x)
+	s.mu.Unlock()
+}
+
+// Send begins an attempt.
+func (s *Sender) Send(a *exchange.Attempt) {
+	s.mu.Lock()
+	o := s.orders[a.Exchange]
+	s.mu.Unlock()
+	go s.run(a, o)
+}
+
+func (s *Sender) run(a *exchange.Attempt, o *Order) {
+	defer func() {
+		if p := recover(); p != nil { // one that may have run
+			a.End(exchange.Reply{Result: balance.Unknown, Err: Error.New("panic: %v", p)})
+		}
+	}()
+	if o == nil { // answered and let go meanwhile
+		a.End(exchange.Reply{Result: balance.Moot})
+		return
+	}
+	r := s.attempt(a, o)
+	a.End(r)
+}
+
+// conn is one connection to a server. It is used by one goroutine at a time, and lies in the pool between.
+type conn struct {
+	net.Conn
+	r    *bufio.Reader
+	pool *exchange.Pool
+	once sync.Once
+	idle time.Time // since when; zero for a new one
+}
+
+// Acquire is the pool's question whether the connection is still good.
+func (c *conn) Acquire() bool { return socket.Peek(c.Conn) == socket.Quiet }
+
+// Close closes it and gives its room back, once.
+func (c *conn) Close() error {
+	var err error
+	c.once.Do(func() { err = c.Conn.Close(); c.pool.Release() })
+	return err
+}
+
+func (s *Sender) connect(a *exchange.Attempt, careful bool) (*conn, error) {
+	got, err := s.Pool.Get(a.Context, a.Server, a.Address, careful, connectWithin)
+	if err != nil {
+		return nil, err
+	}
+	if c, ok := got.(*conn); ok && c != nil {
+		return c, nil
+	}
+	s.Counts.Dials.Add(1)
+	begun := time.Now()
+	dialer := net.Dialer{Timeout: connectWithin, KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, userTimeout, 3000) // a cut shows by the deadline at the latest
+		})
+	}}
+	nc, err := dialer.DialContext(a.Context, "tcp", a.Address)
+	a.Connect = time.Since(begun)
+	if err != nil {
+		s.Pool.Release()
+		return nil, err
+	}
+	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, 4<<10), pool: s.Pool}, nil
+}
+
+// attempt sends the request and judges what comes. Whatever is returned as never run has surely not run.
+func (s *Sender) attempt(a *exchange.Attempt, o *Order) exchange.Reply {
+	c, err := s.connect(a, o.OnceOnly)
+	if err != nil {
+		return exchange.Reply{Result: balance.NoConnect, Err: Error.New("connecting to %s: %w", a.Server, err)}
+	}
+	begun := time.Now()
+	if !a.Due.After(begun) {
+		s.Pool.Put(a.Server, a.Address, c, begun)
+		return exchange.Reply{Result: balance.Moot, Err: Error.New("sending to %s: no time is left", a.Server)}
+	}
+	idle := time.Duration(0)
+	if !c.idle.IsZero() {
+		idle = begun.Sub(c.idle)
+	}
+	id := o.ID
+	if id == "" {
+		id = s.OwnID()
+	}
+	c.SetDeadline(a.Due)
+	written, err := c.write(a, id, o.OnceOnly)
+	o.note(written)
+	if err != nil {
+		c.Close()
+		s.Pool.Used(idle, false)
+		result := balance.Reset
+		if !written {
+			result = balance.NoConnect
+		}
+		return exchange.Reply{Result: result, Err: Error.New("writing to %s: %w", a.Server, err)}
+	}
+	got, keep, err := c.read(a, id)
+	if err != nil {
+		c.Close()
+		var timeout net.Error
+		result := balance.Spoilt
+		switch {
+		case errors.As(err, &timeout) && timeout.Timeout():
+			result = balance.TimedOut
+			s.Pool.Silent(a.Server, begun)
+		case errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF):
+			result = balance.Reset
+			if time.Since(begun) < connectWithin/4 {
+				s.Pool.Used(idle, false)
+			}
+		}
+		return exchange.Reply{Result: result, Err: Error.New("reading from %s: %w", a.Server, err)}
+	}
+	s.Pool.Heard(a.Server, time.Now())
+	s.Pool.Used(idle, true)
+	if keep {
+		c.SetDeadline(time.Time{})
+		c.idle = time.Now()
+		s.Pool.Put(a.Server, a.Address, c, c.idle)
+	} else {
+		c.Close()
+	}
+	return s.judge(a, o, got)
+}
+
+// response is a server's whole answer.
+type response struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// judge is the one place where it is decided what an answer means.
+func (s *Sender) judge(a *exchange.Attempt, o *Order, got response) exchange.Reply {
+	notRun := got.header.Get(HeaderNotRun) != ""
+	r := exchange.Reply{Result: balance.OK, Header: got.header, Body: got.body}
+	got.header[StatusKey] = []string{strconv.Itoa(got.status)}
+	switch {
+	case got.status == http.StatusMisdirectedRequest:
+		return exchange.Reply{Result: balance.NoConnect, Err: Error.New("%s: another server has its address", a.Server)}
+	case notRun:
+		return exchange.Reply{Result: balance.Full, Err: Error.New("%s turned it away with %d", a.Server, got.status)}
+	case got.status >= 200 && got.status < 300 && (o.Stamped && got.header.Get(HeaderStamp) == "" || got.header.Get("Content-Encoding") != ""):
+		return exchange.Reply{Result: balance.Spoilt, Err: Error.New("%s: a success without its stamp", a.Server)}
+	case got.status >= 500:
+		o.mu.Lock()
+		o.last = &exchange.Reply{Header: r.Header, Body: r.Body}
+		o.mu.Unlock()
+		return exchange.Reply{Result: balance.Errored, Err: Error.New("%s answered %d", a.Server, got.status)}
+	}
+	return r
+}
+
+var errEarly = errors.New("the connection ended before the request was whole")
+
+// write writes the request; written tells whether its last byte may have left. Of what may run once the last byte follows a
+// moment later, so that a connection that the server has dropped shows while the request surely has not run.
+func (c *conn) write(a *exchange.Attempt, id string, once bool) (written bool, err error) {
+	head := make([]byte, 0, 512)
+	head = fmt.Appendf(head, "%s %s HTTP/1.1\r\n", a.Method, a.Target)
+	for name, values := range a.Header {
+		for _, v := range values {
+			head = append(append(append(append(head, name...), ": "...), v...), "\r\n"...)
+		}
+	}
+	left := max(time.Until(a.Due).Milliseconds(), 1)
+	head = fmt.Appendf(head, "%s: %s\r\n%s: %d\r\n%s: %s\r\n", HeaderID, id, HeaderLeft, left, HeaderFor, a.Server)
+	if len(a.Body) > 0 || a.Method != http.MethodGet && a.Method != http.MethodHead {
+		head = fmt.Appendf(head, "Content-Length: %d\r\n", len(a.Body))
+	}
+	head = append(head, "\r\n"...)
+	all := append(head, a.Body...)
+	if !once {
+		_, err := c.Conn.Write(all)
+		return true, err
+	}
+	if _, err := c.Conn.Write(all[:len(all)-1]); err != nil {
+		return false, err
+	}
+	time.Sleep(commitAfter)
+	if state := socket.Peek(c.Conn); state == socket.Closed || state == socket.Unread {
+		return false, errEarly
+	}
+	_, err = c.Conn.Write(all[len(all)-1:])
+	return err == nil || !errors.Is(err, syscall.EPIPE), err
+}
+
+// read reads the answer that carries the id, passing over answers to earlier requests. Keep tells whether the connection may
+// be used again.
+func (c *conn) read(a *exchange.Attempt, id string) (got response, keep bool, err error) {
+	keep = true
+	for range maxSurplus {
+		resp, err := http.ReadResponse(c.r, &http.Request{Method: a.Method})
+		if err != nil {
+			return got, false, err
+		}
+		if resp.StatusCode < 200 {
+			continue
+		}
+		if resp.ContentLength > maxBody {
+			return got, false, fmt.Errorf("a body of %d bytes", resp.ContentLength)
+		}
+		if resp.ContentLength < 0 && !resp.Close && len(resp.TransferEncoding) == 0 {
+			return got, false, errors.New("an answer without a length")
+		}
+		ends := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 // with its connection: it can't be told from one cut short
+		c.SetDeadline(earlier(a.Due, time.Now().Add(stallWithin)))
+		var body []byte
+		if resp.ContentLength > 0 && a.Method != http.MethodHead {
+			body = make([]byte, resp.ContentLength)
+			_, err = io.ReadFull(resp.Body, body)
+		} else {
+			body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody))
+		}
+		if err != nil {
+			return got, false, fmt.Errorf("body: %w", err)
+		}
+		if len(resp.Header[HeaderID]) != 1 || resp.Header[HeaderID][0] != id {
+			keep = false // an answer to an earlier request stood in the place of this one's
+			c.SetDeadline(a.Due)
+			if resp.Close {
+				return got, false, errors.New("an answer to another request, and no more")
+			}
+			continue
+		}
+		if ends && resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified {
+			return got, false, errors.New("an answer without a length")
+		}
+		keep = keep && !resp.Close && c.r.Buffered() == 0
+		return response{resp.StatusCode, EndToEnd(resp.Header), body}, keep, nil
+	}
+	return got, false, errors.New("only answers to other requests")
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// hopByHop are the headers that belong to one connection, or to one request alone.
+var hopByHop = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+	"Expect": true, HeaderID: true, HeaderLeft: true, HeaderFor: true}
+
+// EndToEnd removes from a head what is not to be passed on.
+func EndToEnd(h http.Header) http.Header {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for name := range h {
+		if hopByHop[name] {
+			delete(h, name)
+		}
+	}
+	return h
+}
--- /dev/null
+++ b/internal/hive/forager/forager.go
@@ -0,0 +1,200 @@
+// Package forager is the proxy's process: it takes clients' requests on a counter machine, finds their route in the common
+// configuration, and sends them on, shelved ones by way of the cache router that the interval table names. All decisions
+// about servers and cache routers are balance's, hosted by exchange as in the router in service.
+package forager
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"log/slog"
+	mrand "math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cedarmast/balance"
+	"cedarmast/internal/exchange"
+	"cedarmast/internal/hive/antenna"
+	"cedarmast/internal/hive/flight"
+	"cedarmast/internal/hive/guard"
+	"cedarmast/internal/hive/honey"
+	"cedarmast/internal/hive/nectar"
+	"cedarmast/internal/hive/scout"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("forager")
+
+const (
+	cachePart    = 4                       // of the memory, for copies
+	notReadyFor  = 2600 * time.Millisecond // after SIGTERM, until the platform has seen it twice
+	endMargin    = 700 * time.Millisecond  // of grace, kept back
+	fdsReserved  = 400
+	mostServers  = 4
+	memoryTarget = 0.8 // of the memory, past which garbage is collected at once
+)
+
+// Forager is the process. Run starts it.
+type Forager struct {
+	set    guard.Settings
+	log    hclog.Logger
+	quiet  *slog.Logger
+	peers  *antenna.Peers
+	scout  *scout.Scout
+	cache  *nectar.Cache
+	clock  exchange.Clock
+	counts exchange.Counters
+	sender *flight.Sender
+	hop    *hop
+
+	plan    atomic.Pointer[plan] // what requests are served by
+	changes chan func()          // what follows from news and may wait, in order
+	ready   atomic.Bool
+	ending  atomic.Bool
+
+	// Under the scout's lock:
+	services map[string]*service
+	started  map[string]balance.Time
+
+	fetches fetches
+	ownID   atomic.Uint64
+	idBase  uint64
+	life    context.Context
+	running sync.WaitGroup
+}
+
+// Run serves until the context ends, then ends in order.
+func Run(ctx context.Context, set guard.Settings, log hclog.Logger) error {
+	switch {
+	case set.Counter == "":
+		return Error.New("network.listen_on.counter: missing")
+	case set.Readiness == "":
+		return Error.New("network.listen_on.readiness: missing")
+	}
+	debug.SetMemoryLimit(int64(float64(set.MemoryMB<<20) * memoryTarget))
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	var lot [8]byte
+	rand.Read(lot[:])
+	f := &Forager{set: set, log: log, quiet: slog.New(slog.DiscardHandler), peers: antenna.NewPeers(), scout: scout.New(),
+		cache: nectar.New(int64(set.MemoryMB<<20) / cachePart), clock: exchange.NewClock(), changes: make(chan func(), 4096),
+		services: map[string]*service{}, started: map[string]balance.Time{}, idBase: binary.LittleEndian.Uint64(lot[:]), life: life}
+	f.fetches.all = map[nectar.Key]*fetch{}
+	f.sender = flight.NewSender(max(set.FileHandles/2-fdsReserved, 64), &f.counts, f.newID)
+	f.hop = newHop(f)
+	own := set.Inner(set.IP, guard.ForagerPort)
+	f.scout.Set, f.scout.Peers, f.scout.Log = set, f.peers, log.Named("scout")
+	f.scout.Router = honey.Router{Node: set.Node, Zone: set.Zone, Address: own}
+	f.scout.Took, f.scout.Neighbours = f.took, f.neighbours
+
+	inner, err := net.Listen("tcp", own)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	readiness, err := net.Listen("tcp", set.Readiness)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	counter, err := net.Listen("tcp", set.Counter)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	f.running.Go(func() { f.hop.loop.Run(life) })
+	f.running.Go(func() { f.follow(life) })
+	f.running.Go(func() { f.sweep(life) })
+	go f.scout.Run(life)
+	go antenna.Serve(inner, "Forager", &peerCalls{f})
+	server := &http.Server{Handler: http.HandlerFunc(f.serve), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 15 * time.Second,
+		MaxHeaderBytes: 64 << 10, ErrorLog: log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
+	go server.Serve(counter)
+	gate := &http.Server{Handler: http.HandlerFunc(f.serveReady), ReadHeaderTimeout: 2 * time.Second}
+	go gate.Serve(readiness)
+	log.Info("started", "address", set.Counter, "zone", set.Zone)
+
+	<-ctx.Done()
+	f.ending.Store(true)
+	begun := time.Now()
+	log.Info("ending: takes what still comes until the platform sends no more")
+	time.Sleep(min(notReadyFor, set.Bounds.Grace/2))
+	server.SetKeepAlivesEnabled(false)
+	last, done := context.WithDeadline(context.Background(), begun.Add(set.Bounds.Grace-endMargin))
+	defer done()
+	if err := server.Shutdown(last); err != nil {
+		log.Warn("ended with requests in hand", "err", err)
+	}
+	log.Info("ended in order", "after", time.Since(begun).Round(time.Millisecond))
+	return nil
+}
+
+// newID makes an id for what is read on the own account.
+func (f *Forager) newID() string {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], f.idBase+f.ownID.Add(1))
+	return hex.EncodeToString(b[:])
+}
+
+func (f *Forager) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/ready" {
+		http.NotFound(w, r)
+		return
+	}
+	if !f.ready.Load() || f.ending.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// follow carries out, in order, what follows from news.
+func (f *Forager) follow(ctx context.Context) {
+	for {
+		select {
+		case do := <-f.changes:
+			do()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *Forager) sweep(ctx context.Context) {
+	for {
+		select {
+		case <-time.After(2 * time.Second):
+			f.sender.Pool.Sweep(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// neighbours are other cache routers, for when no core machine answers.
+func (f *Forager) neighbours() (all []string) {
+	f.scout.Read(func(s *honey.State) {
+		for _, r := range s.Routers {
+			if r.Node != f.set.Node {
+				all = append(all, r.Address)
+			}
+		}
+	})
+	return all
+}
+
+// newLoop returns a host for decisions, with this process's clock and counters.
+func (f *Forager) newLoop(set balance.Settings, sender exchange.Sender, pool *exchange.Pool) *exchange.Loop {
+	l := exchange.NewLoop()
+	l.Clock, l.Counts, l.Log, l.Pool, l.Sender, l.Teller = f.clock, &f.counts, f.quiet, pool, sender, nobody{}
+	l.Settings, l.Seed = set, mrand.Uint64()
+	return l
+}
+
+// nobody is told nothing: the system's routers learn of one another by the common state.
+type nobody struct{}
+
+func (nobody) Tell(int, []byte) {}
--- /dev/null
+++ b/internal/hive/forager/hop.go
@@ -0,0 +1,183 @@
+package forager
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"cedarmast/balance"
+	"cedarmast/internal/exchange"
+	"cedarmast/internal/hive/antenna"
+	"cedarmast/internal/hive/flight"
+	"cedarmast/internal/hive/honey"
+	"cedarmast/internal/hive/nectar"
+)
+
+// hop is the way to the cache router that a key belongs to: the interval table, and the second hash when it is crowded.
+type hop struct {
+	f    *Forager
+	loop *exchange.Loop
+	base uint64 // of the roster that the table was cut by
+	done int    // steps of it that the table has
+}
+
+const (
+	hopClass    = "copy"
+	hopDeadline = 30 * time.Second
+	hopAim      = 4 * time.Second // far over what a hop takes: an origin's slowness is not to pass for the cache router's
+	hopSlack    = 60 * time.Millisecond
+	behindFor   = 150 * time.Millisecond // a cache router that lacks a purge may take so long to learn of it
+)
+
+func newHop(f *Forager) *hop {
+	h := &hop{f: f}
+	h.loop = f.newLoop(balance.Settings{Classes: []balance.Class{{Name: hopClass, Aim: hopAim, Deadline: hopDeadline, Worth: 1,
+		Effect: balance.Safe}}, Routers: 1, Zone: f.set.Zone, OverShareWorth: 1, MaxAttempts: 2, ConnectTimeout: time.Second,
+		ColdFrom: 1, Ramp: time.Second, OverloadFactor: 2, OverloadFor: time.Second,
+		Tiers: func() balance.Tiers { return &nearFirst{zone: f.set.Zone} }}, h, f.sender.Pool)
+	return h
+}
+
+// follow hands the table the steps that it lacks, one by one, as every router's table gets them. When the roster has been
+// written down anew, the table begins anew with it.
+func (h *hop) follow(s *honey.State) {
+	if h.base != s.RosterBase || h.done > len(s.Roster) {
+		gone := exchange.List{Addresses: map[balance.ServerID]string{}}
+		gone.Kind, gone.Version = balance.Complete, int64(s.Index)
+		h.post(gone)
+		h.base, h.done = s.RosterBase, 0
+	}
+	for ; h.done < len(s.Roster); h.done++ {
+		step := s.Roster[h.done]
+		l := exchange.List{Addresses: map[balance.ServerID]string{balance.ServerID(step.Node): step.Address}}
+		e := balance.Entry{Server: balance.ServerID(step.Node), Zone: step.Zone, Weight: 1}
+		if step.Gone {
+			e.State = balance.Gone
+		}
+		l.Kind, l.Version, l.Entries = balance.Partial, int64(s.Index), []balance.Entry{e}
+		h.post(l)
+	}
+}
+
+func (h *hop) post(l exchange.List) { h.f.later(func() { h.loop.Listed(l) }) }
+
+// Fetch is one cache router's question to another.
+type Fetch struct {
+	Key    nectar.Key
+	Target string // as in the request line
+	ID     string // the client's Try-Id
+	LeftMS int64
+	Route  string
+	Index  uint64 // the asker's history: the one who is asked must hold as much
+}
+
+// Fetched is its answer.
+type Fetched struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Whole  bool  // an object that may be cut into ranges, else a server's other answer
+	Refuse int64 // not had: come again after so many milliseconds; 0: it was had
+}
+
+// Send asks the cache router that was decided on; this one asks itself without a call.
+func (h *hop) Send(a *exchange.Attempt) {
+	go func() {
+		q := Fetch{}
+		if err := decodeAsk(a.Exchange, &q); err != nil {
+			a.End(exchange.Reply{Result: balance.Moot, Err: err})
+			return
+		}
+		q.LeftMS = max(time.Until(a.Due).Milliseconds(), 1)
+		var got Fetched
+		var err error
+		if string(a.Server) == h.f.set.Node {
+			got = h.f.obtain(a.Context, q)
+		} else {
+			got, err = antenna.Call[Fetch, Fetched](a.Context, h.f.peers.At(a.Address), "Forager.Fetch", &q)
+		}
+		switch {
+		case errors.Is(err, antenna.ErrNotBegun):
+			a.End(exchange.Reply{Result: balance.NoConnect, Err: err})
+		case errors.Is(err, context.DeadlineExceeded):
+			a.End(exchange.Reply{Result: balance.TimedOut, Err: err})
+		case err != nil:
+			a.End(exchange.Reply{Result: balance.Reset, Err: err})
+		default:
+			a.End(exchange.Reply{Result: balance.OK, Header: got.pack(), Body: got.Body})
+		}
+	}()
+}
+
+// The question travels through the exchange in its header, which nobody between reads.
+const (
+	askKey   = ":ask"
+	wholeKey = ":whole"
+	laterKey = ":later"
+)
+
+func encodeAsk(q Fetch) http.Header {
+	return http.Header{askKey: {q.Key.Service, q.Key.Host, q.Key.Path, q.Key.Query, q.Target, q.ID, q.Route}}
+}
+
+func decodeAsk(x *exchange.Exchange, q *Fetch) error {
+	v := x.Header[askKey]
+	if len(v) != 7 {
+		return Error.New("hop: a question of %d parts", len(v))
+	}
+	*q = Fetch{Key: nectar.Key{Service: v[0], Host: v[1], Path: v[2], Query: v[3]}, Target: v[4], ID: v[5], Route: v[6], Index: x.Key}
+	return nil
+}
+
+func (g Fetched) pack() http.Header {
+	h := g.Header.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	h[flight.StatusKey] = []string{itoa(int64(g.Status))}
+	if g.Whole {
+		h[wholeKey] = []string{"1"}
+	}
+	if g.Refuse > 0 {
+		h[laterKey] = []string{itoa(g.Refuse)}
+	}
+	return h
+}
+
+func unpack(h http.Header, body []byte) Fetched {
+	g := Fetched{Status: int(atoi(first(h, flight.StatusKey))), Body: body, Whole: first(h, wholeKey) != "", Refuse: atoi(first(h, laterKey))}
+	delete(h, flight.StatusKey)
+	delete(h, wholeKey)
+	delete(h, laterKey)
+	g.Header = h
+	return g
+}
+
+// peerCalls is what other processes may call. Its methods have net/rpc's form.
+type peerCalls struct{ f *Forager }
+
+// Fetch answers a cache router that asks for an object.
+func (p *peerCalls) Fetch(q *Fetch, g *Fetched) error {
+	ctx, done := context.WithTimeout(context.Background(), time.Duration(q.LeftMS)*time.Millisecond)
+	defer done()
+	if p.f.ending.Load() {
+		return errors.New("ending")
+	}
+	if p.f.scout.Index() < q.Index {
+		wait, late := context.WithTimeout(ctx, behindFor)
+		ok := p.f.scout.Await(wait, q.Index)
+		late()
+		if !ok {
+			return errors.New("behind: it may hold what was purged")
+		}
+	}
+	*g = p.f.obtain(ctx, *q)
+	return nil
+}
+
+// News hands on what is held, for one that no core machine answers.
+func (p *peerCalls) News(a *honey.Ask, n *honey.News) error {
+	*n = p.f.scout.News(*a)
+	return nil
+}
--- /dev/null
+++ b/internal/hive/forager/plan.go
@@ -0,0 +1,311 @@
+package forager
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"cedarmast/balance"
+	"cedarmast/internal/exchange"
+	"cedarmast/internal/hive/guard"
+	"cedarmast/internal/hive/honey"
+)
+
+// plan is what requests are served by: one configuration. It is not changed once it is in force.
+type plan struct {
+	*honey.Manifest
+	table    *honey.Table
+	services map[string]*service
+}
+
+// service is the decisions about one service's servers, and its share of the origin's rate.
+type service struct {
+	name  string
+	loop  *exchange.Loop
+	end   context.CancelFunc
+	rate  rate
+	tuned balance.Settings // as last told; the follower's
+}
+
+const (
+	slotsPart   = 1.5 // of a server's slots that all routers together may fill before anything was seen
+	firstLimit  = 12  // what balance allows a lone router
+	cold        = 3 * time.Second
+	coldPart    = 0.5
+	mostAdvice  = time.Second
+	usualSlots  = 8
+	noSuchClass = 2 * time.Second
+)
+
+// took hears of every change, in order, under the scout's lock.
+func (f *Forager) took(s *honey.State, c honey.Command, index uint64, whole bool) {
+	if whole {
+		f.cache.Forget(index)
+	}
+	if whole || c.Put != nil {
+		f.configure(s)
+	}
+	if whole || c.Server != nil || c.Leave != "" || c.Lost != "" {
+		name := ""
+		if c.Server != nil {
+			name = c.Server.Service
+		}
+		f.list(s, name)
+	}
+	if whole || c.Router != nil || c.Absent != "" {
+		f.hop.follow(s)
+		f.retune(s)
+	}
+	if p := c.Purge; p != nil {
+		f.cache.Purge(index, p.Host, p.Path, p.Tag)
+	}
+}
+
+// configure takes the state's configuration on. It is the one place where the version in force changes, and it only rises.
+func (f *Forager) configure(s *honey.State) {
+	old := f.plan.Load()
+	if len(s.Body) == 0 || old != nil && s.Version <= old.Version {
+		return
+	}
+	m, err := honey.ParseManifest(s.Body)
+	if err != nil { // the log takes no invalid ones
+		f.log.Error("configuration not readable", "version", s.Version, "err", err)
+		return
+	}
+	p := &plan{Manifest: m, table: honey.NewTable(m), services: map[string]*service{}}
+	for _, def := range m.Services {
+		sv := f.services[def.Name]
+		if sv == nil {
+			sv = &service{name: def.Name}
+			ctx, end := context.WithCancel(f.life)
+			sv.loop = f.newLoop(f.settings(s, p, def.Name), f.sender, f.sender.Pool)
+			sv.end = end
+			f.services[def.Name] = sv
+			f.running.Go(func() { sv.loop.Run(ctx) })
+		}
+		sv.rate.set(def.RatePerS, len(s.Routers), f.set.Bounds)
+		p.services[def.Name] = sv
+	}
+	f.plan.Store(p)
+	f.ready.Store(true)
+	for name, sv := range f.services {
+		if p.services[name] == nil { // let go once what is in hand has ended
+			delete(f.services, name)
+			time.AfterFunc(time.Minute, sv.end)
+		}
+	}
+	f.list(s, "")
+	f.retune(s)
+	f.log.Info("configuration in force", "version", m.Version, "routes", len(m.Routes), "index", s.Index)
+}
+
+// retune tells the decisions of the configuration's classes and of how many share the work.
+func (f *Forager) retune(s *honey.State) {
+	p := f.plan.Load()
+	if p == nil {
+		return
+	}
+	for name, sv := range p.services {
+		set := f.settings(s, p, name)
+		for _, def := range p.Services {
+			if def.Name == name {
+				sv.rate.set(def.RatePerS, len(s.Routers), f.set.Bounds)
+			}
+		}
+		f.later(func() {
+			if !sameSettings(sv.tuned, set) {
+				sv.tuned = set
+				sv.loop.Retune(set)
+			}
+		})
+	}
+}
+
+func (f *Forager) later(do func()) {
+	select {
+	case f.changes <- do:
+	default: // the follower is thousands of changes behind: it is waited for
+		f.changes <- do
+	}
+}
+
+func sameSettings(a, b balance.Settings) bool {
+	return a.Routers == b.Routers && a.MaxAttempts == b.MaxAttempts && slices.Equal(a.Classes, b.Classes)
+}
+
+// settings are what the decisions about a service are told. A lone router may fill its part of the servers' slots before it
+// has seen anything.
+func (f *Forager) settings(s *honey.State, p *plan, name string) balance.Settings {
+	set := balance.Settings{Number: 0, Zone: f.set.Zone, OverShareWorth: 1, Parallel: true, MaxRetryAfter: mostAdvice,
+		ConnectTimeout: time.Second, ColdFrom: coldPart, Ramp: cold, OverloadFactor: 2, OverloadFor: 2 * time.Second}
+	shelved := false
+	for _, r := range p.Routes {
+		if !slices.ContainsFunc(r.Split, func(x honey.Share) bool { return x.Service == name && x.Weight > 0 }) {
+			continue
+		}
+		c := balance.Class{Name: r.Name, Aim: r.Target, Deadline: r.Timeout, Worth: 1 / float64(1+max(r.Priority, 0)), LateShare: 0.3}
+		shelved = shelved || r.Kind == honey.Shelved
+		if c.Aim <= 0 {
+			c.Aim = c.Deadline / 2
+		}
+		if r.Kind != honey.OnceOnly {
+			c.Effect = balance.Safe
+		}
+		set.Classes = append(set.Classes, c)
+		if set.MaxAttempts == 0 || r.Tries < set.MaxAttempts {
+			set.MaxAttempts = r.Tries
+		}
+	}
+	if len(set.Classes) == 0 {
+		set.Classes = []balance.Class{{Name: "none", Aim: noSuchClass / 2, Deadline: noSuchClass, Worth: 1}}
+	}
+	slots, servers := 0, 0
+	for _, sv := range s.Servers {
+		if sv.Service == name {
+			slots, servers = slots+sv.Slots, servers+1
+		}
+	}
+	each := float64(usualSlots)
+	if servers > 0 {
+		each = float64(slots) / float64(servers)
+	}
+	set.Routers = max(int(firstLimit*float64(max(len(s.Routers), 1))/max(slotsPart*each, 1)), 1)
+	if shelved { // long bodies; what is short goes wherever there is room
+		set.Tiers = func() balance.Tiers { return &nearFirst{zone: f.set.Zone} }
+	}
+	return set
+}
+
+// list tells the decisions which servers a service has; of all services if none is named.
+func (f *Forager) list(s *honey.State, name string) {
+	for each, sv := range f.services {
+		if name != "" && each != name {
+			continue
+		}
+		l := exchange.List{Addresses: map[balance.ServerID]string{}}
+		l.Kind, l.Version = balance.Complete, int64(s.Index)
+		for _, id := range slices.Sorted(maps.Keys(s.Servers)) {
+			x := s.Servers[id]
+			if x.Service != each {
+				continue
+			}
+			e := balance.Entry{Server: balance.ServerID(id), Zone: x.Zone, Weight: float64(max(x.Slots, 1)), Started: f.startOf(x)}
+			if x.State != honey.Open {
+				e.State = balance.Draining
+			}
+			l.Entries = append(l.Entries, e)
+			l.Addresses[e.Server] = x.Address
+		}
+		f.later(func() { sv.loop.Listed(l) })
+	}
+	for id := range f.started {
+		if _, ok := s.Servers[id]; !ok {
+			delete(f.started, id)
+		}
+	}
+}
+
+// startOf is when a server began its warm-up, by this process's clock; 0 for one that is warm.
+func (f *Forager) startOf(x honey.Server) balance.Time {
+	at, ok := f.started[x.ID]
+	if !ok {
+		if x.WarmupMS > 0 {
+			at = f.clock.Now().Add(time.Duration(x.WarmupMS)*time.Millisecond - cold)
+		}
+		f.started[x.ID] = at
+	}
+	return at
+}
+
+// nearFirst draws in the own zone first, then in the others: bytes between zones are dear. It is an exception to the one
+// draw over all, stated in docs/design/network.md.
+type nearFirst struct {
+	zone  string
+	order []balance.Tier
+}
+
+func (n *nearFirst) Listed(_ balance.Time, up map[string]int) {
+	n.order = n.order[:0]
+	if up[n.zone] > 0 {
+		n.order = append(n.order, balance.Tier{Zone: n.zone, Part: 1})
+	}
+	for _, zone := range slices.Sorted(maps.Keys(up)) {
+		if zone != n.zone && up[zone] > 0 {
+			n.order = append(n.order, balance.Tier{Zone: zone, Part: 1})
+		}
+	}
+	if len(n.order) > 2 { // each router has its own second: not all of a lost zone go to one
+		rest := n.order[1:]
+		if n.order[0].Zone != n.zone {
+			rest = n.order
+		}
+		turn := 0
+		for _, b := range []byte(n.zone) {
+			turn += int(b)
+		}
+		turn %= len(rest)
+		copy(rest, append(slices.Clone(rest[turn:]), rest[:turn]...))
+	}
+}
+
+func (n *nearFirst) Order(balance.Time, balance.Visit) []balance.Tier { return n.order }
+
+func (n *nearFirst) Begun(balance.Time, string, uint64, bool, bool) bool { return false }
+
+func (n *nearFirst) Ended(balance.Time, balance.Stay) {}
+
+func (n *nearFirst) View() ([]balance.SiteView, float64) { return nil, 0 }
+
+// rate is this router's share of what a service's servers may be asked, all routers together. Shares are equal, and one that
+// is not used is saved for a moment only, so that the sum stays under the ceiling in every window.
+type rate struct {
+	mu     sync.Mutex
+	per    float64 // a second; 0: no bound
+	burst  float64
+	tokens float64
+	at     time.Time
+}
+
+const ratePart = 0.97 // of the ceiling: for clocks and for requests that cross a window's edge
+
+func (r *rate) set(perS float64, routers int, b guard.Bounds) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := float64(max(routers, 1))
+	per := perS * ratePart / n
+	burst := max(perS*(b.CeilingExcess-ratePart)*b.CeilingWindow.Seconds()/n*0.7, 1)
+	if r.per == 0 && per > 0 {
+		r.tokens, r.at = burst, time.Now()
+	}
+	r.per, r.burst = per, burst
+	r.tokens = min(r.tokens, burst)
+}
+
+// take takes one request's room if there is any.
+func (r *rate) take() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.per <= 0 {
+		return true
+	}
+	now := time.Now()
+	r.tokens = min(r.tokens+r.per*now.Sub(r.at).Seconds(), r.burst)
+	r.at = now
+	if r.tokens < 1 {
+		return false
+	}
+	r.tokens--
+	return true
+}
+
+// wait is how long until there is room for one more.
+func (r *rate) wait() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.per <= 0 || r.tokens >= 1 {
+		return 0
+	}
+	return time.Duration((1 - r.tokens) / r.per * float64(time.Second))
+}
--- /dev/null
+++ b/internal/hive/forager/serve.go
@@ -0,0 +1,224 @@
+package forager
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"cedarmast/internal/exchange"
+	"cedarmast/internal/hive/flight"
+	"cedarmast/internal/hive/honey"
+	"cedarmast/internal/hive/nectar"
+)
+
+// This file is the way of a client's request from its route to its answer.
+
+const usualLeft = 2 * time.Second // for a client that says nothing
+
+func itoa(n int64) string { return strconv.FormatInt(n, 10) }
+
+func atoi(s string) int64 { n, _ := strconv.ParseInt(s, 10, 64); return n }
+
+// request is a client's request on its way.
+type request struct {
+	*http.Request
+	w       http.ResponseWriter
+	id      string
+	arrived time.Time
+	left    time.Duration
+	route   *honey.Route
+	plan    *plan
+}
+
+func (f *Forager) serve(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	f.counts.Requests.Add(1)
+	q := &request{Request: r, w: w, id: r.Header.Get(flight.HeaderID), arrived: arrived, left: usualLeft, plan: f.plan.Load()}
+	if ms := atoi(r.Header.Get(flight.HeaderLeft)); ms > 0 {
+		q.left = time.Duration(min(ms, int64(time.Hour/time.Millisecond))) * time.Millisecond
+	}
+	if q.plan == nil {
+		q.refuse(comeAgain)
+		return
+	}
+	host, _, err := net.SplitHostPort(r.Host)
+	if err != nil {
+		host = r.Host
+	}
+	if q.route = q.plan.table.Find(host, r.URL.Path); q.route == nil {
+		q.final(http.StatusNotFound, nil, nil)
+		return
+	}
+	q.left = min(q.left, q.route.Timeout)
+	if q.route.Kind == honey.Shelved && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
+		f.serveShelved(q, strings.ToLower(host))
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, q.plan.Limits.BodyBytes))
+	if err != nil {
+		q.final(http.StatusBadRequest, nil, nil)
+		return
+	}
+	f.serveDirect(q, body)
+}
+
+// serveDirect sends a request to a server of its route's service.
+func (f *Forager) serveDirect(q *request, body []byte) {
+	sv := q.plan.services[q.route.Pick(rand.Float64())]
+	if sv == nil {
+		q.refuse(comeAgain)
+		return
+	}
+	if !sv.rate.take() {
+		q.refuse(sv.rate.wait())
+		return
+	}
+	header := flight.EndToEnd(q.Header.Clone())
+	header["Host"] = []string{q.Host}
+	order := &flight.Order{ID: q.id, OnceOnly: q.route.Kind == honey.OnceOnly}
+	a := f.ask(sv, order, exchange.Request{ID: q.id, Class: q.route.Name, Arrived: q.arrived, TimeLeft: q.left,
+		Write: q.route.Kind == honey.OnceOnly, Method: q.Method, Target: q.RequestURI, Header: header, Body: body})
+	switch failure := order.Failure(); {
+	case a.Kind == exchange.Served:
+		q.pass(int(atoi(first(a.Header, flight.StatusKey))), a.Header, a.Body)
+	case failure != nil: // a server's own word about it
+		q.pass(int(atoi(first(failure.Header, flight.StatusKey))), failure.Header, failure.Body)
+	case a.Kind == exchange.Refused:
+		q.refuse(max(a.RetryAfter, 20*time.Millisecond))
+	case order.OnceOnly && !order.MayHaveRun(): // nothing has left: it has not run
+		q.refuse(comeAgain)
+	case a.TimedOut:
+		q.final(http.StatusGatewayTimeout, nil, nil)
+	default:
+		q.final(http.StatusBadGateway, nil, nil)
+	}
+}
+
+// serveShelved answers from a copy: this router's, or that of the cache router which the table names.
+func (f *Forager) serveShelved(q *request, host string) {
+	k := nectar.Key{Host: host, Path: q.URL.Path, Query: q.URL.RawQuery}
+	k.Service = q.route.Pick(float64(k.Hash()>>11) / (1 << 53))
+	if x, grade := f.held(k); grade == nectar.Fresh {
+		q.deliver(fetchedFrom(x))
+		return
+	}
+	target := k.Path
+	if k.Query != "" {
+		target += "?" + k.Query
+	}
+	if q.URL.RawPath != "" || !strings.HasPrefix(q.RequestURI, "/") { // as the client wrote it
+		target = q.URL.RequestURI()
+	}
+	ask := Fetch{Key: k, Target: target, ID: q.id, Route: q.route.Name}
+	left := q.left - hopSlack
+	if left <= 0 {
+		left = q.left
+	}
+	x := exchange.New(exchange.Request{ID: q.id, Class: hopClass, Key: k.Hash(), HasKey: true, Arrived: q.arrived, TimeLeft: left,
+		Method: http.MethodGet, Target: target, Header: encodeAsk(ask)})
+	f.hop.loop.Submit(x)
+	a := <-x.Answer()
+	if a.Kind == exchange.Served {
+		q.deliver(unpack(a.Header, a.Body))
+		return
+	}
+	rest := q.left - time.Since(q.arrived)
+	if rest < 20*time.Millisecond {
+		q.refuse(comeAgain)
+		return
+	}
+	ask.LeftMS = rest.Milliseconds()
+	q.deliver(f.obtain(q.Context(), ask)) // no cache router answers: this one asks the servers itself
+}
+
+// deliver answers with an object, whole or the range that was asked for, or with what a server said instead.
+func (q *request) deliver(g Fetched) {
+	switch {
+	case g.Refuse > 0:
+		q.refuse(time.Duration(g.Refuse) * time.Millisecond)
+	case !g.Whole:
+		q.pass(g.Status, g.Header, g.Body)
+	case q.Header.Get("If-None-Match") != "" && q.Header.Get("If-None-Match") == first(g.Header, "Etag"):
+		q.pass(http.StatusNotModified, g.Header, nil)
+	default:
+		from, to, ok, ranged := parseRange(q.Header.Get("Range"), int64(len(g.Body)))
+		switch {
+		case !ranged:
+			q.pass(http.StatusOK, g.Header, g.Body)
+		case !ok:
+			h := without(g.Header, "Content-Range")
+			h["Content-Range"] = []string{"bytes */" + itoa(int64(len(g.Body)))}
+			q.pass(http.StatusRequestedRangeNotSatisfiable, h, nil)
+		default:
+			h := without(g.Header, "Content-Range")
+			h["Content-Range"] = []string{"bytes " + itoa(from) + "-" + itoa(to) + "/" + itoa(int64(len(g.Body)))}
+			q.pass(http.StatusPartialContent, h, g.Body[from:to+1])
+		}
+	}
+}
+
+// parseRange reads a single range that names its first byte; anything else asks for the whole.
+func parseRange(text string, size int64) (from, to int64, ok, ranged bool) {
+	spec, is := strings.CutPrefix(text, "bytes=")
+	a, b, dash := strings.Cut(spec, "-")
+	from, err := strconv.ParseInt(a, 10, 64)
+	if !is || !dash || err != nil || from < 0 {
+		return 0, 0, false, false
+	}
+	if to = size - 1; b != "" {
+		last, err := strconv.ParseInt(b, 10, 64)
+		if err != nil || last < from {
+			return 0, 0, false, false
+		}
+		to = min(to, last)
+	}
+	return from, to, from < size, true
+}
+
+// pass writes what a server said, or what stands for it. It is the one gate by which an answer with a body goes out.
+func (q *request) pass(status int, h http.Header, body []byte) {
+	out := q.w.Header()
+	for name, values := range h {
+		if name[0] != ':' && name != flight.HeaderLoad {
+			out[name] = values
+		}
+	}
+	q.finish(status, body)
+}
+
+// refuse says that the request has not run and never will, and when to come again.
+func (q *request) refuse(after time.Duration) {
+	if after > 0 {
+		q.w.Header()["Retry-After"] = []string{strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}
+	}
+	q.finish(http.StatusServiceUnavailable, nil)
+}
+
+func (q *request) final(status int, h http.Header, body []byte) {
+	for name, values := range h {
+		q.w.Header()[name] = values
+	}
+	q.finish(status, body)
+}
+
+func (q *request) finish(status int, body []byte) {
+	out := q.w.Header()
+	if q.id != "" {
+		out[flight.HeaderID] = []string{q.id}
+	}
+	if out["Content-Type"] == nil {
+		out["Content-Type"] = nil // nothing is guessed
+	}
+	out["Date"] = nil
+	if status != http.StatusNotModified && status != http.StatusNoContent {
+		out["Content-Length"] = []string{strconv.Itoa(len(body))}
+	}
+	q.w.WriteHeader(status)
+	if q.Method != http.MethodHead && len(body) > 0 {
+		q.w.Write(body)
+	}
+}
--- /dev/null
+++ b/internal/hive/forager/shelf.go
@@ -0,0 +1,186 @@
+package forager
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"cedarmast/internal/exchange"
+	"cedarmast/internal/hive/flight"
+	"cedarmast/internal/hive/honey"
+	"cedarmast/internal/hive/nectar"
+	"cedarmast/internal/hive/scout"
+)
+
+// This file is the cache router's side of a shelved request: its copy, or one fetch for all who wait for it.
+
+const (
+	slackPart    = 0.6 // of the slack past a copy's shelf time that is used while the server is asked
+	fetchPatient = 8 * time.Second
+	refreshTime  = 2 * time.Second
+	comeAgain    = 120 * time.Millisecond
+)
+
+// fetch is one question to the servers that several requests wait for.
+type fetch struct {
+	done chan struct{}
+	got  Fetched
+}
+
+type fetches struct {
+	mu  sync.Mutex
+	all map[nectar.Key]*fetch
+}
+
+// slack is how long past its shelf time a copy may still go out while the server is asked.
+func (f *Forager) slack() time.Duration {
+	return time.Duration(float64(f.set.Bounds.StaleSlack) * slackPart)
+}
+
+// vouched tells whether copies may be handed on: one that was out of touch for long may lack purges.
+func (f *Forager) vouched() bool {
+	phase, at := f.scout.Phase()
+	return phase == scout.InTouch || time.Since(at) < f.set.Bounds.Contact
+}
+
+// held returns this router's copy, if it is good.
+func (f *Forager) held(k nectar.Key) (*nectar.Copy, nectar.Grade) {
+	x, grade := f.cache.Get(k, time.Now(), f.slack())
+	if grade != nectar.NotThere && !f.vouched() {
+		grade = nectar.Stale
+	}
+	return x, grade
+}
+
+// obtain brings an object: the copy, or what a server says.
+func (f *Forager) obtain(ctx context.Context, q Fetch) Fetched {
+	x, grade := f.held(q.Key)
+	switch grade {
+	case nectar.Fresh:
+		return fetchedFrom(x)
+	case nectar.Ageing:
+		f.start(q, x, refreshTime, true)
+		return fetchedFrom(x)
+	}
+	w := f.start(q, x, max(time.Duration(q.LeftMS)*time.Millisecond, 50*time.Millisecond), false)
+	if w == nil {
+		return Fetched{Refuse: comeAgain.Milliseconds()}
+	}
+	select {
+	case <-w.done:
+		return w.got
+	case <-ctx.Done():
+		return Fetched{Refuse: comeAgain.Milliseconds()}
+	}
+}
+
+func fetchedFrom(x *nectar.Copy) Fetched {
+	return Fetched{Status: http.StatusOK, Header: x.Header, Body: x.Body, Whole: true}
+}
+
+// start begins a fetch unless one is under way; nil if there is no room for it under the service's rate.
+func (f *Forager) start(q Fetch, old *nectar.Copy, patience time.Duration, refresh bool) *fetch {
+	p := f.plan.Load()
+	var sv *service
+	if p != nil {
+		sv = p.services[q.Key.Service]
+	}
+	f.fetches.mu.Lock()
+	if w := f.fetches.all[q.Key]; w != nil {
+		f.fetches.mu.Unlock()
+		return w
+	}
+	if sv == nil || !sv.rate.take() {
+		f.fetches.mu.Unlock()
+		return nil
+	}
+	w := &fetch{done: make(chan struct{})}
+	f.fetches.all[q.Key] = w
+	f.fetches.mu.Unlock()
+	go func() {
+		defer func() {
+			f.fetches.mu.Lock()
+			delete(f.fetches.all, q.Key)
+			f.fetches.mu.Unlock()
+			close(w.done)
+		}()
+		w.got = f.fetch(p, sv, q, old, min(patience, fetchPatient), refresh)
+	}()
+	return w
+}
+
+// fetch asks the servers for a whole object, or whether a copy of it is still good, and stores what may be handed on.
+func (f *Forager) fetch(p *plan, sv *service, q Fetch, old *nectar.Copy, patience time.Duration, refresh bool) Fetched {
+	var route *honey.Route
+	for i := range p.Routes {
+		if p.Routes[i].Name == q.Route {
+			route = &p.Routes[i]
+		}
+	}
+	if route == nil {
+		route = &honey.Route{Timeout: patience}
+	}
+	header := http.Header{"Host": {q.Key.Host}}
+	if old != nil && old.ETag != "" {
+		header["If-None-Match"] = []string{old.ETag}
+	}
+	order := &flight.Order{ID: q.ID, Stamped: true}
+	if refresh {
+		order.ID = ""
+	}
+	index, begun := f.scout.Index(), time.Now()
+	a := f.ask(sv, order, exchange.Request{Class: route.Name, Arrived: begun, TimeLeft: min(patience, route.Timeout),
+		Method: http.MethodGet, Target: q.Target, Header: header})
+	if a.Kind != exchange.Served {
+		if last := order.Failure(); last != nil {
+			return Fetched{Status: int(atoi(first(last.Header, flight.StatusKey))), Header: without(last.Header, flight.StatusKey), Body: last.Body}
+		}
+		return Fetched{Refuse: max(a.RetryAfter, comeAgain).Milliseconds()}
+	}
+	status := int(atoi(first(a.Header, flight.StatusKey)))
+	head := without(a.Header, flight.StatusKey)
+	switch {
+	case status == http.StatusNotModified && old != nil:
+		x := *old
+		x.At, x.Index, x.Shelf = begun, index, route.Shelf
+		f.cache.Put(q.Key, &x)
+		return fetchedFrom(&x)
+	case status == http.StatusOK && first(head, flight.HeaderStamp) != "":
+		x := &nectar.Copy{Header: without(head, flight.HeaderLoad), Body: a.Body, ETag: first(head, "Etag"), Shelf: route.Shelf, At: begun, Index: index,
+			Labels: strings.Fields(strings.Join(head[flight.HeaderLabels], " "))}
+		if route.Shelf > 0 {
+			f.cache.Put(q.Key, x)
+		}
+		return fetchedFrom(x)
+	}
+	return Fetched{Status: status, Header: head, Body: a.Body}
+}
+
+// ask submits a request to a service's decisions and waits for the one answer.
+func (f *Forager) ask(sv *service, order *flight.Order, r exchange.Request) exchange.Answer {
+	x := exchange.New(r)
+	f.sender.Begin(x, order)
+	defer f.sender.End(x)
+	sv.loop.Submit(x)
+	return <-x.Answer()
+}
+
+// without copies a head and leaves one name out.
+func without(h http.Header, name string) http.Header {
+	out := make(http.Header, len(h))
+	for k, v := range h {
+		if k != name {
+			out[k] = v
+		}
+	}
+	return out
+}
+
+func first(h http.Header, name string) string {
+	if v := h[name]; len(v) > 0 {
+		return v[0]
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/hive/honey/honey.go
@@ -0,0 +1,267 @@
+// Package honey is what the system's processes know in common: the configuration, the servers, the cache routers and who
+// holds which duty, as one state that changes by commands in the order of the log. Every process that applies the same
+// commands holds the same state. It does no I/O.
+package honey
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+)
+
+// Server states.
+const (
+	Open    = "open"
+	Closing = "closing"
+)
+
+// Server is one life of a server, as it tells of itself.
+type Server struct {
+	ID       string `json:"id"`
+	Service  string `json:"carrier"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Edition  string `json:"edition"`
+	Slots    int    `json:"berths"`
+	State    string `json:"state"`
+	WarmupMS int64  `json:"warmup_ms"`
+	Beat     uint64 `json:"postmark"` // of the call that changed it last
+}
+
+// Same tells whether two calls of one server say the same but for their number.
+func (s Server) Same(o Server) bool {
+	s.Beat, o.Beat, s.WarmupMS, o.WarmupMS = 0, 0, 0, 0
+	return s == o
+}
+
+// Router is one cache router.
+type Router struct {
+	Node, Zone, Address string
+}
+
+// Duty says which core machine looks after the silent, since which entry of the log.
+type Duty struct {
+	Holder string // the machine's IP
+	Epoch  uint64
+}
+
+// Purge ends the use of copies: of one path of a host, or of all that carry a tag.
+type Purge struct{ Host, Path, Tag string }
+
+// Step is one change of the roster of cache routers.
+type Step struct {
+	Router
+	Gone bool
+}
+
+// Taken remembers a configuration that was acknowledged.
+type Taken struct {
+	Version Version
+	Digest  [32]byte
+}
+
+// State is the common knowledge. Its fields are read by their holder alone.
+type State struct {
+	Index      uint64 // of the last command applied
+	Body       []byte // the configuration as it was put; empty before the first
+	Version    Version
+	Taken      []Taken
+	Servers    map[string]Server
+	Left       []string // servers that have left in order, the last ones: a late call does not bring them back
+	Routers    map[string]Router
+	Roster     []Step // by which the roster came to be: tables are cut by it, step by step
+	RosterBase uint64 // where Roster was begun anew
+	Duty       Duty
+	Purges     uint64 // how many there were
+}
+
+const (
+	mostTaken  = 1024
+	mostLeft   = 1024
+	mostRoster = 512
+	mostAlive  = 65536 // servers
+)
+
+// New returns the state before the first command.
+func New() *State {
+	return &State{Servers: map[string]Server{}, Routers: map[string]Router{}}
+}
+
+// Clone copies a state for others to keep.
+func (s *State) Clone() *State {
+	c := *s
+	c.Servers, c.Routers = maps.Clone(s.Servers), maps.Clone(s.Routers)
+	c.Taken, c.Left, c.Roster = slices.Clone(s.Taken), slices.Clone(s.Left), slices.Clone(s.Roster)
+	return &c
+}
+
+// Command is one change; one of its fields is set.
+type Command struct {
+	Put     []byte  `json:"put,omitempty"` // a configuration's body
+	Server  *Server `json:"server,omitempty"`
+	Leave   string  `json:"leave,omitempty"` // a server that has left in order
+	Lost    string  `json:"lost,omitempty"`  // a server that has fallen silent
+	Epoch   uint64  `json:"epoch,omitempty"` // with Lost and Absent: of the duty under which that was decided
+	Purge   *Purge  `json:"purge,omitempty"`
+	Router  *Router `json:"router,omitempty"`
+	Absent  string  `json:"absent,omitempty"`  // a router that has fallen silent
+	Appoint string  `json:"appoint,omitempty"` // who takes the duty
+}
+
+// Encode writes a command for the log.
+func (c Command) Encode() []byte {
+	text, err := json.Marshal(c)
+	if err != nil {
+		panic(err) // plain structs
+	}
+	return text
+}
+
+// Decode reads a command of the log.
+func Decode(data []byte) (c Command, err error) {
+	if len(data) == 0 {
+		return c, nil
+	}
+	err = json.Unmarshal(data, &c)
+	return c, err
+}
+
+// The outcomes of a command.
+const (
+	Done    = 200
+	Invalid = 400
+	Stale   = 412 // another version is in place, or the duty has gone to another one
+)
+
+// Outcome is what came of a command.
+type Outcome struct {
+	Status int
+	Text   string // what was wrong
+}
+
+// Apply takes the command at an index. The same commands bring the same state and outcomes everywhere.
+func (s *State) Apply(index uint64, c Command) Outcome {
+	s.Index = index
+	switch {
+	case c.Put != nil:
+		return s.put(c.Put)
+	case c.Server != nil:
+		return s.server(*c.Server)
+	case c.Leave != "":
+		delete(s.Servers, c.Leave)
+		if !slices.Contains(s.Left, c.Leave) {
+			s.Left = keepLast(append(s.Left, c.Leave), mostLeft)
+		}
+	case c.Lost != "", c.Absent != "":
+		if c.Epoch < s.Duty.Epoch {
+			return Outcome{Stale, "the duty has gone to another machine"}
+		}
+		delete(s.Servers, c.Lost)
+		if r, ok := s.Routers[c.Absent]; ok {
+			delete(s.Routers, c.Absent)
+			s.step(Step{Router: r, Gone: true})
+		}
+	case c.Purge != nil:
+		s.Purges++
+	case c.Router != nil:
+		if old, ok := s.Routers[c.Router.Node]; ok && old == *c.Router {
+			return Outcome{Status: Done}
+		}
+		s.Routers[c.Router.Node] = *c.Router
+		s.step(Step{Router: *c.Router})
+	case c.Appoint != "":
+		s.Duty = Duty{c.Appoint, index}
+	}
+	return Outcome{Status: Done}
+}
+
+func keepLast[T any](all []T, most int) []T {
+	if len(all) > most {
+		return slices.Clone(all[len(all)-most:])
+	}
+	return all
+}
+
+// step notes a change of the roster. When there are too many, the roster is written down anew and every table with it.
+func (s *State) step(change Step) {
+	s.Roster = append(s.Roster, change)
+	if len(s.Roster) <= mostRoster {
+		return
+	}
+	s.Roster, s.RosterBase = nil, s.Index
+	for _, node := range slices.Sorted(maps.Keys(s.Routers)) {
+		s.Roster = append(s.Roster, Step{Router: s.Routers[node]})
+	}
+}
+
+func (s *State) server(now Server) Outcome {
+	old, known := s.Servers[now.ID]
+	switch {
+	case slices.Contains(s.Left, now.ID), known && now.Beat <= old.Beat:
+		return Outcome{Status: Done} // an older call that comes late
+	case known && old.State == Closing && now.State == Open:
+		now.State = Closing
+	case !known && len(s.Servers) >= mostAlive:
+		return Outcome{Invalid, "too many servers"}
+	}
+	s.Servers[now.ID] = now
+	return Outcome{Status: Done}
+}
+
+// CheckServer checks what a server says of itself.
+func CheckServer(s Server) error {
+	host, _, err := net.SplitHostPort(s.Address)
+	switch {
+	case s.ID == "" || len(s.ID) > 200:
+		return fmt.Errorf("id: missing or too long")
+	case s.Service == "":
+		return fmt.Errorf("carrier: missing")
+	case err != nil || net.ParseIP(host) == nil:
+		return fmt.Errorf("address: %q is none", s.Address)
+	case s.State != Open && s.State != Closing:
+		return fmt.Errorf("state: %q is neither %s nor %s", s.State, Open, Closing)
+	case s.Slots < 0:
+		return fmt.Errorf("berths: under 0")
+	}
+	return nil
+}
+
+// Digest is what two bodies share that say the same to the letter, but for spaces between.
+func Digest(body []byte) [32]byte {
+	var b bytes.Buffer
+	if json.Compact(&b, body) != nil {
+		return sha256.Sum256(body)
+	}
+	return sha256.Sum256(b.Bytes())
+}
+
+// put is the one place where configurations are compared and taken.
+func (s *State) put(body []byte) Outcome {
+	edition, base, err := Editions(body)
+	if err != nil {
+		return Outcome{Invalid, err.Error()}
+	}
+	digest := Digest(body)
+	for _, t := range s.Taken {
+		if t.Version == edition && t.Digest == digest {
+			return Outcome{Status: Done} // the same once more
+		}
+	}
+	if base != s.Version {
+		return Outcome{Stale, fmt.Sprintf("based_on: %s, but %s is in place", base, s.Version)}
+	}
+	m, err := ParseManifest(body)
+	if err != nil {
+		return Outcome{Invalid, err.Error()}
+	}
+	if m.Version <= s.Version {
+		return Outcome{Invalid, fmt.Sprintf("edition: %s is not above %s", m.Version, s.Version)}
+	}
+	s.Body, s.Version = body, m.Version
+	s.Taken = keepLast(append(s.Taken, Taken{m.Version, digest}), mostTaken)
+	return Outcome{Status: Done}
+}
--- /dev/null
+++ b/internal/hive/honey/manifest.go
@@ -0,0 +1,357 @@
+package honey
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"cedarmast/internal/hive/guard"
+)
+
+// The kinds of route, in the operators' words.
+const (
+	Resendable = "resendable"
+	OnceOnly   = "once_only"
+	Shelved    = "shelved"
+)
+
+const longestTimeout = 10 * time.Minute
+
+// Version is a configuration's number; 0 is before the first.
+type Version uint64
+
+func (v Version) String() string { return "r" + strconv.FormatUint(uint64(v), 10) }
+
+// ParseVersion reads r12; 0, r0 and nothing stand before the first.
+func ParseVersion(text string) (Version, error) {
+	if text == "" || text == "0" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(strings.TrimPrefix(text, "r"), 10, 64)
+	if err != nil || !strings.HasPrefix(text, "r") {
+		return 0, fmt.Errorf("%.20q is no version", text)
+	}
+	return Version(n), nil
+}
+
+// Share is a service's part of a route's requests.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// Route is one route. Times are durations; Shelf is how long a copy may be kept.
+type Route struct {
+	Name, Host, Prefix, Kind string
+	Timeout, Target, Shelf   time.Duration
+	Priority, Tries          int
+	Split                    []Share // one with all the weight, if it is not split
+}
+
+// Service is one service; rates are requests a second, of all routers together, 0 for no bound.
+type Service struct {
+	Name, HealthPath string
+	ConnCap          int
+	RatePerS         float64
+}
+
+// Limits are what a client may send.
+type Limits struct {
+	HeaderBytes, BodyBytes int64
+	Header, Idle           time.Duration
+}
+
+// Manifest is a configuration as it is used.
+type Manifest struct {
+	Version, Base Version
+	Routes        []Route
+	Services      []Service
+	Limits        Limits
+}
+
+// The wire's form.
+type (
+	wireManifest struct {
+		Edition wireText     `json:"edition"`
+		BasedOn wireText     `json:"based_on"`
+		Parcels []wireParcel `json:"parcels"`
+	}
+	wireParcel struct {
+		Kind  string `json:"parcel_kind"`
+		Label struct {
+			Name string `json:"name"`
+		} `json:"label"`
+		Spec json.RawMessage `json:"manifest"`
+	}
+	wireRoute struct {
+		Domain     string   `json:"domain"`
+		Prefix     string   `json:"path_prefix"`
+		Kind       string   `json:"mail_class"`
+		Timeout    wireText `json:"timeout"`
+		Target     wireText `json:"target"`
+		Precedence int      `json:"precedence"`
+		Carrier    string   `json:"carrier"`
+		Split      []struct {
+			Carrier string  `json:"carrier"`
+			Share   float64 `json:"share"`
+		} `json:"split_among"`
+		Tries int      `json:"tries"`
+		Shelf wireText `json:"shelf"`
+	}
+	wireCarrier struct {
+		HealthPath string  `json:"health_path"`
+		LineCap    int     `json:"line_cap"`
+		RatePerS   float64 `json:"rate_per_s"`
+	}
+	wireAllowances struct {
+		EnvelopeBytes int64    `json:"envelope_bytes"`
+		ParcelBytes   int64    `json:"parcel_bytes"`
+		Envelope      wireText `json:"envelope"`
+		Idle          wireText `json:"idle"`
+	}
+)
+
+// wireText is a text, or a number that stands for one.
+type wireText string
+
+func (t *wireText) UnmarshalJSON(b []byte) error {
+	var s string
+	if len(b) > 0 && b[0] == '"' {
+		if err := json.Unmarshal(b, &s); err != nil {
+			return err
+		}
+		*t = wireText(s)
+		return nil
+	}
+	var n json.Number
+	if err := json.Unmarshal(b, &n); err != nil {
+		return fmt.Errorf("neither a text nor a number: %.20q", b)
+	}
+	*t = wireText(n.String())
+	return nil
+}
+
+func (t wireText) span(field string) (time.Duration, error) {
+	if t == "" || t == "0" {
+		return 0, nil
+	}
+	d, err := guard.Span(string(t))
+	if err != nil {
+		return 0, fmt.Errorf("%s: %w", field, err)
+	}
+	return d, nil
+}
+
+// Editions reads a configuration's two versions alone.
+func Editions(body []byte) (edition, base Version, err error) {
+	var w wireManifest
+	if err := unmarshalWhole(body, &w); err != nil {
+		return 0, 0, err
+	}
+	if edition, err = ParseVersion(string(w.Edition)); err != nil {
+		return 0, 0, fmt.Errorf("edition: %w", err)
+	}
+	if base, err = ParseVersion(string(w.BasedOn)); err != nil {
+		return 0, 0, fmt.Errorf("based_on: %w", err)
+	}
+	return edition, base, nil
+}
+
+func unmarshalWhole(body []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(body))
+	if err := d.Decode(v); err != nil {
+		return fmt.Errorf("not readable whole: %w", err)
+	}
+	if d.More() {
+		return fmt.Errorf("not readable whole: more behind its end")
+	}
+	return nil
+}
+
+// ParseManifest reads and checks a configuration. The error names the parcel and the field.
+func ParseManifest(body []byte) (*Manifest, error) {
+	var w wireManifest
+	if err := unmarshalWhole(body, &w); err != nil {
+		return nil, err
+	}
+	edition, base, err := Editions(body)
+	if err != nil {
+		return nil, err
+	}
+	m := &Manifest{Version: edition, Base: base,
+		Limits: Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, Header: 3 * time.Second, Idle: 15 * time.Second}}
+	for i, p := range w.Parcels {
+		where := fmt.Sprintf("parcels[%d] (%s %s)", i, p.Kind, p.Label.Name)
+		var err error
+		switch p.Kind {
+		case "routes":
+			err = m.addRoute(p)
+		case "carriers":
+			err = m.addService(p)
+		case "allowances":
+			err = m.setLimits(p)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", where, err)
+		}
+	}
+	return m, m.check()
+}
+
+func (m *Manifest) addRoute(p wireParcel) error {
+	var w wireRoute
+	if err := json.Unmarshal(p.Spec, &w); err != nil {
+		return err
+	}
+	r := Route{Name: p.Label.Name, Host: strings.ToLower(w.Domain), Prefix: w.Prefix, Kind: w.Kind, Priority: w.Precedence,
+		Tries: max(w.Tries, 1)}
+	var err error
+	if r.Timeout, err = w.Timeout.span("timeout"); err != nil {
+		return err
+	}
+	if r.Target, err = w.Target.span("target"); err != nil {
+		return err
+	}
+	if r.Shelf, err = w.Shelf.span("shelf"); err != nil {
+		return err
+	}
+	for _, s := range w.Split {
+		if s.Share < 0 {
+			return fmt.Errorf("split_among: share of %s under 0", s.Carrier)
+		}
+		r.Split = append(r.Split, Share{s.Carrier, s.Share})
+	}
+	if len(w.Split) == 0 && w.Carrier != "" {
+		r.Split = []Share{{w.Carrier, 1}}
+	}
+	m.Routes = append(m.Routes, r)
+	return nil
+}
+
+func (m *Manifest) addService(p wireParcel) error {
+	var w wireCarrier
+	if err := json.Unmarshal(p.Spec, &w); err != nil {
+		return err
+	}
+	m.Services = append(m.Services, Service{p.Label.Name, w.HealthPath, w.LineCap, w.RatePerS})
+	return nil
+}
+
+func (m *Manifest) setLimits(p wireParcel) error {
+	var w wireAllowances
+	if err := json.Unmarshal(p.Spec, &w); err != nil {
+		return err
+	}
+	if w.EnvelopeBytes > 0 {
+		m.Limits.HeaderBytes = w.EnvelopeBytes
+	}
+	if w.ParcelBytes > 0 {
+		m.Limits.BodyBytes = w.ParcelBytes
+	}
+	for _, f := range []struct {
+		name string
+		text wireText
+		to   *time.Duration
+	}{{"envelope", w.Envelope, &m.Limits.Header}, {"idle", w.Idle, &m.Limits.Idle}} {
+		d, err := f.text.span(f.name)
+		if err != nil {
+			return err
+		}
+		if d > 0 {
+			*f.to = d
+		}
+	}
+	return nil
+}
+
+// check holds a configuration to the operators' list of what is invalid.
+func (m *Manifest) check() error {
+	services := map[string]bool{}
+	for _, s := range m.Services {
+		services[s.Name] = true
+	}
+	places := map[string]string{}
+	for _, r := range m.Routes {
+		total := 0.0
+		for _, s := range r.Split {
+			if total += s.Weight; !services[s.Service] {
+				return fmt.Errorf("route %s: carrier: unknown service %q", r.Name, s.Service)
+			}
+		}
+		place := r.Host + " " + r.Prefix
+		switch {
+		case r.Kind != Resendable && r.Kind != OnceOnly && r.Kind != Shelved:
+			return fmt.Errorf("route %s: mail_class: %q is none of the known ones", r.Name, r.Kind)
+		case total <= 0:
+			return fmt.Errorf("route %s: split_among: the shares add up to 0", r.Name)
+		case r.Timeout <= 0:
+			return fmt.Errorf("route %s: timeout: 0", r.Name)
+		case r.Timeout > longestTimeout:
+			return fmt.Errorf("route %s: timeout: over ten minutes", r.Name)
+		case places[place] != "":
+			return fmt.Errorf("route %s: path_prefix: same place as %s", r.Name, places[place])
+		case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+			return fmt.Errorf("route %s: path_prefix: %q does not begin and end with a slash", r.Name, r.Prefix)
+		}
+		places[place] = r.Name
+	}
+	return nil
+}
+
+// Table finds the route of a request. It is made once for each configuration and not changed.
+type Table struct {
+	hosts map[string]map[string]*Route
+}
+
+// NewTable returns the table of a configuration.
+func NewTable(m *Manifest) *Table {
+	t := &Table{hosts: map[string]map[string]*Route{}}
+	for i := range m.Routes {
+		r := &m.Routes[i]
+		if t.hosts[r.Host] == nil {
+			t.hosts[r.Host] = map[string]*Route{}
+		}
+		t.hosts[r.Host][r.Prefix] = r
+	}
+	return t
+}
+
+// Find returns the route of the host with the longest prefix that begins the path; nil if there is none. The cost grows with
+// the path's length, not with the number of routes.
+func (t *Table) Find(host, path string) *Route {
+	prefixes := t.hosts[strings.ToLower(host)]
+	for end := len(path); prefixes != nil; {
+		i := strings.LastIndexByte(path[:end], '/')
+		if i < 0 {
+			return nil
+		}
+		if r := prefixes[path[:i+1]]; r != nil {
+			return r
+		}
+		end = i
+	}
+	return nil
+}
+
+// Pick chooses a service by the shares, with a number from 0 to 1.
+func (r *Route) Pick(at float64) string {
+	total := 0.0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	at *= total
+	for _, s := range r.Split {
+		if at -= s.Weight; at < 0 && s.Weight > 0 {
+			return s.Service
+		}
+	}
+	for i := len(r.Split) - 1; i >= 0; i-- {
+		if r.Split[i].Weight > 0 {
+			return r.Split[i].Service
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/hive/honey/news.go
@@ -0,0 +1,83 @@
+package honey
+
+// Change is one command of the log as it is handed on.
+type Change struct {
+	Index uint64
+	Data  []byte
+}
+
+// Ask is a process's question for news, with the version that it has.
+type Ask struct {
+	Have    uint64
+	Barrier bool   // the answer is to hold all that was acknowledged before it was asked for
+	Router  Router // who asks, if it is a cache router
+	HoldMS  int64  // how long the question may wait for news
+}
+
+// News is the answer: what has changed, or all of it for one who is too far behind.
+type News struct {
+	State   *State
+	Changes []Change
+	Core    []string // where the core machines are
+	Fresh   bool     // the one who answers follows a leader that has a majority
+	Index   uint64   // what the one who answers holds
+}
+
+// History is a state together with its last changes, for those who ask what is new.
+type History struct {
+	State   *State
+	changes []Change
+	bytes   int
+}
+
+const (
+	mostChanges     = 4096
+	mostChangeBytes = 8 << 20
+	mostInOneAnswer = 512
+)
+
+// NewHistory begins with a state.
+func NewHistory(s *State) *History { return &History{State: s} }
+
+// Apply takes a change on. One that is held already changes nothing.
+func (h *History) Apply(index uint64, data []byte) (Command, Outcome, error) {
+	if index <= h.State.Index {
+		return Command{}, Outcome{}, nil
+	}
+	c, err := Decode(data)
+	if err != nil {
+		return c, Outcome{Status: Invalid, Text: err.Error()}, err
+	}
+	out := h.State.Apply(index, c)
+	h.changes = append(h.changes, Change{index, data})
+	h.bytes += len(data)
+	for len(h.changes) > mostChanges || h.bytes > mostChangeBytes && len(h.changes) > 1 {
+		h.bytes -= len(h.changes[0].Data)
+		h.changes[0].Data = nil
+		h.changes = h.changes[1:]
+	}
+	return c, out, nil
+}
+
+// Since returns what one who holds a version lacks. The state in it, if any, is a copy.
+func (h *History) Since(have uint64) News {
+	n := News{Index: h.State.Index}
+	if have >= h.State.Index {
+		return n
+	}
+	first := len(h.changes)
+	for first > 0 && h.changes[first-1].Index > have {
+		first--
+	}
+	// Indices skip entries that change no state, so the one before the first is held only if the ring has it or begins with it.
+	if first == 0 && (len(h.changes) == 0 || have == 0 || h.changes[0].Index != have+1) {
+		n.State = h.State.Clone()
+		return n
+	}
+	last := min(len(h.changes), first+mostInOneAnswer)
+	n.Changes = append([]Change(nil), h.changes[first:last]...)
+	if last < len(h.changes) {
+		n.Index = h.changes[last-1].Index
+	}
+	return n
+}
--- /dev/null
+++ b/internal/hive/scout/scout.go
@@ -0,0 +1,237 @@
+// Package scout keeps a process's copy of the common state: it asks a core machine for news with the version that it has,
+// is answered when there is some, and goes on to the next one if that one is silent or can't tell. The copy never goes
+// back. When no core machine answers, neighbours hand on what they have.
+package scout
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"cedarmast/internal/hive/antenna"
+	"cedarmast/internal/hive/guard"
+	"cedarmast/internal/hive/honey"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+const (
+	hold      = 500 * time.Millisecond // a question waits so long for news
+	patience  = 350 * time.Millisecond // and its answer may take so much longer
+	pause     = 40 * time.Millisecond  // between failed questions; more with each in a row
+	mostPause = 300 * time.Millisecond
+)
+
+// Phase is where the copy stands.
+type Phase int
+
+// The phases, in their order; a copy is in touch, out of touch and in touch again as often as it must.
+const (
+	Empty      Phase = iota // nothing is held
+	InTouch                 // a core machine that follows a majority was heard lately
+	OutOfTouch              // none was: what is held may be old
+)
+
+func (p Phase) String() string { return [...]string{"empty", "in touch", "out of touch"}[p] }
+
+// Scout is a process's copy. Its fields are set before Run.
+type Scout struct {
+	Set    guard.Settings
+	Peers  *antenna.Peers
+	Log    hclog.Logger
+	Router honey.Router // who asks, if it is a cache router
+	Prefer string       // the address that is asked first, if any
+	// Took hears of each change in order, under the copy's lock; whole means that all is new. It must not wait.
+	Took func(s *honey.State, c honey.Command, index uint64, whole bool)
+	// Neighbours are addresses that may be asked when no core machine answers; may be nil.
+	Neighbours func() []string
+
+	mu      sync.Mutex
+	history *honey.History
+	core    []string
+	phase   Phase
+	heard   time.Time // when news, or the word that there is none, last came from a fresh core machine; of the question's begin
+	changed chan struct{}
+}
+
+// New returns an empty copy.
+func New() *Scout {
+	return &Scout{history: honey.NewHistory(honey.New()), changed: make(chan struct{})}
+}
+
+// Read shows the state under its lock.
+func (s *Scout) Read(look func(*honey.State)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	look(s.history.State)
+}
+
+// Phase returns the phase and when the copy was last surely current.
+func (s *Scout) Phase() (Phase, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase == InTouch && time.Since(s.heard) > s.Set.Bounds.Contact/2 {
+		s.become(OutOfTouch)
+	}
+	return s.phase, s.heard
+}
+
+// become is the one place where the phase changes. The caller holds the lock.
+func (s *Scout) become(p Phase) {
+	if s.phase != p {
+		s.Log.Info("phase", "from", s.phase.String(), "to", p.String(), "index", s.history.State.Index)
+		s.phase = p
+	}
+}
+
+// Index is the copy's version.
+func (s *Scout) Index() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.State.Index
+}
+
+// Await waits until the copy has an index, or the context ends.
+func (s *Scout) Await(ctx context.Context, index uint64) bool {
+	for {
+		s.mu.Lock()
+		ok, changed := s.history.State.Index >= index, s.changed
+		s.mu.Unlock()
+		if ok {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// News answers another process, as a core machine would; it never claims to be current.
+func (s *Scout) News(a honey.Ask) honey.News {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.history.Since(a.Have)
+	n.Core = s.core
+	return n
+}
+
+// Core returns the addresses of core machines to ask, the preferred one first.
+func (s *Scout) Core() []string {
+	s.mu.Lock()
+	all := slices.Clone(s.core)
+	s.mu.Unlock()
+	for _, seed := range s.Set.Seeds {
+		if at := s.Set.Inner(guard.HostOf(seed), guard.CombPort); !slices.Contains(all, at) {
+			all = append(all, at)
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	if s.Prefer != "" {
+		all = slices.DeleteFunc(all, func(a string) bool { return a == s.Prefer })
+		all = append([]string{s.Prefer}, all...)
+	}
+	return all
+}
+
+// Run keeps the copy until the context ends.
+func (s *Scout) Run(ctx context.Context) {
+	first, failed := true, 0
+	order := s.Core()
+	for ctx.Err() == nil {
+		if len(order) == 0 {
+			order = s.Core()
+		}
+		at := order[0]
+		n, begun, err := s.ask(ctx, at, first)
+		if err == nil {
+			s.take(n, begun)
+		}
+		if err == nil && n.Fresh {
+			first, failed = false, 0
+			if s.Prefer != "" && at != s.Prefer && rand.IntN(8) == 0 {
+				order = s.Core() // it may be back
+			}
+			continue
+		}
+		if err != nil && ctx.Err() == nil {
+			s.Log.Debug("no news", "err", err)
+		}
+		order = order[1:]
+		if failed++; failed%3 == 0 && s.Neighbours != nil {
+			s.askNeighbours(ctx)
+		}
+		wait := min(pause*time.Duration(failed), mostPause)
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait/2 + rand.N(wait/2+1)):
+		}
+	}
+}
+
+func (s *Scout) ask(ctx context.Context, at string, first bool) (honey.News, time.Time, error) {
+	question := honey.Ask{Have: s.Index(), Barrier: first, Router: s.Router, HoldMS: hold.Milliseconds()}
+	call, done := context.WithTimeout(ctx, hold+patience)
+	defer done()
+	begun := time.Now()
+	n, err := antenna.Call[honey.Ask, honey.News](call, s.Peers.At(at), "Comb.News", &question)
+	return n, begun, err
+}
+
+func (s *Scout) askNeighbours(ctx context.Context) {
+	all := s.Neighbours()
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	for _, at := range all[:min(len(all), 2)] {
+		call, done := context.WithTimeout(ctx, patience)
+		question := honey.Ask{Have: s.Index()}
+		n, err := antenna.Call[honey.Ask, honey.News](call, s.Peers.At(at), "Forager.News", &question)
+		done()
+		if err == nil {
+			n.Fresh = false
+			s.take(n, time.Time{})
+		}
+	}
+}
+
+// take takes news on; older news than what is held changes nothing.
+func (s *Scout) take(n honey.News, begun time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.history.State.Index
+	if n.State != nil && n.State.Index > before {
+		state := n.State
+		if state.Servers == nil { // gob leaves out what is empty
+			state.Servers = map[string]honey.Server{}
+		}
+		if state.Routers == nil {
+			state.Routers = map[string]honey.Router{}
+		}
+		s.history = honey.NewHistory(state)
+		s.Took(state, honey.Command{}, state.Index, true)
+	}
+	for _, c := range n.Changes {
+		if c.Index <= s.history.State.Index {
+			continue
+		}
+		command, _, err := s.history.Apply(c.Index, c.Data)
+		if err != nil {
+			s.Log.Error("change not readable", "index", c.Index, "err", err)
+			continue
+		}
+		s.Took(s.history.State, command, c.Index, false)
+	}
+	if len(n.Core) > 0 {
+		s.core = n.Core
+	}
+	if n.Fresh {
+		s.heard = begun
+		s.become(InTouch)
+	}
+	if s.history.State.Index != before {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
--- /dev/null
+++ b/internal/hive/waggle/waggle.go
@@ -0,0 +1,335 @@
+// Package waggle is the registry's process: on a core machine it takes the calls of servers and of the operator, brings what
+// they change into the log by way of the machine's comb, and answers only when a majority of disks has it. The one that
+// holds the duty also takes out servers that have fallen silent.
+package waggle
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"cedarmast/internal/hive/antenna"
+	"cedarmast/internal/hive/comb"
+	"cedarmast/internal/hive/guard"
+	"cedarmast/internal/hive/honey"
+	"cedarmast/internal/hive/petal"
+	"cedarmast/internal/hive/scout"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("waggle")
+
+const (
+	beatWithin   = 850 * time.Millisecond // servers wait a second for their acknowledgement
+	orderWithin  = 2500 * time.Millisecond
+	readWithin   = 900 * time.Millisecond
+	maxBeat      = 64 << 10
+	maxManifest  = 64 << 20
+	silentBeats  = 6 // missed beats after which a server is taken out
+	mostBeats    = 65536
+	leaveWithin  = 400 * time.Millisecond
+	comeAgainSec = "0.2"
+)
+
+// Waggle is the process. Run starts it.
+type Waggle struct {
+	set   guard.Settings
+	log   hclog.Logger
+	peers *antenna.Peers
+	comb  *antenna.Peer
+	scout *scout.Scout
+
+	mu    sync.Mutex
+	beats map[string]beat
+	epoch uint64 // of the duty that is held here; 0: it is not
+	since time.Time
+}
+
+// beat is the last call of a server.
+type beat struct {
+	number uint64
+	at     time.Time
+}
+
+// Run serves the outside calls until the context ends.
+func Run(ctx context.Context, set guard.Settings, log hclog.Logger) error {
+	if set.Control == "" {
+		return Error.New("network.listen_on.control_dock: missing: the registry takes the outside calls")
+	}
+	w := &Waggle{set: set, log: log, peers: antenna.NewPeers(), beats: map[string]beat{}, scout: scout.New()}
+	own := set.Inner(set.IP, guard.CombPort)
+	w.comb = w.peers.At(own)
+	w.scout.Set, w.scout.Peers, w.scout.Log, w.scout.Prefer = set, w.peers, log.Named("scout"), own
+	w.scout.Took = func(*honey.State, honey.Command, uint64, bool) {}
+	listener, err := net.Listen("tcp", set.Control)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	server := &http.Server{Handler: w.calls(), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second,
+		ErrorLog: log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
+	go w.scout.Run(ctx)
+	go w.prune(ctx)
+	go server.Serve(listener)
+	log.Info("started", "address", set.Control)
+	<-ctx.Done()
+	last, done := context.WithTimeout(context.Background(), leaveWithin)
+	defer done()
+	server.Shutdown(last)
+	log.Info("ended in order")
+	return nil
+}
+
+func (w *Waggle) calls() *petal.Tree {
+	return new(petal.Tree).
+		On(http.MethodPut, "/servers/{id}", w.putServer).
+		On(http.MethodDelete, "/servers/{id}", w.deleteServer).
+		On(http.MethodPut, "/manifest", w.putManifest).
+		On(http.MethodGet, "/manifest", w.getManifest).
+		On(http.MethodPost, "/purge", w.purge).
+		On(http.MethodGet, "/status", w.status)
+}
+
+// propose brings a command into the log; an error says that what became of it is not known.
+func (w *Waggle) propose(ctx context.Context, c honey.Command, within time.Duration) (honey.Outcome, error) {
+	call, done := context.WithTimeout(ctx, within)
+	defer done()
+	p := comb.Proposal{Data: c.Encode(), WaitMS: (within - 30*time.Millisecond).Milliseconds()}
+	r, err := antenna.Call[comb.Proposal, comb.Reply](call, w.comb, "Comb.Propose", &p)
+	if err == nil && !r.Known {
+		err = Error.New("no majority in time")
+	}
+	return r.Outcome, err
+}
+
+// say writes an answer. What is not known to be done is never answered as if it were: 503 sends the caller on.
+func (w *Waggle) say(rw http.ResponseWriter, r *http.Request, out honey.Outcome, err error, body any) {
+	rw.Header().Set("Content-Type", "application/json")
+	switch {
+	case err != nil:
+		w.log.Warn("no clear outcome", "call", r.Method+" "+r.URL.Path, "err", err)
+		rw.Header().Set("Retry-After", comeAgainSec)
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		body = map[string]string{"error": err.Error()}
+	case out.Status != honey.Done:
+		rw.WriteHeader(out.Status)
+		body = map[string]string{"error": out.Text}
+	}
+	if body == nil {
+		body = struct{}{}
+	}
+	json.NewEncoder(rw).Encode(body)
+}
+
+func invalid(err error) honey.Outcome { return honey.Outcome{Status: honey.Invalid, Text: err.Error()} }
+
+// beatBody is what a server says of itself.
+type beatBody struct {
+	ID       string `json:"id"`
+	Carrier  string `json:"carrier"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Edition  string `json:"edition"`
+	Berths   int    `json:"berths"`
+	State    string `json:"state"`
+	Warmup   string `json:"warmup"`
+	Postmark uint64 `json:"postmark"`
+}
+
+// forward is the answer to a beat: later ones go to the holder of the duty, who then knows all that are silent.
+func (w *Waggle) forward() any {
+	holder := ""
+	w.scout.Read(func(s *honey.State) { holder = s.Duty.Holder })
+	if holder == "" || holder == w.set.IP {
+		return nil
+	}
+	_, port, _ := net.SplitHostPort(w.set.Control)
+	return map[string]string{"forward_to": net.JoinHostPort(holder, port)}
+}
+
+func (w *Waggle) putServer(rw http.ResponseWriter, r *http.Request, id string) {
+	body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, maxBeat))
+	if err != nil {
+		w.say(rw, r, invalid(err), nil, nil)
+		return
+	}
+	var b beatBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		w.say(rw, r, invalid(err), nil, nil)
+		return
+	}
+	if b.ID == "" {
+		b.ID = id
+	}
+	warmup, err := guard.Span(b.Warmup)
+	if err != nil {
+		warmup = 0
+	}
+	s := honey.Server{ID: id, Service: b.Carrier, Address: b.Address, Zone: b.Zone, Edition: b.Edition, Slots: b.Berths,
+		State: b.State, WarmupMS: warmup.Milliseconds(), Beat: b.Postmark}
+	if err = honey.CheckServer(s); err == nil && b.ID != id {
+		err = errors.New("id: another one than in the path")
+	}
+	if err != nil {
+		w.say(rw, r, invalid(err), nil, nil)
+		return
+	}
+	if !w.beat(s) { // a later call has been taken already
+		w.say(rw, r, honey.Outcome{Status: honey.Done}, nil, w.forward())
+		return
+	}
+	known := false
+	w.scout.Read(func(state *honey.State) {
+		old, ok := state.Servers[id]
+		known = ok && old.Same(s)
+	})
+	if phase, _ := w.scout.Phase(); known && phase == scout.InTouch && s.State == honey.Open {
+		w.say(rw, r, honey.Outcome{Status: honey.Done}, nil, w.forward())
+		return
+	}
+	out, err := w.propose(r.Context(), honey.Command{Server: &s}, beatWithin)
+	w.say(rw, r, out, err, w.forward())
+}
+
+// beat notes a call; false if a later one of the same server came before it.
+func (w *Waggle) beat(s honey.Server) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	old, ok := w.beats[s.ID]
+	if ok && s.Beat < old.number {
+		return false
+	}
+	if ok || len(w.beats) < mostBeats {
+		w.beats[s.ID] = beat{s.Beat, time.Now()}
+	}
+	return true
+}
+
+func (w *Waggle) deleteServer(rw http.ResponseWriter, r *http.Request, id string) {
+	out, err := w.propose(r.Context(), honey.Command{Leave: id}, beatWithin)
+	if err == nil {
+		w.mu.Lock()
+		delete(w.beats, id)
+		w.mu.Unlock()
+	}
+	w.say(rw, r, out, err, nil)
+}
+
+func (w *Waggle) putManifest(rw http.ResponseWriter, r *http.Request, _ string) {
+	body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, maxManifest))
+	if err != nil {
+		w.say(rw, r, invalid(err), nil, nil)
+		return
+	}
+	if _, err := honey.ParseManifest(body); err != nil { // the state would say the same; this costs no entry in the log
+		w.say(rw, r, invalid(err), nil, nil)
+		return
+	}
+	out, err := w.propose(r.Context(), honey.Command{Put: body}, orderWithin)
+	w.say(rw, r, out, err, nil)
+	if err == nil {
+		w.log.Info("configuration", "status", out.Status, "why", out.Text)
+	}
+}
+
+func (w *Waggle) getManifest(rw http.ResponseWriter, r *http.Request, _ string) {
+	call, done := context.WithTimeout(r.Context(), readWithin)
+	defer done()
+	body, err := antenna.Call[comb.Asked, []byte](call, w.comb, "Comb.Manifest",
+		&comb.Asked{WaitMS: (readWithin - 30*time.Millisecond).Milliseconds()})
+	switch {
+	case err != nil:
+		w.say(rw, r, honey.Outcome{}, err, nil)
+	case len(body) == 0:
+		w.say(rw, r, honey.Outcome{Status: http.StatusNotFound, Text: "no configuration yet"}, nil, nil)
+	default:
+		rw.Header().Set("Content-Type", "application/json")
+		rw.Write(body)
+	}
+}
+
+func (w *Waggle) purge(rw http.ResponseWriter, r *http.Request, _ string) {
+	var p struct {
+		Domain string `json:"domain"`
+		Path   string `json:"path"`
+		Tag    string `json:"tag"`
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, maxBeat))
+	if err == nil {
+		err = json.Unmarshal(body, &p)
+	}
+	if err == nil && p.Tag == "" && (p.Domain == "" || p.Path == "") {
+		err = errors.New("domain and path, or tag: missing")
+	}
+	if err != nil {
+		w.say(rw, r, invalid(err), nil, nil)
+		return
+	}
+	out, err := w.propose(r.Context(), honey.Command{Purge: &honey.Purge{Host: p.Domain, Path: p.Path, Tag: p.Tag}}, orderWithin)
+	w.say(rw, r, out, err, nil)
+}
+
+func (w *Waggle) status(rw http.ResponseWriter, r *http.Request, _ string) {
+	call, done := context.WithTimeout(r.Context(), readWithin)
+	defer done()
+	s, err := antenna.Call[bool, comb.Status](call, w.comb, "Comb.Status", new(bool))
+	w.say(rw, r, honey.Outcome{Status: honey.Done}, err, s)
+}
+
+// prune does the duty while it is held here: servers that have missed several beats are taken out. One who takes the duty
+// over gives all of them their whole time, for it has not heard them before.
+func (w *Waggle) prune(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(w.set.Heartbeat / 2):
+		}
+		now, silence := time.Now(), silentBeats*w.set.Heartbeat
+		var duty honey.Duty
+		var silent []string
+		var servers map[string]bool
+		w.scout.Read(func(s *honey.State) {
+			duty, servers = s.Duty, make(map[string]bool, len(s.Servers))
+			for id := range s.Servers {
+				servers[id] = true
+			}
+		})
+		phase, _ := w.scout.Phase()
+		w.mu.Lock()
+		if duty.Holder != w.set.IP || phase != scout.InTouch {
+			w.epoch = 0
+		} else if w.epoch != duty.Epoch {
+			w.epoch, w.since = duty.Epoch, now
+		}
+		for id, b := range w.beats {
+			if now.Sub(b.at) > 2*silence {
+				delete(w.beats, id)
+			}
+		}
+		if w.epoch > 0 && now.Sub(w.since) > silence {
+			for id := range servers {
+				if b, ok := w.beats[id]; !ok || now.Sub(b.at) > silence {
+					silent = append(silent, id)
+				}
+			}
+		}
+		epoch := w.epoch
+		w.mu.Unlock()
+		if len(silent) > max(2, len(servers)/2) { // so many at once: it is the way to here that is silent
+			continue
+		}
+		for _, id := range silent {
+			if out, err := w.propose(ctx, honey.Command{Lost: id, Epoch: epoch}, beatWithin); err == nil && out.Status == honey.Done {
+				w.log.Info("server taken out", "id", id, "epoch", epoch)
+			}
+		}
+	}
+}
