Refreshes carry the client's id: a surplus answer was stored as an object

Every refresh also held its connection to the end. Change: a refresh carries the id of the request that set it off.

--- a/internal/hive/flight/flight.go
+++ b/internal/hive/flight/flight.go
@@ -52,7 +52,7 @@
 
 // Order is what a request adds for its attempts, kept until its answer is out.
 type Order struct {
-	ID       string // Try-Id; empty: one is made, for what is asked on the own account
+	ID       string // the client's Try-Id; an answer is told by it from another one's
 	OnceOnly bool
 	Stamped  bool // a success without stamp is none
 
@@ -85,15 +85,14 @@
 type Sender struct {
 	Pool   *exchange.Pool
 	Counts *exchange.Counters
-	OwnID  func() string
 
 	mu     sync.Mutex
 	orders map[*exchange.Exchange]*Order
 }
 
 // NewSender returns a sender with its own pool of so many connections.
-func NewSender(most int, counts *exchange.Counters, ownID func() string) *Sender {
-	return &Sender{Pool: exchange.NewPool(most, 8*time.Second, counts), Counts: counts, OwnID: ownID,
+func NewSender(most int, counts *exchange.Counters) *Sender {
+	return &Sender{Pool: exchange.NewPool(most, 8*time.Second, counts), Counts: counts,
 		orders: map[*exchange.Exchange]*Order{}}
 }
 
@@ -191,12 +190,8 @@
 	if !c.idle.IsZero() {
 		idle = begun.Sub(c.idle)
 	}
-	id := o.ID
-	if id == "" {
-		id = s.OwnID()
-	}
 	c.SetDeadline(a.Due)
-	written, err := c.write(a, id, o.OnceOnly)
+	written, err := c.write(a, o.ID, o.OnceOnly)
 	o.note(written)
 	if err != nil {
 		c.Close()
@@ -207,7 +202,7 @@
 		}
 		return exchange.Reply{Result: result, Err: Error.New("writing to %s: %w", a.Server, err)}
 	}
-	got, keep, err := c.read(a, id)
+	got, keep, err := c.read(a, o.ID)
 	if err != nil {
 		c.Close()
 		var timeout net.Error
@@ -277,7 +272,10 @@
 		}
 	}
 	left := max(time.Until(a.Due).Milliseconds(), 1)
-	head = fmt.Appendf(head, "%s: %s\r\n%s: %d\r\n%s: %s\r\n", HeaderID, id, HeaderLeft, left, HeaderFor, a.Server)
+	if id != "" {
+		head = fmt.Appendf(head, "%s: %s\r\n", HeaderID, id)
+	}
+	head = fmt.Appendf(head, "%s: %d\r\n%s: %s\r\n", HeaderLeft, left, HeaderFor, a.Server)
 	if len(a.Body) > 0 || a.Method != http.MethodGet && a.Method != http.MethodHead {
 		head = fmt.Appendf(head, "Content-Length: %d\r\n", len(a.Body))
 	}
@@ -328,7 +326,9 @@
 		if err != nil {
 			return got, false, fmt.Errorf("body: %w", err)
 		}
-		if len(resp.Header[HeaderID]) != 1 || resp.Header[HeaderID][0] != id {
+		if id == "" { // servers tell no id then, and what may follow could be told from nothing
+			keep = false
+		} else if len(resp.Header[HeaderID]) != 1 || resp.Header[HeaderID][0] != id {
 			keep = false // an answer to an earlier request stood in the place of this one's
 			c.SetDeadline(a.Due)
 			if resp.Close {
--- a/internal/hive/forager/forager.go
+++ b/internal/hive/forager/forager.go
@@ -5,9 +5,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
-	"encoding/hex"
 	"log/slog"
 	mrand "math/rand/v2"
 	"net"
@@ -65,8 +62,6 @@
 	started  map[string]balance.Time
 
 	fetches fetches
-	ownID   atomic.Uint64
-	idBase  uint64
 	life    context.Context
 	running sync.WaitGroup
 }
@@ -82,13 +77,11 @@
 	debug.SetMemoryLimit(int64(float64(set.MemoryMB<<20) * memoryTarget))
 	life, end := context.WithCancel(context.Background())
 	defer end()
-	var lot [8]byte
-	rand.Read(lot[:])
 	f := &Forager{set: set, log: log, quiet: slog.New(slog.DiscardHandler), peers: antenna.NewPeers(), scout: scout.New(),
 		cache: nectar.New(int64(set.MemoryMB<<20) / cachePart), clock: exchange.NewClock(), changes: make(chan func(), 4096),
-		services: map[string]*service{}, started: map[string]balance.Time{}, idBase: binary.LittleEndian.Uint64(lot[:]), life: life}
+		services: map[string]*service{}, started: map[string]balance.Time{}, life: life}
 	f.fetches.all = map[nectar.Key]*fetch{}
-	f.sender = flight.NewSender(max(set.FileHandles/2-fdsReserved, 64), &f.counts, f.newID)
+	f.sender = flight.NewSender(max(set.FileHandles/2-fdsReserved, 64), &f.counts)
 	f.hop = newHop(f)
 	own := set.Inner(set.IP, guard.ForagerPort)
 	f.scout.Set, f.scout.Peers, f.scout.Log = set, f.peers, log.Named("scout")
@@ -134,13 +127,6 @@
 	return nil
 }
 
-// newID makes an id for what is read on the own account.
-func (f *Forager) newID() string {
-	var b [8]byte
-	binary.BigEndian.PutUint64(b[:], f.idBase+f.ownID.Add(1))
-	return hex.EncodeToString(b[:])
-}
-
 func (f *Forager) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/ready" {
 		http.NotFound(w, r)
--- a/internal/hive/forager/shelf.go
+++ b/internal/hive/forager/shelf.go
@@ -61,10 +61,10 @@
 	case nectar.Fresh:
 		return fetchedFrom(x)
 	case nectar.Ageing:
-		f.start(q, x, refreshTime, true)
+		f.start(q, x, refreshTime)
 		return fetchedFrom(x)
 	}
-	w := f.start(q, x, max(time.Duration(q.LeftMS)*time.Millisecond, 50*time.Millisecond), false)
+	w := f.start(q, x, max(time.Duration(q.LeftMS)*time.Millisecond, 50*time.Millisecond))
 	if w == nil {
 		return Fetched{Refuse: comeAgain.Milliseconds()}
 	}
@@ -81,7 +81,7 @@
 }
 
 // start begins a fetch unless one is under way; nil if there is no room for it under the service's rate.
-func (f *Forager) start(q Fetch, old *nectar.Copy, patience time.Duration, refresh bool) *fetch {
+func (f *Forager) start(q Fetch, old *nectar.Copy, patience time.Duration) *fetch {
 	p := f.plan.Load()
 	var sv *service
 	if p != nil {
@@ -106,13 +106,13 @@
 			f.fetches.mu.Unlock()
 			close(w.done)
 		}()
-		w.got = f.fetch(p, sv, q, old, min(patience, fetchPatient), refresh)
+		w.got = f.fetch(p, sv, q, old, min(patience, fetchPatient))
 	}()
 	return w
 }
 
 // fetch asks the servers for a whole object, or whether a copy of it is still good, and stores what may be handed on.
-func (f *Forager) fetch(p *plan, sv *service, q Fetch, old *nectar.Copy, patience time.Duration, refresh bool) Fetched {
+func (f *Forager) fetch(p *plan, sv *service, q Fetch, old *nectar.Copy, patience time.Duration) Fetched {
 	var route *honey.Route
 	for i := range p.Routes {
 		if p.Routes[i].Name == q.Route {
@@ -127,9 +127,6 @@
 		header["If-None-Match"] = []string{old.ETag}
 	}
 	order := &flight.Order{ID: q.ID, Stamped: true}
-	if refresh {
-		order.ID = ""
-	}
 	index, begun := f.scout.Index(), time.Now()
 	a := f.ask(sv, order, exchange.Request{Class: route.Name, Arrived: begun, TimeLeft: min(patience, route.Timeout),
 		Method: http.MethodGet, Target: q.Target, Header: header})
