Way back after a loss of power: early first election, barriers gathered

Change: a node that starts asks within 0.15 to 0.45 s (pre-votes unseat nobody), one round serves all barriers asked for meanwhile, a configuration is read once; a router without state names 0.6 s to come back.

--- a/internal/hive/comb/comb.go
+++ b/internal/hive/comb/comb.go
@@ -61,6 +61,8 @@
 	led     time.Time // since when this node has led
 	duty    time.Time // of the last look at duties
 
+	gather gather
+
 	mu       sync.Mutex
 	history  *honey.History
 	changed  chan struct{} // closed and made anew with every change
--- a/internal/hive/comb/service.go
+++ b/internal/hive/comb/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"cedarmast/internal/hive/antenna"
@@ -100,8 +101,56 @@
 	Forwarded bool
 }
 
+// gather runs one barrier for all who have asked since the last one began.
+type gather struct {
+	mu      sync.Mutex
+	running bool
+	waiting []chan gathered
+}
+
+type gathered struct {
+	index uint64
+	err   error
+}
+
+func (g *gather) ask(run func() (uint64, error)) (uint64, error) {
+	mine := make(chan gathered, 1)
+	g.mu.Lock()
+	g.waiting = append(g.waiting, mine)
+	first := !g.running
+	g.running = true
+	g.mu.Unlock()
+	if first {
+		go g.serve(run)
+	}
+	got := <-mine
+	return got.index, got.err
+}
+
+func (g *gather) serve(run func() (uint64, error)) {
+	for {
+		g.mu.Lock()
+		all := g.waiting
+		if g.waiting = nil; len(all) == 0 {
+			g.running = false
+			g.mu.Unlock()
+			return
+		}
+		g.mu.Unlock()
+		index, err := run()
+		for _, w := range all {
+			w <- gathered{index, err}
+		}
+	}
+}
+
 // Barrier returns an index: a state that has it holds all that was acknowledged before the call.
-func (s *service) Barrier(a *Asked, index *uint64) error {
+func (s *service) Barrier(a *Asked, index *uint64) (err error) {
+	*index, err = s.c.gather.ask(func() (index uint64, err error) { err = s.barrier(a, &index); return index, err })
+	return err
+}
+
+func (s *service) barrier(a *Asked, index *uint64) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(a.WaitMS)*time.Millisecond)
 	defer cancel()
 	for {
--- a/internal/hive/forager/serve.go
+++ b/internal/hive/forager/serve.go
@@ -17,7 +17,10 @@
 
 // This file is the way of a client's request from its route to its answer.
 
-const usualLeft = 2 * time.Second // for a client that says nothing
+const (
+	usualLeft    = 2 * time.Second        // for a client that says nothing
+	startsWithin = 600 * time.Millisecond // a router that has just started is to be asked again after this
+)
 
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
 
@@ -41,8 +44,8 @@
 	if ms := atoi(r.Header.Get(flight.HeaderLeft)); ms > 0 {
 		q.left = time.Duration(min(ms, int64(time.Hour/time.Millisecond))) * time.Millisecond
 	}
-	if q.plan == nil {
-		q.refuse(comeAgain)
+	if q.plan == nil { // just started: the common state is on its way
+		q.refuse(startsWithin)
 		return
 	}
 	host, _, err := net.SplitHostPort(r.Host)
--- a/internal/hive/honey/honey.go
+++ b/internal/hive/honey/honey.go
@@ -241,22 +241,18 @@
 
 // put is the one place where configurations are compared and taken.
 func (s *State) put(body []byte) Outcome {
-	edition, base, err := Editions(body)
+	m, err := ParseManifest(body)
 	if err != nil {
 		return Outcome{Invalid, err.Error()}
 	}
 	digest := Digest(body)
 	for _, t := range s.Taken {
-		if t.Version == edition && t.Digest == digest {
+		if t.Version == m.Version && t.Digest == digest {
 			return Outcome{Status: Done} // the same once more
 		}
 	}
-	if base != s.Version {
-		return Outcome{Stale, fmt.Sprintf("based_on: %s, but %s is in place", base, s.Version)}
-	}
-	m, err := ParseManifest(body)
-	if err != nil {
-		return Outcome{Invalid, err.Error()}
+	if m.Base != s.Version {
+		return Outcome{Stale, fmt.Sprintf("based_on: %s, but %s is in place", m.Base, s.Version)}
 	}
 	if m.Version <= s.Version {
 		return Outcome{Invalid, fmt.Sprintf("edition: %s is not above %s", m.Version, s.Version)}
--- a/internal/hive/queen/queen.go
+++ b/internal/hive/queen/queen.go
@@ -185,6 +185,8 @@
 	n.saved = n.last()
 	n.refresh()
 	n.follow("", "")
+	// After a start nobody may lead, as when all were without power: asking early unseats no leader that is there.
+	n.deadline = now.Add(timing.Election/4 + time.Duration(n.rng.Int64N(int64(timing.Election/2))))
 	return n
 }
 
@@ -444,9 +446,11 @@
 	return n.append(Entry{Data: data}), n.hard.Term, true
 }
 
-// Flush lets the leader tell its followers of what was proposed, after a batch.
+// Flush lets the leader tell its followers of what was proposed, after a batch, and begins the round of barriers asked for.
 func (n *Node) Flush() {
-	if n.role == Leader {
+	if k := len(n.barriers); k > 0 && n.barriers[k-1].seq > n.seq {
+		n.round()
+	} else if n.role == Leader {
 		for _, p := range n.peers {
 			n.replicate(p, false)
 		}
@@ -459,9 +463,7 @@
 		n.reads = append(n.reads, Read{Token: token})
 		return
 	}
-	n.barriers = append(n.barriers, barrier{token, n.commit, n.seq + 1})
-	n.round()
-	n.settle()
+	n.barriers = append(n.barriers, barrier{token, n.commit, n.seq + 1}) // of the next round, which Flush begins
 }
 
 // round asks every follower for a word.
