Copies are asked about before they end; quick servers are drawn more

Cause: late misses at slow servers (speeds 0.7 to 1.5) and copies that end while they are wanted. Servers are weighed by what they took; short bodies come from any zone, long ones from the own first.

--- a/internal/hive/flight/flight.go
+++ b/internal/hive/flight/flight.go
@@ -52,13 +52,31 @@
 
 // Order is what a request adds for its attempts, kept until its answer is out.
 type Order struct {
-	ID       string // the client's Try-Id; an answer is told by it from another one's
+	// ID is a client's Try-Id: an answer is told by it from one to another request that comes late. Servers tell no id that no
+	// client has sent, so what is asked without one goes over a connection of its own.
+	ID       string
 	OnceOnly bool
 	Stamped  bool // a success without stamp is none
 
 	mu   sync.Mutex
-	last *exchange.Reply // the last answer of a server that ran it and failed
-	sent bool            // it may have run somewhere
+	last *exchange.Reply  // the last answer of a server that ran it and failed
+	sent bool             // it may have run somewhere
+	by   balance.ServerID // who answered
+	took time.Duration    // from its sending to its answer, whole
+}
+
+// Server is who gave the answer that was taken, or the last one.
+func (o *Order) Server() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return string(o.by)
+}
+
+// Took is how long that server took.
+func (o *Order) Took() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.took
 }
 
 // Failure returns the last failure that a server itself answered; nil if there is none.
@@ -151,8 +169,12 @@
 	return err
 }
 
-func (s *Sender) connect(a *exchange.Attempt, careful bool) (*conn, error) {
-	got, err := s.Pool.Get(a.Context, a.Server, a.Address, careful, connectWithin)
+func (s *Sender) connect(a *exchange.Attempt, careful, alone bool) (*conn, error) {
+	place := a.Server
+	if alone { // nothing lies there: none of these connections is kept
+		place += "#alone"
+	}
+	got, err := s.Pool.Get(a.Context, place, a.Address, careful, connectWithin)
 	if err != nil {
 		return nil, err
 	}
@@ -177,7 +199,7 @@
 
 // attempt sends the request and judges what comes. Whatever is returned as never run has surely not run.
 func (s *Sender) attempt(a *exchange.Attempt, o *Order) exchange.Reply {
-	c, err := s.connect(a, o.OnceOnly)
+	c, err := s.connect(a, o.OnceOnly, o.ID == "")
 	if err != nil {
 		return exchange.Reply{Result: balance.NoConnect, Err: Error.New("connecting to %s: %w", a.Server, err)}
 	}
@@ -221,6 +243,9 @@
 	}
 	s.Pool.Heard(a.Server, time.Now())
 	s.Pool.Used(idle, true)
+	o.mu.Lock()
+	o.by, o.took = a.Server, time.Since(begun)
+	o.mu.Unlock()
 	if keep {
 		c.SetDeadline(time.Time{})
 		c.idle = time.Now()
--- a/internal/hive/forager/forager.go
+++ b/internal/hive/forager/forager.go
@@ -150,10 +150,18 @@
 }
 
 func (f *Forager) sweep(ctx context.Context) {
-	for {
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	for turn := 1; ; turn++ {
 		select {
-		case <-time.After(2 * time.Second):
-			f.sender.Pool.Sweep(time.Now())
+		case now := <-look.C:
+			f.refreshDue(now)
+			if turn%10 == 0 {
+				f.weigh()
+			}
+			if turn%20 == 0 {
+				f.sender.Pool.Sweep(now)
+			}
 		case <-ctx.Done():
 			return
 		}
--- a/internal/hive/forager/plan.go
+++ b/internal/hive/forager/plan.go
@@ -23,12 +23,24 @@
 // service is the decisions about one service's servers, and its share of the origin's rate.
 type service struct {
 	name  string
-	loop  *exchange.Loop
+	near  *exchange.Loop // own zone first: for long bodies
+	any   *exchange.Loop // wherever there is room
 	end   context.CancelFunc
 	rate  rate
 	tuned balance.Settings // as last told; the follower's
+	pace  pace
 }
 
+// loop is the decisions that send a route's requests.
+func (sv *service) loop(route string) *exchange.Loop {
+	if sv.pace.long(route) {
+		return sv.near
+	}
+	return sv.any
+}
+
+func (sv *service) loops() [2]*exchange.Loop { return [2]*exchange.Loop{sv.near, sv.any} }
+
 const (
 	slotsPart   = 1.5 // of a server's slots that all routers together may fill before anything was seen
 	firstLimit  = 12  // what balance allows a lone router
@@ -78,12 +90,17 @@
 	for _, def := range m.Services {
 		sv := f.services[def.Name]
 		if sv == nil {
-			sv = &service{name: def.Name}
+			sv = &service{name: def.Name, pace: newPace()}
 			ctx, end := context.WithCancel(f.life)
-			sv.loop = f.newLoop(f.settings(s, p, def.Name), f.sender, f.sender.Pool)
 			sv.end = end
+			set := f.settings(s, p, def.Name)
+			sv.any = f.newLoop(set, f.sender, f.sender.Pool)
+			set.Tiers = func() balance.Tiers { return &nearFirst{zone: f.set.Zone} }
+			sv.near = f.newLoop(set, f.sender, f.sender.Pool)
 			f.services[def.Name] = sv
-			f.running.Go(func() { sv.loop.Run(ctx) })
+			for _, l := range sv.loops() {
+				f.running.Go(func() { l.Run(ctx) })
+			}
 		}
 		sv.rate.set(def.RatePerS, len(s.Routers), f.set.Bounds)
 		p.services[def.Name] = sv
@@ -117,7 +134,9 @@
 		f.later(func() {
 			if !sameSettings(sv.tuned, set) {
 				sv.tuned = set
-				sv.loop.Retune(set)
+				for _, l := range sv.loops() {
+					l.Retune(set)
+				}
 			}
 		})
 	}
@@ -140,13 +159,11 @@
 func (f *Forager) settings(s *honey.State, p *plan, name string) balance.Settings {
 	set := balance.Settings{Number: 0, Zone: f.set.Zone, OverShareWorth: 1, Parallel: true, MaxRetryAfter: mostAdvice,
 		ConnectTimeout: time.Second, ColdFrom: coldPart, Ramp: cold, OverloadFactor: 2, OverloadFor: 2 * time.Second}
-	shelved := false
 	for _, r := range p.Routes {
 		if !slices.ContainsFunc(r.Split, func(x honey.Share) bool { return x.Service == name && x.Weight > 0 }) {
 			continue
 		}
 		c := balance.Class{Name: r.Name, Aim: r.Target, Deadline: r.Timeout, Worth: 1 / float64(1+max(r.Priority, 0)), LateShare: 0.3}
-		shelved = shelved || r.Kind == honey.Shelved
 		if c.Aim <= 0 {
 			c.Aim = c.Deadline / 2
 		}
@@ -172,9 +189,6 @@
 		each = float64(slots) / float64(servers)
 	}
 	set.Routers = max(int(firstLimit*float64(max(len(s.Routers), 1))/max(slotsPart*each, 1)), 1)
-	if shelved { // long bodies; what is short goes wherever there is room
-		set.Tiers = func() balance.Tiers { return &nearFirst{zone: f.set.Zone} }
-	}
 	return set
 }
 
@@ -191,14 +205,18 @@
 			if x.Service != each {
 				continue
 			}
-			e := balance.Entry{Server: balance.ServerID(id), Zone: x.Zone, Weight: float64(max(x.Slots, 1)), Started: f.startOf(x)}
+			e := balance.Entry{Server: balance.ServerID(id), Zone: x.Zone, Weight: float64(max(x.Slots, 1)) * sv.pace.part(id), Started: f.startOf(x)}
 			if x.State != honey.Open {
 				e.State = balance.Draining
 			}
 			l.Entries = append(l.Entries, e)
 			l.Addresses[e.Server] = x.Address
 		}
-		f.later(func() { sv.loop.Listed(l) })
+		f.later(func() {
+			for _, to := range sv.loops() {
+				to.Listed(l)
+			}
+		})
 	}
 	for id := range f.started {
 		if _, ok := s.Servers[id]; !ok {
@@ -309,3 +327,10 @@
 	}
 	return time.Duration((1 - r.tokens) / r.per * float64(time.Second))
 }
+
+// spare tells whether half of what may be saved is there: what nobody waits for leaves the rest to those who do.
+func (r *rate) spare() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.per <= 0 || min(r.tokens+r.per*time.Since(r.at).Seconds(), r.burst) >= r.burst/2
+}
--- a/internal/hive/forager/serve.go
+++ b/internal/hive/forager/serve.go
@@ -105,7 +105,7 @@
 func (f *Forager) serveShelved(q *request, host string) {
 	k := nectar.Key{Host: host, Path: q.URL.Path, Query: q.URL.RawQuery}
 	k.Service = q.route.Pick(float64(k.Hash()>>11) / (1 << 53))
-	if x, grade := f.held(k); grade == nectar.Fresh {
+	if x, grade := f.held(k, q.id); grade == nectar.Fresh {
 		q.deliver(fetchedFrom(x))
 		return
 	}
--- a/internal/hive/forager/shelf.go
+++ b/internal/hive/forager/shelf.go
@@ -21,6 +21,8 @@
 	fetchPatient = 8 * time.Second
 	refreshTime  = 2 * time.Second
 	comeAgain    = 120 * time.Millisecond
+	lookEvery    = 100 * time.Millisecond // for copies that are about to end
+	mostDue      = 64
 )
 
 // fetch is one question to the servers that several requests wait for.
@@ -45,9 +47,32 @@
 	return phase == scout.InTouch || time.Since(at) < f.set.Bounds.Contact
 }
 
+// refreshDue asks the servers about copies that are wanted and about to end, while the service's rate has room to spare.
+func (f *Forager) refreshDue(now time.Time) {
+	p := f.plan.Load()
+	if p == nil || !f.vouched() {
+		return
+	}
+	for _, due := range f.cache.Due(now, mostDue) {
+		sv := p.services[due.Key.Service]
+		if sv == nil || !sv.rate.spare() {
+			continue
+		}
+		route := p.table.Find(due.Key.Host, due.Key.Path)
+		if route == nil {
+			continue
+		}
+		target := due.Key.Path
+		if due.Key.Query != "" {
+			target += "?" + due.Key.Query
+		}
+		f.start(Fetch{Key: due.Key, Target: target, Route: route.Name, ID: due.By}, due.Copy, refreshTime)
+	}
+}
+
 // held returns this router's copy, if it is good.
-func (f *Forager) held(k nectar.Key) (*nectar.Copy, nectar.Grade) {
-	x, grade := f.cache.Get(k, time.Now(), f.slack())
+func (f *Forager) held(k nectar.Key, by string) (*nectar.Copy, nectar.Grade) {
+	x, grade := f.cache.Get(k, time.Now(), f.slack(), by)
 	if grade != nectar.NotThere && !f.vouched() {
 		grade = nectar.Stale
 	}
@@ -56,7 +81,7 @@
 
 // obtain brings an object: the copy, or what a server says.
 func (f *Forager) obtain(ctx context.Context, q Fetch) Fetched {
-	x, grade := f.held(q.Key)
+	x, grade := f.held(q.Key, q.ID)
 	switch grade {
 	case nectar.Fresh:
 		return fetchedFrom(x)
@@ -160,8 +185,12 @@
 	x := exchange.New(r)
 	f.sender.Begin(x, order)
 	defer f.sender.End(x)
-	sv.loop.Submit(x)
-	return <-x.Answer()
+	sv.loop(r.Class).Submit(x)
+	a := <-x.Answer()
+	if a.Kind == exchange.Served {
+		sv.pace.note(r.Class, order.Server(), order.Took(), len(a.Body))
+	}
+	return a
 }
 
 // without copies a head and leaves one name out.
--- a/internal/hive/nectar/nectar.go
+++ b/internal/hive/nectar/nectar.go
@@ -3,6 +3,7 @@
 package nectar
 
 import (
+	"container/heap"
 	"net/http"
 	"strings"
 	"sync"
@@ -35,8 +36,15 @@
 	Shelf  time.Duration // how long it may be handed on
 	At     time.Time     // when the server was asked for it, or last said that it has not changed
 	Index  uint64        // of the common history as the server was asked
+
+	by     string // the last request that it answered, which no server has seen; the cache's
+	wanted int    // times that it is yet to be asked about before it ends; the cache's
 }
 
+// wantedFor is how often a copy is asked about before its end after it was wanted last: twice covers what is wanted once in
+// two shelf times.
+const wantedFor = 2
+
 func (c *Copy) size() int64 {
 	n := int64(len(c.Body)) + 512
 	for name, values := range c.Header {
@@ -69,6 +77,7 @@
 	places map[place]map[Key]struct{}
 	labels map[string]map[Key]struct{}
 	purges []purge // the last ones: what was asked for before one is not stored after it
+	dues   dues    // of copies stored, also of some that are gone
 	floor  uint64  // purges up to this index have been forgotten
 	Counts Counts  // under mu
 }
@@ -97,20 +106,24 @@
 }
 
 // Get returns the copy of a key and its grade. Slack is how long past its shelf time it may still be handed on while the
-// server is being asked.
-func (c *Cache) Get(k Key, now time.Time, slack time.Duration) (*Copy, Grade) {
+// server is being asked. By is the id of the client's request that is to be answered with it.
+func (c *Cache) Get(k Key, now time.Time, slack time.Duration, by string) (*Copy, Grade) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	x, ok := c.lru.Get(k)
 	if !ok {
 		return nil, NotThere
 	}
-	return x, x.grade(now, slack)
+	if grade := x.grade(now, slack); grade != Stale {
+		x.wanted, x.by = wantedFor, by
+		return x, grade
+	}
+	return x, Stale
 }
 
 func (x *Copy) grade(now time.Time, slack time.Duration) Grade {
 	switch age := now.Sub(x.At); {
-	case age < x.Shelf*3/4:
+	case age < x.ripe():
 		return Fresh
 	case age < x.Shelf+slack:
 		return Ageing
@@ -118,6 +131,51 @@
 	return Stale
 }
 
+// ripe is the age at which it is time to ask the server.
+func (x *Copy) ripe() time.Duration { return x.Shelf * 3 / 4 }
+
+// due is when a copy is to be asked about.
+type due struct {
+	at time.Time
+	Key
+	*Copy
+}
+
+// dues are ordered by their times.
+type dues []due
+
+func (d dues) Len() int           { return len(d) }
+func (d dues) Less(i, j int) bool { return d[i].at.Before(d[j].at) }
+func (d dues) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+func (d *dues) Push(x any)        { *d = append(*d, x.(due)) }
+func (d *dues) Pop() any {
+	last := (*d)[len(*d)-1]
+	(*d)[len(*d)-1] = due{}
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+// Ripe is a copy that is wanted and about to end.
+type Ripe struct {
+	Key
+	*Copy
+	By string // a request that it has answered and that no server has seen; empty if there is none
+}
+
+// Due returns copies that it is time to ask about, each once, and passes over those that nobody has wanted lately.
+func (c *Cache) Due(now time.Time, most int) (all []Ripe) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.dues) > 0 && len(all) < most && !c.dues[0].at.After(now) {
+		d := heap.Pop(&c.dues).(due)
+		if x, ok := c.lru.Peek(d.Key); ok && x == d.Copy && x.wanted > 0 {
+			all = append(all, Ripe{d.Key, x, x.by})
+			x.by = ""
+		}
+	}
+	return all
+}
+
 // Put stores a copy, unless a purge that names it has come since its server was asked.
 func (c *Cache) Put(k Key, x *Copy) bool {
 	c.mu.Lock()
@@ -135,8 +193,12 @@
 			return false
 		}
 		c.remove(k, old)
+		x.wanted = max(old.wanted-1, 0)
+	} else {
+		x.wanted = wantedFor
 	}
 	c.lru.Add(k, x)
+	heap.Push(&c.dues, due{x.At.Add(x.ripe()), k, x})
 	c.bytes += size
 	index(c.places, place{k.Host, k.Path}, k)
 	for _, label := range x.Labels {
@@ -221,7 +283,7 @@
 	c.lru.Purge()
 	clear(c.places)
 	clear(c.labels)
-	c.bytes, c.purges, c.floor = 0, nil, index
+	c.bytes, c.purges, c.floor, c.dues = 0, nil, index, nil
 }
 
 // Size is how many copies there are, and their bytes.
