A miss in the zone goes to the key's shield over all zones before the servers

Cause: half of the reads missed, for each zone has its own copies and little traffic. Ruled out: one table for the fleet alone, whose hops would carry every short body between zones. Change: a zone's cache router asks the key's owner over all zones, by the same table without the zones' order; that one asks the servers. A copy keeps its age and place in the history; one that is still the same crosses without its body. Long bodies whose service has servers in the zone go to those. Fetches as a zone's router and as a shield don't wait for each other.

--- a/internal/hive/forager/forager.go
+++ b/internal/hive/forager/forager.go
@@ -50,7 +50,8 @@
 	clock  exchange.Clock
 	counts exchange.Counters
 	sender *flight.Sender
-	hop    *hop
+	hop    *hop // to a key's cache router in the own zone
+	home   *hop // to its shield
 
 	plan    atomic.Pointer[plan] // what requests are served by
 	changes chan func()          // what follows from news and may wait, in order
@@ -80,9 +81,9 @@
 	f := &Forager{set: set, log: log, quiet: slog.New(slog.DiscardHandler), peers: antenna.NewPeers(), scout: scout.New(),
 		cache: nectar.New(int64(set.MemoryMB<<20) / cachePart), clock: exchange.NewClock(), changes: make(chan func(), 4096),
 		services: map[string]*service{}, started: map[string]balance.Time{}, life: life}
-	f.fetches.all = map[nectar.Key]*fetch{}
+	f.fetches.all = map[level]*fetch{}
 	f.sender = flight.NewSender(max(set.FileHandles/2-fdsReserved, 64), &f.counts)
-	f.hop = newHop(f)
+	f.hop, f.home = newHop(f, false), newHop(f, true)
 	own := set.Inner(set.IP, guard.ForagerPort)
 	f.scout.Set, f.scout.Peers, f.scout.Log = set, f.peers, log.Named("scout")
 	f.scout.Router = honey.Router{Node: set.Node, Zone: set.Zone, Address: own}
@@ -101,6 +102,7 @@
 		return Error.Wrap(err)
 	}
 	f.running.Go(func() { f.hop.loop.Run(life) })
+	f.running.Go(func() { f.home.loop.Run(life) })
 	f.running.Go(func() { f.follow(life) })
 	f.running.Go(func() { f.sweep(life) })
 	go f.scout.Run(life)
--- a/internal/hive/forager/hop.go
+++ b/internal/hive/forager/hop.go
@@ -17,6 +17,7 @@
 // hop is the way to the cache router that a key belongs to: the interval table, and the second hash when it is crowded.
 type hop struct {
 	f    *Forager
+	home bool // over all zones: the shield of a key; else in the own zone first
 	loop *exchange.Loop
 	base uint64 // of the roster that the table was cut by
 	done int    // steps of it that the table has
@@ -30,12 +31,15 @@
 	behindFor   = 150 * time.Millisecond // a cache router that lacks a purge may take so long to learn of it
 )
 
-func newHop(f *Forager) *hop {
-	h := &hop{f: f}
-	h.loop = f.newLoop(balance.Settings{Classes: []balance.Class{{Name: hopClass, Aim: hopAim, Deadline: hopDeadline, Worth: 1,
+func newHop(f *Forager, home bool) *hop {
+	h := &hop{f: f, home: home}
+	set := balance.Settings{Classes: []balance.Class{{Name: hopClass, Aim: hopAim, Deadline: hopDeadline, Worth: 1,
 		Effect: balance.Safe}}, Routers: 1, Zone: f.set.Zone, OverShareWorth: 1, MaxAttempts: 2, ConnectTimeout: time.Second,
-		ColdFrom: 1, Ramp: time.Second, OverloadFactor: 2, OverloadFor: time.Second,
-		Tiers: func() balance.Tiers { return &nearFirst{zone: f.set.Zone} }}, h, f.sender.Pool)
+		ColdFrom: 1, Ramp: time.Second, OverloadFactor: 2, OverloadFor: time.Second}
+	if !home {
+		set.Tiers = func() balance.Tiers { return &nearFirst{zone: f.set.Zone} }
+	}
+	h.loop = f.newLoop(set, h, f.sender.Pool)
 	return h
 }
 
@@ -70,6 +74,9 @@
 	LeftMS int64
 	Route  string
 	Index  uint64 // the asker's history: the one who is asked must hold as much
+	Home   bool   // who is asked is the key's shield: on a miss it goes to the servers
+	AgeMS  int64  // of a copy, at most; 0: any that may be handed on
+	ETag   string // of the asker's copy: the body is not needed if it is still this one
 }
 
 // Fetched is its answer.
@@ -77,8 +84,11 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	Whole  bool  // an object that may be cut into ranges, else a server's other answer
-	Refuse int64 // not had: come again after so many milliseconds; 0: it was had
+	Whole  bool   // an object that may be cut into ranges, else a server's other answer
+	Same   bool   // the object that the asker has: there is no body
+	AgeMS  int64  // with Whole: since a server was asked
+	Index  uint64 // and the history as it was
+	Refuse int64  // not had: come again after so many milliseconds; 0: it was had
 }
 
 // Send asks the cache router that was decided on; this one asks itself without a call.
@@ -92,6 +102,7 @@
 		q.LeftMS = max(time.Until(a.Due).Milliseconds(), 1)
 		var got Fetched
 		var err error
+		q.Home = h.home
 		if string(a.Server) == h.f.set.Node {
 			got = h.f.obtain(a.Context, q)
 		} else {
@@ -115,18 +126,23 @@
 	askKey   = ":ask"
 	wholeKey = ":whole"
 	laterKey = ":later"
+	sameKey  = ":same"
+	ageKey   = ":age"
+	indexKey = ":index"
 )
 
 func encodeAsk(q Fetch) http.Header {
-	return http.Header{askKey: {q.Key.Service, q.Key.Host, q.Key.Path, q.Key.Query, q.Target, q.ID, q.Route}}
+	return http.Header{askKey: {q.Key.Service, q.Key.Host, q.Key.Path, q.Key.Query, q.Target, q.ID, q.Route, itoa(int64(q.Index)),
+		itoa(q.AgeMS), q.ETag}}
 }
 
 func decodeAsk(x *exchange.Exchange, q *Fetch) error {
 	v := x.Header[askKey]
-	if len(v) != 7 {
+	if len(v) != 10 {
 		return Error.New("hop: a question of %d parts", len(v))
 	}
-	*q = Fetch{Key: nectar.Key{Service: v[0], Host: v[1], Path: v[2], Query: v[3]}, Target: v[4], ID: v[5], Route: v[6], Index: x.Key}
+	*q = Fetch{Key: nectar.Key{Service: v[0], Host: v[1], Path: v[2], Query: v[3]}, Target: v[4], ID: v[5], Route: v[6],
+		Index: uint64(atoi(v[7])), AgeMS: atoi(v[8]), ETag: v[9]}
 	return nil
 }
 
@@ -137,7 +153,10 @@
 	}
 	h[flight.StatusKey] = []string{itoa(int64(g.Status))}
 	if g.Whole {
-		h[wholeKey] = []string{"1"}
+		h[wholeKey], h[ageKey], h[indexKey] = []string{"1"}, []string{itoa(g.AgeMS)}, []string{itoa(int64(g.Index))}
+	}
+	if g.Same {
+		h[sameKey] = []string{"1"}
 	}
 	if g.Refuse > 0 {
 		h[laterKey] = []string{itoa(g.Refuse)}
@@ -146,10 +165,11 @@
 }
 
 func unpack(h http.Header, body []byte) Fetched {
-	g := Fetched{Status: int(atoi(first(h, flight.StatusKey))), Body: body, Whole: first(h, wholeKey) != "", Refuse: atoi(first(h, laterKey))}
-	delete(h, flight.StatusKey)
-	delete(h, wholeKey)
-	delete(h, laterKey)
+	g := Fetched{Status: int(atoi(first(h, flight.StatusKey))), Body: body, Whole: first(h, wholeKey) != "", Refuse: atoi(first(h, laterKey)),
+		Same: first(h, sameKey) != "", AgeMS: atoi(first(h, ageKey)), Index: uint64(atoi(first(h, indexKey)))}
+	for _, name := range [...]string{flight.StatusKey, wholeKey, laterKey, sameKey, ageKey, indexKey} {
+		delete(h, name)
+	}
 	g.Header = h
 	return g
 }
--- a/internal/hive/forager/plan.go
+++ b/internal/hive/forager/plan.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cedarmast/balance"
@@ -29,6 +30,7 @@
 	rate  rate
 	tuned balance.Settings // as last told; the follower's
 	pace  pace
+	here  atomic.Bool // it has servers in this router's zone
 }
 
 // loop is the decisions that send a route's requests.
@@ -68,6 +70,7 @@
 	}
 	if whole || c.Router != nil || c.Absent != "" {
 		f.hop.follow(s)
+		f.home.follow(s)
 		f.retune(s)
 	}
 	if p := c.Purge; p != nil {
@@ -198,6 +201,7 @@
 		if name != "" && each != name {
 			continue
 		}
+		here := false
 		l := exchange.List{Addresses: map[balance.ServerID]string{}}
 		l.Kind, l.Version = balance.Complete, int64(s.Index)
 		for _, id := range slices.Sorted(maps.Keys(s.Servers)) {
@@ -206,12 +210,14 @@
 				continue
 			}
 			e := balance.Entry{Server: balance.ServerID(id), Zone: x.Zone, Weight: float64(max(x.Slots, 1)) * sv.pace.part(id), Started: f.startOf(x)}
+			here = here || x.Zone == f.set.Zone
 			if x.State != honey.Open {
 				e.State = balance.Draining
 			}
 			l.Entries = append(l.Entries, e)
 			l.Addresses[e.Server] = x.Address
 		}
+		sv.here.Store(here)
 		f.later(func() {
 			for _, to := range sv.loops() {
 				to.Listed(l)
--- a/internal/hive/forager/shelf.go
+++ b/internal/hive/forager/shelf.go
@@ -33,7 +33,14 @@
 
 type fetches struct {
 	mu  sync.Mutex
-	all map[nectar.Key]*fetch
+	all map[level]*fetch
+}
+
+// level keeps what a router asks as a zone's cache router apart from what it asks as a shield: neither waits for the other
+// in a circle.
+type level struct {
+	nectar.Key
+	home bool
 }
 
 // slack is how long past its shelf time a copy may still go out while the server is asked.
@@ -82,12 +89,15 @@
 // obtain brings an object: the copy, or what a server says.
 func (f *Forager) obtain(ctx context.Context, q Fetch) Fetched {
 	x, grade := f.held(q.Key, q.ID)
+	if q.AgeMS > 0 && grade != nectar.NotThere && time.Since(x.At) > time.Duration(q.AgeMS)*time.Millisecond {
+		grade = nectar.Stale // the asker has as good a one
+	}
 	switch grade {
 	case nectar.Fresh:
-		return fetchedFrom(x)
+		return f.answer(q, x)
 	case nectar.Ageing:
 		f.start(q, x, refreshTime)
-		return fetchedFrom(x)
+		return f.answer(q, x)
 	}
 	w := f.start(q, x, max(time.Duration(q.LeftMS)*time.Millisecond, 50*time.Millisecond))
 	if w == nil {
@@ -95,6 +105,9 @@
 	}
 	select {
 	case <-w.done:
+		if w.got.Whole && q.ETag != "" && q.ETag == first(w.got.Header, "Etag") {
+			return Fetched{Status: http.StatusOK, Whole: true, Same: true, AgeMS: w.got.AgeMS, Index: w.got.Index}
+		}
 		return w.got
 	case <-ctx.Done():
 		return Fetched{Refuse: comeAgain.Milliseconds()}
@@ -102,32 +115,42 @@
 }
 
 func fetchedFrom(x *nectar.Copy) Fetched {
-	return Fetched{Status: http.StatusOK, Header: x.Header, Body: x.Body, Whole: true}
+	return Fetched{Status: http.StatusOK, Header: x.Header, Body: x.Body, Whole: true, Index: x.Index,
+		AgeMS: time.Since(x.At).Milliseconds() + 1}
 }
 
-// start begins a fetch unless one is under way; nil if there is no room for it under the service's rate.
+// answer hands a copy on, without its body to one who has the same.
+func (f *Forager) answer(q Fetch, x *nectar.Copy) Fetched {
+	got := fetchedFrom(x)
+	if q.ETag != "" && q.ETag == x.ETag {
+		got.Same, got.Header, got.Body = true, nil, nil
+	}
+	return got
+}
+
+// start begins a fetch unless one is under way; nil if the configuration has no such service any more.
 func (f *Forager) start(q Fetch, old *nectar.Copy, patience time.Duration) *fetch {
 	p := f.plan.Load()
 	var sv *service
 	if p != nil {
 		sv = p.services[q.Key.Service]
 	}
+	if sv == nil {
+		return nil
+	}
+	at := level{q.Key, q.Home}
 	f.fetches.mu.Lock()
-	if w := f.fetches.all[q.Key]; w != nil {
+	if w := f.fetches.all[at]; w != nil {
 		f.fetches.mu.Unlock()
 		return w
 	}
-	if sv == nil || !sv.rate.take() {
-		f.fetches.mu.Unlock()
-		return nil
-	}
 	w := &fetch{done: make(chan struct{})}
-	f.fetches.all[q.Key] = w
+	f.fetches.all[at] = w
 	f.fetches.mu.Unlock()
 	go func() {
 		defer func() {
 			f.fetches.mu.Lock()
-			delete(f.fetches.all, q.Key)
+			delete(f.fetches.all, at)
 			f.fetches.mu.Unlock()
 			close(w.done)
 		}()
@@ -147,6 +170,14 @@
 	if route == nil {
 		route = &honey.Route{Timeout: patience}
 	}
+	if !q.Home && !(sv.here.Load() && sv.pace.long(route.Name)) { // a long body of the own zone's servers is not had cheaper
+		if got, ok := f.askHome(q, old, route, patience); ok {
+			return got
+		}
+	}
+	if !sv.rate.take() {
+		return Fetched{Refuse: max(sv.rate.wait(), comeAgain).Milliseconds()}
+	}
 	header := http.Header{"Host": {q.Key.Host}}
 	if old != nil && old.ETag != "" {
 		header["If-None-Match"] = []string{old.ETag}
@@ -170,16 +201,55 @@
 		f.cache.Put(q.Key, &x)
 		return fetchedFrom(&x)
 	case status == http.StatusOK && first(head, flight.HeaderStamp) != "":
-		x := &nectar.Copy{Header: without(head, flight.HeaderLoad), Body: a.Body, ETag: first(head, "Etag"), Shelf: route.Shelf, At: begun, Index: index,
-			Labels: strings.Fields(strings.Join(head[flight.HeaderLabels], " "))}
-		if route.Shelf > 0 {
-			f.cache.Put(q.Key, x)
-		}
+		x := f.store(q.Key, route, without(head, flight.HeaderLoad), a.Body, begun, index)
 		return fetchedFrom(x)
 	}
 	return Fetched{Status: status, Header: head, Body: a.Body}
 }
 
+// askHome asks the key's shield. It is not ok if there is none but this router, or it does not answer: then the servers are
+// asked from here.
+func (f *Forager) askHome(q Fetch, old *nectar.Copy, route *honey.Route, patience time.Duration) (Fetched, bool) {
+	q.Index, q.AgeMS, q.ETag = f.scout.Index(), 0, ""
+	if old != nil {
+		q.ETag, q.AgeMS = old.ETag, max(int64(route.Shelf/4/time.Millisecond), 1)
+	}
+	begun := time.Now()
+	x := exchange.New(exchange.Request{ID: q.ID, Class: hopClass, Key: q.Key.Hash(), HasKey: true, Arrived: begun,
+		TimeLeft: patience, Method: http.MethodGet, Target: q.Target, Header: encodeAsk(q)})
+	f.home.loop.Submit(x)
+	a := <-x.Answer()
+	if a.Kind != exchange.Served {
+		return Fetched{}, false
+	}
+	got := unpack(a.Header, a.Body)
+	if !got.Whole {
+		return got, true
+	}
+	at := begun.Add(-time.Duration(got.AgeMS) * time.Millisecond)
+	if got.Same {
+		if old == nil || old.ETag != q.ETag {
+			return Fetched{}, false
+		}
+		same := *old
+		same.At, same.Index, same.Shelf = at, got.Index, route.Shelf
+		f.cache.Put(q.Key, &same)
+		return fetchedFrom(&same), true
+	}
+	f.store(q.Key, route, got.Header, got.Body, at, got.Index)
+	return got, true
+}
+
+// store keeps an object, if the route lets copies be kept.
+func (f *Forager) store(k nectar.Key, route *honey.Route, head http.Header, body []byte, at time.Time, index uint64) *nectar.Copy {
+	x := &nectar.Copy{Header: head, Body: body, ETag: first(head, "Etag"), Shelf: route.Shelf, At: at, Index: index,
+		Labels: strings.Fields(strings.Join(head[flight.HeaderLabels], " "))}
+	if route.Shelf > 0 {
+		f.cache.Put(k, x)
+	}
+	return x
+}
+
 // ask submits a request to a service's decisions and waits for the one answer.
 func (f *Forager) ask(sv *service, order *flight.Order, r exchange.Request) exchange.Answer {
 	x := exchange.New(r)
