Tests of the network: the log's states, torn tails, answers' meanings, real processes

They found one fault: a machine with a lost disk knows the seeds alone, and a leader that is none of them never heard it ask; the question is handed on now.

--- /dev/null
+++ b/internal/hive/honey/honey_test.go
@@ -0,0 +1,157 @@
+package honey
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func route(name, fields string) string {
+	return fmt.Sprintf(`{"parcel_kind":"routes","label":{"name":%q},"manifest":{%s}}`, name, fields)
+}
+
+const (
+	carrier = `{"parcel_kind":"carriers","label":{"name":"shop"},"manifest":{"health_path":"/health","line_cap":130,"rate_per_s":380.0}}`
+	fine    = `"domain":"a.example","path_prefix":"/x/","mail_class":"shelved","timeout":"1500ms","target":"120ms","carrier":"shop","tries":2,"shelf":"20s"`
+)
+
+func manifest(edition, base string, parcels ...string) []byte {
+	return fmt.Appendf(nil, `{"edition":%s,"based_on":%s,"parcels":[%s]}`, edition, base, strings.Join(parcels, ","))
+}
+
+func TestWhatIsTaken(t *testing.T) {
+	first := manifest(`"r5"`, `0`, route("a", fine), carrier)
+	second := manifest(`"r9"`, `"r5"`, route("a", fine), route("b", strings.Replace(fine, "/x/", "/x/y/", 1)), carrier)
+	cases := []struct {
+		name   string
+		body   []byte
+		status int
+		says   string
+	}{
+		{"the first", first, Done, ""},
+		{"the same once more", first, Done, ""},
+		{"the same number, another body", manifest(`"r5"`, `0`, route("b", fine), carrier), Stale, "based_on"},
+		{"on the newest", second, Done, ""},
+		{"the first once more, when it is no longer the newest", first, Done, ""},
+		{"the loser of a race", manifest(`"r9"`, `"r5"`, carrier), Stale, "based_on: r5, but r9"},
+		{"a later loser", manifest(`"r12"`, `"r5"`, carrier), Stale, "based_on"},
+		{"cut short", second[:len(second)-7], Invalid, "not readable whole"},
+		{"more behind its end", append(append([]byte{}, second...), '}'), Invalid, "not readable whole"},
+		{"unknown service", manifest(`"r12"`, `"r9"`, route("a", fine)), Invalid, `route a: carrier: unknown service "shop"`},
+		{"one place twice", manifest(`"r12"`, `"r9"`, route("a", fine), route("b", fine), carrier), Invalid, "path_prefix: same place as a"},
+		{"no weight", manifest(`"r12"`, `"r9"`, route("a", strings.Replace(fine, `"carrier":"shop"`, `"split_among":[{"carrier":"shop","share":0}]`, 1)), carrier), Invalid, "shares add up to 0"},
+		{"no service at all", manifest(`"r12"`, `"r9"`, route("a", strings.Replace(fine, `"carrier":"shop",`, "", 1)), carrier), Invalid, "shares add up to 0"},
+		{"no timeout", manifest(`"r12"`, `"r9"`, route("a", strings.Replace(fine, "1500ms", "0s", 1)), carrier), Invalid, "timeout: 0"},
+		{"timeout left out", manifest(`"r12"`, `"r9"`, route("a", strings.Replace(fine, `"timeout":"1500ms",`, "", 1)), carrier), Invalid, "timeout: 0"},
+		{"long timeout", manifest(`"r12"`, `"r9"`, route("a", strings.Replace(fine, "1500ms", "601s", 1)), carrier), Invalid, "over ten minutes"},
+		{"no time", manifest(`"r12"`, `"r9"`, route("a", strings.Replace(fine, "1500ms", "soon", 1)), carrier), Invalid, "timeout"},
+		{"odd kind", manifest(`"r12"`, `"r9"`, route("a", strings.Replace(fine, "shelved", "parcel", 1)), carrier), Invalid, "mail_class"},
+		{"an edition that is not above", manifest(`"r9"`, `"r9"`, carrier), Invalid, "not above r9"},
+		{"no version", manifest(`"twelve"`, `"r9"`, carrier), Invalid, "no version"},
+		{"ten minutes are allowed, as are parcels of an unknown kind", manifest(`"r12"`, `"r9"`,
+			route("a", strings.Replace(fine, "1500ms", "600s", 1)), carrier, `{"parcel_kind":"stamps","label":{},"manifest":{"x":1}}`), Done, ""},
+	}
+	s := New()
+	for i, c := range cases {
+		before := s.Version
+		out := s.Apply(uint64(i+1), Command{Put: c.body})
+		assert.Equal(t, out.Status, c.status, "%s: %s", c.name, out.Text)
+		assert.Assert(t, strings.Contains(out.Text, c.says), "%s: %s", c.name, out.Text)
+		assert.Assert(t, c.status == Done || s.Version == before, c.name)
+	}
+	assert.Equal(t, s.Version, Version(12))
+}
+
+func TestServersCalls(t *testing.T) {
+	call := func(beat uint64, state string) Command {
+		return Command{Server: &Server{ID: "i-1", Service: "shop", Address: "10.0.0.1:80", State: state, Beat: beat}}
+	}
+	cases := []struct {
+		name  string
+		do    Command
+		state string
+	}{
+		{"it comes", call(1, Open), Open},
+		{"it leaves", call(4, Closing), Closing},
+		{"an older call comes late", call(3, Open), Closing},
+		{"a later call does not open it again", call(5, Open), Closing},
+		{"it has left", Command{Leave: "i-1"}, ""},
+		{"a late call does not bring it back", call(6, Open), ""},
+	}
+	s := New()
+	for i, c := range cases {
+		s.Apply(uint64(i+1), c.do)
+		assert.Equal(t, s.Servers["i-1"].State, c.state, c.name)
+	}
+}
+
+// A holder of the duty whose time is over takes nobody out: another one has the duty, and may have heard them.
+func TestDutyIsFenced(t *testing.T) {
+	s := New()
+	s.Apply(1, Command{Appoint: "10.0.0.1"})
+	s.Apply(2, Command{Server: &Server{ID: "i-1", Beat: 1}})
+	s.Apply(3, Command{Appoint: "10.0.0.2"})
+	assert.Equal(t, s.Apply(4, Command{Lost: "i-1", Epoch: 1}).Status, Stale)
+	assert.Equal(t, len(s.Servers), 1)
+	assert.Equal(t, s.Apply(5, Command{Lost: "i-1", Epoch: 3}).Status, Done)
+	assert.Equal(t, len(s.Servers), 0)
+}
+
+// Whoever asks with any version ends with the same state, by changes or by the whole; the roster stays bounded.
+func TestHistory(t *testing.T) {
+	h := NewHistory(New())
+	var copies []*History
+	for i := uint64(1); i <= 1500; i++ {
+		c := Command{Router: &Router{Node: fmt.Sprint("n", i%40), Zone: fmt.Sprint(i)}}
+		if i%7 == 0 {
+			c = Command{Purge: &Purge{Tag: "t"}}
+		}
+		h.Apply(2*i, c.Encode()) // entries between them change no state
+		if i%500 == 1 {
+			copies = append(copies, NewHistory(h.State.Clone()))
+		}
+	}
+	assert.Assert(t, len(h.State.Roster) <= mostRoster)
+	copies = append(copies, NewHistory(New()))
+	for _, c := range copies {
+		for c.State.Index < h.State.Index {
+			n := h.Since(c.State.Index)
+			if n.State != nil {
+				c.State = n.State
+			}
+			for _, x := range n.Changes {
+				c.Apply(x.Index, x.Data)
+			}
+		}
+		assert.DeepEqual(t, c.State, h.State)
+	}
+}
+
+func TestLongestPrefix(t *testing.T) {
+	table := NewTable(&Manifest{Routes: []Route{{Name: "all", Host: "a", Prefix: "/"}, {Name: "x", Host: "a", Prefix: "/x/"}, {Name: "xy", Host: "a", Prefix: "/x/y/"},
+		{Name: "b", Host: "b", Prefix: "/x/"}}})
+	for at, want := range map[string]string{"a /x/y/z": "xy", "a /x/y": "x", "a /x/": "x", "a /xy": "all", "A /x/1": "x", "b /x/1": "b", "b /y": "", "c /": "", "a *": ""} {
+		host, path, _ := strings.Cut(at, " ")
+		got := ""
+		if r := table.Find(host, path); r != nil {
+			got = r.Name
+		}
+		assert.Equal(t, got, want, at)
+	}
+}
+
+func FuzzManifest(f *testing.F) {
+	f.Add(manifest(`"r5"`, `0`, route("a", fine), carrier))
+	f.Add([]byte(`{"edition":1,"parcels":[{"parcel_kind":"routes","manifest":null}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		s := New()
+		if s.Apply(1, Command{Put: body}).Status == Done {
+			_, err := ParseManifest(s.Body)
+			assert.NilError(t, err)
+		} else {
+			assert.Equal(t, s.Version, Version(0))
+		}
+	})
+}
--- /dev/null
+++ b/internal/hive/meadow/meadow.go
@@ -0,0 +1,378 @@
+// Package meadow starts a small delivery network on this machine: real processes of the three programs, each on an address of
+// its own of the loopback net, with stand-in servers that tell of themselves as real ones do. The network's tests and
+// `hive up` use it.
+package meadow
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("meadow")
+
+// Shape is how large a network is.
+type Shape struct {
+	Core, Edges int
+	Zones       int // over which machines are dealt out in turn
+	Dir         string
+	Net         byte // the network is at 127.0.Net.x, so that several fit on one machine
+	// Program returns the command line of a program; it is run with CEDARMAST_CONFIG set.
+	Program func(name string) []string
+	Out     io.Writer // of all processes' logs; nil: none
+}
+
+// The ports are alike on all machines, as on the operators'.
+const (
+	counterPort   = 8144
+	readinessPort = 8140
+	controlPort   = 8146
+	sparePort     = 7660
+	beatEvery     = 300 * time.Millisecond
+)
+
+// Machine is one address with the processes on it.
+type Machine struct {
+	Name, IP, Zone string
+	Core           bool
+	Dir            string
+	first          bool
+
+	mu        sync.Mutex
+	processes map[string]*exec.Cmd
+}
+
+// Network is a network that runs.
+type Network struct {
+	Shape
+	Machines []*Machine
+	client   http.Client
+	mu       sync.Mutex
+	servers  []*Server
+}
+
+// Start writes the settings and starts all processes.
+func Start(shape Shape) (*Network, error) {
+	n := &Network{Shape: shape, client: http.Client{Timeout: 3 * time.Second}}
+	for i := range shape.Core + shape.Edges {
+		m := &Machine{IP: fmt.Sprintf("127.0.%d.%d", shape.Net, i+1), Zone: fmt.Sprint("zone-", i%max(shape.Zones, 1)+1), Core: i < shape.Core,
+			first: true, processes: map[string]*exec.Cmd{}}
+		m.Name = fmt.Sprint("edge-", i-shape.Core+1)
+		if m.Core {
+			m.Name = fmt.Sprint("core-", i+1)
+		}
+		m.Dir = filepath.Join(shape.Dir, m.Name)
+		if err := os.MkdirAll(m.Dir, 0o755); err != nil {
+			return nil, Error.Wrap(err)
+		}
+		n.Machines = append(n.Machines, m)
+	}
+	for _, m := range n.Machines {
+		if err := n.Up(m); err != nil {
+			n.Stop()
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+func (n *Network) settings(m *Machine) string {
+	var seeds []string
+	zones := map[string]bool{}
+	for i, c := range n.Machines {
+		if i < min(n.Core, 3) {
+			seeds = append(seeds, fmt.Sprintf("%s:%d", c.IP, controlPort))
+		}
+		zones[c.Zone] = true
+	}
+	var b strings.Builder
+	line := func(key string, value any) { fmt.Fprintf(&b, "%s=%v\n", key, value) }
+	line("self.node", m.Name)
+	line("self.ip", m.IP)
+	line("self.zone", m.Zone)
+	line("self.region", "here")
+	line("self.first_start", m.first)
+	line("self.allowances.memory_mb", 256)
+	line("self.allowances.file_handles", 1024)
+	if m.Core {
+		line("self.data_dir", filepath.Join(m.Dir, "data"))
+		line("network.listen_on.control_dock", fmt.Sprintf("%s:%d", m.IP, controlPort))
+	} else {
+		line("network.listen_on.counter", fmt.Sprintf("%s:%d", m.IP, counterPort))
+		line("network.listen_on.readiness", fmt.Sprintf("%s:%d", m.IP, readinessPort))
+	}
+	line("network.spare_ports", fmt.Sprintf("%d,%d", sparePort, sparePort+15))
+	line("network.seed_nodes", strings.Join(seeds, ","))
+	for z := range zones {
+		line("network.zones."+z, "here")
+	}
+	line("yard.heartbeat", beatEvery.String())
+	return b.String()
+}
+
+// Up starts a machine's processes that do not run.
+func (n *Network) Up(m *Machine) error {
+	file := filepath.Join(m.Dir, "boot.conf")
+	if err := os.WriteFile(file, []byte(n.settings(m)), 0o644); err != nil {
+		return Error.Wrap(err)
+	}
+	m.first = false
+	programs := []string{"forager"}
+	if m.Core {
+		programs = []string{"comb", "waggle"}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range programs {
+		if m.processes[p] != nil {
+			continue
+		}
+		line := n.Program(p)
+		cmd := exec.Command(line[0], line[1:]...)
+		cmd.Env = append(os.Environ(), "CEDARMAST_CONFIG="+file)
+		if n.Out != nil {
+			cmd.Stdout, cmd.Stderr = n.Out, n.Out
+		}
+		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		if err := cmd.Start(); err != nil {
+			return Error.Wrap(err)
+		}
+		m.processes[p] = cmd
+	}
+	return nil
+}
+
+// Signal sends a signal to a machine's processes; a killed one is waited for.
+func (n *Network) Signal(m *Machine, s syscall.Signal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for p, cmd := range m.processes {
+		cmd.Process.Signal(s)
+		if s == syscall.SIGKILL || s == syscall.SIGTERM {
+			cmd.Wait()
+			delete(m.processes, p)
+		}
+	}
+}
+
+// Wipe empties the disk of a machine that is down.
+func (n *Network) Wipe(m *Machine) error { return os.RemoveAll(filepath.Join(m.Dir, "data")) }
+
+// Stop kills all that was started.
+func (n *Network) Stop() {
+	n.mu.Lock()
+	for _, s := range n.servers {
+		s.Stop()
+	}
+	n.mu.Unlock()
+	for _, m := range n.Machines {
+		n.Signal(m, syscall.SIGKILL)
+	}
+}
+
+// Control calls the first core machine that answers, as the operator would, until the context ends.
+func (n *Network) Control(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	for turn := 0; ; turn++ {
+		m := n.Machines[turn%n.Core]
+		status, text, err := n.ControlAt(ctx, m, method, path, body)
+		if err == nil && status < 500 {
+			return status, text, nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, nil, Error.New("%s %s: no clear answer: %w", method, path, ctx.Err())
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// ControlAt calls one core machine, once.
+func (n *Network) ControlAt(ctx context.Context, m *Machine, method, path string, body []byte) (int, []byte, error) {
+	q, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", m.IP, controlPort, path), bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	r, err := n.client.Do(q)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer r.Body.Close()
+	text, err := io.ReadAll(r.Body)
+	return r.StatusCode, text, err
+}
+
+// Edges are the machines that clients call.
+func (n *Network) EdgeMachines() []*Machine { return n.Machines[n.Core:] }
+
+// Ready tells whether an edge calls itself ready.
+func (n *Network) Ready(m *Machine) bool {
+	r, err := n.client.Get(fmt.Sprintf("http://%s:%d/ready", m.IP, readinessPort))
+	if err != nil {
+		return false
+	}
+	r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+// Ask sends a client's request to an edge.
+func (n *Network) Ask(m *Machine, method, host, path, id string) (int, http.Header, string, error) {
+	q, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", m.IP, counterPort, path), nil)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	q.Host = host
+	q.Header.Set("Try-Id", id)
+	q.Header.Set("Time-Left", "2000")
+	r, err := n.client.Do(q)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer r.Body.Close()
+	body, err := io.ReadAll(r.Body)
+	return r.StatusCode, r.Header, string(body), err
+}
+
+// Server is a stand-in server: it keeps versioned objects, runs requests and keeps a ledger of them.
+type Server struct {
+	ID, Service, Address, Zone string
+
+	network *Network
+	http    *http.Server
+	mu      sync.Mutex
+	version int
+	state   string
+	beat    uint64
+	ran     map[string]int
+	stop    context.CancelFunc
+	Acked   chan struct{} // gets a word for each acknowledged call, when somebody listens
+}
+
+// Serve starts a stand-in server of a service.
+func (n *Network) Serve(id, service string, at byte) (*Server, error) {
+	l, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", n.Net, at))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s := &Server{ID: id, Service: service, Address: l.Addr().String(), Zone: "zone-1", network: n, version: 1, state: "open", ran: map[string]int{}, stop: stop,
+		Acked: make(chan struct{})}
+	s.http = &http.Server{Handler: s}
+	go s.http.Serve(l)
+	go s.tell(ctx)
+	n.mu.Lock()
+	n.servers = append(n.servers, s)
+	n.mu.Unlock()
+	return s, nil
+}
+
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := r.Header.Get("Try-Id")
+	if id != "" {
+		w.Header().Set("Try-Id", id)
+	}
+	if want := r.Header.Get("Addressee"); want != "" && want != s.ID {
+		w.Header().Set("Server-Id", s.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	s.ran[id]++
+	tag := fmt.Sprintf(`"%d"`, s.version)
+	w.Header().Set("Postmark", s.ID+"."+id)
+	w.Header().Set("Etag", tag)
+	w.Header().Set("Labels", "all")
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	fmt.Fprintf(w, "%s %s version %d of %s\n", r.Method, r.URL.Path, s.version, s.Service)
+}
+
+// Change replaces all objects by a newer version.
+func (s *Server) Change() {
+	s.mu.Lock()
+	s.version++
+	s.mu.Unlock()
+}
+
+// Ran is how many requests reached it, all in all, and the most for one id.
+func (s *Server) Ran() (all, most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range s.ran {
+		all, most = all+k, max(most, k)
+	}
+	return all, most
+}
+
+// Close makes it say from now on that it is closing.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.state = "closing"
+	s.mu.Unlock()
+}
+
+// Stop ends it without a word.
+func (s *Server) Stop() {
+	s.stop()
+	s.http.Close()
+}
+
+// tell keeps the registry told.
+func (s *Server) tell(ctx context.Context) {
+	for {
+		s.mu.Lock()
+		s.beat++
+		body, _ := json.Marshal(map[string]any{"id": s.ID, "carrier": s.Service, "address": s.Address, "zone": s.Zone, "edition": "v1", "berths": 8,
+			"state": s.state, "warmup": "0ms", "postmark": s.beat})
+		s.mu.Unlock()
+		call, done := context.WithTimeout(ctx, 4*time.Second)
+		status, _, err := s.network.Control(call, http.MethodPut, "/servers/"+s.ID, body)
+		done()
+		if err == nil && status == http.StatusOK {
+			select {
+			case s.Acked <- struct{}{}:
+			default:
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(beatEvery):
+		}
+	}
+}
+
+// Manifest is a configuration of one service with a shelved, a resendable and a once-only route.
+func Manifest(edition, base int, service string, extra ...string) []byte {
+	based := `"0"`
+	if base > 0 {
+		based = fmt.Sprintf(`"r%d"`, base)
+	}
+	routes := []string{}
+	for _, r := range append([]string{"shelved", "resendable", "once_only"}, extra...) {
+		kind := r
+		if r != "shelved" && r != "resendable" && r != "once_only" {
+			kind = "resendable"
+		}
+		routes = append(routes, fmt.Sprintf(`{"parcel_kind":"routes","label":{"name":"r-%[1]s"},"manifest":{"domain":"shop.example","path_prefix":"/%[1]s/",`+
+			`"mail_class":"%[2]s","timeout":"2000ms","target":"500ms","precedence":1,"carrier":"%[3]s","tries":2,"shelf":"20s"}}`, r, kind, service))
+	}
+	return fmt.Appendf(nil, `{"edition":"r%d","based_on":%s,"parcels":[%s,{"parcel_kind":"carriers","label":{"name":"%s"},"manifest":{"health_path":"/health","line_cap":130}}]}`,
+		edition, based, strings.Join(routes, ","), service)
+}
--- a/internal/hive/queen/queen.go
+++ b/internal/hive/queen/queen.go
@@ -58,7 +58,7 @@
 	Commit         uint64
 	Entries        []Entry
 	Snapshot       *Snapshot
-	Reject         bool
+	Reject         bool          // no; of a Vote: a leader asked for it; of a Join: it has been handed on
 	Seq            uint64        // of the leader's rounds, for read barriers and leases
 	Age            time.Duration // Append: since the leader last knew that a majority follows it
 	Seen           []string      // Appended: who has asked the sender for news lately
@@ -796,9 +796,13 @@
 	n.settle()
 }
 
-// onJoin hears one that looks for a leader. A leader takes it on; others pass the leader's address by saying nothing, for
-// the asker asks every address it knows, and learns more of them with the log.
+// onJoin hears one that looks for a leader. A leader takes it on; others hand the question on once, for the asker may know
+// the seeds alone, and the leader be none of them.
 func (n *Node) onJoin(m Message) {
+	if n.role != Leader && !m.Reject && n.leaderAt != "" && n.leader != m.From {
+		m.Reject, m.ToAddr = true, n.leaderAt
+		n.messages = append(n.messages, m)
+	}
 	if n.role != Leader || m.From == n.self.ID {
 		return
 	}
