--- /dev/null
+++ b/internal/hive/meadow/show.go
@@ -0,0 +1,97 @@
+package meadow
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Show starts a network, shows a request served, served from a copy and purged, and keeps the network up until the context ends.
+func Show(ctx context.Context, shape Shape, out io.Writer, stay bool) error {
+	self, err := os.Executable()
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	shape.Program = func(name string) []string { return []string{filepath.Join(filepath.Dir(self), name), "run"} }
+	if shape.Dir == "" {
+		if shape.Dir, err = os.MkdirTemp("", "hive"); err != nil {
+			return Error.Wrap(err)
+		}
+		defer os.RemoveAll(shape.Dir)
+	}
+	n, err := Start(shape)
+	if err != nil {
+		return err
+	}
+	defer n.Stop()
+	for _, m := range n.Machines {
+		fmt.Fprintf(out, "%-8s %-12s %s\n", m.Name, m.IP, m.Zone)
+	}
+	var servers []*Server
+	for i := range 2 {
+		s, err := n.Serve(fmt.Sprint("server-", i+1), "shop", byte(200+i))
+		if err != nil {
+			return err
+		}
+		servers = append(servers, s)
+	}
+	if status, text, err := n.Control(ctx, "PUT", "/manifest", Manifest(1, 0, "shop")); err != nil || status != 200 {
+		return Error.New("configuration: %d %s %v", status, text, err)
+	}
+	fmt.Fprintln(out, "configuration r1 is acknowledged: a majority of the core's disks has it")
+	edge := n.EdgeMachines()[0]
+	for !n.Ready(edge) {
+		select {
+		case <-ctx.Done():
+			return Error.Wrap(ctx.Err())
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	look := func(what, id string) error {
+		begun := time.Now()
+		status, _, body, err := n.Ask(edge, "GET", "shop.example", "/shelved/1", id)
+		for err == nil && status != 200 && time.Since(begun) < 5*time.Second {
+			time.Sleep(20 * time.Millisecond)
+			status, _, body, err = n.Ask(edge, "GET", "shop.example", "/shelved/1", id)
+		}
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		runs := 0
+		for _, s := range servers {
+			all, _ := s.Ran()
+			runs += all
+		}
+		fmt.Fprintf(out, "%-28s %d in %s, servers have run %d: %s", what, status, time.Since(begun).Round(100*time.Microsecond), runs, body)
+		return nil
+	}
+	if err := look("served", "a"); err != nil {
+		return err
+	}
+	if err := look("served from a copy", "b"); err != nil {
+		return err
+	}
+	for _, s := range servers {
+		s.Change()
+	}
+	if err := look("changed, not purged", "c"); err != nil {
+		return err
+	}
+	if status, text, err := n.Control(ctx, "POST", "/purge", []byte(`{"domain":"shop.example","path":"/shelved/1"}`)); err != nil || status != 200 {
+		return Error.New("purge: %d %s %v", status, text, err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if err := look("purged", "d"); err != nil {
+		return err
+	}
+	if !stay {
+		return nil
+	}
+	fmt.Fprintf(out, "the network stays up until interrupted; try\n  curl -H 'Host: shop.example' http://%s:%d/shelved/1\n  curl http://%s:%d/status\n",
+		edge.IP, counterPort, n.Machines[0].IP, controlPort)
+	<-ctx.Done()
+	return nil
+}
