Fetches are not judged by one request's aim; limits follow the servers' slots

Cause: a mix refused a tenth of its boards: an aim of 120 ms beside a fetch of 60 passed for overload and shut the lone router's gate a little more with each, and settings were made before the servers' slots were known, which made a router of eleven count as lone. Found by the decisions' view at the refusals. Change: a shelved class is judged by a quarter of its deadline at least; slots that change retune.

--- a/internal/hive/forager/plan.go
+++ b/internal/hive/forager/plan.go
@@ -51,6 +51,7 @@
 	mostAdvice  = time.Second
 	usualSlots  = 8
 	noSuchClass = 2 * time.Second
+	fetchAim    = 4 // the part of its deadline within which a fetch is usual
 )
 
 // took hears of every change, in order, under the scout's lock.
@@ -66,6 +67,7 @@
 		if c.Server != nil {
 			name = c.Server.Service
 		}
+		f.retune(s) // before the list: a new server's limit hangs on how many slots there are
 		f.list(s, name)
 	}
 	if whole || c.Router != nil || c.Absent != "" {
@@ -173,6 +175,9 @@
 		if r.Kind != honey.OnceOnly {
 			c.Effect = balance.Safe
 		}
+		if r.Kind == honey.Shelved { // a fetch serves all who come after it: what is late for one is no sign of overload
+			c.Aim = max(c.Aim, c.Deadline/fetchAim)
+		}
 		set.Classes = append(set.Classes, c)
 		if set.MaxAttempts == 0 || r.Tries < set.MaxAttempts {
 			set.MaxAttempts = r.Tries
--- /dev/null
+++ b/internal/hive/forager/plan_test.go
@@ -0,0 +1,134 @@
+package forager
+
+import (
+	"testing"
+	"time"
+
+	"cedarmast/balance"
+	"cedarmast/internal/exchange"
+	"cedarmast/internal/hive/guard"
+	"cedarmast/internal/hive/honey"
+
+	"gotest.tools/v3/assert"
+)
+
+// A mix of the operators had a tenth of its requests refused: the aim of a board is 120 ms and a fetch takes 60 of them, which passed
+// for overload; and limits were set before the servers' slots were known.
+func TestSettingsOfDecisions(t *testing.T) {
+	f := &Forager{set: guard.Settings{Zone: "a"}}
+	s := honey.New()
+	p := &plan{Manifest: &honey.Manifest{Routes: []honey.Route{
+		{Name: "board", Kind: honey.Shelved, Target: 120 * time.Millisecond, Timeout: 1500 * time.Millisecond, Priority: 2, Tries: 3, Split: []honey.Share{{Service: "vault", Weight: 1}}},
+		{Name: "claim", Kind: honey.OnceOnly, Target: 500 * time.Millisecond, Timeout: 2 * time.Second, Priority: 1, Tries: 2, Split: []honey.Share{{Service: "vault", Weight: 1}}},
+		{Name: "other", Kind: honey.Resendable, Timeout: time.Second, Tries: 1, Split: []honey.Share{{Service: "desk", Weight: 1}, {Service: "vault", Weight: 0}}},
+	}}}
+	set := f.settings(s, p, "vault")
+	assert.Equal(t, len(set.Classes), 2)
+	assert.Equal(t, set.Classes[0].Aim, 375*time.Millisecond)
+	assert.Equal(t, set.Classes[0].Effect, balance.Safe)
+	assert.Equal(t, set.Classes[1].Aim, 500*time.Millisecond)
+	assert.Equal(t, set.Classes[1].Effect, balance.Unsafe)
+	assert.Equal(t, set.MaxAttempts, 2)
+	assert.Equal(t, f.settings(s, p, "desk").Classes[0].Aim, 500*time.Millisecond)
+	assert.Equal(t, f.settings(s, p, "none").Classes[0].Name, "none")
+
+	for i := range 11 {
+		s.Routers[string(rune('a'+i))] = honey.Router{}
+	}
+	few := f.settings(s, p, "vault").Routers
+	s.Servers["i-1"] = honey.Server{Service: "vault", Slots: 32}
+	many := f.settings(s, p, "vault").Routers
+	assert.Assert(t, many < few, "%d %d", many, few)
+	s.Servers["i-1"] = honey.Server{Service: "vault", Slots: 2}
+	assert.Assert(t, f.settings(s, p, "vault").Routers > few)
+}
+
+// Shares of an origin's rate add up to no more than its ceiling in any window, however many routers there are and however idle
+// they were before.
+func TestSharesOfARate(t *testing.T) {
+	b := guard.Bounds{CeilingWindow: 5 * time.Second, CeilingExcess: 1.1}
+	for _, routers := range []int{1, 11, 82, 420} {
+		var r rate
+		r.set(410, routers, b)
+		r.at = time.Now().Add(-time.Hour) // idle for long
+		taken := 0
+		for range 3000 { // at one moment
+			if r.take() {
+				taken++
+			}
+		}
+		window := float64(taken) + r.per*b.CeilingWindow.Seconds()
+		assert.Assert(t, window*float64(routers) <= 410*5*1.1+float64(routers), "%d: %v", routers, window*float64(routers))
+		assert.Assert(t, r.wait() > 0 && !r.spare())
+	}
+	var none rate
+	none.set(0, 11, b)
+	assert.Assert(t, none.take() && none.spare() && none.wait() == 0)
+}
+
+func TestRanges(t *testing.T) {
+	cases := []struct {
+		text       string
+		from, to   int64
+		ok, ranged bool
+	}{
+		{"", 0, 0, false, false}, {"bytes=0-9", 0, 9, true, true}, {"bytes=5-", 5, 99, true, true}, {"bytes=90-200", 90, 99, true, true},
+		{"bytes=100-", 100, 99, false, true}, {"bytes=-5", 0, 0, false, false}, {"bytes=9-5", 0, 0, false, false},
+		{"bytes=0-1,5-6", 0, 0, false, false}, {"items=0-1", 0, 0, false, false},
+	}
+	for _, c := range cases {
+		from, to, ok, ranged := parseRange(c.text, 100)
+		assert.Equal(t, ranged, c.ranged, c.text)
+		assert.Equal(t, ok, c.ok, c.text)
+		if ok {
+			assert.Assert(t, from == c.from && to == c.to, "%s: %d %d", c.text, from, to)
+		}
+	}
+}
+
+// Bytes between zones are dear: the own zone first, and routers of a zone without servers do not all go to the same other one.
+func TestNearFirst(t *testing.T) {
+	seen := map[string]bool{}
+	for _, zone := range []string{"a", "b", "c", "d", "e"} {
+		n := &nearFirst{zone: zone}
+		n.Listed(0, map[string]int{"a": 2, "b": 2, "c": 0, "x": 1})
+		order := n.Order(0, balance.Visit{})
+		assert.Equal(t, len(order), 3)
+		if zone == "a" || zone == "b" {
+			assert.Equal(t, order[0].Zone, zone)
+		} else {
+			seen[order[0].Zone] = true
+		}
+	}
+	assert.Assert(t, len(seen) > 1)
+}
+
+// A server that takes twice as long as the mean is drawn a quarter as often, and is forgotten once it is gone.
+func TestPace(t *testing.T) {
+	p := newPace()
+	assert.Assert(t, p.long("r"), "of what is not known it is assumed")
+	p.part("slow")
+	for range 200 {
+		p.note("r", "quick", 50*time.Millisecond, 6000)
+		p.note("r", "slow", 150*time.Millisecond, 0)
+	}
+	assert.Assert(t, !p.long("r"))
+	assert.Assert(t, p.now("quick") > 1.5 && p.now("slow") < 0.6, "%v %v", p.now("quick"), p.now("slow"))
+	assert.Assert(t, p.moved(map[string]bool{"quick": true, "slow": true}))
+	p.moved(nil)
+	assert.Equal(t, len(p.quick)+len(p.told), 0)
+}
+
+// What one cache router asks another comes back as it was asked, through the exchange that carries it.
+func TestQuestionsAndAnswersSurviveTheWay(t *testing.T) {
+	q := Fetch{Target: "/x?y", ID: "try", Route: "r", Index: 7, AgeMS: 5000, ETag: `"1"`}
+	q.Key.Service, q.Key.Host, q.Key.Path, q.Key.Query = "s", "h", "/x", "y"
+	var got Fetch
+	assert.NilError(t, decodeAsk(exchange.New(exchange.Request{Header: encodeAsk(q)}), &got))
+	assert.DeepEqual(t, got, q)
+	for _, a := range []Fetched{{Status: 200, Whole: true, AgeMS: 3, Index: 9}, {Status: 200, Whole: true, Same: true, AgeMS: 1}, {Refuse: 120}, {Status: 404}} {
+		back := unpack(a.pack(), nil)
+		back.Header = nil
+		assert.DeepEqual(t, back, a)
+	}
+}
