A server that beats at another registry is not taken out; elections after 0.45 s

Change: registries tell their combs whom they heard, followers' answers tell the leader, and the holder asks it before it takes a server out. Elections begin after 0.45 to 0.9 s of silence.

--- a/internal/hive/comb/comb.go
+++ b/internal/hive/comb/comb.go
@@ -35,6 +35,7 @@
 	retryDisk    = 100 * time.Millisecond
 	liveFor      = 2 * time.Second  // a core machine heard within this may hold a duty
 	absentFor    = 12 * time.Second // a cache router that has asked nobody for so long is taken out
+	toldEvery    = time.Second      // the leader hears who has asked, or beaten, at the other combs
 	enrolAgain   = time.Second
 	leaveWithin  = 700 * time.Millisecond
 )
@@ -68,12 +69,13 @@
 	changed  chan struct{} // closed and made anew with every change
 	leader   string        // address
 	leads    bool
+	since    time.Time // when it began to lead
 	fresh    bool
 	turned   time.Time // when the loop last came round
 	core     []string
 	applied  uint64               // the last entry of the log that the state has
-	attended map[string]time.Time // cache routers that asked here
-	present  map[string]time.Time // at the leader: that asked anywhere
+	attended map[string]time.Time // cache routers that asked here, and servers that were heard here
+	present  map[string]time.Time // at the leader: anywhere
 	enrolled map[string]time.Time // when their entry was last proposed
 	told     time.Time            // when the leader was last told who asked here
 	status   Status
@@ -413,7 +415,7 @@
 		close(c.changed)
 		c.changed = make(chan struct{})
 	}
-	c.leader, c.leads, c.fresh, c.core = leader, c.node.Role() == queen.Leader, fresh, core
+	c.leader, c.leads, c.since, c.fresh, c.core = leader, c.node.Role() == queen.Leader, c.led, fresh, core
 	c.status.Role, c.status.Term, c.status.Commit = c.node.Role().String(), c.node.Term(), c.node.Commit()
 	c.status.ID, c.status.Journal = c.node.Self().ID, c.journal.Size()
 }
@@ -483,13 +485,13 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.told) < absentFor/4 {
+	if now.Sub(c.told) < toldEvery {
 		return nil
 	}
 	c.told = now
 	for node, at := range c.attended {
 		switch age := now.Sub(at); {
-		case age < absentFor/3:
+		case age < 2*toldEvery:
 			seen = append(seen, node)
 		case age > 2*absentFor:
 			delete(c.attended, node)
--- a/internal/hive/comb/service.go
+++ b/internal/hive/comb/service.go
@@ -259,6 +259,61 @@
 	}
 }
 
+// Heard notes servers whose beats this machine's registry has acknowledged. The leader is told with the followers' answers.
+func (s *service) Heard(ids *[]string, ok *bool) error {
+	now := time.Now()
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	for _, id := range *ids {
+		if len(s.c.attended) < mostAttended {
+			s.c.attended[serverMark+id] = now
+		}
+	}
+	*ok = true
+	return nil
+}
+
+const (
+	serverMark   = "server " // before a server's id, where cache routers stand beside
+	mostAttended = 1 << 17
+)
+
+// Silence is a question for how long servers have been silent, wherever they were heard.
+type Silence struct {
+	IDs       []string
+	Forwarded bool
+}
+
+// Silent answers it, by way of the leader, in milliseconds; nobody is told to be silent for longer than this leader has led.
+func (s *service) Silent(q *Silence, ages *[]int64) error {
+	s.c.mu.Lock()
+	leads, at, since := s.c.leads, s.c.leader, s.c.since
+	if leads {
+		now := time.Now()
+		for _, id := range q.IDs {
+			last := since
+			for _, t := range [...]time.Time{s.c.attended[serverMark+id], s.c.present[serverMark+id]} {
+				if t.After(last) {
+					last = t
+				}
+			}
+			*ages = append(*ages, now.Sub(last).Milliseconds())
+		}
+	}
+	s.c.mu.Unlock()
+	if leads {
+		return nil
+	}
+	if q.Forwarded || at == "" {
+		return errNoLeader
+	}
+	ctx, done := context.WithTimeout(context.Background(), 800*time.Millisecond)
+	defer done()
+	got, err := antenna.Call[Silence, []int64](ctx, s.c.peers.At(at), "Comb.Silent", &Silence{q.IDs, true})
+	*ages = got
+	return err
+}
+
 // Status tells where this machine stands.
 func (s *service) Status(_ *bool, out *Status) error {
 	s.c.mu.Lock()
--- a/internal/hive/queen/queen.go
+++ b/internal/hive/queen/queen.go
@@ -88,7 +88,7 @@
 }
 
 // Usual is the timing in service: a sync takes 2 ms, a round trip 3 ms, a quarter of a core may be away for 100 ms.
-var Usual = Timing{Heartbeat: 120 * time.Millisecond, Election: 600 * time.Millisecond, Lost: 6 * time.Second}
+var Usual = Timing{Heartbeat: 120 * time.Millisecond, Election: 450 * time.Millisecond, Lost: 6 * time.Second}
 
 const (
 	batchEntries = 256  // of one message at most
--- a/internal/hive/waggle/waggle.go
+++ b/internal/hive/waggle/waggle.go
@@ -51,6 +51,7 @@
 	beats map[string]beat
 	epoch uint64 // of the duty that is held here; 0: it is not
 	since time.Time
+	heard []string // since the comb was last told
 }
 
 // beat is the last call of a server.
@@ -77,6 +78,7 @@
 		ErrorLog: log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
 	go w.scout.Run(ctx)
 	go w.prune(ctx)
+	go w.pass(ctx)
 	go server.Serve(listener)
 	log.Info("started", "address", set.Control)
 	<-ctx.Done()
@@ -208,6 +210,7 @@
 	}
 	if ok || len(w.beats) < mostBeats {
 		w.beats[s.ID] = beat{s.Beat, time.Now()}
+		w.heard = append(w.heard, s.ID)
 	}
 	return true
 }
@@ -283,6 +286,29 @@
 	w.say(rw, r, honey.Outcome{Status: honey.Done}, err, s)
 }
 
+// pass tells the machine's comb which servers were heard, and with it the leader: a server may beat at any registry.
+func (w *Waggle) pass(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(w.set.Heartbeat / 3):
+		}
+		w.mu.Lock()
+		heard := w.heard
+		w.heard = nil
+		w.mu.Unlock()
+		if len(heard) == 0 {
+			continue
+		}
+		call, done := context.WithTimeout(ctx, readWithin)
+		if _, err := antenna.Call[[]string, bool](call, w.comb, "Comb.Heard", &heard); err != nil {
+			w.log.Debug("not passed on", "err", err)
+		}
+		done()
+	}
+}
+
 // prune does the duty while it is held here: servers that have missed several beats are taken out. One who takes the duty
 // over gives all of them their whole time, for it has not heard them before.
 func (w *Waggle) prune(ctx context.Context) {
@@ -323,10 +349,19 @@
 		}
 		epoch := w.epoch
 		w.mu.Unlock()
-		if len(silent) > max(2, len(servers)/2) { // so many at once: it is the way to here that is silent
+		if len(silent) == 0 || len(silent) > max(2, len(servers)/2) { // so many at once: it is the way to here that is silent
+			continue
+		}
+		call, done := context.WithTimeout(ctx, readWithin)
+		ages, err := antenna.Call[comb.Silence, []int64](call, w.comb, "Comb.Silent", &comb.Silence{IDs: silent})
+		done()
+		if err != nil || len(ages) != len(silent) {
 			continue
 		}
-		for _, id := range silent {
+		for i, id := range silent {
+			if time.Duration(ages[i])*time.Millisecond < silence {
+				continue // it beats at another registry
+			}
 			if out, err := w.propose(ctx, honey.Command{Lost: id, Epoch: epoch}, beatWithin); err == nil && out.Status == honey.Done {
 				w.log.Info("server taken out", "id", id, "epoch", epoch)
 			}
