Partial views between neighbours; hollow edges and a measurement of control's cost

Cause: neighbours were read from the roster, which every router holds whole; the house style asks for partial views, and at 420 routers whoever is cut off needs somebody who answers. Change: swarm, views of ten that are shuffled every three seconds, in which the dead fall out; a router without a core asks those with the newest history first. hive measure plays hollow edges with the real control code against real core machines.

--- a/cmd/hive/main.go
+++ b/cmd/hive/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"cedarmast/internal/build"
 	"cedarmast/internal/hive/meadow"
@@ -28,6 +29,18 @@
 				}
 				return meadow.Show(ctx, shape, os.Stdout, !c.Bool("once"))
 			}},
+		{Name: "measure", Usage: "what control costs: real core machines, hollow edges that share this process, one row a load",
+			Flags: []cli.Flag{&cli.IntFlag{Name: "core", Value: 5, Usage: "core machines"}, &cli.StringFlag{Name: "edges", Value: "30,120,420", Usage: "how many, a row each"},
+				&cli.StringFlag{Name: "servers", Value: "60", Usage: "how many are listed, a row each"}, &cli.StringFlag{Name: "purges", Value: "11", Usage: "a second, a row each"},
+				&cli.StringFlag{Name: "puts", Value: "0.1", Usage: "configurations a second, a row each"}, &cli.StringFlag{Name: "routes", Value: "14", Usage: "of a configuration, a row each"},
+				&cli.DurationFlag{Name: "for", Value: 10 * time.Second, Usage: "how long each load lasts"}},
+			Action: func(ctx context.Context, c *cli.Command) error {
+				loads, err := meadow.Loads(c.Duration("for"), c.String("edges"), c.String("servers"), c.String("purges"), c.String("puts"), c.String("routes"))
+				if err != nil {
+					return cli.Exit(err.Error(), 2)
+				}
+				return meadow.Measure(ctx, meadow.Shape{Core: c.Int("core"), Zones: 3, Net: 69}, loads, os.Stdout)
+			}},
 		{Name: "version", Usage: "tell which build this is", Action: func(context.Context, *cli.Command) error {
 			fmt.Println(build.Line("hive"))
 			return nil
--- a/internal/hive/antenna/antenna.go
+++ b/internal/hive/antenna/antenna.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,6 +32,8 @@
 type Peer struct {
 	Address string
 
+	in, out atomic.Int64 // bytes
+
 	mu     sync.Mutex
 	client *rpc.Client
 	heard  time.Time
@@ -40,6 +43,24 @@
 // NewPeer returns a peer that has not been called yet.
 func NewPeer(address string) *Peer { return &Peer{Address: address, dials: make(chan struct{}, 1)} }
 
+// counted counts a connection's bytes.
+type counted struct {
+	net.Conn
+	peer *Peer
+}
+
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.peer.in.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.peer.out.Add(int64(n))
+	return n, err
+}
+
 // Call makes one call and waits for its answer or the context's end.
 func Call[A, R any](ctx context.Context, p *Peer, method string, args *A) (R, error) {
 	var none R
@@ -101,7 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client = rpc.NewClient(c)
+	client = rpc.NewClient(&counted{c, p})
 	p.mu.Lock()
 	p.client = client
 	p.mu.Unlock()
@@ -117,6 +138,16 @@
 	client.Close()
 }
 
+// Bytes is what all peers have brought and been sent.
+func (s *Peers) Bytes() (in, out int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range s.all {
+		in, out = in+k.in.Load(), out+k.out.Load()
+	}
+	return in, out
+}
+
 // Close ends the connection; calls under way fail.
 func (p *Peer) Close() {
 	p.mu.Lock()
--- a/internal/hive/forager/forager.go
+++ b/internal/hive/forager/forager.go
@@ -22,6 +22,7 @@
 	"cedarmast/internal/hive/honey"
 	"cedarmast/internal/hive/nectar"
 	"cedarmast/internal/hive/scout"
+	"cedarmast/internal/hive/swarm"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/zeebo/errs"
@@ -35,7 +36,8 @@
 	notReadyFor  = 2600 * time.Millisecond // after SIGTERM, until the platform has seen it twice
 	endMargin    = 700 * time.Millisecond  // of grace, kept back
 	fdsReserved  = 400
-	mostServers  = 4
+	viewMost     = 10
+	mingleEvery  = 3 * time.Second
 	memoryTarget = 0.8 // of the memory, past which garbage is collected at once
 )
 
@@ -46,6 +48,7 @@
 	quiet  *slog.Logger
 	peers  *antenna.Peers
 	scout  *scout.Scout
+	view   *swarm.View
 	cache  *nectar.Cache
 	clock  exchange.Clock
 	counts exchange.Counters
@@ -85,9 +88,10 @@
 	f.sender = flight.NewSender(max(set.FileHandles/2-fdsReserved, 64), &f.counts)
 	f.hop, f.home = newHop(f, false), newHop(f, true)
 	own := set.Inner(set.IP, guard.ForagerPort)
+	f.view = swarm.New(own, viewMost, mrand.Uint64())
 	f.scout.Set, f.scout.Peers, f.scout.Log = set, f.peers, log.Named("scout")
 	f.scout.Router = honey.Router{Node: set.Node, Zone: set.Zone, Address: own}
-	f.scout.Took, f.scout.Neighbours = f.took, f.neighbours
+	f.scout.Took, f.scout.Neighbours = f.took, f.view.Neighbours
 
 	inner, err := net.Listen("tcp", own)
 	if err != nil {
@@ -105,6 +109,7 @@
 	f.running.Go(func() { f.home.loop.Run(life) })
 	f.running.Go(func() { f.follow(life) })
 	f.running.Go(func() { f.sweep(life) })
+	f.running.Go(func() { f.mingle(life) })
 	go f.scout.Run(life)
 	go antenna.Serve(inner, "Forager", &peerCalls{f})
 	server := &http.Server{Handler: http.HandlerFunc(f.serve), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 15 * time.Second,
@@ -170,16 +175,36 @@
 	}
 }
 
-// neighbours are other cache routers, for when no core machine answers.
-func (f *Forager) neighbours() (all []string) {
-	f.scout.Read(func(s *honey.State) {
-		for _, r := range s.Routers {
-			if r.Node != f.set.Node {
-				all = append(all, r.Address)
-			}
+// mingle keeps this router's partial view of the others: now and then it is exchanged in part with one of them. The roster is
+// only asked for somebody to begin with, or when nobody in the view answers any more.
+func (f *Forager) mingle(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(mingleEvery/2 + mrand.N(mingleEvery)):
 		}
-	})
-	return all
+		if len(f.view.Neighbours()) < viewMost/2 {
+			f.scout.Read(func(s *honey.State) {
+				for _, r := range s.Routers { // in no order, and until the view is full
+					if r.Node != f.set.Node {
+						f.view.Meet(r.Address)
+					}
+				}
+			})
+		}
+		ask, offer := f.view.Begin(f.scout.Index())
+		if ask == "" {
+			continue
+		}
+		call, done := context.WithTimeout(ctx, time.Second)
+		answer, err := antenna.Call[[]swarm.Neighbour, []swarm.Neighbour](call, f.peers.At(ask), "Forager.Mingle", &offer)
+		if done(); err != nil {
+			f.log.Debug("a neighbour is gone", "err", err)
+			continue
+		}
+		f.view.End(answer, offer)
+	}
 }
 
 // newLoop returns a host for decisions, with this process's clock and counters.
--- a/internal/hive/forager/hop.go
+++ b/internal/hive/forager/hop.go
@@ -12,6 +12,7 @@
 	"cedarmast/internal/hive/flight"
 	"cedarmast/internal/hive/honey"
 	"cedarmast/internal/hive/nectar"
+	"cedarmast/internal/hive/swarm"
 )
 
 // hop is the way to the cache router that a key belongs to: the interval table, and the second hash when it is crowded.
@@ -201,3 +202,9 @@
 	*n = p.f.scout.News(*a)
 	return nil
 }
+
+// Mingle exchanges part of a view.
+func (p *peerCalls) Mingle(offer *[]swarm.Neighbour, answer *[]swarm.Neighbour) error {
+	*answer = p.f.view.Answer(*offer, p.f.scout.Index())
+	return nil
+}
