--- /dev/null
+++ b/internal/hive/scout/scout_test.go
@@ -0,0 +1,129 @@
+package scout
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"cedarmast/internal/hive/antenna"
+	"cedarmast/internal/hive/guard"
+	"cedarmast/internal/hive/honey"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+)
+
+// core is a stand-in for a core machine, or for a neighbour.
+type core struct {
+	mu      sync.Mutex
+	history *honey.History
+	fresh   bool
+	down    bool
+	asked   int
+	barred  int
+}
+
+func (c *core) News(a *honey.Ask, n *honey.News) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked++
+	if a.Barrier {
+		c.barred++
+	}
+	if c.down {
+		return errors.New("down")
+	}
+	*n = c.history.Since(a.Have)
+	n.Fresh = c.fresh
+	return nil
+}
+
+func (c *core) set(f func()) { c.mu.Lock(); defer c.mu.Unlock(); f() }
+
+func (c *core) purges(from, to uint64) {
+	c.set(func() {
+		for i := from; i <= to; i++ {
+			c.history.Apply(i, honey.Command{Purge: &honey.Purge{Tag: "t"}}.Encode())
+		}
+	})
+}
+
+func serve(t *testing.T, address, name string, c *core) {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go antenna.Serve(l, name, c)
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	late, look := time.After(8*time.Second), time.NewTicker(2*time.Millisecond)
+	defer look.Stop()
+	for !ok() {
+		select {
+		case <-late:
+			t.Fatal("never: " + what)
+		case <-look.C:
+		}
+	}
+}
+
+// One day of a copy: it begins with a barrier, follows changes in order, leaves a core machine that can't tell whether it is current,
+// does not go back when it meets one that is behind, and takes what neighbours have when no core machine answers.
+func TestADayOfACopy(t *testing.T) {
+	a, b, near := &core{history: honey.NewHistory(honey.New())}, &core{history: honey.NewHistory(honey.New())}, &core{history: honey.NewHistory(honey.New())}
+	serve(t, "127.0.73.1:7660", "Comb", a)
+	serve(t, "127.0.73.2:7660", "Comb", b)
+	serve(t, "127.0.73.3:7661", "Forager", near)
+	a.fresh = true
+	a.purges(1, 3)
+
+	s := New()
+	s.Set = guard.Settings{IP: "127.0.0.1", SparePort: 7660, Seeds: []string{"127.0.73.1:1", "127.0.73.2:1"}, Bounds: guard.Bounds{Contact: 600 * time.Millisecond}}
+	s.Peers, s.Log = antenna.NewPeers(), hclog.NewNullLogger()
+	s.Neighbours = func() []string { return []string{"127.0.73.3:7661"} }
+	var seen []uint64
+	last := uint64(0)
+	s.Took = func(state *honey.State, _ honey.Command, index uint64, whole bool) {
+		if state.Index < last || index != state.Index {
+			t.Errorf("went from %d to %d (%d)", last, state.Index, index)
+		}
+		last = state.Index
+		seen = append(seen, index)
+	}
+	phase, _ := s.Phase()
+	assert.Equal(t, phase, Empty)
+	go s.Run(t.Context())
+	until(t, "the first news", func() bool { p, _ := s.Phase(); return p == InTouch && s.Index() == 3 })
+	a.set(func() { assert.Check(t, a.barred > 0) })
+
+	a.purges(4, 9)
+	until(t, "changes", func() bool { return s.Index() == 9 })
+
+	b.purges(1, 12)
+	a.set(func() { a.fresh = false }) // it follows no leader any more
+	b.set(func() { b.fresh = true })
+	until(t, "the other machine", func() bool { return s.Index() == 12 })
+	b.set(func() { b.down = true })
+	a.set(func() { a.fresh = true; a.asked = 0 }) // an older history that claims to be current
+	until(t, "questions to the older one", func() bool { a.mu.Lock(); defer a.mu.Unlock(); return a.asked > 3 })
+	assert.Equal(t, s.Index(), uint64(12), "it never goes back")
+
+	a.set(func() { a.down = true })
+	until(t, "out of touch", func() bool { p, _ := s.Phase(); return p == OutOfTouch })
+	near.purges(1, 20)
+	until(t, "what a neighbour has", func() bool { return s.Index() == 20 })
+	phase, _ = s.Phase()
+	assert.Equal(t, phase, OutOfTouch, "a neighbour's word is no proof")
+
+	ctx, done := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer done()
+	assert.Assert(t, !s.Await(ctx, 21) && s.Await(ctx, 20))
+	b.purges(13, 30)
+	b.set(func() { b.down = false })
+	until(t, "in touch again", func() bool { p, _ := s.Phase(); return p == InTouch && s.Index() == 30 })
+}
