--- a/internal/hive/comb/comb.go
+++ b/internal/hive/comb/comb.go
@@ -27,17 +27,18 @@
 var Error = errs.Class("comb")
 
 const (
-	tick         = 30 * time.Millisecond
-	freshFor     = 900 * time.Millisecond // a majority heard within this: what is told is current
-	renewBytes   = 4 << 20                // of journal, then a snapshot begins a new one
-	renewEntries = 4000
-	batch        = 256
-	retryDisk    = 100 * time.Millisecond
-	liveFor      = 2 * time.Second  // a core machine heard within this may hold a duty
-	absentFor    = 12 * time.Second // a cache router that has asked nobody for so long is taken out
-	toldEvery    = time.Second      // the leader hears who has asked, or beaten, at the other combs
-	enrolAgain   = time.Second
-	leaveWithin  = 700 * time.Millisecond
+	tick          = 30 * time.Millisecond
+	freshFor      = 900 * time.Millisecond // a majority heard within this: what is told is current
+	renewBytes    = 4 << 20                // of journal, then a snapshot begins a new one
+	renewEntries  = 4000
+	batch         = 256
+	retryDisk     = 100 * time.Millisecond
+	liveFor       = 2 * time.Second  // a core machine heard within this may hold a duty
+	absentFor     = 12 * time.Second // a cache router that has asked nobody for so long is taken out
+	toldEvery     = time.Second      // the leader hears who has asked, or beaten, at the other combs
+	enrolAgain    = time.Second
+	enrolTogether = 150 * time.Millisecond // newcomers of so long are one change of every table
+	leaveWithin   = 700 * time.Millisecond
 )
 
 // Comb is the process. Run starts it.
@@ -64,21 +65,22 @@
 
 	gather gather
 
-	mu       sync.Mutex
-	history  *honey.History
-	changed  chan struct{} // closed and made anew with every change
-	leader   string        // address
-	leads    bool
-	since    time.Time // when it began to lead
-	fresh    bool
-	turned   time.Time // when the loop last came round
-	core     []string
-	applied  uint64               // the last entry of the log that the state has
-	attended map[string]time.Time // cache routers that asked here, and servers that were heard here
-	present  map[string]time.Time // at the leader: anywhere
-	enrolled map[string]time.Time // when their entry was last proposed
-	told     time.Time            // when the leader was last told who asked here
-	status   Status
+	mu        sync.Mutex
+	history   *honey.History
+	changed   chan struct{} // closed and made anew with every change
+	leader    string        // address
+	leads     bool
+	since     time.Time // when it began to lead
+	fresh     bool
+	turned    time.Time // when the loop last came round
+	core      []string
+	applied   uint64               // the last entry of the log that the state has
+	attended  map[string]time.Time // cache routers that asked here, and servers that were heard here
+	present   map[string]time.Time // at the leader: anywhere
+	enrolled  map[string]time.Time // when their entry was last proposed
+	newcomers []honey.Router       // who asked and is not in the roster; proposed together
+	told      time.Time            // when the leader was last told who asked here
+	status    Status
 }
 
 // Status is what a comb tells of itself.
--- a/internal/hive/comb/service.go
+++ b/internal/hive/comb/service.go
@@ -250,15 +250,27 @@
 	c.mu.Lock()
 	c.attended[r.Node] = now
 	enrol := c.history.State.Routers[r.Node] != r && now.Sub(c.enrolled[r.Node]) > enrolAgain && c.leader != ""
+	first := false
 	if enrol {
 		c.enrolled[r.Node] = now
+		c.newcomers = append(c.newcomers, r)
+		first = len(c.newcomers) == 1
 	}
 	c.mu.Unlock()
-	if enrol {
-		go (&service{c}).Propose(&Proposal{Data: honey.Command{Router: &r}.Encode(), WaitMS: 1000}, &Reply{})
+	if first {
+		time.AfterFunc(enrolTogether, c.enrol)
 	}
 }
 
+// enrol proposes those who have come, all in one command: each command is a change of every table.
+func (c *Comb) enrol() {
+	c.mu.Lock()
+	all := c.newcomers
+	c.newcomers = nil
+	c.mu.Unlock()
+	(&service{c}).Propose(&Proposal{Data: honey.Command{Enrol: all}.Encode(), WaitMS: 1000}, &Reply{})
+}
+
 // Heard notes servers whose beats this machine's registry has acknowledged. The leader is told with the followers' answers.
 func (s *service) Heard(ids *[]string, ok *bool) error {
 	now := time.Now()
--- /dev/null
+++ b/internal/hive/forager/capacity_test.go
@@ -0,0 +1,61 @@
+package forager
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"cedarmast/balance"
+	"cedarmast/internal/hive/nectar"
+)
+
+// BenchmarkRoster is what cutting the interval table costs as a fleet of so many cache routers comes in ten
+// batches, and ten of them go and come back.
+func BenchmarkRoster(b *testing.B) {
+	for _, routers := range []int{105, 210, 420} {
+		b.Run(fmt.Sprint(routers), func(b *testing.B) {
+			for b.Loop() {
+				l := balance.New(balance.Settings{Classes: []balance.Class{{Name: hopClass, Aim: hopAim, Deadline: hopDeadline, Worth: 1}}, Routers: 1,
+					Ramp: time.Second, OverloadFor: time.Second, ColdFrom: 1}, 1)
+				for batch := range 10 { // as combs enrol newcomers, and then a few one by one
+					news := balance.List{Kind: balance.Partial, Version: int64(batch)}
+					for i := batch; i < routers; i += 10 {
+						news.Entries = append(news.Entries, balance.Entry{Server: balance.ServerID(fmt.Sprint("edge-", i)), Zone: fmt.Sprint(i % 31), Weight: 1})
+					}
+					l.Handle(1, []balance.Event{news})
+				}
+				for i := range 20 {
+					state := balance.Gone
+					if i%2 == 1 {
+						state = balance.Up
+					}
+					l.Handle(1, []balance.Event{balance.List{Kind: balance.Partial, Version: int64(10 + i), Entries: []balance.Entry{
+						{Server: balance.ServerID(fmt.Sprint("edge-", i/2)), Zone: fmt.Sprint(i / 2 % 31), Weight: 1, State: state}}}})
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkCopies is what a copy of a small object takes in memory beside its bytes.
+func BenchmarkCopies(b *testing.B) {
+	for _, copies := range []int{50_000, 100_000, 200_000} {
+		b.Run(fmt.Sprint(copies), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				c := nectar.New(1 << 30)
+				for i := range copies {
+					c.Put(nectar.Key{Service: "s", Host: "a.example", Path: fmt.Sprint("/objects/", i)}, &nectar.Copy{Body: make([]byte, 1024),
+						Labels: []string{fmt.Sprint("t", i%30)}, Shelf: 20 * time.Second, At: time.Unix(int64(i), 0), Index: 1})
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(copies)-1024, "B/copy")
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
--- a/internal/hive/forager/hop.go
+++ b/internal/hive/forager/hop.go
@@ -44,7 +44,7 @@
 	return h
 }
 
-// follow hands the table the steps that it lacks, one by one, as every router's table gets them. When the roster has been
+// follow hands the table the changes that it lacks, one by one, as every router's table gets them. When the roster has been
 // written down anew, the table begins anew with it.
 func (h *hop) follow(s *honey.State) {
 	if h.base != s.RosterBase || h.done > len(s.Roster) {
@@ -53,14 +53,18 @@
 		h.post(gone)
 		h.base, h.done = s.RosterBase, 0
 	}
-	for ; h.done < len(s.Roster); h.done++ {
-		step := s.Roster[h.done]
-		l := exchange.List{Addresses: map[balance.ServerID]string{balance.ServerID(step.Node): step.Address}}
-		e := balance.Entry{Server: balance.ServerID(step.Node), Zone: step.Zone, Weight: 1}
-		if step.Gone {
-			e.State = balance.Gone
+	for h.done < len(s.Roster) {
+		l := exchange.List{Addresses: map[balance.ServerID]string{}}
+		l.Kind, l.Version = balance.Partial, int64(s.Index)
+		for at := s.Roster[h.done].Index; h.done < len(s.Roster) && s.Roster[h.done].Index == at; h.done++ {
+			step := s.Roster[h.done]
+			e := balance.Entry{Server: balance.ServerID(step.Node), Zone: step.Zone, Weight: 1}
+			if step.Gone {
+				e.State = balance.Gone
+			}
+			l.Addresses[e.Server] = step.Address
+			l.Entries = append(l.Entries, e)
 		}
-		l.Kind, l.Version, l.Entries = balance.Partial, int64(s.Index), []balance.Entry{e}
 		h.post(l)
 	}
 }
--- a/internal/hive/forager/plan.go
+++ b/internal/hive/forager/plan.go
@@ -59,7 +59,7 @@
 	if whole {
 		f.cache.Forget(index)
 	}
-	if whole || c.Put != nil {
+	if whole || c.Configures() {
 		f.configure(s)
 	}
 	if whole || c.Server != nil || c.Leave != "" || c.Lost != "" {
@@ -70,7 +70,7 @@
 		f.retune(s) // before the list: a new server's limit hangs on how many slots there are
 		f.list(s, name)
 	}
-	if whole || c.Router != nil || c.Absent != "" {
+	if whole || c.Enrol != nil || c.Absent != "" {
 		f.hop.follow(s)
 		f.home.follow(s)
 		f.retune(s)
--- a/internal/hive/honey/honey.go
+++ b/internal/hive/honey/honey.go
@@ -52,10 +52,11 @@
 // Purge ends the use of copies: of one path of a host, or of all that carry a tag.
 type Purge struct{ Host, Path, Tag string }
 
-// Step is one change of the roster of cache routers.
+// Step is one change of the roster of cache routers. Steps of one command are one change of the table.
 type Step struct {
 	Router
-	Gone bool
+	Gone  bool
+	Index uint64 // of the command
 }
 
 // Taken remembers a configuration that was acknowledged.
@@ -82,7 +83,7 @@
 const (
 	mostTaken  = 1024
 	mostLeft   = 1024
-	mostRoster = 512
+	mostRoster = 1024
 	mostAlive  = 65536 // servers
 )
 
@@ -101,17 +102,21 @@
 
 // Command is one change; one of its fields is set.
 type Command struct {
-	Put     []byte  `json:"put,omitempty"` // a configuration's body
-	Server  *Server `json:"server,omitempty"`
-	Leave   string  `json:"leave,omitempty"` // a server that has left in order
-	Lost    string  `json:"lost,omitempty"`  // a server that has fallen silent
-	Epoch   uint64  `json:"epoch,omitempty"` // with Lost and Absent: of the duty under which that was decided
-	Purge   *Purge  `json:"purge,omitempty"`
-	Router  *Router `json:"router,omitempty"`
-	Absent  string  `json:"absent,omitempty"`  // a router that has fallen silent
-	Appoint string  `json:"appoint,omitempty"` // who takes the duty
+	Put     []byte   `json:"put,omitempty"`    // a configuration's body
+	Change  *Delta   `json:"change,omitempty"` // a configuration, to one who holds the one before it
+	Server  *Server  `json:"server,omitempty"`
+	Leave   string   `json:"leave,omitempty"` // a server that has left in order
+	Lost    string   `json:"lost,omitempty"`  // a server that has fallen silent
+	Epoch   uint64   `json:"epoch,omitempty"` // with Lost and Absent: of the duty under which that was decided
+	Purge   *Purge   `json:"purge,omitempty"`
+	Enrol   []Router `json:"enrol,omitempty"`   // cache routers that have come, or moved
+	Absent  string   `json:"absent,omitempty"`  // a router that has fallen silent
+	Appoint string   `json:"appoint,omitempty"` // who takes the duty
 }
 
+// Configures tells whether a command brings a configuration.
+func (c Command) Configures() bool { return c.Put != nil || c.Change != nil }
+
 // Encode writes a command for the log.
 func (c Command) Encode() []byte {
 	text, err := json.Marshal(c)
@@ -149,6 +154,12 @@
 	switch {
 	case c.Put != nil:
 		return s.put(c.Put)
+	case c.Change != nil:
+		body, err := c.Change.Patch(s.Version, s.Body)
+		if err != nil {
+			return Outcome{Invalid, err.Error()}
+		}
+		return s.put(body)
 	case c.Server != nil:
 		return s.server(*c.Server)
 	case c.Leave != "":
@@ -167,12 +178,13 @@
 		}
 	case c.Purge != nil:
 		s.Purges++
-	case c.Router != nil:
-		if old, ok := s.Routers[c.Router.Node]; ok && old == *c.Router {
-			return Outcome{Status: Done}
+	case len(c.Enrol) > 0:
+		for _, r := range c.Enrol {
+			if old, ok := s.Routers[r.Node]; !ok || old != r {
+				s.Routers[r.Node] = r
+				s.step(Step{Router: r})
+			}
 		}
-		s.Routers[c.Router.Node] = *c.Router
-		s.step(Step{Router: *c.Router})
 	case c.Appoint != "":
 		s.Duty = Duty{c.Appoint, index}
 	}
@@ -188,13 +200,14 @@
 
 // step notes a change of the roster. When there are too many, the roster is written down anew and every table with it.
 func (s *State) step(change Step) {
+	change.Index = s.Index
 	s.Roster = append(s.Roster, change)
 	if len(s.Roster) <= mostRoster {
 		return
 	}
 	s.Roster, s.RosterBase = nil, s.Index
 	for _, node := range slices.Sorted(maps.Keys(s.Routers)) {
-		s.Roster = append(s.Roster, Step{Router: s.Routers[node]})
+		s.Roster = append(s.Roster, Step{Router: s.Routers[node], Index: s.Index})
 	}
 }
 
--- a/internal/hive/honey/honey_test.go
+++ b/internal/hive/honey/honey_test.go
@@ -104,7 +104,7 @@
 	h := NewHistory(New())
 	var copies []*History
 	for i := uint64(1); i <= 1500; i++ {
-		c := Command{Router: &Router{Node: fmt.Sprint("n", i%40), Zone: fmt.Sprint(i)}}
+		c := Command{Enrol: []Router{{Node: fmt.Sprint("n", i%40), Zone: fmt.Sprint(i)}}}
 		if i%7 == 0 {
 			c = Command{Purge: &Purge{Tag: "t"}}
 		}
--- a/internal/hive/honey/news.go
+++ b/internal/hive/honey/news.go
@@ -1,5 +1,7 @@
 package honey
 
+import "fmt"
+
 // Change is one command of the log as it is handed on.
 type Change struct {
 	Index uint64
@@ -44,11 +46,24 @@
 	if index <= h.State.Index {
 		return Command{}, Outcome{}, nil
 	}
+	before := h.State.Index
 	c, err := Decode(data)
 	if err != nil {
 		return c, Outcome{Status: Invalid, Text: err.Error()}, err
 	}
+	version, body := h.State.Version, h.State.Body
 	out := h.State.Apply(index, c)
+	if c.Put != nil {
+		if h.State.Version == version { // it was refused, or is known
+			data = nil
+		} else if d := Diff(version, body, c.Put); d != nil {
+			data = Command{Change: d}.Encode()
+		}
+	}
+	if c.Change != nil && out.Status != Done {
+		h.State.Index = before
+		return c, out, fmt.Errorf("%s", out.Text)
+	}
 	h.changes = append(h.changes, Change{index, data})
 	h.bytes += len(data)
 	for len(h.changes) > mostChanges || h.bytes > mostChangeBytes && len(h.changes) > 1 {
--- a/internal/hive/meadow/hollow.go
+++ b/internal/hive/meadow/hollow.go
@@ -124,7 +124,7 @@
 		s.Took = func(state *honey.State, c honey.Command, _ uint64, whole bool) {
 			key := ""
 			switch {
-			case c.Put != nil:
+			case c.Configures():
 				key = state.Version.String()
 			case c.Purge != nil:
 				key = c.Purge.Tag
--- a/internal/hive/scout/scout.go
+++ b/internal/hive/scout/scout.go
@@ -54,6 +54,7 @@
 	phase   Phase
 	heard   time.Time // when news, or the word that there is none, last came from a fresh core machine; of the question's begin
 	changed chan struct{}
+	whole   bool // the next question is for all of the state
 }
 
 // New returns an empty copy.
@@ -173,7 +174,11 @@
 }
 
 func (s *Scout) ask(ctx context.Context, at string, first bool) (honey.News, time.Time, error) {
-	question := honey.Ask{Have: s.Index(), Barrier: first, Router: s.Router, HoldMS: hold.Milliseconds()}
+	have := s.Index()
+	if s.mustHaveAll() {
+		have = 0
+	}
+	question := honey.Ask{Have: have, Barrier: first, Router: s.Router, HoldMS: hold.Milliseconds()}
 	call, done := context.WithTimeout(ctx, hold+patience)
 	defer done()
 	begun := time.Now()
@@ -181,6 +186,8 @@
 	return n, begun, err
 }
 
+func (s *Scout) mustHaveAll() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.whole }
+
 func (s *Scout) askNeighbours(ctx context.Context) {
 	all := s.Neighbours()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
@@ -201,7 +208,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.history.State.Index
-	if n.State != nil && n.State.Index > before {
+	if n.State != nil && (n.State.Index > before || s.whole && n.State.Index == before) {
+		s.whole = false
 		state := n.State
 		if state.Servers == nil { // gob leaves out what is empty
 			state.Servers = map[string]honey.Server{}
@@ -218,8 +226,9 @@
 		}
 		command, _, err := s.history.Apply(c.Index, c.Data)
 		if err != nil {
-			s.Log.Error("change not readable", "index", c.Index, "err", err)
-			continue
+			s.Log.Error("change not readable; asking for the whole", "index", c.Index, "err", err)
+			s.whole = true
+			break
 		}
 		s.Took(s.history.State, command, c.Index, false)
 	}
