Spellings of a path, long bodies and a last byte on its way; tests of the way of requests

Change: keys and targets as written; the order is told before the last byte leaves; bodies over 256 KB count against a fifth of the memory. Tests drive the proxy without a core: ranges, spellings, one fetch for many, a purge while it runs, copies while out of touch, failures as said.

--- a/internal/hive/flight/flight.go
+++ b/internal/hive/flight/flight.go
@@ -93,9 +93,10 @@
 	return o.sent
 }
 
-func (o *Order) note(sent bool) {
+// note is called before a request's last byte may leave.
+func (o *Order) note() {
 	o.mu.Lock()
-	o.sent = sent || o.sent
+	o.sent = true
 	o.mu.Unlock()
 }
 
@@ -213,8 +214,7 @@
 		idle = begun.Sub(c.idle)
 	}
 	c.SetDeadline(a.Due)
-	written, err := c.write(a, o.ID, o.OnceOnly)
-	o.note(written)
+	written, err := c.write(a, o)
 	if err != nil {
 		c.Close()
 		s.Pool.Used(idle, false)
@@ -286,9 +286,9 @@
 
 var errEarly = errors.New("the connection ended before the request was whole")
 
-// write writes the request; written tells whether its last byte may have left. Of what may run once the last byte follows a
+// write writes the request; written tells whether its last byte may have left, and the order is told before it does. Of what may run once the last byte follows a
 // moment later, so that a connection that the server has dropped shows while the request surely has not run.
-func (c *conn) write(a *exchange.Attempt, id string, once bool) (written bool, err error) {
+func (c *conn) write(a *exchange.Attempt, o *Order) (written bool, err error) {
 	head := make([]byte, 0, 512)
 	head = fmt.Appendf(head, "%s %s HTTP/1.1\r\n", a.Method, a.Target)
 	for name, values := range a.Header {
@@ -297,8 +297,8 @@
 		}
 	}
 	left := max(time.Until(a.Due).Milliseconds(), 1)
-	if id != "" {
-		head = fmt.Appendf(head, "%s: %s\r\n", HeaderID, id)
+	if o.ID != "" {
+		head = fmt.Appendf(head, "%s: %s\r\n", HeaderID, o.ID)
 	}
 	head = fmt.Appendf(head, "%s: %d\r\n%s: %s\r\n", HeaderLeft, left, HeaderFor, a.Server)
 	if len(a.Body) > 0 || a.Method != http.MethodGet && a.Method != http.MethodHead {
@@ -306,7 +306,8 @@
 	}
 	head = append(head, "\r\n"...)
 	all := append(head, a.Body...)
-	if !once {
+	if !o.OnceOnly {
+		o.note()
 		_, err := c.Conn.Write(all)
 		return true, err
 	}
@@ -317,6 +318,7 @@
 	if state := socket.Peek(c.Conn); state == socket.Closed || state == socket.Unread {
 		return false, errEarly
 	}
+	o.note()
 	_, err = c.Conn.Write(all[len(all)-1:])
 	return err == nil || !errors.Is(err, syscall.EPIPE), err
 }
--- a/internal/hive/forager/forager.go
+++ b/internal/hive/forager/forager.go
@@ -33,6 +33,7 @@
 
 const (
 	cachePart    = 4                       // of the memory, for copies
+	bodiesPart   = 5                       // and for requests over the usual length
 	notReadyFor  = 2600 * time.Millisecond // after SIGTERM, until the platform has seen it twice
 	endMargin    = 700 * time.Millisecond  // of grace, kept back
 	fdsReserved  = 400
@@ -50,6 +51,7 @@
 	scout  *scout.Scout
 	view   *swarm.View
 	cache  *nectar.Cache
+	bodies *exchange.Budget // of long requests
 	clock  exchange.Clock
 	counts exchange.Counters
 	sender *flight.Sender
@@ -81,12 +83,10 @@
 	debug.SetMemoryLimit(int64(float64(set.MemoryMB<<20) * memoryTarget))
 	life, end := context.WithCancel(context.Background())
 	defer end()
-	f := &Forager{set: set, log: log, quiet: slog.New(slog.DiscardHandler), peers: antenna.NewPeers(), scout: scout.New(),
+	f := &Forager{set: set, log: log, peers: antenna.NewPeers(), scout: scout.New(),
 		cache: nectar.New(int64(set.MemoryMB<<20) / cachePart), clock: exchange.NewClock(), changes: make(chan func(), 4096),
-		services: map[string]*service{}, started: map[string]balance.Time{}, life: life}
-	f.fetches.all = map[level]*fetch{}
-	f.sender = flight.NewSender(max(set.FileHandles/2-fdsReserved, 64), &f.counts)
-	f.hop, f.home = newHop(f, false), newHop(f, true)
+		life: life}
+	f.init()
 	own := set.Inner(set.IP, guard.ForagerPort)
 	f.view = swarm.New(own, viewMost, mrand.Uint64())
 	f.scout.Set, f.scout.Peers, f.scout.Log = set, f.peers, log.Named("scout")
@@ -175,6 +175,16 @@
 	}
 }
 
+// init makes what hangs on the settings alone.
+func (f *Forager) init() {
+	f.quiet = slog.New(slog.DiscardHandler)
+	f.services, f.started = map[string]*service{}, map[string]balance.Time{}
+	f.bodies = exchange.NewBudget(int64(f.set.MemoryMB<<20) / bodiesPart)
+	f.fetches.all = map[level]*fetch{}
+	f.sender = flight.NewSender(max(f.set.FileHandles/2-fdsReserved, 64), &f.counts)
+	f.hop, f.home = newHop(f, false), newHop(f, true)
+}
+
 // mingle keeps this router's partial view of the others: now and then it is exchanged in part with one of them. The roster is
 // only asked for somebody to begin with, or when nobody in the view answers any more.
 func (f *Forager) mingle(ctx context.Context) {
--- a/internal/hive/forager/serve.go
+++ b/internal/hive/forager/serve.go
@@ -18,6 +18,7 @@
 // This file is the way of a client's request from its route to its answer.
 
 const (
+	usualBody    = 256 << 10              // bytes of a request that are held without being counted
 	usualLeft    = 2 * time.Second        // for a client that says nothing
 	startsWithin = 600 * time.Millisecond // a router that has just started is to be asked again after this
 )
@@ -61,7 +62,21 @@
 		f.serveShelved(q, strings.ToLower(host))
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, q.plan.Limits.BodyBytes))
+	most := q.plan.Limits.BodyBytes
+	if r.ContentLength > most {
+		q.final(http.StatusRequestEntityTooLarge, nil, nil)
+		return
+	}
+	if r.ContentLength < 0 || r.ContentLength > usualBody { // held whole, all of them within a part of the memory
+		most = min(most, f.bodies.Most())
+		let, ok := f.bodies.Take(max(r.ContentLength, min(most, usualBody)))
+		if !ok {
+			q.refuse(comeAgain)
+			return
+		}
+		defer let()
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 	if err != nil {
 		q.final(http.StatusBadRequest, nil, nil)
 		return
@@ -69,6 +84,14 @@
 	f.serveDirect(q, body)
 }
 
+// target is the request line's, as the client wrote it, but for the host before it that some write.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
 // serveDirect sends a request to a server of its route's service.
 func (f *Forager) serveDirect(q *request, body []byte) {
 	sv := q.plan.services[q.route.Pick(rand.Float64())]
@@ -84,7 +107,7 @@
 	header["Host"] = []string{q.Host}
 	order := &flight.Order{ID: q.id, OnceOnly: q.route.Kind == honey.OnceOnly}
 	a := f.ask(sv, order, exchange.Request{ID: q.id, Class: q.route.Name, Arrived: q.arrived, TimeLeft: q.left,
-		Write: q.route.Kind == honey.OnceOnly, Method: q.Method, Target: q.RequestURI, Header: header, Body: body})
+		Write: q.route.Kind == honey.OnceOnly, Method: q.Method, Target: target(q.Request), Header: header, Body: body})
 	switch failure := order.Failure(); {
 	case a.Kind == exchange.Served:
 		q.pass(int(atoi(first(a.Header, flight.StatusKey))), a.Header, a.Body)
@@ -103,26 +126,19 @@
 
 // serveShelved answers from a copy: this router's, or that of the cache router which the table names.
 func (f *Forager) serveShelved(q *request, host string) {
-	k := nectar.Key{Host: host, Path: q.URL.Path, Query: q.URL.RawQuery}
+	k := nectar.Key{Host: host, Path: q.URL.EscapedPath(), Query: q.URL.RawQuery} // as it was written: another spelling may be another object
 	k.Service = q.route.Pick(float64(k.Hash()>>11) / (1 << 53))
 	if x, grade := f.held(k, q.id); grade == nectar.Fresh {
 		q.deliver(fetchedFrom(x))
 		return
 	}
-	target := k.Path
-	if k.Query != "" {
-		target += "?" + k.Query
-	}
-	if q.URL.RawPath != "" || !strings.HasPrefix(q.RequestURI, "/") { // as the client wrote it
-		target = q.URL.RequestURI()
-	}
-	ask := Fetch{Key: k, Target: target, ID: q.id, Route: q.route.Name}
+	ask := Fetch{Key: k, Target: k.Target(), ID: q.id, Route: q.route.Name}
 	left := q.left - hopSlack
 	if left <= 0 {
 		left = q.left
 	}
 	x := exchange.New(exchange.Request{ID: q.id, Class: hopClass, Key: k.Hash(), HasKey: true, Arrived: q.arrived, TimeLeft: left,
-		Method: http.MethodGet, Target: target, Header: encodeAsk(ask)})
+		Method: http.MethodGet, Target: ask.Target, Header: encodeAsk(ask)})
 	f.hop.loop.Submit(x)
 	a := <-x.Answer()
 	if a.Kind == exchange.Served {
--- /dev/null
+++ b/internal/hive/forager/serve_test.go
@@ -0,0 +1,253 @@
+package forager
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cedarmast/internal/exchange"
+	"cedarmast/internal/hive/antenna"
+	"cedarmast/internal/hive/flight"
+	"cedarmast/internal/hive/guard"
+	"cedarmast/internal/hive/honey"
+	"cedarmast/internal/hive/nectar"
+	"cedarmast/internal/hive/scout"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+)
+
+// origin is a stand-in server: what reached it, and what it is to say.
+type origin struct {
+	*http.Server
+	address string
+	mu      sync.Mutex
+	asked   []string
+	version int
+	wait    chan struct{} // if set, an answer waits for a word
+	status  int
+}
+
+func newOrigin(t *testing.T) *origin {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	o := &origin{address: l.Addr().String(), version: 1}
+	o.Server = &http.Server{Handler: o}
+	go o.Serve(l)
+	t.Cleanup(func() { o.Close() })
+	return o
+}
+
+func (o *origin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	o.mu.Lock()
+	o.asked = append(o.asked, fmt.Sprintf("%s %s %s %s", r.Method, r.Host, r.RequestURI, body))
+	version, wait, status := o.version, o.wait, o.status
+	o.mu.Unlock()
+	if wait != nil {
+		<-wait
+	}
+	if id := r.Header.Get(flight.HeaderID); id != "" {
+		w.Header().Set(flight.HeaderID, id)
+	}
+	tag := fmt.Sprintf(`"%d"`, version)
+	w.Header().Set("Etag", tag)
+	w.Header().Set(flight.HeaderStamp, "stamp")
+	w.Header().Set(flight.HeaderLabels, "red big")
+	if status != 0 {
+		w.WriteHeader(status)
+	} else if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	fmt.Fprintf(w, "version %d", version)
+}
+
+func (o *origin) seen() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]string(nil), o.asked...)
+}
+func (o *origin) set(f func()) { o.mu.Lock(); defer o.mu.Unlock(); f() }
+
+// lone is a forager without a core: the test hands it its news.
+func lone(t *testing.T, o *origin, routes string) (*Forager, func(c honey.Command)) {
+	t.Helper()
+	f := &Forager{set: guard.Settings{Node: "me", Zone: "a", MemoryMB: 64, FileHandles: 1024, Bounds: guard.Bounds{Contact: time.Hour, StaleSlack: 2 * time.Second,
+		CeilingWindow: 5 * time.Second, CeilingExcess: 1.1}},
+		log: hclog.NewNullLogger(), peers: antenna.NewPeers(), scout: scout.New(), cache: nectar.New(8 << 20), clock: exchange.NewClock(),
+		changes: make(chan func(), 64), life: t.Context()}
+	f.init()
+	f.scout.Set, f.scout.Log = f.set, f.log
+	f.scout.Take(honey.News{Fresh: true}, time.Now())
+	go f.hop.loop.Run(t.Context())
+	go f.home.loop.Run(t.Context())
+	go f.follow(t.Context())
+	s, index := honey.New(), uint64(0)
+	give := func(c honey.Command) {
+		index++
+		out := s.Apply(index, c)
+		assert.Equal(t, out.Status, honey.Done, out.Text)
+		f.took(s, c, index, false)
+	}
+	give(honey.Command{Put: []byte(`{"edition":"r1","based_on":0,"parcels":[` + routes + `{"parcel_kind":"carriers","label":{"name":"shop"},"manifest":{}}]}`)})
+	give(honey.Command{Enrol: []honey.Router{{Node: "me", Zone: "a"}}})
+	give(honey.Command{Server: &honey.Server{ID: "i-1", Service: "shop", Address: o.address, Zone: "a", Slots: 8, State: honey.Open, Beat: 1}})
+	done := make(chan struct{})
+	f.later(func() { close(done) })
+	<-done
+	return f, give
+}
+
+func parcel(name, kind, prefix string) string {
+	return fmt.Sprintf(`{"parcel_kind":"routes","label":{"name":%q},"manifest":{"domain":"a.example","path_prefix":%q,"mail_class":%q,"timeout":"2000ms",`+
+		`"target":"500ms","carrier":"shop","tries":2,"shelf":"20s"}},`, name, prefix, kind)
+}
+
+var threeRoutes = parcel("s", "shelved", "/s/") + parcel("r", "resendable", "/r/") + parcel("o", "once_only", "/o/")
+
+// answer is what a client gets.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (f *Forager) get(t *testing.T, client *http.Client, url, method, target, body string, head ...string) answer {
+	t.Helper()
+	q, err := http.NewRequest(method, url+target, strings.NewReader(body))
+	assert.NilError(t, err)
+	q.Host = "a.example"
+	q.Header.Set(flight.HeaderID, fmt.Sprint("try-", time.Now().UnixNano()))
+	for i := 0; i+1 < len(head); i += 2 {
+		q.Header.Set(head[i], head[i+1])
+	}
+	r, err := client.Do(q)
+	assert.NilError(t, err)
+	defer r.Body.Close()
+	text, err := io.ReadAll(r.Body)
+	assert.NilError(t, err)
+	return answer{r.StatusCode, r.Header, string(text)}
+}
+
+func listen(t *testing.T, f *Forager) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &http.Server{Handler: http.HandlerFunc(f.serve)}
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	return "http://" + l.Addr().String()
+}
+
+// Requests reach servers as clients wrote them, and what stands for an object is only ever that object.
+func TestTheWayOfRequests(t *testing.T) {
+	o := newOrigin(t)
+	f, _ := lone(t, o, threeRoutes)
+	url := listen(t, f)
+	cases := []struct {
+		method, target, body string
+		head                 []string
+		status               int
+		says                 string
+		reaches              string // what a server saw last; empty: nothing new
+	}{
+		{"GET", "/s/a%2Fb%20c?x=%31&y", "", nil, 200, "version 1", "GET a.example /s/a%2Fb%20c?x=%31&y "},
+		{"GET", "/s/a%2Fb%20c?x=%31&y", "", nil, 200, "version 1", ""},
+		{"GET", "/s/a/b%20c?x=%31&y", "", nil, 200, "version 1", "GET a.example /s/a/b%20c?x=%31&y "},
+		{"GET", "/s/a%2Fb%20c?x=%31&y", "", []string{"Range", "bytes=2-4"}, 206, "rsi", ""},
+		{"GET", "/s/a%2Fb%20c?x=%31&y", "", []string{"Range", "bytes=40-"}, 416, "", ""},
+		{"GET", "/s/a%2Fb%20c?x=%31&y", "", []string{"If-None-Match", `"1"`}, 304, "", ""},
+		{"HEAD", "/s/a%2Fb%20c?x=%31&y", "", nil, 200, "", ""},
+		{"POST", "/o/%7Ex?q=%20", "a claim", nil, 200, "version 1", "POST a.example /o/%7Ex?q=%20 a claim"},
+		{"GET", "/r//x/../y", "", nil, 200, "version 1", "GET a.example /r//x/../y "},
+		{"GET", "/none", "", nil, 404, "", ""},
+		{"GET", "/s", "", nil, 404, "", ""},
+	}
+	for _, c := range cases {
+		before := len(o.seen())
+		a := f.get(t, http.DefaultClient, url, c.method, c.target, c.body, c.head...)
+		assert.Equal(t, a.status, c.status, c.target)
+		assert.Equal(t, a.body, c.says, c.target)
+		last := ""
+		if all := o.seen(); len(all) > before {
+			last = all[len(all)-1]
+		}
+		assert.Equal(t, last, c.reaches, "%s %s", c.method, c.target)
+	}
+	a := f.get(t, http.DefaultClient, url, "GET", "/s/a%2Fb%20c?x=%31&y", "", "Range", "bytes=2-4")
+	assert.Equal(t, a.header.Get("Content-Range"), "bytes 2-4/9")
+	assert.Equal(t, a.header.Get(flight.HeaderStamp), "stamp")
+}
+
+// Whoever asks for one missing object waits for one fetch; a purge meanwhile lets nobody who asks later have what was asked for
+// before it.
+func TestOneFetchAndAPurgeOnItsWay(t *testing.T) {
+	o := newOrigin(t)
+	f, give := lone(t, o, threeRoutes)
+	url := listen(t, f)
+	gate := make(chan struct{})
+	o.set(func() { o.wait = gate })
+	var wg sync.WaitGroup
+	for range 5 {
+		wg.Go(func() { // one that comes late may see the newer one
+			assert.Check(t, is.Regexp("^version [12]$", f.get(t, http.DefaultClient, url, "GET", "/s/1", "").body))
+		})
+	}
+	for {
+		f.fetches.mu.Lock()
+		n := len(f.fetches.all)
+		f.fetches.mu.Unlock()
+		if n > 0 && len(o.seen()) == 1 {
+			break
+		}
+	}
+	give(honey.Command{Purge: &honey.Purge{Host: "A.example", Path: "/s/1"}})
+	o.set(func() { o.version, o.wait = 2, nil })
+	close(gate)
+	wg.Wait()
+	assert.Equal(t, f.get(t, http.DefaultClient, url, "GET", "/s/1", "").body, "version 2")
+	assert.Assert(t, len(o.seen()) <= 3, "%v", o.seen())
+	give(honey.Command{Purge: &honey.Purge{Tag: "red"}})
+	o.set(func() { o.version = 3 })
+	assert.Equal(t, f.get(t, http.DefaultClient, url, "GET", "/s/1", "").body, "version 3")
+}
+
+// A router that has been out of touch for longer than the operators' bound asks the server before it hands a copy on: a purge may
+// have passed it by. It asks with the copy's tag, so that the body need not come again.
+func TestOutOfTouchCopiesAreAskedAbout(t *testing.T) {
+	o := newOrigin(t)
+	f, _ := lone(t, o, threeRoutes)
+	url := listen(t, f)
+	assert.Equal(t, f.get(t, http.DefaultClient, url, "GET", "/s/1", "").body, "version 1")
+	assert.Equal(t, f.get(t, http.DefaultClient, url, "GET", "/s/1", "").body, "version 1")
+	before := len(o.seen())
+	f.set.Bounds.Contact, f.scout.Set.Bounds.Contact = 0, 0 // and nothing has been heard since
+	o.set(func() { o.version = 2 })
+	assert.Equal(t, f.get(t, http.DefaultClient, url, "GET", "/s/1", "").body, "version 2")
+	assert.Equal(t, len(o.seen()), before+1)
+}
+
+// A server's own failure goes out as it said it; what may run once reaches one server at most.
+func TestFailuresGoOutAsTheyCame(t *testing.T) {
+	o := newOrigin(t)
+	f, _ := lone(t, o, threeRoutes)
+	url := listen(t, f)
+	o.set(func() { o.status = 500 })
+	for _, target := range []string{"/o/1", "/r/1", "/s/1"} {
+		before := len(o.seen())
+		a := f.get(t, http.DefaultClient, url, "GET", target, "")
+		assert.Equal(t, a.status, 500, target)
+		assert.Equal(t, a.body, "version 1", target)
+		if target == "/o/1" {
+			assert.Equal(t, len(o.seen()), before+1)
+		}
+	}
+}
--- a/internal/hive/forager/shelf.go
+++ b/internal/hive/forager/shelf.go
@@ -69,11 +69,7 @@
 		if route == nil {
 			continue
 		}
-		target := due.Key.Path
-		if due.Key.Query != "" {
-			target += "?" + due.Key.Query
-		}
-		f.start(Fetch{Key: due.Key, Target: target, Route: route.Name, ID: due.By}, due.Copy, refreshTime)
+		f.start(Fetch{Key: due.Key, Target: due.Key.Target(), Route: route.Name, ID: due.By}, due.Copy, refreshTime)
 	}
 }
 
--- a/internal/hive/nectar/nectar.go
+++ b/internal/hive/nectar/nectar.go
@@ -12,9 +12,17 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
-// Key names an object: where a client asks for it, and the service that has it.
+// Key names an object: where a client asks for it, as it is written in the request line, and the service that has it.
 type Key struct{ Service, Host, Path, Query string }
 
+// Target is the request line's.
+func (k Key) Target() string {
+	if k.Query != "" {
+		return k.Path + "?" + k.Query
+	}
+	return k.Path
+}
+
 // Hash maps a key to a number, by FNV-1a: the same at every router.
 func (k Key) Hash() uint64 {
 	h := uint64(14695981039346656037)
--- a/internal/hive/scout/scout.go
+++ b/internal/hive/scout/scout.go
@@ -149,7 +149,7 @@
 		at := order[0]
 		n, begun, err := s.ask(ctx, at, first)
 		if err == nil {
-			s.take(n, begun)
+			s.Take(n, begun)
 		}
 		if err == nil && n.Fresh {
 			first, failed = false, 0
@@ -198,13 +198,13 @@
 		done()
 		if err == nil {
 			n.Fresh = false
-			s.take(n, time.Time{})
+			s.Take(n, time.Time{})
 		}
 	}
 }
 
-// take takes news on; older news than what is held changes nothing.
-func (s *Scout) take(n honey.News, begun time.Time) {
+// Take takes news on, as of a question begun at that time; older news than what is held changes nothing.
+func (s *Scout) Take(n honey.News, begun time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.history.State.Index
