Copies that a cache router hands over are kept while they are fresh

Cause: grown fleets have links of 12 Mbit/s before tiles of 120 KB, and each hop doubles a tile's way. Change: a router keeps what the key's cache router lends it, at that copy's age and place in the history, and asks again with its tag; only the owner asks the servers in time.

--- a/internal/hive/forager/serve.go
+++ b/internal/hive/forager/serve.go
@@ -128,23 +128,33 @@
 func (f *Forager) serveShelved(q *request, host string) {
 	k := nectar.Key{Host: host, Path: q.URL.EscapedPath(), Query: q.URL.RawQuery} // as it was written: another spelling may be another object
 	k.Service = q.route.Pick(float64(k.Hash()>>11) / (1 << 53))
-	if x, grade := f.held(k, q.id); grade == nectar.Fresh {
-		q.deliver(fetchedFrom(x))
+	own, grade := f.held(k, q.id)
+	if grade == nectar.Fresh {
+		q.deliver(fetchedFrom(own))
 		return
 	}
-	ask := Fetch{Key: k, Target: k.Target(), ID: q.id, Route: q.route.Name}
+	ask := Fetch{Key: k, Target: k.Target(), ID: q.id, Route: q.route.Name, Index: f.scout.Index()}
+	if own != nil && own.Lent && f.vouched() {
+		ask.ETag = own.ETag
+	}
 	left := q.left - hopSlack
 	if left <= 0 {
 		left = q.left
 	}
 	x := exchange.New(exchange.Request{ID: q.id, Class: hopClass, Key: k.Hash(), HasKey: true, Arrived: q.arrived, TimeLeft: left,
 		Method: http.MethodGet, Target: ask.Target, Header: encodeAsk(ask)})
+	begun := time.Now()
 	f.hop.loop.Submit(x)
 	a := <-x.Answer()
 	if a.Kind == exchange.Served {
-		q.deliver(unpack(a.Header, a.Body))
+		got := unpack(a.Header, a.Body)
+		if got.Whole {
+			got = f.borrow(k, q.route, got, own, begun)
+		}
+		q.deliver(got)
 		return
 	}
+	ask.ETag = ""
 	rest := q.left - time.Since(q.arrived)
 	if rest < 20*time.Millisecond {
 		q.refuse(comeAgain)
--- a/internal/hive/forager/shelf.go
+++ b/internal/hive/forager/shelf.go
@@ -236,6 +236,25 @@
 	return got, true
 }
 
+// borrow keeps what the key's cache router has handed over, unless this one is it: while it is fresh it costs no hop, and
+// afterwards none of its bytes as long as it is the same.
+func (f *Forager) borrow(k nectar.Key, route *honey.Route, got Fetched, old *nectar.Copy, begun time.Time) Fetched {
+	x := &nectar.Copy{Header: got.Header, Body: got.Body, ETag: first(got.Header, "Etag"),
+		Labels: strings.Fields(strings.Join(got.Header[flight.HeaderLabels], " "))}
+	if got.Same {
+		if old == nil {
+			return Fetched{Refuse: comeAgain.Milliseconds()}
+		}
+		same := *old
+		x = &same
+	}
+	x.Lent, x.Shelf, x.Index, x.At = true, route.Shelf, got.Index, begun.Add(-time.Duration(got.AgeMS)*time.Millisecond)
+	if now, grade := f.cache.Get(k, begun, 0, ""); route.Shelf > 0 && (grade == nectar.NotThere || now.Lent) {
+		f.cache.Put(k, x)
+	}
+	return fetchedFrom(x)
+}
+
 // store keeps an object, if the route lets copies be kept.
 func (f *Forager) store(k nectar.Key, route *honey.Route, head http.Header, body []byte, at time.Time, index uint64) *nectar.Copy {
 	x := &nectar.Copy{Header: head, Body: body, ETag: first(head, "Etag"), Shelf: route.Shelf, At: at, Index: index,
--- a/internal/hive/nectar/nectar.go
+++ b/internal/hive/nectar/nectar.go
@@ -44,6 +44,7 @@
 	Shelf  time.Duration // how long it may be handed on
 	At     time.Time     // when the server was asked for it, or last said that it has not changed
 	Index  uint64        // of the common history as the server was asked
+	Lent   bool          // by the cache router that the key belongs to: that one asks the servers in time, not this one
 
 	by     string // the last request that it answered, which no server has seen; the cache's
 	wanted int    // times that it is yet to be asked about before it ends; the cache's
@@ -206,7 +207,9 @@
 		x.wanted = wantedFor
 	}
 	c.lru.Add(k, x)
-	heap.Push(&c.dues, due{x.At.Add(x.ripe()), k, x})
+	if !x.Lent {
+		heap.Push(&c.dues, due{x.At.Add(x.ripe()), k, x})
+	}
 	c.bytes += size
 	index(c.places, place{k.Host, k.Path}, k)
 	for _, label := range x.Labels {
--- a/internal/hive/nectar/nectar_test.go
+++ b/internal/hive/nectar/nectar_test.go
@@ -102,6 +102,11 @@
 		c.Put(key, &again)
 	}
 	assert.Equal(t, len(c.Due(at.Add(15*time.Second), 9)), 0)
+	lent := object(1, at)
+	lent.Lent = true
+	c.Put(Key{Path: "lent"}, lent)
+	c.Get(Key{Path: "lent"}, at, 0, "try-2")
+	assert.Equal(t, len(c.Due(at.Add(time.Hour), 9)), 0, "its owner sees to it")
 	older := object(1, t0)
 	assert.Assert(t, !c.Put(key, older), "an older answer that comes late replaces nothing")
 }
