A quarter of a large fleet are shields and talk to the origin; waits for a place under the rate

Cause: 82 edges before an origin of 2 servers with 63 connections each: equal shares of 310 requests a second are slivers (a tenth refused while half of the rate was idle), and 2,500 connections were reset; on a choked link the wait for news was too short, and each new connection waited behind it as well (CONFIG). Ruled out: the four store machines as shields, which would cost the small sites two machines each. Change: over 16 routers a quarter, first by a hash of their names, share 0.85 of the rate and are the table of shields; the way within the zone goes to a shield there; a fetch waits up to 0.25 s for its place; the wait for news doubles twice.

--- a/internal/hive/forager/forager.go
+++ b/internal/hive/forager/forager.go
@@ -57,6 +57,7 @@
 	sender *flight.Sender
 	hop    *hop // to a key's cache router in the own zone
 	home   *hop // to its shield
+	closer *hop // to a shield in the own zone, if there is one
 
 	plan    atomic.Pointer[plan] // what requests are served by
 	changes chan func()          // what follows from news and may wait, in order
@@ -107,6 +108,7 @@
 	}
 	f.running.Go(func() { f.hop.loop.Run(life) })
 	f.running.Go(func() { f.home.loop.Run(life) })
+	f.running.Go(func() { f.closer.loop.Run(life) })
 	f.running.Go(func() { f.follow(life) })
 	f.running.Go(func() { f.sweep(life) })
 	f.running.Go(func() { f.mingle(life) })
@@ -182,7 +184,8 @@
 	f.bodies = exchange.NewBudget(int64(f.set.MemoryMB<<20) / bodiesPart)
 	f.fetches.all = map[level]*fetch{}
 	f.sender = flight.NewSender(max(f.set.FileHandles/2-fdsReserved, 64), &f.counts)
-	f.hop, f.home = newHop(f, false), newHop(f, true)
+	f.closer = newHop(f, true, true)
+	f.hop, f.home = newHop(f, false, true), newHop(f, true, false)
 }
 
 // mingle keeps this router's partial view of the others: now and then it is exchanged in part with one of them. The roster is
--- a/internal/hive/forager/hop.go
+++ b/internal/hive/forager/hop.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"cedarmast/balance"
@@ -18,10 +20,13 @@
 // hop is the way to the cache router that a key belongs to: the interval table, and the second hash when it is crowded.
 type hop struct {
 	f    *Forager
-	home bool // over all zones: the shield of a key; else in the own zone first
+	home bool // to the shield of a key, else to its cache router
 	loop *exchange.Loop
 	base uint64 // of the roster that the table was cut by
 	done int    // steps of it that the table has
+
+	roster map[string]honey.Router // as of those steps
+	listed map[string]honey.Router // of them, that the table has: all, or the shields
 }
 
 const (
@@ -32,12 +37,12 @@
 	behindFor   = 150 * time.Millisecond // a cache router that lacks a purge may take so long to learn of it
 )
 
-func newHop(f *Forager, home bool) *hop {
-	h := &hop{f: f, home: home}
+func newHop(f *Forager, home, near bool) *hop {
+	h := &hop{f: f, home: home, roster: map[string]honey.Router{}, listed: map[string]honey.Router{}}
 	set := balance.Settings{Classes: []balance.Class{{Name: hopClass, Aim: hopAim, Deadline: hopDeadline, Worth: 1,
 		Effect: balance.Safe}}, Routers: 1, Zone: f.set.Zone, OverShareWorth: 1, MaxAttempts: 2, ConnectTimeout: time.Second,
 		ColdFrom: 1, Ramp: time.Second, OverloadFactor: 2, OverloadFor: time.Second}
-	if !home {
+	if near {
 		set.Tiers = func() balance.Tiers { return &nearFirst{zone: f.set.Zone} }
 	}
 	h.loop = f.newLoop(set, h, f.sender.Pool)
@@ -52,19 +57,46 @@
 		gone.Kind, gone.Version = balance.Complete, int64(s.Index)
 		h.post(gone)
 		h.base, h.done = s.RosterBase, 0
+		clear(h.roster)
+		clear(h.listed)
 	}
 	for h.done < len(s.Roster) {
-		l := exchange.List{Addresses: map[balance.ServerID]string{}}
-		l.Kind, l.Version = balance.Partial, int64(s.Index)
 		for at := s.Roster[h.done].Index; h.done < len(s.Roster) && s.Roster[h.done].Index == at; h.done++ {
-			step := s.Roster[h.done]
-			e := balance.Entry{Server: balance.ServerID(step.Node), Zone: step.Zone, Weight: 1}
-			if step.Gone {
-				e.State = balance.Gone
+			if step := s.Roster[h.done]; step.Gone {
+				delete(h.roster, step.Node)
+			} else {
+				h.roster[step.Node] = step.Router
 			}
-			l.Addresses[e.Server] = step.Address
-			l.Entries = append(l.Entries, e)
 		}
+		h.change(int64(s.Index))
+	}
+}
+
+// change tells the table how those whom it is to have differ from those whom it has.
+func (h *hop) change(version int64) {
+	want := h.roster
+	if h.home {
+		chosen := honey.Shielding(slices.Collect(maps.Keys(h.roster)))
+		want = map[string]honey.Router{}
+		for node := range chosen {
+			want[node] = h.roster[node]
+		}
+	}
+	l := exchange.List{Addresses: map[balance.ServerID]string{}}
+	l.Kind, l.Version = balance.Partial, version
+	for _, node := range slices.Sorted(maps.Keys(h.listed)) {
+		if _, ok := want[node]; !ok {
+			l.Entries = append(l.Entries, balance.Entry{Server: balance.ServerID(node), Zone: h.listed[node].Zone, Weight: 1, State: balance.Gone})
+		}
+	}
+	for _, node := range slices.Sorted(maps.Keys(want)) {
+		if r := want[node]; h.listed[node] != r {
+			l.Addresses[balance.ServerID(node)] = r.Address
+			l.Entries = append(l.Entries, balance.Entry{Server: balance.ServerID(node), Zone: r.Zone, Weight: 1})
+		}
+	}
+	h.listed = maps.Clone(want)
+	if len(l.Entries) > 0 {
 		h.post(l)
 	}
 }
--- a/internal/hive/forager/plan.go
+++ b/internal/hive/forager/plan.go
@@ -51,7 +51,8 @@
 	mostAdvice  = time.Second
 	usualSlots  = 8
 	noSuchClass = 2 * time.Second
-	fetchAim    = 4 // the part of its deadline within which a fetch is usual
+	othersPart  = 0.15 // of a service's rate, for routers that are no shields
+	fetchAim    = 4    // the part of its deadline within which a fetch is usual
 )
 
 // took hears of every change, in order, under the scout's lock.
@@ -73,6 +74,7 @@
 	if whole || c.Enrol != nil || c.Absent != "" {
 		f.hop.follow(s)
 		f.home.follow(s)
+		f.closer.follow(s)
 		f.retune(s)
 	}
 	if p := c.Purge; p != nil {
@@ -107,7 +109,7 @@
 				f.running.Go(func() { l.Run(ctx) })
 			}
 		}
-		sv.rate.set(def.RatePerS, len(s.Routers), f.set.Bounds)
+		sv.rate.set(def.RatePerS*f.shareOf(s), f.set.Bounds)
 		p.services[def.Name] = sv
 	}
 	f.plan.Store(p)
@@ -123,6 +125,20 @@
 	f.log.Info("configuration in force", "version", m.Version, "routes", len(m.Routes), "index", s.Index)
 }
 
+// shareOf is this router's part of a service's rate. Shields share almost all of it; where not every router is one, the others keep
+// a little for when no shield answers them.
+func (f *Forager) shareOf(s *honey.State) float64 {
+	nodes := slices.Collect(maps.Keys(s.Routers))
+	n, shields := float64(max(len(nodes), 1)), float64(max(honey.Shields(len(nodes)), 1))
+	switch {
+	case shields >= n:
+		return 1 / n
+	case honey.Shielding(nodes)[f.set.Node]:
+		return (1 - othersPart) / shields
+	}
+	return othersPart / (n - shields)
+}
+
 // retune tells the decisions of the configuration's classes and of how many share the work.
 func (f *Forager) retune(s *honey.State) {
 	p := f.plan.Load()
@@ -133,7 +149,7 @@
 		set := f.settings(s, p, name)
 		for _, def := range p.Services {
 			if def.Name == name {
-				sv.rate.set(def.RatePerS, len(s.Routers), f.set.Bounds)
+				sv.rate.set(def.RatePerS*f.shareOf(s), f.set.Bounds)
 			}
 		}
 		f.later(func() {
@@ -192,11 +208,17 @@
 			slots, servers = slots+sv.Slots, servers+1
 		}
 	}
+	askers := len(s.Routers)
+	for _, def := range p.Services {
+		if def.Name == name && def.RatePerS > 0 { // objects: shields ask for them
+			askers = honey.Shields(askers)
+		}
+	}
 	each := float64(usualSlots)
 	if servers > 0 {
 		each = float64(slots) / float64(servers)
 	}
-	set.Routers = max(int(firstLimit*float64(max(len(s.Routers), 1))/max(slotsPart*each, 1)), 1)
+	set.Routers = max(int(firstLimit*float64(max(askers, 1))/max(slotsPart*each, 1)), 1)
 	return set
 }
 
@@ -299,12 +321,11 @@
 
 const ratePart = 0.97 // of the ceiling: for clocks and for requests that cross a window's edge
 
-func (r *rate) set(perS float64, routers int, b guard.Bounds) {
+func (r *rate) set(perS float64, b guard.Bounds) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := float64(max(routers, 1))
-	per := perS * ratePart / n
-	burst := max(perS*(b.CeilingExcess-ratePart)*b.CeilingWindow.Seconds()/n*0.7, 1)
+	per := perS * ratePart
+	burst := max(perS*(b.CeilingExcess-ratePart)*b.CeilingWindow.Seconds()*0.7, 1)
 	if r.per == 0 && per > 0 {
 		r.tokens, r.at = burst, time.Now()
 	}
--- a/internal/hive/forager/plan_test.go
+++ b/internal/hive/forager/plan_test.go
@@ -1,6 +1,7 @@
 package forager
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -49,7 +50,7 @@
 	b := guard.Bounds{CeilingWindow: 5 * time.Second, CeilingExcess: 1.1}
 	for _, routers := range []int{1, 11, 82, 420} {
 		var r rate
-		r.set(410, routers, b)
+		r.set(410/float64(routers), b)
 		r.at = time.Now().Add(-time.Hour) // idle for long
 		taken := 0
 		for range 3000 { // at one moment
@@ -62,10 +63,40 @@
 		assert.Assert(t, r.wait() > 0 && !r.spare())
 	}
 	var none rate
-	none.set(0, 11, b)
+	none.set(0, b)
 	assert.Assert(t, none.take() && none.spare() && none.wait() == 0)
 }
 
+// Of a large fleet a part talks to the servers of objects, and one router that comes or goes changes one of them at most; the
+// shares of all add up to the whole.
+func TestShields(t *testing.T) {
+	s := honey.New()
+	var nodes []string
+	for i := range 82 {
+		node := fmt.Sprint("edge-", i)
+		before := honey.Shielding(nodes)
+		nodes = append(nodes, node)
+		s.Routers[node] = honey.Router{Node: node}
+		after := honey.Shielding(nodes)
+		assert.Equal(t, len(after), honey.Shields(i+1))
+		lost := 0
+		for n := range before {
+			if !after[n] {
+				lost++
+			}
+		}
+		assert.Assert(t, lost <= 1)
+	}
+	total, asking := 0.0, 0
+	for _, n := range nodes {
+		share := (&Forager{set: guard.Settings{Node: n}}).shareOf(s)
+		if total += share; share > 0.01 {
+			asking++
+		}
+	}
+	assert.Assert(t, total > 0.999 && total < 1.001 && asking == honey.Shields(82), "%v %d", total, asking)
+}
+
 func TestRanges(t *testing.T) {
 	cases := []struct {
 		text       string
--- a/internal/hive/forager/serve_test.go
+++ b/internal/hive/forager/serve_test.go
@@ -89,6 +89,7 @@
 	f.scout.Take(honey.News{Fresh: true}, time.Now())
 	go f.hop.loop.Run(t.Context())
 	go f.home.loop.Run(t.Context())
+	go f.closer.loop.Run(t.Context())
 	go f.follow(t.Context())
 	s, index := honey.New(), uint64(0)
 	give := func(c honey.Command) {
--- a/internal/hive/forager/shelf.go
+++ b/internal/hive/forager/shelf.go
@@ -21,6 +21,7 @@
 	fetchPatient = 8 * time.Second
 	refreshTime  = 2 * time.Second
 	comeAgain    = 120 * time.Millisecond
+	rateWait     = 250 * time.Millisecond // for a place under the rate, if it is sure to come by then
 	lookEvery    = 100 * time.Millisecond // for copies that are about to end
 	mostDue      = 64
 )
@@ -166,13 +167,21 @@
 	if route == nil {
 		route = &honey.Route{Timeout: patience}
 	}
-	if !q.Home && !(sv.here.Load() && sv.pace.long(route.Name)) { // a long body of the own zone's servers is not had cheaper
-		if got, ok := f.askHome(q, old, route, patience); ok {
+	if near := sv.here.Load() && sv.pace.long(route.Name); !q.Home { // a long body of the own zone's servers stays in the zone
+		way := f.home
+		if near {
+			way = f.closer
+		}
+		if got, ok := f.askHome(way, q, old, route, patience); ok {
 			return got
 		}
 	}
-	if !sv.rate.take() {
-		return Fetched{Refuse: max(sv.rate.wait(), comeAgain).Milliseconds()}
+	for late := time.Now().Add(min(patience/3, rateWait)); !sv.rate.take(); {
+		wait := sv.rate.wait()
+		if time.Now().Add(wait).After(late) {
+			return Fetched{Refuse: max(wait, comeAgain).Milliseconds()}
+		}
+		time.Sleep(wait)
 	}
 	header := http.Header{"Host": {q.Key.Host}}
 	if old != nil && old.ETag != "" {
@@ -205,7 +214,7 @@
 
 // askHome asks the key's shield. It is not ok if there is none but this router, or it does not answer: then the servers are
 // asked from here.
-func (f *Forager) askHome(q Fetch, old *nectar.Copy, route *honey.Route, patience time.Duration) (Fetched, bool) {
+func (f *Forager) askHome(way *hop, q Fetch, old *nectar.Copy, route *honey.Route, patience time.Duration) (Fetched, bool) {
 	q.Index, q.AgeMS, q.ETag = f.scout.Index(), 0, ""
 	if old != nil {
 		q.ETag, q.AgeMS = old.ETag, max(int64(route.Shelf/4/time.Millisecond), 1)
@@ -213,7 +222,7 @@
 	begun := time.Now()
 	x := exchange.New(exchange.Request{ID: q.ID, Class: hopClass, Key: q.Key.Hash(), HasKey: true, Arrived: begun,
 		TimeLeft: patience, Method: http.MethodGet, Target: q.Target, Header: encodeAsk(q)})
-	f.home.loop.Submit(x)
+	way.loop.Submit(x)
 	a := <-x.Answer()
 	if a.Kind != exchange.Served {
 		return Fetched{}, false
--- a/internal/hive/honey/honey.go
+++ b/internal/hive/honey/honey.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
@@ -225,6 +226,36 @@
 	return Outcome{Status: Done}
 }
 
+// Shields is how many of so many cache routers talk to the servers of objects: in a small fleet all, in a large one a part, for the
+// servers take fewer connections than there are routers, and shares of their rate would be slivers.
+func Shields(routers int) int {
+	if routers <= fewRouters {
+		return routers
+	}
+	return max(fewRouters, routers/4)
+}
+
+const fewRouters = 16
+
+// Shielding returns which of the nodes are shields: those first by a hash of their names, so that one that comes or goes changes
+// one of them at most.
+func Shielding(nodes []string) map[string]bool {
+	order := slices.Clone(nodes)
+	rank := func(s string) uint64 {
+		h := uint64(14695981039346656037)
+		for i := range len(s) {
+			h = (h ^ uint64(s[i])) * 1099511628211
+		}
+		return h ^ h>>29
+	}
+	slices.SortFunc(order, func(a, b string) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a, b)) })
+	chosen := map[string]bool{}
+	for _, n := range order[:Shields(len(order))] {
+		chosen[n] = true
+	}
+	return chosen
+}
+
 // CheckServer checks what a server says of itself.
 func CheckServer(s Server) error {
 	host, _, err := net.SplitHostPort(s.Address)
--- a/internal/hive/scout/scout.go
+++ b/internal/hive/scout/scout.go
@@ -19,7 +19,8 @@
 
 const (
 	hold      = 500 * time.Millisecond // a question waits so long for news
-	patience  = 350 * time.Millisecond // and its answer may take so much longer
+	patience  = 350 * time.Millisecond // and its answer may take so much longer; twice as much after each failure in a row
+	mostTries = 2                      // of such doublings: the own link may be full, and a new connection would wait behind it as well
 	pause     = 40 * time.Millisecond  // between failed questions; more with each in a row
 	mostPause = 300 * time.Millisecond
 )
@@ -147,7 +148,7 @@
 			order = s.Core()
 		}
 		at := order[0]
-		n, begun, err := s.ask(ctx, at, first)
+		n, begun, err := s.ask(ctx, at, first, patience<<min(failed, mostTries))
 		if err == nil {
 			s.Take(n, begun)
 		}
@@ -173,7 +174,7 @@
 	}
 }
 
-func (s *Scout) ask(ctx context.Context, at string, first bool) (honey.News, time.Time, error) {
+func (s *Scout) ask(ctx context.Context, at string, first bool, patience time.Duration) (honey.News, time.Time, error) {
 	have := s.Index()
 	if s.mustHaveAll() {
 		have = 0
