--- a/internal/hive/flight/flight.go
+++ b/internal/hive/flight/flight.go
@@ -50,6 +50,9 @@
 	userTimeout   = 18
 )
 
+// IdleFor is how long an idle connection is kept where servers have enough of them; they close them after 10 s.
+const IdleFor = 8 * time.Second
+
 // Order is what a request adds for its attempts, kept until its answer is out.
 type Order struct {
 	// ID is a client's Try-Id: an answer is told by it from one to another request that comes late. Servers tell no id that no
@@ -111,7 +114,7 @@
 
 // NewSender returns a sender with its own pool of so many connections.
 func NewSender(most int, counts *exchange.Counters) *Sender {
-	return &Sender{Pool: exchange.NewPool(most, 8*time.Second, counts), Counts: counts,
+	return &Sender{Pool: exchange.NewPool(most, IdleFor, counts), Counts: counts,
 		orders: map[*exchange.Exchange]*Order{}}
 }
 
--- a/internal/hive/forager/plan.go
+++ b/internal/hive/forager/plan.go
@@ -10,6 +10,7 @@
 
 	"cedarmast/balance"
 	"cedarmast/internal/exchange"
+	"cedarmast/internal/hive/flight"
 	"cedarmast/internal/hive/guard"
 	"cedarmast/internal/hive/honey"
 )
@@ -51,6 +52,7 @@
 	mostAdvice  = time.Second
 	usualSlots  = 8
 	noSuchClass = 2 * time.Second
+	capPart     = 0.5  // of a server's connections that routers may hold without using them
 	othersPart  = 0.15 // of a service's rate, for routers that are no shields
 	fetchAim    = 4    // the part of its deadline within which a fetch is usual
 )
@@ -139,12 +141,24 @@
 	return othersPart / (n - shields)
 }
 
+// idleFor is how long a connection is kept that nobody uses: less where a server takes fewer of them than there are routers.
+func idleFor(services []honey.Service, routers int) time.Duration {
+	least := 1.0
+	for _, def := range services {
+		if def.ConnCap > 0 {
+			least = min(least, capPart*float64(def.ConnCap)/float64(max(routers, 1)))
+		}
+	}
+	return time.Duration(least * float64(flight.IdleFor))
+}
+
 // retune tells the decisions of the configuration's classes and of how many share the work.
 func (f *Forager) retune(s *honey.State) {
 	p := f.plan.Load()
 	if p == nil {
 		return
 	}
+	f.sender.Pool.SetIdleFor(idleFor(p.Services, len(s.Routers)))
 	for name, sv := range p.services {
 		set := f.settings(s, p, name)
 		for _, def := range p.Services {
--- a/internal/hive/forager/plan_test.go
+++ b/internal/hive/forager/plan_test.go
@@ -7,6 +7,7 @@
 
 	"cedarmast/balance"
 	"cedarmast/internal/exchange"
+	"cedarmast/internal/hive/flight"
 	"cedarmast/internal/hive/guard"
 	"cedarmast/internal/hive/honey"
 
@@ -97,6 +98,13 @@
 	assert.Assert(t, total > 0.999 && total < 1.001 && asking == honey.Shields(82), "%v %d", total, asking)
 }
 
+// Eighty-two routers that each keep a connection would fill a server that takes 63.
+func TestIdleConnections(t *testing.T) {
+	assert.Equal(t, idleFor([]honey.Service{{ConnCap: 130}, {}}, 11), flight.IdleFor)
+	few := idleFor([]honey.Service{{ConnCap: 130}, {ConnCap: 63}}, 82)
+	assert.Assert(t, few < flight.IdleFor/2 && few > time.Second, few.String())
+}
+
 func TestRanges(t *testing.T) {
 	cases := []struct {
 		text       string
