--- /dev/null
+++ b/internal/hive/forager/frames_test.go
@@ -0,0 +1,54 @@
+package forager
+
+import (
+	"bytes"
+	"encoding/gob"
+	"io"
+	"net/rpc"
+	"testing"
+
+	"cedarmast/internal/hive/honey"
+	"cedarmast/internal/hive/nectar"
+	"cedarmast/internal/hive/swarm"
+
+	"gotest.tools/v3/assert"
+)
+
+// wire is a connection on which somebody has written something and hung up.
+type wire struct {
+	io.Reader
+	io.Writer
+}
+
+func (wire) Close() error { return nil }
+
+// FuzzFrames is what anybody may send to the port between routers: it ends in an error or an answer, nothing is stored and the
+// state stays as it is.
+func FuzzFrames(f *testing.F) {
+	frame := func(method string, args any) []byte {
+		var b bytes.Buffer
+		e := gob.NewEncoder(&b)
+		assert.NilError(f, e.Encode(rpc.Request{ServiceMethod: method, Seq: 1}))
+		assert.NilError(f, e.Encode(args))
+		return b.Bytes()
+	}
+	f.Add(frame("Forager.Fetch", Fetch{Key: nectar.Key{Service: "shop", Host: "a", Path: "/s/1"}, Target: "/s/1", LeftMS: 1}))
+	f.Add(frame("Forager.Fetch", Fetch{LeftMS: -1, AgeMS: -1, ETag: "x", Home: true}))
+	f.Add(frame("Forager.News", honey.Ask{Have: 1 << 60}))
+	f.Add(frame("Forager.Mingle", []swarm.Neighbour{{Address: "x", Age: -1}}))
+	f.Add(frame("Forager.Serve", 1))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		p := &Forager{}
+		p.init()
+		p.view = swarm.New("me", 4, 1)
+		s := newScoutForTest()
+		p.scout, p.cache = s, nectar.New(1<<20)
+		server := rpc.NewServer()
+		assert.NilError(t, server.RegisterName("Forager", &peerCalls{p}))
+		server.ServeConn(wire{bytes.NewReader(text), io.Discard})
+		assert.Equal(t, s.Index(), uint64(0))
+		n, _ := p.cache.Size()
+		assert.Equal(t, n, 0)
+		assert.Assert(t, len(p.view.Neighbours()) <= 4)
+	})
+}
--- a/internal/hive/forager/hop.go
+++ b/internal/hive/forager/hop.go
@@ -214,8 +214,14 @@
 // peerCalls is what other processes may call. Its methods have net/rpc's form.
 type peerCalls struct{ f *Forager }
 
-// Fetch answers a cache router that asks for an object.
-func (p *peerCalls) Fetch(q *Fetch, g *Fetched) error {
+// Fetch answers a cache router that asks for an object. A panic ends this call alone: net/rpc would end the process.
+func (p *peerCalls) Fetch(q *Fetch, g *Fetched) (err error) {
+	defer func() {
+		if panicked := recover(); panicked != nil {
+			p.f.counts.Panics.Add(1)
+			err = Error.New("fetch: panic: %v", panicked)
+		}
+	}()
 	ctx, done := context.WithTimeout(context.Background(), time.Duration(q.LeftMS)*time.Millisecond)
 	defer done()
 	if p.f.ending.Load() {
--- a/internal/hive/forager/serve_test.go
+++ b/internal/hive/forager/serve_test.go
@@ -252,3 +252,9 @@
 		}
 	}
 }
+
+func newScoutForTest() *scout.Scout {
+	s := scout.New()
+	s.Log = hclog.NewNullLogger()
+	return s
+}
--- a/internal/hive/forager/shelf.go
+++ b/internal/hive/forager/shelf.go
@@ -146,6 +146,11 @@
 	f.fetches.mu.Unlock()
 	go func() {
 		defer func() {
+			if panicked := recover(); panicked != nil { // nobody waits for ever, and the process goes on
+				f.counts.Panics.Add(1)
+				f.log.Error("fetch panicked", "panic", panicked)
+				w.got = Fetched{Refuse: comeAgain.Milliseconds()}
+			}
 			f.fetches.mu.Lock()
 			delete(f.fetches.all, at)
 			f.fetches.mu.Unlock()
