The end closes only connections that have no request in hand; a test of full disks

Ruled out: waiting longer before the end, which moves the moment alone. Change: the proxy keeps its clients' connections; a connection is idle until the first byte is read, under one lock with its end. Every answer after the platform has stopped sending is its connection's last. Comb's test of full disks works by the limit on files: nothing is acknowledged, nothing lost, orders again afterwards.

--- /dev/null
+++ b/internal/hive/comb/comb_test.go
@@ -0,0 +1,141 @@
+package comb
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"syscall"
+	"testing"
+	"time"
+
+	"cedarmast/internal/hive/antenna"
+	"cedarmast/internal/hive/guard"
+	"cedarmast/internal/hive/honey"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+)
+
+// start runs so many combs in this process, each on its own address and folder, until the test ends.
+func start(t *testing.T, n int, at int) (peers []*antenna.Peer) {
+	t.Helper()
+	var seeds []string
+	for i := range n {
+		seeds = append(seeds, fmt.Sprintf("127.0.%d.%d:8146", at, i+1))
+	}
+	ctx, end := context.WithCancel(context.Background())
+	done := make(chan error, n)
+	for i := range n {
+		set := guard.Settings{Node: fmt.Sprint("core-", i), IP: fmt.Sprintf("127.0.%d.%d", at, i+1), DataDir: t.TempDir(), FirstStart: true, Seeds: seeds, SparePort: 7660,
+			Heartbeat: time.Second}
+		go func() { done <- Run(ctx, set, hclog.NewNullLogger()) }()
+		peers = append(peers, antenna.NewPeer(set.Inner(set.IP, guard.CombPort)))
+	}
+	t.Cleanup(func() {
+		end()
+		for range n {
+			assert.Check(t, <-done == nil)
+		}
+	})
+	return peers
+}
+
+func call[A, R any](t *testing.T, p *antenna.Peer, method string, args A) (R, error) {
+	ctx, done := context.WithTimeout(t.Context(), 3*time.Second)
+	defer done()
+	return antenna.Call[A, R](ctx, p, method, &args)
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	late, look := time.After(15*time.Second), time.NewTicker(10*time.Millisecond)
+	defer look.Stop()
+	for !ok() {
+		select {
+		case <-late:
+			t.Fatal("never: " + what)
+		case <-look.C:
+		}
+	}
+}
+
+func purge(tag string) Proposal {
+	return Proposal{Data: honey.Command{Purge: &honey.Purge{Tag: tag}}.Encode(), WaitMS: 700}
+}
+
+// Every disk is full at once, by the limit on files: what is asked for then is not acknowledged, nothing that was is lost, the
+// machines say that their disks fail and that they are not current; when there is room again they go on by themselves.
+func TestFullDisks(t *testing.T) {
+	peers := start(t, 3, 74)
+	taken := func(p *antenna.Peer, tag string) bool {
+		r, err := call[Proposal, Reply](t, p, "Comb.Propose", purge(tag))
+		return err == nil && r.Known && r.Status == honey.Done
+	}
+	purges := func(p *antenna.Peer) uint64 {
+		n, err := call[honey.Ask, honey.News](t, p, "Comb.News", honey.Ask{HoldMS: 1})
+		if err != nil || n.State == nil {
+			return 0
+		}
+		return n.State.Purges
+	}
+	until(t, "a leader", func() bool { return taken(peers[0], "before") })
+	until(t, "the same everywhere", func() bool { return purges(peers[1]) > 0 && purges(peers[2]) > 0 })
+
+	signal.Ignore(syscall.SIGXFSZ)
+	var usual syscall.Rlimit
+	assert.NilError(t, syscall.Getrlimit(syscall.RLIMIT_FSIZE, &usual))
+	full := usual
+	full.Cur = 1
+	assert.NilError(t, syscall.Setrlimit(syscall.RLIMIT_FSIZE, &full))
+	defer syscall.Setrlimit(syscall.RLIMIT_FSIZE, &usual)
+	for i, p := range peers {
+		assert.Assert(t, !taken(p, fmt.Sprint("full", i)), "acknowledged on full disks")
+	}
+	failing := 0
+	for _, p := range peers {
+		s, err := call[bool, Status](t, p, "Comb.Status", false)
+		assert.NilError(t, err)
+		if s.DiskFails {
+			failing++
+			assert.Assert(t, !s.Fresh)
+		}
+	}
+	assert.Assert(t, failing > 0)
+	assert.NilError(t, syscall.Setrlimit(syscall.RLIMIT_FSIZE, &usual))
+
+	until(t, "orders again", func() bool { return taken(peers[0], "after") })
+	least := uint64(2)
+	for _, p := range peers {
+		until(t, "what was acknowledged", func() bool { return purges(p) >= least })
+	}
+}
+
+// A question for news waits until there is some, one that asks for a barrier is answered by a machine that holds what was
+// acknowledged before, and who asks as a cache router is put into the roster.
+func TestNews(t *testing.T) {
+	peers := start(t, 3, 75)
+	until(t, "a leader", func() bool {
+		r, err := call[Proposal, Reply](t, peers[0], "Comb.Propose", purge("one"))
+		return err == nil && r.Known
+	})
+	for i, p := range peers {
+		n, err := call[honey.Ask, honey.News](t, p, "Comb.News", honey.Ask{Barrier: true, HoldMS: 2000, Router: honey.Router{Node: fmt.Sprint("edge-", i), Zone: "z"}})
+		assert.NilError(t, err)
+		assert.Assert(t, n.Fresh && n.State != nil && n.State.Purges >= 1)
+	}
+	until(t, "a roster of three", func() bool {
+		n, err := call[honey.Ask, honey.News](t, peers[2], "Comb.News", honey.Ask{HoldMS: 1})
+		return err == nil && n.State != nil && len(n.State.Routers) == 3
+	})
+	n, err := call[honey.Ask, honey.News](t, peers[1], "Comb.News", honey.Ask{HoldMS: 1})
+	assert.NilError(t, err)
+	got := make(chan honey.News, 1)
+	go func() {
+		news, _ := call[honey.Ask, honey.News](t, peers[1], "Comb.News", honey.Ask{Have: n.State.Index, HoldMS: 2500})
+		got <- news
+	}()
+	_, err = call[Proposal, Reply](t, peers[2], "Comb.Propose", purge("two"))
+	assert.NilError(t, err)
+	news := <-got
+	assert.Assert(t, news.State == nil && len(news.Changes) >= 1, "%+v", news)
+}
--- /dev/null
+++ b/internal/hive/forager/door_test.go
@@ -0,0 +1,97 @@
+package forager
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// scripted is a connection whose reads come when the test says so.
+type scripted struct {
+	net.Conn
+	bytes chan byte
+}
+
+func (s *scripted) Read(b []byte) (int, error) {
+	one, ok := <-s.bytes
+	if !ok {
+		return 0, io.EOF
+	}
+	b[0] = one
+	return 1, nil
+}
+
+func (s *scripted) Close() error { return nil }
+
+// A hunt lost a request that came in the moment in which idle connections were closed: it had been read and was passed on, and its
+// connection went. Bytes that come first keep a connection open; those that come after are read by nobody.
+func TestIdleConnectionsAndTheFirstByte(t *testing.T) {
+	for _, byteFirst := range []bool{true, false} {
+		d := newDoor(nil)
+		s := &scripted{bytes: make(chan byte, 1)}
+		c := &caller{Conn: s, door: d}
+		d.all[c] = struct{}{}
+		buf := make([]byte, 1)
+		if byteFirst {
+			s.bytes <- 'G'
+			_, err := c.Read(buf)
+			assert.NilError(t, err)
+			assert.Equal(t, d.closeIdle(), 1)
+			d.state(c, http.StateIdle) // its answer is out
+		}
+		assert.Equal(t, d.closeIdle(), 0)
+		s.bytes <- 'G'
+		_, err := c.Read(buf)
+		assert.Assert(t, errors.Is(err, net.ErrClosed))
+		assert.Equal(t, len(d.all), 0)
+	}
+}
+
+// Clients ask on kept connections while the end comes: each request that reaches the handler gets its whole answer.
+func TestTheEndLosesNoRequest(t *testing.T) {
+	for range 20 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		d := newDoor(l)
+		var handled, answered atomic.Int64
+		s := &http.Server{ConnState: d.state, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			handled.Add(1)
+			io.WriteString(w, "whole")
+		})}
+		go s.Serve(d)
+		var wg sync.WaitGroup
+		for range 8 {
+			c, err := net.Dial("tcp", l.Addr().String())
+			assert.NilError(t, err)
+			wg.Go(func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+					resp, err := http.ReadResponse(r, nil)
+					if err != nil {
+						return
+					}
+					if body, err := io.ReadAll(resp.Body); err == nil && string(body) == "whole" {
+						answered.Add(1)
+					}
+				}
+			})
+		}
+		for answered.Load() < 50 {
+		}
+		assert.Equal(t, d.drain(time.Now().Add(5*time.Second)), 0)
+		wg.Wait()
+		s.Close()
+		assert.Equal(t, handled.Load(), answered.Load())
+	}
+}
--- a/internal/hive/forager/forager.go
+++ b/internal/hive/forager/forager.go
@@ -59,10 +59,11 @@
 	home   *hop // to its shield
 	closer *hop // to a shield in the own zone, if there is one
 
-	plan    atomic.Pointer[plan] // what requests are served by
-	changes chan func()          // what follows from news and may wait, in order
-	ready   atomic.Bool
-	ending  atomic.Bool
+	plan     atomic.Pointer[plan] // what requests are served by
+	changes  chan func()          // what follows from news and may wait, in order
+	ready    atomic.Bool
+	ending   atomic.Bool
+	lastWord atomic.Bool // every answer is the last of its connection
 
 	// Under the scout's lock:
 	services map[string]*service
@@ -114,9 +115,10 @@
 	f.running.Go(func() { f.mingle(life) })
 	go f.scout.Run(life)
 	go antenna.Serve(inner, "Forager", &peerCalls{f})
-	server := &http.Server{Handler: http.HandlerFunc(f.serve), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 15 * time.Second,
+	clients := newDoor(counter)
+	server := &http.Server{Handler: http.HandlerFunc(f.serve), ConnState: clients.state, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 15 * time.Second,
 		MaxHeaderBytes: 64 << 10, ErrorLog: log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
-	go server.Serve(counter)
+	go server.Serve(clients)
 	gate := &http.Server{Handler: http.HandlerFunc(f.serveReady), ReadHeaderTimeout: 2 * time.Second}
 	go gate.Serve(readiness)
 	log.Info("started", "address", set.Counter, "zone", set.Zone)
@@ -126,12 +128,11 @@
 	begun := time.Now()
 	log.Info("ending: takes what still comes until the platform sends no more")
 	time.Sleep(min(notReadyFor, set.Bounds.Grace/2))
-	server.SetKeepAlivesEnabled(false)
-	last, done := context.WithDeadline(context.Background(), begun.Add(set.Bounds.Grace-endMargin))
-	defer done()
-	if err := server.Shutdown(last); err != nil {
-		log.Warn("ended with requests in hand", "err", err)
+	f.lastWord.Store(true)
+	if left := clients.drain(begun.Add(set.Bounds.Grace - endMargin)); left > 0 {
+		log.Warn("ended with requests in hand", "connections", left)
 	}
+	server.Close()
 	log.Info("ended in order", "after", time.Since(begun).Round(time.Millisecond))
 	return nil
 }
--- a/internal/hive/forager/serve.go
+++ b/internal/hive/forager/serve.go
@@ -30,6 +30,7 @@
 // request is a client's request on its way.
 type request struct {
 	*http.Request
+	last    bool // of its connection
 	w       http.ResponseWriter
 	id      string
 	arrived time.Time
@@ -41,7 +42,7 @@
 func (f *Forager) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	f.counts.Requests.Add(1)
-	q := &request{Request: r, w: w, id: r.Header.Get(flight.HeaderID), arrived: arrived, left: usualLeft, plan: f.plan.Load()}
+	q := &request{Request: r, w: w, id: r.Header.Get(flight.HeaderID), arrived: arrived, left: usualLeft, plan: f.plan.Load(), last: f.lastWord.Load()}
 	if ms := atoi(r.Header.Get(flight.HeaderLeft)); ms > 0 {
 		q.left = time.Duration(min(ms, int64(time.Hour/time.Millisecond))) * time.Millisecond
 	}
@@ -243,6 +244,9 @@
 		out["Content-Type"] = nil // nothing is guessed
 	}
 	out["Date"] = nil
+	if q.last {
+		out["Connection"] = []string{"close"}
+	}
 	if status != http.StatusNotModified && status != http.StatusNoContent {
 		out["Content-Length"] = []string{strconv.Itoa(len(body))}
 	}
