--- a/internal/hive/comb/comb_test.go
+++ b/internal/hive/comb/comb_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os/signal"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -59,6 +60,8 @@
 	}
 }
 
+const room = 64 << 10 // bytes of a file, at the limit
+
 func purge(tag string) Proposal {
 	return Proposal{Data: honey.Command{Purge: &honey.Purge{Tag: tag}}.Encode(), WaitMS: 700}
 }
@@ -78,14 +81,14 @@
 		}
 		return n.State.Purges
 	}
-	until(t, "a leader", func() bool { return taken(peers[0], "before") })
+	until(t, "a leader", func() bool { return taken(peers[0], strings.Repeat("b", 4*room)) }) // past the limit to come, which spares other files
 	until(t, "the same everywhere", func() bool { return purges(peers[1]) > 0 && purges(peers[2]) > 0 })
 
 	signal.Ignore(syscall.SIGXFSZ)
 	var usual syscall.Rlimit
 	assert.NilError(t, syscall.Getrlimit(syscall.RLIMIT_FSIZE, &usual))
 	full := usual
-	full.Cur = 1
+	full.Cur = room
 	assert.NilError(t, syscall.Setrlimit(syscall.RLIMIT_FSIZE, &full))
 	defer syscall.Setrlimit(syscall.RLIMIT_FSIZE, &usual)
 	for i, p := range peers {
