--- a/internal/hive/comb/comb.go
+++ b/internal/hive/comb/comb.go
@@ -80,6 +80,7 @@
 	enrolled  map[string]time.Time // when their entry was last proposed
 	newcomers []honey.Router       // who asked and is not in the roster; proposed together
 	told      time.Time            // when the leader was last told who asked here
+	looked    time.Time            // when the lists of who was heard were last looked through
 	status    Status
 }
 
@@ -258,6 +259,7 @@
 		for c.carryOut() {
 		}
 		c.publish()
+		c.letGo(time.Now())
 		c.renew()
 	}
 }
@@ -492,15 +494,28 @@
 	}
 	c.told = now
 	for node, at := range c.attended {
-		switch age := now.Sub(at); {
-		case age < 2*toldEvery:
+		if now.Sub(at) < 2*toldEvery {
 			seen = append(seen, node)
-		case age > 2*absentFor:
+		}
+	}
+	return seen
+}
+
+// letGo forgets who has not been heard here for long, whatever this machine's role: a leader is told by nobody's question to
+// look through its own list.
+func (c *Comb) letGo(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.looked) < absentFor {
+		return
+	}
+	c.looked = now
+	for node, at := range c.attended {
+		if now.Sub(at) > 2*absentFor {
 			delete(c.attended, node)
 			delete(c.enrolled, node)
 		}
 	}
-	return seen
 }
 
 func (c *Comb) heardOf(seen []string) {
--- a/internal/hive/comb/comb_test.go
+++ b/internal/hive/comb/comb_test.go
@@ -142,3 +142,17 @@
 	news := <-got
 	assert.Assert(t, news.State == nil && len(news.Changes) >= 1, "%+v", news)
 }
+
+// Each life of a server has an id of its own, so that a list of who was heard that nobody looks through fills for good; at its
+// bound, servers that live would pass for silent. A leader's was never looked through.
+func TestWhoIsLongSilentIsForgotten(t *testing.T) {
+	now := time.Now()
+	c := &Comb{attended: map[string]time.Time{"old": now.Add(-3 * absentFor), "new": now}, enrolled: map[string]time.Time{"old": now, "new": now}}
+	c.letGo(now)
+	assert.Equal(t, len(c.attended)+len(c.enrolled), 2)
+	c.attended["later"] = now.Add(-3 * absentFor)
+	c.letGo(now.Add(absentFor / 2)) // not at every turn of the loop
+	assert.Equal(t, len(c.attended), 2)
+	c.letGo(now.Add(absentFor))
+	assert.Equal(t, len(c.attended), 1)
+}
