A comb's first line of its log is written before its loop owns the node

Cause: the check under the race detector failed on TestFullDisks: Run read the node's membership for its log line after it had started the goroutine that changes it. One of three plays showed it here, on another machine the first one. Change: the line is written before the loop and the calls start. Before: WARNING: DATA RACE at queen.refresh against Node.Members in one of three plays of `go test -race -run TestFullDisks`; after: none in six plays of the whole package (27 s).

--- a/internal/hive/comb/comb.go
+++ b/internal/hive/comb/comb.go
@@ -134,9 +134,9 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	log.Info("started", "id", c.node.Self().ID, "address", c.node.Self().Addr, "members", len(c.node.Members())) // the node is the loop's from here on
 	go antenna.Serve(listener, "Comb", &service{c})
 	go c.loop()
-	log.Info("started", "id", c.node.Self().ID, "address", c.node.Self().Addr, "members", len(c.node.Members()))
 	<-ctx.Done()
 	close(c.quit)
 	<-c.done
