Store machines are cache routers and shields by their weight; thin links lend no copies

Cause: on the grown sites an edge has 8.6 or 12 Mbit/s, and each tile of 120 KB crossed such a link up to three times (shield, zone's cache router, edge), stored and forwarded whole each time; and 20 shields had slivers of the origin's rate (12 a second each), so that 13 in 100 requests were refused while everything was cold. Ruled out: processor time (edges use 0.02 of their 0.16 cores in the mean) and the origin's servers (no more than half of their slots in use). Change: the roster lists what each router can carry (its link, or 800 Mbit/s a core), which is its weight in the interval tables. The role `cellar` runs the proxy without clients on `store` machines. Shields are the machines that carry half of what the strongest does; who carries less than a quarter of it lends nothing.

--- a/internal/hive/forager/forager.go
+++ b/internal/hive/forager/forager.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,7 @@
 	fdsReserved  = 400
 	viewMost     = 10
 	mingleEvery  = 3 * time.Second
+	mbpsPerCore  = 800 // that a core bears, with small bodies among them; an estimate, for weights alone
 	memoryTarget = 0.8 // of the memory, past which garbage is collected at once
 )
 
@@ -70,16 +72,18 @@
 	started  map[string]balance.Time
 
 	fetches fetches
+	lent    calls // by others, in hand
 	life    context.Context
 	running sync.WaitGroup
 }
 
 // Run serves until the context ends, then ends in order.
 func Run(ctx context.Context, set guard.Settings, log hclog.Logger) error {
+	clients := slices.Contains(set.Serves, "counter") || set.Counter != ""
 	switch {
-	case set.Counter == "":
+	case clients && set.Counter == "":
 		return Error.New("network.listen_on.counter: missing")
-	case set.Readiness == "":
+	case clients && set.Readiness == "":
 		return Error.New("network.listen_on.readiness: missing")
 	}
 	debug.SetMemoryLimit(int64(float64(set.MemoryMB<<20) * memoryTarget))
@@ -92,20 +96,18 @@
 	own := set.Inner(set.IP, guard.ForagerPort)
 	f.view = swarm.New(own, viewMost, mrand.Uint64())
 	f.scout.Set, f.scout.Peers, f.scout.Log = set, f.peers, log.Named("scout")
-	f.scout.Router = honey.Router{Node: set.Node, Zone: set.Zone, Address: own}
+	f.scout.Router = honey.Router{Node: set.Node, Zone: set.Zone, Address: own, Weight: weight(set)}
 	f.scout.Took, f.scout.Neighbours = f.took, f.view.Neighbours
 
 	inner, err := net.Listen("tcp", own)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	readiness, err := net.Listen("tcp", set.Readiness)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	counter, err := net.Listen("tcp", set.Counter)
-	if err != nil {
-		return Error.Wrap(err)
+	var front *front
+	if clients {
+		if front, err = f.open(); err != nil {
+			return err
+		}
 	}
 	f.running.Go(func() { f.hop.loop.Run(life) })
 	f.running.Go(func() { f.home.loop.Run(life) })
@@ -115,28 +117,66 @@
 	f.running.Go(func() { f.mingle(life) })
 	go f.scout.Run(life)
 	go antenna.Serve(inner, "Forager", &peerCalls{f})
-	clients := newDoor(counter)
-	server := &http.Server{Handler: http.HandlerFunc(f.serve), ConnState: clients.state, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 15 * time.Second,
-		MaxHeaderBytes: 64 << 10, ErrorLog: log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
-	go server.Serve(clients)
-	gate := &http.Server{Handler: http.HandlerFunc(f.serveReady), ReadHeaderTimeout: 2 * time.Second}
-	go gate.Serve(readiness)
-	log.Info("started", "address", set.Counter, "zone", set.Zone)
+	if front != nil {
+		front.serve()
+	}
+	log.Info("started", "address", set.Counter, "zone", set.Zone, "weight", f.scout.Router.Weight)
 
 	<-ctx.Done()
 	f.ending.Store(true)
 	begun := time.Now()
-	log.Info("ending: takes what still comes until the platform sends no more")
-	time.Sleep(min(notReadyFor, set.Bounds.Grace/2))
-	f.lastWord.Store(true)
-	if left := clients.drain(begun.Add(set.Bounds.Grace - endMargin)); left > 0 {
-		log.Warn("ended with requests in hand", "connections", left)
+	if front != nil {
+		front.end(begun)
+	} else {
+		f.lent.end(begun.Add(set.Bounds.Grace - endMargin))
 	}
-	server.Close()
 	log.Info("ended in order", "after", time.Since(begun).Round(time.Millisecond))
 	return nil
 }
 
+// weight is what a machine can carry beside others, in Mbit/s: its link, or what its part of a core bears.
+func weight(set guard.Settings) float64 { return max(min(set.LinkMbps, set.Cores*mbpsPerCore), 1) }
+
+// front is where clients and the platform come in. A machine that serves no clients has none, and only lends copies.
+type front struct {
+	f                  *Forager
+	readiness, counter net.Listener
+	door               *door
+	server             *http.Server
+}
+
+func (f *Forager) open() (*front, error) {
+	readiness, err := net.Listen("tcp", f.set.Readiness)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	counter, err := net.Listen("tcp", f.set.Counter)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &front{f: f, readiness: readiness, counter: counter}, nil
+}
+
+func (t *front) serve() {
+	t.door = newDoor(t.counter)
+	t.server = &http.Server{Handler: http.HandlerFunc(t.f.serve), ConnState: t.door.state, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 15 * time.Second,
+		MaxHeaderBytes: 64 << 10, ErrorLog: t.f.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
+	go t.server.Serve(t.door)
+	gate := &http.Server{Handler: http.HandlerFunc(t.f.serveReady), ReadHeaderTimeout: 2 * time.Second}
+	go gate.Serve(t.readiness)
+}
+
+// end is the end in order: not ready, then no new connections, then what is in hand.
+func (t *front) end(begun time.Time) {
+	t.f.log.Info("ending: takes what still comes until the platform sends no more")
+	time.Sleep(min(notReadyFor, t.f.set.Bounds.Grace/2))
+	t.f.lastWord.Store(true)
+	if left := t.door.drain(begun.Add(t.f.set.Bounds.Grace - endMargin)); left > 0 {
+		t.f.log.Warn("ended with requests in hand", "connections", left)
+	}
+	t.server.Close()
+}
+
 func (f *Forager) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/ready" {
 		http.NotFound(w, r)
--- a/internal/hive/forager/hop.go
+++ b/internal/hive/forager/hop.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"cedarmast/balance"
@@ -74,13 +75,12 @@
 
 // change tells the table how those whom it is to have differ from those whom it has.
 func (h *hop) change(version int64) {
-	want := h.roster
+	chosen, want := honey.Lenders(h.roster), map[string]honey.Router{}
 	if h.home {
-		chosen := honey.Shielding(slices.Collect(maps.Keys(h.roster)))
-		want = map[string]honey.Router{}
-		for node := range chosen {
-			want[node] = h.roster[node]
-		}
+		chosen = honey.Shields(h.roster)
+	}
+	for node := range chosen {
+		want[node] = h.roster[node]
 	}
 	l := exchange.List{Addresses: map[balance.ServerID]string{}}
 	l.Kind, l.Version = balance.Partial, version
@@ -92,10 +92,10 @@
 	for _, node := range slices.Sorted(maps.Keys(want)) {
 		if r := want[node]; h.listed[node] != r {
 			l.Addresses[balance.ServerID(node)] = r.Address
-			l.Entries = append(l.Entries, balance.Entry{Server: balance.ServerID(node), Zone: r.Zone, Weight: 1})
+			l.Entries = append(l.Entries, balance.Entry{Server: balance.ServerID(node), Zone: r.Zone, Weight: max(r.Weight, 1)})
 		}
 	}
-	h.listed = maps.Clone(want)
+	h.listed = want
 	if len(l.Entries) > 0 {
 		h.post(l)
 	}
@@ -224,6 +224,8 @@
 	}()
 	ctx, done := context.WithTimeout(context.Background(), time.Duration(q.LeftMS)*time.Millisecond)
 	defer done()
+	p.f.lent.begin()
+	defer p.f.lent.done()
 	if p.f.ending.Load() {
 		return errors.New("ending")
 	}
@@ -239,6 +241,19 @@
 	return nil
 }
 
+// calls counts the calls in hand, for an end that waits for them.
+type calls struct{ n atomic.Int64 }
+
+func (c *calls) begin() { c.n.Add(1) }
+func (c *calls) done()  { c.n.Add(-1) }
+
+// end waits until none is in hand, or it is too late.
+func (c *calls) end(until time.Time) {
+	for c.n.Load() > 0 && time.Now().Before(until) {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // News hands on what is held, for one that no core machine answers.
 func (p *peerCalls) News(a *honey.Ask, n *honey.News) error {
 	*n = p.f.scout.News(*a)
--- a/internal/hive/forager/plan.go
+++ b/internal/hive/forager/plan.go
@@ -130,12 +130,12 @@
 // shareOf is this router's part of a service's rate. Shields share almost all of it; where not every router is one, the others keep
 // a little for when no shield answers them.
 func (f *Forager) shareOf(s *honey.State) float64 {
-	nodes := slices.Collect(maps.Keys(s.Routers))
-	n, shields := float64(max(len(nodes), 1)), float64(max(honey.Shields(len(nodes)), 1))
+	chosen := honey.Shields(s.Routers)
+	n, shields := float64(max(len(s.Routers), 1)), float64(max(len(chosen), 1))
 	switch {
 	case shields >= n:
 		return 1 / n
-	case honey.Shielding(nodes)[f.set.Node]:
+	case chosen[f.set.Node]:
 		return (1 - othersPart) / shields
 	}
 	return othersPart / (n - shields)
@@ -225,7 +225,7 @@
 	askers := len(s.Routers)
 	for _, def := range p.Services {
 		if def.Name == name && def.RatePerS > 0 { // objects: shields ask for them
-			askers = honey.Shields(askers)
+			askers = len(honey.Shields(s.Routers))
 		}
 	}
 	each := float64(usualSlots)
--- a/internal/hive/guard/guard.go
+++ b/internal/hive/guard/guard.go
@@ -34,8 +34,10 @@
 	Node, Role, IP, Zone, Region, DataDir string
 	FirstStart                            bool // the whole system starts for the first time
 	MemoryMB, FileHandles                 int
-	Counter, Readiness, Control           string // what is listened on; empty: not served
-	SparePort                             int    // the first
+	Serves                                []string
+	Cores, LinkMbps                       float64 // of the machine: what a process of it may use of a core, and its link
+	Counter, Readiness, Control           string  // what is listened on; empty: not served
+	SparePort                             int     // the first
 	Seeds                                 []string
 	Heartbeat                             time.Duration // in which servers tell of themselves
 	Bounds                                Bounds
@@ -84,10 +86,12 @@
 	r := reader{k: k}
 	s := Settings{
 		Node: r.text("self.node"), Role: k.String("self.role"), IP: r.ip("self.ip"), Zone: r.text("self.zone"),
-		Region: k.String("self.region"), DataDir: k.String("self.data_dir"),
+		Serves: list(k.String("self.serves")), Region: k.String("self.region"), DataDir: k.String("self.data_dir"),
 		FirstStart: r.truth("self.first_start"),
 		MemoryMB:   r.whole("self.allowances.memory_mb", 256), FileHandles: r.whole("self.allowances.file_handles", 1024),
-		Counter: r.address("network.listen_on.counter"), Readiness: r.address("network.listen_on.readiness"),
+		Cores:    r.number("self.allowances.cpu_share", 1) * max(r.number("self.allowances.cores", 1), 1),
+		LinkMbps: r.number("self.allowances.link_mbps", 1000),
+		Counter:  r.address("network.listen_on.counter"), Readiness: r.address("network.listen_on.readiness"),
 		Control: r.address("network.listen_on.control_dock"), Seeds: r.seeds("network.seed_nodes"),
 		SparePort: r.ports("network.spare_ports"),
 		Heartbeat: r.span("yard.heartbeat", 1500*time.Millisecond),
@@ -237,3 +241,7 @@
 func (s Settings) Inner(ip string, port int) string {
 	return net.JoinHostPort(ip, strconv.Itoa(s.SparePort+port))
 }
+
+func list(text string) []string {
+	return strings.FieldsFunc(text, func(r rune) bool { return r == ',' || r == ' ' })
+}
--- a/internal/hive/honey/honey.go
+++ b/internal/hive/honey/honey.go
@@ -42,6 +42,7 @@
 // Router is one cache router.
 type Router struct {
 	Node, Zone, Address string
+	Weight              float64 // what it can carry beside the others, in Mbit/s; the part of the keys that it owns goes by it
 }
 
 // Duty says which core machine looks after the silent, since which entry of the log.
@@ -226,21 +227,40 @@
 	return Outcome{Status: Done}
 }
 
-// Shields is how many of so many cache routers talk to the servers of objects: in a small fleet all, in a large one a part, for the
-// servers take fewer connections than there are routers, and shares of their rate would be slivers.
-func Shields(routers int) int {
-	if routers <= fewRouters {
-		return routers
+const (
+	fewRouters = 16
+	strongPart = 0.5  // of the strongest router's weight: who carries as much may be a shield
+	lenderPart = 0.25 // and who carries as much lends copies to others
+)
+
+func strong(routers map[string]Router, part float64) (nodes []string) {
+	most := 0.0
+	for _, r := range routers {
+		most = max(most, r.Weight)
 	}
-	return max(fewRouters, routers/4)
+	for node, r := range routers {
+		if r.Weight >= part*most {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
 }
 
-const fewRouters = 16
+// Lenders returns which of the cache routers lend copies to others: not those whose links are slivers beside others', for what goes by way of
+// them is sent twice over such a link.
+func Lenders(routers map[string]Router) map[string]bool {
+	chosen := map[string]bool{}
+	for _, n := range strong(routers, lenderPart) {
+		chosen[n] = true
+	}
+	return chosen
+}
 
-// Shielding returns which of the nodes are shields: those first by a hash of their names, so that one that comes or goes changes
-// one of them at most.
-func Shielding(nodes []string) map[string]bool {
-	order := slices.Clone(nodes)
+// Shields returns which of the cache routers talk to the servers of objects: of the strong ones all, if they are few, else a part, for the
+// servers take fewer connections than there are routers, and shares of their rate would be slivers. Of many, those are chosen that are first by
+// a hash of their names, so that one that comes or goes changes one of them at most.
+func Shields(routers map[string]Router) map[string]bool {
+	order := strong(routers, strongPart)
 	rank := func(s string) uint64 {
 		h := uint64(14695981039346656037)
 		for i := range len(s) {
@@ -249,8 +269,11 @@
 		return h ^ h>>29
 	}
 	slices.SortFunc(order, func(a, b string) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a, b)) })
-	chosen := map[string]bool{}
-	for _, n := range order[:Shields(len(order))] {
+	if len(order) > fewRouters {
+		order = order[:max(fewRouters, len(order)/4)]
+	}
+	chosen := make(map[string]bool, len(order))
+	for _, n := range order {
 		chosen[n] = true
 	}
 	return chosen
