Rates are cut by need under the duty's epoch; a silent peer ends its calls; stores that fall silent go in 3 s

Shares of the origin's rate went by the roster, in which a dead machine stays for 12 s; a call to a peer without power ended with the request's own deadline; and each caller waited out a dial of its own, one after the other. Ruled out: shorter absence for all routers (each restart would change every table); leases of the rate outside the log (the holder's loss of power would cost the rate for a lease's length just when all caches are cold; a cut in the log outlives it). Change: routers tell the holder of the duty what they would ask of servers; it cuts 70% of a service's rate by need, as a command under its epoch, when a part has moved by a tenth of the whole; 30% stay even. Registries' duties are one file; the holder asks the leader for silence of routers as for servers. Calls for objects are watched: 0.3 s without a byte, then a word is asked for, 0.4 s later the peer is gone. After a dial without a word nobody dials that peer for 0.25 s.

--- a/internal/hive/antenna/antenna.go
+++ b/internal/hive/antenna/antenna.go
@@ -35,22 +35,36 @@
 	in, out atomic.Int64 // bytes
 
 	mu     sync.Mutex
-	client *rpc.Client
+	link   *link
 	heard  time.Time
+	failed time.Time     // when a dial last came to nothing
 	dials  chan struct{} // holds one while a dial is under way
 }
 
+// link is one connection to a peer and the calls on it.
+type link struct {
+	client   *rpc.Client
+	conn     *counted
+	gone     atomic.Bool
+	watched  int // calls that are watched; under the peer's lock
+	watching bool
+}
+
 // NewPeer returns a peer that has not been called yet.
 func NewPeer(address string) *Peer { return &Peer{Address: address, dials: make(chan struct{}, 1)} }
 
 // counted counts a connection's bytes.
 type counted struct {
 	net.Conn
-	peer *Peer
+	peer  *Peer
+	heard atomic.Int64 // when it last brought a byte, in nanoseconds since start
 }
 
 func (c *counted) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.heard.Store(sinceStart())
+	}
 	c.peer.in.Add(int64(n))
 	return n, err
 }
@@ -63,13 +77,21 @@
 
 // Call makes one call and waits for its answer or the context's end.
 func Call[A, R any](ctx context.Context, p *Peer, method string, args *A) (R, error) {
+	return call[A, R](ctx, p, method, args, false)
+}
+
+func call[A, R any](ctx context.Context, p *Peer, method string, args *A, watched bool) (R, error) {
 	var none R
-	client, err := p.connect(ctx)
+	k, err := p.connect(ctx)
 	if err != nil {
 		return none, Error.New("%s at %s: %w: %w", method, p.Address, ErrNotBegun, err)
 	}
+	if watched {
+		p.hold(k, 1)
+		defer p.hold(k, -1)
+	}
 	begun, reply := time.Now(), new(R)
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	call := k.client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		if call.Error == nil {
@@ -80,7 +102,10 @@
 		}
 		var said rpc.ServerError
 		if !errors.As(call.Error, &said) {
-			p.drop(client)
+			p.drop(k)
+		}
+		if k.gone.Load() {
+			return none, Error.New("%s at %s: %w", method, p.Address, ErrGone)
 		}
 		return none, Error.New("%s at %s: %w", method, p.Address, call.Error)
 	case <-ctx.Done():
@@ -88,18 +113,37 @@
 		silent := p.heard.Before(begun)
 		p.mu.Unlock()
 		if silent && !errors.Is(context.Cause(ctx), context.Canceled) { // it may be cut: a new connection shows
-			p.drop(client)
+			p.drop(k)
 		}
 		return none, Error.New("%s at %s: %w", method, p.Address, ctx.Err())
 	}
 }
 
-func (p *Peer) connect(ctx context.Context) (*rpc.Client, error) {
+// hold counts the watched calls that are out on a link.
+func (p *Peer) hold(k *link, n int) {
 	p.mu.Lock()
-	client := p.client
-	p.mu.Unlock()
-	if client != nil {
-		return client, nil
+	defer p.mu.Unlock()
+	if k.watched += n; k.watched > 0 && !k.watching {
+		k.watching = true
+		go p.watch(k)
+	}
+}
+
+var errJustFailed = errors.New("a dial has just failed")
+
+// held returns the link, if there is one; an error while nobody is to dial.
+func (p *Peer) held() (*link, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.link == nil && !p.failed.IsZero() && time.Since(p.failed) < dialPause {
+		return nil, errJustFailed
+	}
+	return p.link, nil
+}
+
+func (p *Peer) connect(ctx context.Context) (*link, error) {
+	if k, err := p.held(); k != nil || err != nil {
+		return k, err
 	}
 	select {
 	case p.dials <- struct{}{}:
@@ -107,35 +151,37 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	p.mu.Lock()
-	client = p.client
-	p.mu.Unlock()
-	if client != nil { // another call's dial brought it
-		return client, nil
+	if k, err := p.held(); k != nil || err != nil { // another call's dial brought it, or failed: not each waits out a dial of its own
+		return k, err
 	}
 	dialer := net.Dialer{Timeout: dialPatience, KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) { // best effort: without it a call's own deadline shows a cut
 			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, unacknowledged)
 		})
 	}}
+	begun := time.Now()
 	c, err := dialer.DialContext(ctx, "tcp", p.Address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if err != nil {
+		if time.Since(begun) >= slowDial { // no word at all; one that is refused may be listening in a moment
+			p.failed = time.Now()
+		}
 		return nil, err
 	}
-	client = rpc.NewClient(&counted{c, p})
-	p.mu.Lock()
-	p.client = client
-	p.mu.Unlock()
-	return client, nil
+	p.failed = time.Time{}
+	conn := &counted{Conn: c, peer: p}
+	p.link = &link{client: rpc.NewClient(conn), conn: conn}
+	return p.link, nil
 }
 
-func (p *Peer) drop(client *rpc.Client) {
+func (p *Peer) drop(k *link) {
 	p.mu.Lock()
-	if p.client == client {
-		p.client = nil
+	if p.link == k {
+		p.link = nil
 	}
 	p.mu.Unlock()
-	client.Close()
+	k.client.Close()
 }
 
 // Bytes is what all peers have brought and been sent.
@@ -151,11 +197,11 @@
 // Close ends the connection; calls under way fail.
 func (p *Peer) Close() {
 	p.mu.Lock()
-	client := p.client
-	p.client = nil
+	k := p.link
+	p.link = nil
 	p.mu.Unlock()
-	if client != nil {
-		client.Close()
+	if k != nil {
+		k.client.Close()
 	}
 }
 
@@ -206,6 +252,9 @@
 	if err := server.RegisterName(name, service); err != nil {
 		return Error.Wrap(err)
 	}
+	if err := server.RegisterName("Antenna", wordless{}); err != nil {
+		return Error.Wrap(err)
+	}
 	for {
 		c, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
--- a/internal/hive/comb/comb.go
+++ b/internal/hive/comb/comb.go
@@ -34,7 +34,8 @@
 	batch         = 256
 	retryDisk     = 100 * time.Millisecond
 	liveFor       = 2 * time.Second  // a core machine heard within this may hold a duty
-	absentFor     = 12 * time.Second // a cache router that has asked nobody for so long is taken out
+	absentFor     = 12 * time.Second // who has not been heard for twice as long is forgotten
+	needFor       = 2 * time.Second  // what a cache router needs counts for so long after it said so
 	toldEvery     = time.Second      // the leader hears who has asked, or beaten, at the other combs
 	enrolAgain    = time.Second
 	enrolTogether = 150 * time.Millisecond // newcomers of so long are one change of every table
@@ -81,9 +82,16 @@
 	newcomers []honey.Router       // who asked and is not in the roster; proposed together
 	told      time.Time            // when the leader was last told who asked here
 	looked    time.Time            // when the lists of who was heard were last looked through
+	needs     map[string]needed    // by cache router, while this machine holds the duty
 	status    Status
 }
 
+// needed is what a cache router would ask of the servers, and when it said so.
+type needed struct {
+	per map[string]float64
+	at  time.Time
+}
+
 // Status is what a comb tells of itself.
 type Status struct {
 	ID, Role, Leader     string
@@ -125,7 +133,7 @@
 		barriers: make(chan *reading, 256), quit: make(chan struct{}), done: make(chan struct{}),
 		waiting: map[uint64]*proposal{}, reads: map[uint64]*reading{}, senders: map[string]chan []queen.Message{},
 		changed: make(chan struct{}), attended: map[string]time.Time{}, present: map[string]time.Time{},
-		enrolled: map[string]time.Time{}}
+		enrolled: map[string]time.Time{}, needs: map[string]needed{}}
 	if err := c.open(); err != nil {
 		return err
 	}
@@ -441,7 +449,7 @@
 	}
 }
 
-// lead does what falls to the leader: it appoints the duty's holder and takes silent cache routers out.
+// lead does what falls to the leader: it appoints the duty's holder, the first live core machine in the order of addresses.
 func (c *Comb) lead() {
 	now := time.Now()
 	if c.led.IsZero() {
@@ -469,14 +477,6 @@
 	if !lives && holder != "" && now.Sub(c.led) > liveFor/2 {
 		c.node.Propose(honey.Command{Appoint: holder}.Encode())
 	}
-	if now.Sub(c.led) < absentFor {
-		return
-	}
-	for node := range state.Routers {
-		if at, ok := c.present[node]; (!ok || now.Sub(at) > absentFor) && now.Sub(c.attended[node]) > absentFor {
-			c.node.Propose(honey.Command{Absent: node, Epoch: state.Duty.Epoch}.Encode())
-		}
-	}
 	for node, at := range c.present {
 		if now.Sub(at) > 2*absentFor {
 			delete(c.present, node)
@@ -516,6 +516,11 @@
 			delete(c.enrolled, node)
 		}
 	}
+	for node, n := range c.needs {
+		if now.Sub(n.at) > needFor {
+			delete(c.needs, node)
+		}
+	}
 }
 
 func (c *Comb) heardOf(seen []string) {
--- a/internal/hive/comb/service.go
+++ b/internal/hive/comb/service.go
@@ -290,9 +290,42 @@
 	mostAttended = 1 << 17
 )
 
-// Silence is a question for how long servers have been silent, wherever they were heard.
+// ServerKey is a server's name beside those of cache routers.
+func ServerKey(id string) string { return serverMark + id }
+
+// Need notes what a cache router would ask of the servers of services, for the machine that holds the duty.
+func (s *service) Need(n *honey.Needs, ok *bool) error {
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	if _, known := s.c.needs[n.Node]; known || len(s.c.needs) < mostAttended {
+		s.c.needs[n.Node], *ok = needed{n.Per, time.Now()}, true
+	}
+	return nil
+}
+
+// Needs tells, by service and cache router, what was noted of late.
+func (s *service) Needs(_ *bool, all *map[string]map[string]float64) error {
+	now := time.Now()
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	*all = map[string]map[string]float64{}
+	for node, n := range s.c.needs {
+		if now.Sub(n.at) > needFor {
+			continue
+		}
+		for service, need := range n.per {
+			if (*all)[service] == nil {
+				(*all)[service] = map[string]float64{}
+			}
+			(*all)[service][node] = need
+		}
+	}
+	return nil
+}
+
+// Silence is a question for how long servers (by ServerKey) and cache routers have been silent, wherever they were heard.
 type Silence struct {
-	IDs       []string
+	Names     []string
 	Forwarded bool
 }
 
@@ -302,9 +335,9 @@
 	leads, at, since := s.c.leads, s.c.leader, s.c.since
 	if leads {
 		now := time.Now()
-		for _, id := range q.IDs {
+		for _, name := range q.Names {
 			last := since
-			for _, t := range [...]time.Time{s.c.attended[serverMark+id], s.c.present[serverMark+id]} {
+			for _, t := range [...]time.Time{s.c.attended[name], s.c.present[name]} {
 				if t.After(last) {
 					last = t
 				}
@@ -321,7 +354,7 @@
 	}
 	ctx, done := context.WithTimeout(context.Background(), 800*time.Millisecond)
 	defer done()
-	got, err := antenna.Call[Silence, []int64](ctx, s.c.peers.At(at), "Comb.Silent", &Silence{q.IDs, true})
+	got, err := antenna.Call[Silence, []int64](ctx, s.c.peers.At(at), "Comb.Silent", &Silence{q.Names, true})
 	*ages = got
 	return err
 }
--- a/internal/hive/forager/forager.go
+++ b/internal/hive/forager/forager.go
@@ -96,7 +96,7 @@
 	own := set.Inner(set.IP, guard.ForagerPort)
 	f.view = swarm.New(own, viewMost, mrand.Uint64())
 	f.scout.Set, f.scout.Peers, f.scout.Log = set, f.peers, log.Named("scout")
-	f.scout.Router = honey.Router{Node: set.Node, Zone: set.Zone, Address: own, Weight: weight(set)}
+	f.scout.Router = honey.Router{Node: set.Node, Zone: set.Zone, Address: own, Weight: weight(set), Inner: !clients}
 	f.scout.Took, f.scout.Neighbours = f.took, f.view.Neighbours
 
 	inner, err := net.Listen("tcp", own)
@@ -115,6 +115,7 @@
 	f.running.Go(func() { f.follow(life) })
 	f.running.Go(func() { f.sweep(life) })
 	f.running.Go(func() { f.mingle(life) })
+	f.running.Go(func() { f.tell(life) })
 	go f.scout.Run(life)
 	go antenna.Serve(inner, "Forager", &peerCalls{f})
 	if front != nil {
--- a/internal/hive/forager/hop.go
+++ b/internal/hive/forager/hop.go
@@ -143,7 +143,7 @@
 		if string(a.Server) == h.f.set.Node {
 			got = h.f.obtain(a.Context, q)
 		} else {
-			got, err = antenna.Call[Fetch, Fetched](a.Context, h.f.peers.At(a.Address), "Forager.Fetch", &q)
+			got, err = antenna.CallWatched[Fetch, Fetched](a.Context, h.f.peers.At(a.Address), "Forager.Fetch", &q)
 		}
 		switch {
 		case errors.Is(err, antenna.ErrNotBegun):
--- a/internal/hive/forager/plan.go
+++ b/internal/hive/forager/plan.go
@@ -4,14 +4,12 @@
 	"context"
 	"maps"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"cedarmast/balance"
 	"cedarmast/internal/exchange"
 	"cedarmast/internal/hive/flight"
-	"cedarmast/internal/hive/guard"
 	"cedarmast/internal/hive/honey"
 )
 
@@ -53,9 +51,8 @@
 	mostAdvice  = time.Second
 	usualSlots  = 8
 	noSuchClass = 2 * time.Second
-	capPart     = 0.5  // of a server's connections that routers may hold without using them
-	othersPart  = 0.15 // of a service's rate, for routers that are no shields
-	fetchAim    = 4    // the part of its deadline within which a fetch is usual
+	capPart     = 0.5 // of a server's connections that routers may hold without using them
+	fetchAim    = 4   // the part of its deadline within which a fetch is usual
 )
 
 // took hears of every change, in order, under the scout's lock.
@@ -80,6 +77,9 @@
 		f.closer.follow(s)
 		f.retune(s)
 	}
+	if c.Cut != nil {
+		f.retune(s)
+	}
 	if p := c.Purge; p != nil {
 		f.cache.Purge(index, p.Host, p.Path, p.Tag)
 	}
@@ -118,7 +118,7 @@
 				f.running.Go(func() { l.Run(ctx) })
 			}
 		}
-		sv.rate.set(def.RatePerS*f.shareOf(s), f.set.Bounds)
+		sv.rate.set(def.RatePerS*s.Share(def.Name, f.set.Node), f.set.Bounds)
 		p.services[def.Name] = sv
 	}
 	f.plan.Store(p)
@@ -134,20 +134,6 @@
 	f.log.Info("configuration in force", "version", m.Version, "routes", len(m.Routes), "index", s.Index)
 }
 
-// shareOf is this router's part of a service's rate. Shields share almost all of it; where not every router is one, the others keep
-// a little for when no shield answers them.
-func (f *Forager) shareOf(s *honey.State) float64 {
-	chosen := honey.Shields(s.Routers)
-	n, shields := float64(max(len(s.Routers), 1)), float64(max(len(chosen), 1))
-	switch {
-	case shields >= n:
-		return 1 / n
-	case chosen[f.set.Node]:
-		return (1 - othersPart) / shields
-	}
-	return othersPart / (n - shields)
-}
-
 // idleFor is how long a connection is kept that nobody uses: less where a server takes fewer of them than there are routers.
 func idleFor(services []honey.Service, routers int) time.Duration {
 	least := 1.0
@@ -170,7 +156,7 @@
 		set := f.settings(s, p, name)
 		for _, def := range p.Services {
 			if def.Name == name {
-				sv.rate.set(def.RatePerS*f.shareOf(s), f.set.Bounds)
+				sv.rate.set(def.RatePerS*s.Share(def.Name, f.set.Node), f.set.Bounds)
 			}
 		}
 		f.later(func() {
@@ -329,61 +315,3 @@
 func (n *nearFirst) Ended(balance.Time, balance.Stay) {}
 
 func (n *nearFirst) View() ([]balance.SiteView, float64) { return nil, 0 }
-
-// rate is this router's share of what a service's servers may be asked, all routers together. Shares are equal, and one that
-// is not used is saved for a moment only, so that the sum stays under the ceiling in every window.
-type rate struct {
-	mu     sync.Mutex
-	per    float64 // a second; 0: no bound
-	burst  float64
-	tokens float64
-	at     time.Time
-}
-
-const ratePart = 0.97 // of the ceiling: for clocks and for requests that cross a window's edge
-
-func (r *rate) set(perS float64, b guard.Bounds) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	per := perS * ratePart
-	burst := max(perS*(b.CeilingExcess-ratePart)*b.CeilingWindow.Seconds()*0.7, 1)
-	if r.per == 0 && per > 0 {
-		r.tokens, r.at = burst, time.Now()
-	}
-	r.per, r.burst = per, burst
-	r.tokens = min(r.tokens, burst)
-}
-
-// take takes one request's room if there is any.
-func (r *rate) take() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.per <= 0 {
-		return true
-	}
-	now := time.Now()
-	r.tokens = min(r.tokens+r.per*now.Sub(r.at).Seconds(), r.burst)
-	r.at = now
-	if r.tokens < 1 {
-		return false
-	}
-	r.tokens--
-	return true
-}
-
-// wait is how long until there is room for one more.
-func (r *rate) wait() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.per <= 0 || r.tokens >= 1 {
-		return 0
-	}
-	return time.Duration((1 - r.tokens) / r.per * float64(time.Second))
-}
-
-// spare tells whether half of what may be saved is there: what nobody waits for leaves the rest to those who do.
-func (r *rate) spare() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.per <= 0 || min(r.tokens+r.per*time.Since(r.at).Seconds(), r.burst) >= r.burst/2
-}
--- a/internal/hive/forager/plan_test.go
+++ b/internal/hive/forager/plan_test.go
@@ -94,7 +94,7 @@
 	}
 	total, asking := 0.0, 0
 	for _, n := range nodes {
-		share := (&Forager{set: guard.Settings{Node: n}}).shareOf(s)
+		share := s.Share("shop", n)
 		if total += share; share > 0.01 {
 			asking++
 		}
@@ -135,7 +135,7 @@
 			total, s := 0.0, honey.New()
 			s.Routers = c.routers
 			for node := range c.routers {
-				total += (&Forager{set: guard.Settings{Node: node}}).shareOf(s)
+				total += s.Share("shop", node)
 			}
 			assert.Assert(t, total < 1.001 && (total > 0.999 || len(c.routers) == 0), total)
 		})
--- /dev/null
+++ b/internal/hive/forager/rate.go
@@ -0,0 +1,129 @@
+package forager
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cedarmast/internal/hive/antenna"
+	"cedarmast/internal/hive/guard"
+	"cedarmast/internal/hive/honey"
+)
+
+// rate is this router's share of what a service's servers may be asked, all routers together (honey.Share says which). What is
+// not used is saved for a moment only, so that the sum stays under the ceiling in every window.
+type rate struct {
+	mu     sync.Mutex
+	per    float64 // a second; 0: no bound
+	burst  float64
+	tokens float64
+	at     time.Time
+
+	wants int       // requests that would have gone to a server, let or not, since the need was last told
+	told  time.Time // when that was
+	need  float64   // a second, smoothed
+}
+
+const (
+	ratePart  = 0.97 // of the ceiling: for clocks and for requests that cross a window's edge
+	tellEvery = 500 * time.Millisecond
+	needPart  = 0.5 // of the newest span in the need
+	leastNeed = 0.5 // requests a second that are worth telling
+)
+
+func (r *rate) set(perS float64, b guard.Bounds) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	per := perS * ratePart
+	burst := max(perS*(b.CeilingExcess-ratePart)*b.CeilingWindow.Seconds()*0.7, 1)
+	if r.per == 0 && per > 0 {
+		r.tokens, r.at = burst, time.Now()
+	}
+	r.per, r.burst = per, burst
+	r.tokens = min(r.tokens, burst)
+}
+
+// want notes a request that a server is to be asked for.
+func (r *rate) want() {
+	r.mu.Lock()
+	r.wants++
+	r.mu.Unlock()
+}
+
+// needs is what would be asked for in a second, and begins the next span.
+func (r *rate) needs(now time.Time) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if span := now.Sub(r.told).Seconds(); !r.told.IsZero() && span > 0 {
+		r.need += needPart * (float64(r.wants)/span - r.need)
+	}
+	r.wants, r.told = 0, now
+	if r.per <= 0 {
+		return 0
+	}
+	return r.need
+}
+
+// tell lets the holder of the duty know what this router would ask of the servers, while that is anything: the rate is cut by it.
+func (f *Forager) tell(ctx context.Context) {
+	turn := time.NewTicker(tellEvery)
+	defer turn.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-turn.C:
+			needs, holder := honey.Needs{Node: f.set.Node, Per: map[string]float64{}}, ""
+			f.scout.Read(func(s *honey.State) {
+				holder = s.Duty.Holder
+				for name, sv := range f.services {
+					if need := sv.rate.needs(now); need >= leastNeed {
+						needs.Per[name] = need
+					}
+				}
+			})
+			if len(needs.Per) == 0 || holder == "" {
+				continue
+			}
+			call, done := context.WithTimeout(ctx, tellEvery)
+			if _, err := antenna.Call[honey.Needs, bool](call, f.peers.At(f.set.Inner(holder, guard.CombPort)), "Comb.Need", &needs); err != nil {
+				f.log.Debug("need not told", "err", err)
+			}
+			done()
+		}
+	}
+}
+
+// take takes one request's room if there is any.
+func (r *rate) take() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.per <= 0 {
+		return true
+	}
+	now := time.Now()
+	r.tokens = min(r.tokens+r.per*now.Sub(r.at).Seconds(), r.burst)
+	r.at = now
+	if r.tokens < 1 {
+		return false
+	}
+	r.tokens--
+	return true
+}
+
+// wait is how long until there is room for one more.
+func (r *rate) wait() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.per <= 0 || r.tokens >= 1 {
+		return 0
+	}
+	return time.Duration((1 - r.tokens) / r.per * float64(time.Second))
+}
+
+// spare tells whether half of what may be saved is there: what nobody waits for leaves the rest to those who do.
+func (r *rate) spare() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.per <= 0 || min(r.tokens+r.per*time.Since(r.at).Seconds(), r.burst) >= r.burst/2
+}
--- a/internal/hive/forager/serve.go
+++ b/internal/hive/forager/serve.go
@@ -100,6 +100,7 @@
 		q.refuse(comeAgain)
 		return
 	}
+	sv.rate.want()
 	if !sv.rate.take() {
 		q.refuse(sv.rate.wait())
 		return
--- a/internal/hive/forager/shelf.go
+++ b/internal/hive/forager/shelf.go
@@ -176,6 +176,7 @@
 			return got
 		}
 	}
+	sv.rate.want()
 	for late := time.Now().Add(min(patience/3, rateWait)); !sv.rate.take(); {
 		wait := sv.rate.wait()
 		if time.Now().Add(wait).After(late) {
--- a/internal/hive/honey/honey.go
+++ b/internal/hive/honey/honey.go
@@ -43,6 +43,7 @@
 type Router struct {
 	Node, Zone, Address string
 	Weight              float64 // what it can carry beside the others, in Mbit/s; the part of the keys that it owns goes by it
+	Inner               bool    // serves no clients: it is there for the others' sake alone
 }
 
 // Duty says which core machine looks after the silent, since which entry of the log.
@@ -79,7 +80,8 @@
 	Roster     []Step // by which the roster came to be: tables are cut by it, step by step
 	RosterBase uint64 // where Roster was begun anew
 	Duty       Duty
-	Purges     uint64 // how many there were
+	Purges     uint64                        // how many there were
+	Parts      map[string]map[string]float64 // of services' rates, by service and node; nil where nothing was cut
 }
 
 const (
@@ -109,11 +111,12 @@
 	Server  *Server  `json:"server,omitempty"`
 	Leave   string   `json:"leave,omitempty"` // a server that has left in order
 	Lost    string   `json:"lost,omitempty"`  // a server that has fallen silent
-	Epoch   uint64   `json:"epoch,omitempty"` // with Lost and Absent: of the duty under which that was decided
+	Epoch   uint64   `json:"epoch,omitempty"` // with Lost, Absent and Cut: of the duty under which that was decided
 	Purge   *Purge   `json:"purge,omitempty"`
 	Enrol   []Router `json:"enrol,omitempty"`   // cache routers that have come, or moved
 	Absent  string   `json:"absent,omitempty"`  // a router that has fallen silent
 	Appoint string   `json:"appoint,omitempty"` // who takes the duty
+	Cut     *Cut     `json:"cut,omitempty"`     // of a service's rate
 
 	Taken *Manifest `json:"-"` // of a configuration that was taken, as it was read; not in the log
 }
@@ -173,10 +176,11 @@
 		if !slices.Contains(s.Left, c.Leave) {
 			s.Left = keepLast(append(s.Left, c.Leave), mostLeft)
 		}
+	case c.Epoch < s.Duty.Epoch && (c.Lost != "" || c.Absent != "" || c.Cut != nil):
+		return Outcome{Status: Stale, Text: "the duty has gone to another machine"}
+	case c.Cut != nil:
+		return s.cut(c.Cut)
 	case c.Lost != "", c.Absent != "":
-		if c.Epoch < s.Duty.Epoch {
-			return Outcome{Status: Stale, Text: "the duty has gone to another machine"}
-		}
 		delete(s.Servers, c.Lost)
 		if r, ok := s.Routers[c.Absent]; ok {
 			delete(s.Routers, c.Absent)
@@ -329,6 +333,7 @@
 		return Outcome{Status: Invalid, Text: fmt.Sprintf("edition: %s is not above %s", m.Version, s.Version)}
 	}
 	s.Body, s.Version = body, m.Version
+	s.keepParts(m)
 	s.Taken = keepLast(append(s.Taken, Taken{m.Version, digest}), mostTaken)
 	return Outcome{Status: Done, taken: m}
 }
--- a/internal/hive/honey/news.go
+++ b/internal/hive/honey/news.go
@@ -16,6 +16,12 @@
 	HoldMS  int64  // how long the question may wait for news
 }
 
+// Needs is what a cache router would ask of the servers of services whose rate is bounded, in requests a second, whether it may or not.
+type Needs struct {
+	Node string
+	Per  map[string]float64 // by service
+}
+
 // News is the answer: what has changed, or all of it for one who is too far behind.
 type News struct {
 	State   *State
--- /dev/null
+++ b/internal/hive/waggle/duty.go
@@ -0,0 +1,169 @@
+package waggle
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"cedarmast/internal/hive/antenna"
+	"cedarmast/internal/hive/comb"
+	"cedarmast/internal/hive/honey"
+	"cedarmast/internal/hive/scout"
+)
+
+// This file is what one registry does for all: the holder of the duty, under its epoch. The state refuses what comes under an older one.
+
+const (
+	silentBeats  = 6                // missed beats after which a server is taken out
+	absentFor    = 12 * time.Second // a cache router that has asked nobody for news for so long is taken out: a restart changes no table
+	innerFor     = 3 * time.Second  // one that serves no clients: all go by way of it, and wait
+	cutEvery     = time.Second
+	mostAbsent   = 64 // cache routers taken out in one turn
+	absentAtOnce = 2  // that may be silent whatever their part of all: more than half at once, and it is the way to here that is silent
+)
+
+// term is a registry's time as holder of the duty.
+type term struct {
+	epoch uint64 // 0: it is held by another one
+	since time.Time
+	cut   time.Time // when rates were last looked at
+}
+
+// follow takes the duty on or lets it go, by the state and by whether this process is in touch.
+func (t *term) follow(d honey.Duty, self string, inTouch bool, now time.Time) {
+	switch {
+	case d.Holder != self || !inTouch:
+		*t = term{}
+	case t.epoch != d.Epoch:
+		*t = term{epoch: d.Epoch, since: now, cut: now}
+	}
+}
+
+// duties does what is to be done while the duty is held here.
+func (w *Waggle) duties(ctx context.Context) {
+	var t term
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(w.set.Heartbeat / 2):
+		}
+		now := time.Now()
+		var duty honey.Duty
+		var servers, routers, inner []string
+		w.scout.Read(func(s *honey.State) {
+			duty = s.Duty
+			for id := range s.Servers {
+				servers = append(servers, id)
+			}
+			for node, r := range s.Routers {
+				if r.Inner {
+					inner = append(inner, node)
+				} else {
+					routers = append(routers, node)
+				}
+			}
+		})
+		phase, _ := w.scout.Phase()
+		t.follow(duty, w.set.IP, phase == scout.InTouch, now)
+		w.forget(now)
+		if t.epoch == 0 {
+			continue
+		}
+		w.prune(ctx, t, servers, now)
+		w.pruneRouters(ctx, t, routers, absentFor)
+		w.pruneRouters(ctx, t, inner, innerFor)
+		if now.Sub(t.cut) >= cutEvery {
+			t.cut = now
+			w.cutRates(ctx, t)
+		}
+	}
+}
+
+func (w *Waggle) silence() time.Duration { return silentBeats * w.set.Heartbeat }
+
+// forget lets beats go that are long over.
+func (w *Waggle) forget(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, b := range w.beats {
+		if now.Sub(b.at) > 2*w.silence() {
+			delete(w.beats, id)
+		}
+	}
+}
+
+// prune takes out servers that have missed several beats. One who takes the duty over gives all of them their whole time, for it has not
+// heard them before.
+func (w *Waggle) prune(ctx context.Context, t term, servers []string, now time.Time) {
+	if now.Sub(t.since) <= w.silence() {
+		return
+	}
+	var silent []string
+	w.mu.Lock()
+	for _, id := range servers {
+		if b, ok := w.beats[id]; !ok || now.Sub(b.at) > w.silence() {
+			silent = append(silent, comb.ServerKey(id))
+		}
+	}
+	w.mu.Unlock()
+	for _, key := range w.surelySilent(ctx, silent, len(servers), w.silence()) {
+		id := key[len(comb.ServerKey("")):]
+		if out, err := w.propose(ctx, honey.Command{Lost: id, Epoch: t.epoch}, beatWithin); err == nil && out.Status == honey.Done {
+			w.log.Info("server taken out", "id", id, "epoch", t.epoch)
+		}
+	}
+}
+
+// pruneRouters takes out cache routers that ask no core machine for news any more.
+func (w *Waggle) pruneRouters(ctx context.Context, t term, routers []string, span time.Duration) {
+	for _, node := range w.surelySilent(ctx, routers, 2*len(routers), span) {
+		if out, err := w.propose(ctx, honey.Command{Absent: node, Epoch: t.epoch}, beatWithin); err == nil && out.Status == honey.Done {
+			w.log.Info("cache router taken out", "node", node, "epoch", t.epoch)
+		}
+	}
+}
+
+// surelySilent asks the leader, who hears of all who are heard at any core machine, which of the names have been silent for so long. If it
+// is more than half of all at once, it is the way to here that is silent.
+func (w *Waggle) surelySilent(ctx context.Context, names []string, all int, span time.Duration) (silent []string) {
+	if len(names) == 0 || len(names) > max(absentAtOnce, all/2) {
+		return nil
+	}
+	call, done := context.WithTimeout(ctx, readWithin)
+	defer done()
+	ages, err := antenna.Call[comb.Silence, []int64](call, w.comb, "Comb.Silent", &comb.Silence{Names: names})
+	if err != nil || len(ages) != len(names) {
+		return nil
+	}
+	for i, name := range names {
+		if time.Duration(ages[i])*time.Millisecond >= span && len(silent) < mostAbsent {
+			silent = append(silent, name)
+		}
+	}
+	slices.Sort(silent)
+	return silent
+}
+
+// cutRates cuts the rates of services anew where need has moved.
+func (w *Waggle) cutRates(ctx context.Context, t term) {
+	call, done := context.WithTimeout(ctx, readWithin)
+	needs, err := antenna.Call[bool, map[string]map[string]float64](call, w.comb, "Comb.Needs", new(bool))
+	done()
+	if err != nil {
+		return
+	}
+	var cuts []honey.Cut
+	w.scout.Read(func(s *honey.State) {
+		for service, by := range needs {
+			if c, moved := s.Recut(service, by); moved {
+				cuts = append(cuts, c)
+			}
+		}
+	})
+	for _, c := range cuts {
+		if out, err := w.propose(ctx, honey.Command{Cut: &c, Epoch: t.epoch}, beatWithin); err == nil && out.Status == honey.Done {
+			w.log.Info("rate cut anew", "service", c.Service, "parts", len(c.Parts), "epoch", t.epoch)
+		}
+	}
+}
--- a/internal/hive/waggle/waggle.go
+++ b/internal/hive/waggle/waggle.go
@@ -1,6 +1,6 @@
 // Package waggle is the registry's process: on a core machine it takes the calls of servers and of the operator, brings what
 // they change into the log by way of the machine's comb, and answers only when a majority of disks has it. The one that
-// holds the duty also takes out servers that have fallen silent.
+// holds the duty also takes out servers and cache routers that have fallen silent, and cuts the rates of services.
 package waggle
 
 import (
@@ -33,7 +33,6 @@
 	readWithin   = 900 * time.Millisecond
 	maxBeat      = 64 << 10
 	maxManifest  = 64 << 20
-	silentBeats  = 6 // missed beats after which a server is taken out
 	mostBeats    = 65536
 	leaveWithin  = 400 * time.Millisecond
 	comeAgainSec = "0.2"
@@ -49,8 +48,6 @@
 
 	mu    sync.Mutex
 	beats map[string]beat
-	epoch uint64 // of the duty that is held here; 0: it is not
-	since time.Time
 	heard []string // since the comb was last told
 }
 
@@ -77,7 +74,7 @@
 	server := &http.Server{Handler: w.calls(), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second,
 		ErrorLog: log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
 	go w.scout.Run(ctx)
-	go w.prune(ctx)
+	go w.duties(ctx)
 	go w.pass(ctx)
 	go server.Serve(listener)
 	log.Info("started", "address", set.Control)
@@ -308,63 +305,3 @@
 		done()
 	}
 }
-
-// prune does the duty while it is held here: servers that have missed several beats are taken out. One who takes the duty
-// over gives all of them their whole time, for it has not heard them before.
-func (w *Waggle) prune(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(w.set.Heartbeat / 2):
-		}
-		now, silence := time.Now(), silentBeats*w.set.Heartbeat
-		var duty honey.Duty
-		var silent []string
-		var servers map[string]bool
-		w.scout.Read(func(s *honey.State) {
-			duty, servers = s.Duty, make(map[string]bool, len(s.Servers))
-			for id := range s.Servers {
-				servers[id] = true
-			}
-		})
-		phase, _ := w.scout.Phase()
-		w.mu.Lock()
-		if duty.Holder != w.set.IP || phase != scout.InTouch {
-			w.epoch = 0
-		} else if w.epoch != duty.Epoch {
-			w.epoch, w.since = duty.Epoch, now
-		}
-		for id, b := range w.beats {
-			if now.Sub(b.at) > 2*silence {
-				delete(w.beats, id)
-			}
-		}
-		if w.epoch > 0 && now.Sub(w.since) > silence {
-			for id := range servers {
-				if b, ok := w.beats[id]; !ok || now.Sub(b.at) > silence {
-					silent = append(silent, id)
-				}
-			}
-		}
-		epoch := w.epoch
-		w.mu.Unlock()
-		if len(silent) == 0 || len(silent) > max(2, len(servers)/2) { // so many at once: it is the way to here that is silent
-			continue
-		}
-		call, done := context.WithTimeout(ctx, readWithin)
-		ages, err := antenna.Call[comb.Silence, []int64](call, w.comb, "Comb.Silent", &comb.Silence{IDs: silent})
-		done()
-		if err != nil || len(ages) != len(silent) {
-			continue
-		}
-		for i, id := range silent {
-			if time.Duration(ages[i])*time.Millisecond < silence {
-				continue // it beats at another registry
-			}
-			if out, err := w.propose(ctx, honey.Command{Lost: id, Epoch: epoch}, beatWithin); err == nil && out.Status == honey.Done {
-				w.log.Info("server taken out", "id", id, "epoch", epoch)
-			}
-		}
-	}
-}
