A leader whose disk is slow gives way by measure; tests of store machines, hung and slow disks

Ruled out: a fixed time for one write (a single write that hangs for half a second is over when it is known). Change: the mean of the last writes, 90 ms over four at least, makes a leader hand over.

--- a/internal/hive/comb/comb.go
+++ b/internal/hive/comb/comb.go
@@ -57,7 +57,8 @@
 
 	// The loop's own:
 	node    *queen.Node
-	journal *wax.Journal
+	journal journal
+	slow    slowness
 	waiting map[uint64]*proposal
 	reads   map[uint64]*reading
 	token   uint64
@@ -85,6 +86,42 @@
 	looked    time.Time            // when the lists of who was heard were last looked through
 	needs     map[string]needed    // by cache router, while this machine holds the duty
 	status    Status
+
+	wrap func(journal) journal // a test's way to the disk; nil in service
+}
+
+// journal is the disk's part: *wax.Journal.
+type journal interface {
+	Begin(id string, h wax.Held) error
+	Save(hard *queen.Hard, snap *queen.Snapshot, entries []queen.Entry) error
+	Note(committed uint64)
+	Renew(hard queen.Hard, snap queen.Snapshot, entries []queen.Entry) error
+	Reopen() error
+	Size() int64
+	Close()
+}
+
+// slowness measures a disk by what it was asked for: a leader gives way whose writes take so long that all orders wait for them, though each one
+// succeeds. One slow write is none; the measure is of the last few.
+type slowness struct {
+	mean time.Duration
+	n    int
+}
+
+const (
+	slowWrite  = 90 * time.Millisecond // some forty times what a sync usually takes
+	slowWrites = 4                     // in the mean at least
+)
+
+// turn takes a write's time and tells whether the disk is slow; then it begins anew.
+func (s *slowness) turn(took time.Duration) bool {
+	s.n++
+	s.mean += (took - s.mean) / time.Duration(min(s.n, 2*slowWrites))
+	if s.n < slowWrites || s.mean < slowWrite {
+		return false
+	}
+	*s = slowness{}
+	return true
 }
 
 // needed is what a cache router would ask of the servers, and when it said so.
@@ -127,6 +164,10 @@
 
 // Run opens the disk, serves the other processes and takes part in the log until the context ends.
 func Run(ctx context.Context, set guard.Settings, log hclog.Logger) error {
+	return run(ctx, set, log, nil)
+}
+
+func run(ctx context.Context, set guard.Settings, log hclog.Logger, wrap func(journal) journal) error {
 	if set.DataDir == "" {
 		return Error.New("self.data_dir: missing: the log needs a disk")
 	}
@@ -134,7 +175,7 @@
 		barriers: make(chan *reading, 256), quit: make(chan struct{}), done: make(chan struct{}),
 		waiting: map[uint64]*proposal{}, reads: map[uint64]*reading{}, senders: map[string]chan []queen.Message{},
 		changed: make(chan struct{}), attended: map[string]time.Time{}, present: map[string]time.Time{},
-		enrolled: map[string]time.Time{}, needs: map[string]needed{}}
+		enrolled: map[string]time.Time{}, needs: map[string]needed{}, wrap: wrap}
 	c.peers.DialPatience = dialPatience
 	if err := c.open(); err != nil {
 		return err
@@ -157,11 +198,14 @@
 
 // open reads the disk. An empty one is a first start or a loss: in the second case this machine counts as a new one.
 func (c *Comb) open() error {
-	journal, held, err := wax.Open(c.set.DataDir)
+	opened, held, err := wax.Open(c.set.DataDir)
 	if err != nil {
 		return err
 	}
-	c.journal = journal
+	c.journal = opened
+	if c.wrap != nil {
+		c.journal = c.wrap(opened)
+	}
 	self := queen.Member{ID: held.ID, Addr: c.set.Inner(c.set.IP, guard.CombPort)}
 	var contacts []string
 	var first []queen.Member
@@ -358,8 +402,13 @@
 	}
 	for failed := false; ; {
 		c.journal.Note(c.applied)
+		begun := time.Now()
 		err := c.journal.Save(r.Hard, r.Snapshot, r.Entries)
 		if err == nil {
+			if took := time.Since(begun); c.slow.turn(took) && c.node.Role() == queen.Leader {
+				c.log.Warn("disk is slow; gives way", "last", took.Round(time.Millisecond))
+				c.node.GiveWay()
+			}
 			c.mu.Lock()
 			c.status.Syncs++
 			c.status.DiskFails = false
--- a/internal/hive/comb/comb_test.go
+++ b/internal/hive/comb/comb_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os/signal"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -21,6 +22,12 @@
 
 // start runs so many combs in this process, each on its own address and folder, until the test ends.
 func start(t *testing.T, n int, at int) (peers []*antenna.Peer) {
+	t.Helper()
+	return startOn(t, n, at, func(int) func(journal) journal { return nil })
+}
+
+// startOn does it with each one's way to its disk.
+func startOn(t *testing.T, n int, at int, disk func(i int) func(journal) journal) (peers []*antenna.Peer) {
 	t.Helper()
 	var seeds []string
 	for i := range n {
@@ -31,7 +38,7 @@
 	for i := range n {
 		set := guard.Settings{Node: fmt.Sprint("core-", i), IP: fmt.Sprintf("127.0.%d.%d", at, i+1), DataDir: t.TempDir(), FirstStart: true, Seeds: seeds, SparePort: 7660,
 			Heartbeat: time.Second}
-		go func() { done <- Run(ctx, set, hclog.NewNullLogger()) }()
+		go func() { done <- run(ctx, set, hclog.NewNullLogger(), disk(i)) }()
 		peers = append(peers, antenna.NewPeer(set.Inner(set.IP, guard.CombPort)))
 	}
 	t.Cleanup(func() {
@@ -115,6 +122,91 @@
 	}
 }
 
+// hanging is a disk whose writes hang while the test holds it.
+type hanging struct {
+	journal
+	mu sync.Mutex
+}
+
+func (h *hanging) Save(hard *queen.Hard, snap *queen.Snapshot, entries []queen.Entry) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.journal.Save(hard, snap, entries)
+}
+
+// The leader's disk hangs: it answers nothing and claims nothing, the others elect and acknowledge, and once its disk goes on it follows,
+// with all that was acknowledged meanwhile.
+func TestALeadersDiskHangs(t *testing.T) {
+	disks := make([]*hanging, 3)
+	for i := range disks {
+		disks[i] = new(hanging)
+	}
+	peers := startOn(t, 3, 77, func(i int) func(journal) journal {
+		return func(j journal) journal { disks[i].journal = j; return disks[i] }
+	})
+	taken := func(p *antenna.Peer, tag string) bool {
+		r, err := call[Proposal, Reply](t, p, "Comb.Propose", purge(tag))
+		return err == nil && r.Known && r.Status == honey.Done
+	}
+	status := func(i int) Status {
+		s, _ := call[bool, Status](t, peers[i], "Comb.Status", false) // none while it starts
+		return s
+	}
+	leader := -1
+	until(t, "a leader", func() bool {
+		for i := range peers {
+			if status(i).Role == queen.Leader.String() {
+				leader = i
+			}
+		}
+		return leader >= 0 && taken(peers[leader], "before")
+	})
+	other := (leader + 1) % 3
+	disks[leader].mu.Lock()
+	until(t, "an order by the others", func() bool { return taken(peers[other], "meanwhile") })
+	assert.Assert(t, !taken(peers[leader], "at the one that hangs"))
+	until(t, "it claims no more to be current", func() bool { return !status(leader).Fresh })
+	least := status(other).Index
+	disks[leader].mu.Unlock()
+	until(t, "it has what was acknowledged", func() bool { s := status(leader); return s.Fresh && s.Index >= least })
+	until(t, "orders at all", func() bool { return taken(peers[leader], "after") })
+}
+
+// When a disk counts as slow, by the times of its writes: a single one that hangs does not make it so, and after it was said it is
+// measured anew.
+func TestSlowDisks(t *testing.T) {
+	ms := func(all ...int) (d []time.Duration) {
+		for _, x := range all {
+			d = append(d, time.Duration(x)*time.Millisecond)
+		}
+		return d
+	}
+	cases := []struct {
+		name   string
+		writes []time.Duration
+		slow   int // times that it is said
+	}{
+		{"as usual", ms(2, 2, 3, 2, 2, 4, 2, 2, 2, 2, 2, 2), 0},
+		{"one that hangs", ms(2, 2, 2, 2, 2, 2, 2, 2, 600, 2, 2, 2, 2), 0},
+		{"slow from the start", ms(120, 120, 120, 120), 1},
+		{"it turns slow", ms(2, 2, 2, 2, 2, 2, 2, 2, 200, 200, 200, 200, 200, 200), 1},
+		{"for long: each time anew", ms(120, 120, 120, 120, 120, 120, 120, 120), 2},
+		{"not yet known", ms(300, 300, 300), 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var s slowness
+			said := 0
+			for _, w := range c.writes {
+				if s.turn(w) {
+					said++
+				}
+			}
+			assert.Equal(t, said, c.slow)
+		})
+	}
+}
+
 // A question for news waits until there is some, one that asks for a barrier is answered by a machine that holds what was
 // acknowledged before, and who asks as a cache router is put into the roster.
 func TestNews(t *testing.T) {
--- a/internal/hive/meadow/meadow.go
+++ b/internal/hive/meadow/meadow.go
@@ -28,6 +28,7 @@
 // Shape is how large a network is.
 type Shape struct {
 	Core, Edges int
+	Stores      int // cache routers without clients, on links that are far wider than the edges'; 0: links are alike
 	Zones       int // over which machines are dealt out in turn
 	Dir         string
 	Net         byte // the network is at 127.0.Net.x, so that several fit on one machine
@@ -48,7 +49,7 @@
 // Machine is one address with the processes on it.
 type Machine struct {
 	Name, IP, Zone string
-	Core           bool
+	Core, Store    bool
 	Dir            string
 	first          bool
 
@@ -68,12 +69,14 @@
 // Start writes the settings and starts all processes.
 func Start(shape Shape) (*Network, error) {
 	n := &Network{Shape: shape, client: http.Client{Timeout: 3 * time.Second}}
-	for i := range shape.Core + shape.Edges {
-		m := &Machine{IP: fmt.Sprintf("127.0.%d.%d", shape.Net, i+1), Zone: fmt.Sprint("zone-", i%max(shape.Zones, 1)+1), Core: i < shape.Core,
+	for i := range shape.Core + shape.Edges + shape.Stores {
+		m := &Machine{IP: fmt.Sprintf("127.0.%d.%d", shape.Net, i+1), Zone: fmt.Sprint("zone-", i%max(shape.Zones, 1)+1), Core: i < shape.Core, Store: i >= shape.Core+shape.Edges,
 			first: true, processes: map[string]*exec.Cmd{}}
 		m.Name = fmt.Sprint("edge-", i-shape.Core+1)
 		if m.Core {
 			m.Name = fmt.Sprint("core-", i+1)
+		} else if m.Store {
+			m.Name = fmt.Sprint("store-", i-shape.Core-shape.Edges+1)
 		}
 		m.Dir = filepath.Join(shape.Dir, m.Name)
 		if err := os.MkdirAll(m.Dir, 0o755); err != nil {
@@ -111,7 +114,11 @@
 	if m.Core {
 		line("self.data_dir", filepath.Join(m.Dir, "data"))
 		line("network.listen_on.control_dock", fmt.Sprintf("%s:%d", m.IP, controlPort))
-	} else {
+	} else if !m.Store {
+		if n.Stores > 0 {
+			line("self.allowances.link_mbps", 12)
+		}
+		line("self.serves", "counter")
 		line("network.listen_on.counter", fmt.Sprintf("%s:%d", m.IP, counterPort))
 		line("network.listen_on.readiness", fmt.Sprintf("%s:%d", m.IP, readinessPort))
 	}
@@ -216,7 +223,10 @@
 }
 
 // Edges are the machines that clients call.
-func (n *Network) EdgeMachines() []*Machine { return n.Machines[n.Core:] }
+func (n *Network) EdgeMachines() []*Machine { return n.Machines[n.Core : n.Core+n.Edges] }
+
+// StoreMachines are the cache routers without clients.
+func (n *Network) StoreMachines() []*Machine { return n.Machines[n.Core+n.Edges:] }
 
 // Ready tells whether an edge calls itself ready.
 func (n *Network) Ready(m *Machine) bool {
@@ -373,6 +383,6 @@
 		routes = append(routes, fmt.Sprintf(`{"parcel_kind":"routes","label":{"name":"r-%[1]s"},"manifest":{"domain":"shop.example","path_prefix":"/%[1]s/",`+
 			`"mail_class":"%[2]s","timeout":"2000ms","target":"500ms","precedence":1,"carrier":"%[3]s","tries":2,"shelf":"20s"}}`, r, kind, service))
 	}
-	return fmt.Appendf(nil, `{"edition":"r%d","based_on":%s,"parcels":[%s,{"parcel_kind":"carriers","label":{"name":"%s"},"manifest":{"health_path":"/health","line_cap":130}}]}`,
+	return fmt.Appendf(nil, `{"edition":"r%d","based_on":%s,"parcels":[%s,{"parcel_kind":"carriers","label":{"name":"%s"},"manifest":{"health_path":"/health","line_cap":130,"rate_per_s":200}}]}`,
 		edition, based, strings.Join(routes, ","), service)
 }
--- a/internal/hive/meadow/meadow_test.go
+++ b/internal/hive/meadow/meadow_test.go
@@ -33,9 +33,15 @@
 
 func start(t *testing.T, core, edges int, at byte) *Network {
 	t.Helper()
-	n, err := Start(Shape{Core: core, Edges: edges, Zones: 2, Dir: t.TempDir(), Net: at, Out: t.Output(), Program: func(name string) []string {
+	return Shape{Core: core, Edges: edges, Zones: 2, Net: at}.start(t)
+}
+
+func (s Shape) start(t *testing.T) *Network {
+	t.Helper()
+	s.Dir, s.Out, s.Program = t.TempDir(), t.Output(), func(name string) []string {
 		return []string{"/usr/bin/env", "MEADOW_PROGRAM=" + name, os.Args[0]}
-	}})
+	}
+	n, err := Start(s)
 	assert.NilError(t, err)
 	t.Cleanup(n.Stop)
 	return n
@@ -180,6 +186,54 @@
 	assert.Assert(t, time.Since(begun) < 6*time.Second)
 }
 
+// Store machines go and come while clients ask for objects: each edge has its objects by way of those that are left, then without any, and the
+// holder of the duty takes the dead out of the roster. A purge holds all the while.
+func TestStoreMachinesGoAndCome(t *testing.T) {
+	n := Shape{Core: 3, Edges: 3, Stores: 2, Zones: 2, Net: 76}.start(t)
+	shop, err := n.Serve("i-1", "shop", 200)
+	assert.NilError(t, err)
+	assert.Equal(t, n.order(t, "PUT", "/manifest", Manifest(3, 0, "shop")), 200)
+	next, version := 0, 1
+	everywhere := func(what string, within time.Duration) {
+		next++
+		for i, m := range n.EdgeMachines() {
+			until(t, within, what, func() bool {
+				status, body := n.served(m, fmt.Sprint("/shelved/", next), fmt.Sprint("o", next, "-", i, "-", time.Now().UnixNano()))
+				return status == 200 && strings.Contains(body, fmt.Sprint("version ", version))
+			})
+		}
+	}
+	routers := func(want int) func() bool {
+		return func() bool { return n.status(n.Machines[1]).Routers == want }
+	}
+	for _, m := range n.EdgeMachines() {
+		until(t, 10*time.Second, "an edge is ready", func() bool { return n.Ready(m) })
+	}
+	until(t, 10*time.Second, "all are in the roster", routers(5))
+	everywhere("an object by way of the stores", 5*time.Second)
+	ran, _ := shop.Ran()
+	assert.Assert(t, ran <= 2, "one fetch a zone at most, by its store: %d", ran)
+
+	stores := n.StoreMachines()
+	n.Signal(stores[0], syscall.SIGKILL)
+	everywhere("an object beside a store that is gone", 4*time.Second)
+	until(t, 10*time.Second, "the store is taken out", routers(4))
+	n.Signal(stores[1], syscall.SIGKILL)
+	everywhere("an object without any store", 6*time.Second)
+	until(t, 10*time.Second, "both are taken out", routers(3))
+	shop.Change()
+	version++
+	assert.Equal(t, n.order(t, "POST", "/purge", []byte(`{"domain":"shop.example","path":"/shelved/1"}`)), 200)
+	next = 0
+	everywhere("the purged object anew", 3*time.Second)
+	for _, m := range stores {
+		assert.NilError(t, n.Up(m))
+	}
+	until(t, 10*time.Second, "both are back", routers(5))
+	next = 10
+	everywhere("an object by way of the stores again", 4*time.Second)
+}
+
 // Core machines are frozen, one after the other, while operators race: the history of their calls is that of one register that
 // is compared and set.
 func TestOperatorsCallsAreLinearizable(t *testing.T) {
