Seeds that the settings file names later are asked, by every process

A process that is cut off while all of the core is exchanged knows nobody who is left. Change: guard.Seeds, which the watch of the file fills, is read by the scout with each round of addresses and by the comb's loop. A faulty file changes nothing, as before.

--- a/internal/hive/apiary/apiary.go
+++ b/internal/hive/apiary/apiary.go
@@ -61,6 +61,7 @@
 	log := hclog.New(&hclog.LoggerOptions{Name: p.Name, Level: hclog.LevelFromString(level), Output: os.Stderr, DisableTime: true})
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	set.Named = new(guard.Seeds)
 	go watch(ctx, path, set, log)
 	if err := p.Run(ctx, set, log); err != nil {
 		log.Error("ended", "err", err)
@@ -69,8 +70,8 @@
 	return nil
 }
 
-// watch tells when the settings file has changed, by a signal or without one. What a process is told about itself holds for
-// its life; where others are it learns from the common state, so that a change needs no more than a word in the log.
+// watch looks when the settings file has changed, by a signal or without one. Other seeds are taken at once; what a process is told about
+// itself holds for its life. A file that can't be read or is faulty changes nothing.
 func watch(ctx context.Context, path string, set guard.Settings, log hclog.Logger) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
@@ -88,7 +89,8 @@
 		}
 		if fmt.Sprint(now.Seeds) != fmt.Sprint(set.Seeds) {
 			log.Info("other seeds are named", "seeds", now.Seeds)
-			set = now
+			set.Seeds = now.Seeds
+			set.Named.Set(now.Seeds)
 		}
 	}
 }
--- a/internal/hive/comb/comb.go
+++ b/internal/hive/comb/comb.go
@@ -10,6 +10,7 @@
 	"encoding/hex"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,6 +66,7 @@
 	senders map[string]chan []queen.Message
 	led     time.Time // since when this node has led
 	duty    time.Time // of the last look at duties
+	seeds   []string  // as the node was last told
 
 	gather gather
 
@@ -207,14 +209,11 @@
 		c.journal = c.wrap(opened)
 	}
 	self := queen.Member{ID: held.ID, Addr: c.set.Inner(c.set.IP, guard.CombPort)}
-	var contacts []string
 	var first []queen.Member
 	seed := false
 	for _, s := range c.set.Seeds {
 		ip := guard.HostOf(s)
-		addr := c.set.Inner(ip, guard.CombPort)
-		contacts = append(contacts, addr)
-		first = append(first, queen.Member{ID: ip, Addr: addr})
+		first = append(first, queen.Member{ID: ip, Addr: c.set.Inner(ip, guard.CombPort)})
 		seed = seed || ip == c.set.IP
 	}
 	state := honey.New()
@@ -244,12 +243,20 @@
 	c.replay(held)
 	var lot [8]byte
 	rand.Read(lot[:])
-	c.node = queen.New(self, held.Hard, held.Snapshot, held.Entries, contacts, queen.Usual,
+	c.node = queen.New(self, held.Hard, held.Snapshot, held.Entries, c.contacts(), queen.Usual,
 		uint64(lot[0])|uint64(lot[1])<<8|uint64(lot[2])<<16|uint64(lot[3])<<24, time.Now())
 	c.node.SeenHere, c.node.Attended = c.seenHere, c.heardOf
 	return nil
 }
 
+// contacts are the seeds' combs, as the settings file names them by now.
+func (c *Comb) contacts() (all []string) {
+	for _, s := range c.set.SeedsNow() {
+		all = append(all, c.set.Inner(guard.HostOf(s), guard.CombPort))
+	}
+	return all
+}
+
 // replay applies what the disk knows to be committed, before anybody asks: after a loss of power each machine would else do it once a leader
 // is there, first the leader, then the others, an eighth of a second each on a quarter of a core, and all wait for it. The node hands the
 // same entries over once more, and the history passes over what it has.
@@ -320,6 +327,10 @@
 				break more
 			}
 		}
+		if named := c.set.SeedsNow(); !slices.Equal(named, c.seeds) {
+			c.seeds = named
+			c.node.SetContacts(c.contacts())
+		}
 		c.node.Tick(time.Now())
 		if c.node.Role() == queen.Leader {
 			c.lead()
--- a/internal/hive/guard/guard.go
+++ b/internal/hive/guard/guard.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/knadh/koanf/providers/confmap"
@@ -39,10 +40,28 @@
 	Counter, Readiness, Control           string  // what is listened on; empty: not served
 	SparePort                             int     // the first
 	Seeds                                 []string
+	Named                                 *Seeds        // those that the file names by now; nil: Seeds
 	Heartbeat                             time.Duration // in which servers tell of themselves
 	Bounds                                Bounds
 }
 
+// Seeds are the core machines that the settings file names, which may change while a process runs: one that was cut off while all of the core
+// was exchanged finds the new one by no other way.
+type Seeds struct{ now atomic.Pointer[[]string] }
+
+// Set takes a new list.
+func (s *Seeds) Set(all []string) { s.now.Store(&all) }
+
+// SeedsNow are the seeds that the settings file names by now.
+func (s Settings) SeedsNow() []string {
+	if s.Named != nil {
+		if now := s.Named.now.Load(); now != nil {
+			return *now
+		}
+	}
+	return s.Seeds
+}
+
 // Bounds are the figures of the rules, as the operators gave them.
 type Bounds struct {
 	Contact, Drain, Grace, Edition, Purge, StaleSlack time.Duration
--- a/internal/hive/queen/queen.go
+++ b/internal/hive/queen/queen.go
@@ -190,6 +190,9 @@
 	return n
 }
 
+// SetContacts names others that may know a leader, in the place of those named before.
+func (n *Node) SetContacts(addrs []string) { n.contacts = addrs }
+
 // What others may ask of a node.
 
 // Role is the node's role.
--- a/internal/hive/scout/scout.go
+++ b/internal/hive/scout/scout.go
@@ -126,7 +126,7 @@
 	s.mu.Lock()
 	all := slices.Clone(s.core)
 	s.mu.Unlock()
-	for _, seed := range s.Set.Seeds {
+	for _, seed := range s.Set.SeedsNow() {
 		if at := s.Set.Inner(guard.HostOf(seed), guard.CombPort); !slices.Contains(all, at) {
 			all = append(all, at)
 		}
--- a/internal/hive/scout/scout_test.go
+++ b/internal/hive/scout/scout_test.go
@@ -127,3 +127,18 @@
 	b.set(func() { b.down = false })
 	until(t, "in touch again", func() bool { p, _ := s.Phase(); return p == InTouch && s.Index() == 30 })
 }
+
+// A copy whose core was exchanged whole while it was cut off knows nobody who is left; the settings file names others, and it asks them.
+func TestOtherSeeds(t *testing.T) {
+	c := &core{history: honey.NewHistory(honey.New()), fresh: true}
+	serve(t, "127.0.73.5:7660", "Comb", c)
+	c.purges(1, 3)
+	s := New()
+	s.Set = guard.Settings{IP: "127.0.0.1", SparePort: 7660, Seeds: []string{"127.0.73.4:1"}, Named: new(guard.Seeds), Bounds: guard.Bounds{Contact: time.Second}}
+	s.Peers, s.Log = antenna.NewPeers(), hclog.NewNullLogger()
+	s.Took = func(*honey.State, honey.Command, uint64, bool) {}
+	assert.DeepEqual(t, s.Core(), []string{"127.0.73.4:7660"})
+	go s.Run(t.Context())
+	s.Set.Named.Set([]string{"127.0.73.5:1"})
+	until(t, "news from the new seed", func() bool { p, _ := s.Phase(); return p == InTouch && s.Index() == 3 })
+}
