Further sends count against the origin's rate; a place that was not used is given back

Cause: read, not played: a place under the rate was taken once for each fetch, though a failing server makes it two sends; the ceiling is counted by arrivals. And a fetch that the decisions refused kept the place. Ruled out: taking a place before each send (the decisions' second try would wait for it within a request's time). Change: what was sent beyond the first is taken afterwards, into debt if need be, bounded by what may be saved.

--- a/internal/hive/flight/flight.go
+++ b/internal/hive/flight/flight.go
@@ -63,7 +63,7 @@
 
 	mu   sync.Mutex
 	last *exchange.Reply  // the last answer of a server that ran it and failed
-	sent bool             // it may have run somewhere
+	sent int              // times that it went to a server: it may have run there
 	by   balance.ServerID // who answered
 	took time.Duration    // from its sending to its answer, whole
 }
@@ -91,6 +91,13 @@
 
 // MayHaveRun tells whether a server may have begun the request.
 func (o *Order) MayHaveRun() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.sent > 0
+}
+
+// Sent is how often it went to a server.
+func (o *Order) Sent() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.sent
@@ -99,7 +106,7 @@
 // note is called before a request's last byte may leave.
 func (o *Order) note() {
 	o.mu.Lock()
-	o.sent = true
+	o.sent++
 	o.mu.Unlock()
 }
 
--- a/internal/hive/forager/plan_test.go
+++ b/internal/hive/forager/plan_test.go
@@ -63,6 +63,20 @@
 		assert.Assert(t, window*float64(routers) <= 410*5*1.1+float64(routers), "%d: %v", routers, window*float64(routers))
 		assert.Assert(t, r.wait() > 0 && !r.spare())
 	}
+	// What was sent to a second server counts as well, before anything else is let; what was let and not sent is given back.
+	var r rate
+	r.set(20, b)
+	for r.take() {
+	}
+	r.spend(-1)
+	assert.Assert(t, r.take() && !r.take())
+	r.spend(3)
+	assert.Assert(t, r.wait() > 100*time.Millisecond && r.wait() <= 207*time.Millisecond, r.wait().String())
+	r.spend(1 << 20) // no debt for ever
+	assert.Assert(t, r.wait() < 5*time.Second, r.wait().String())
+	r.spend(-1 << 20) // and no more than may be saved
+	assert.Assert(t, r.tokens <= r.burst)
+
 	var none rate
 	none.set(0, b)
 	assert.Assert(t, none.take() && none.spare() && none.wait() == 0)
--- a/internal/hive/forager/rate.go
+++ b/internal/hive/forager/rate.go
@@ -111,6 +111,13 @@
 	return true
 }
 
+// spend takes room that has been used already, be there any or not: what comes next waits for it. Under 0 it gives room back that was not used.
+func (r *rate) spend(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tokens = min(max(r.tokens-float64(n), -r.burst), r.burst)
+}
+
 // wait is how long until there is room for one more.
 func (r *rate) wait() time.Duration {
 	r.mu.Lock()
--- a/internal/hive/forager/shelf.go
+++ b/internal/hive/forager/shelf.go
@@ -282,6 +282,7 @@
 	defer f.sender.End(x)
 	sv.loop(r.Class).Submit(x)
 	a := <-x.Answer()
+	sv.rate.spend(order.Sent() - 1) // one place was taken; where servers fail, what is sent again counts as well
 	if a.Kind == exchange.Served {
 		sv.pace.note(r.Class, order.Server(), order.Took(), len(a.Body))
 	}
