Votes are asked about again after an eighth of a second; who promises one waits as long

Ruled out: split votes (one candidate a term in the logs), the start's replay (0.12 s, alike in all plays). Change: a pre-vote that came to nothing is repeated after 0.11 to 0.23 s, for nothing rises by it; whoever grants one puts its own off by as much.

--- a/internal/hive/queen/queen.go
+++ b/internal/hive/queen/queen.go
@@ -270,6 +270,11 @@
 	return n.timing.Election + time.Duration(n.rng.Int64N(int64(n.timing.Election)))
 }
 
+// askAgain is after how long a vote is asked about that came to nothing; whoever has just promised one to another waits as long as well.
+func (n *Node) askAgain() time.Duration {
+	return n.timing.Election/4 + time.Duration(n.rng.Int64N(int64(n.timing.Election/4)))
+}
+
 // become is the one place where the role changes.
 func (n *Node) become(role Role, leader, addr string) {
 	if n.role == Leader && role != Leader {
@@ -380,6 +385,7 @@
 		n.become(Candidate, "", "")
 	} else {
 		n.become(PreCandidate, "", "")
+		n.deadline = n.now.Add(n.askAgain()) // nothing rises by asking: others may be up in a moment
 	}
 	for _, m := range n.Members() {
 		if m.ID != n.self.ID {
@@ -697,6 +703,9 @@
 			return
 		}
 		n.send(Member{m.From, m.Addr}, Message{Kind: PreVoted, Term: m.Term})
+		if next := n.now.Add(n.askAgain()); n.role != Leader && next.After(n.deadline) { // so that not two stand at once
+			n.deadline = next
+		}
 		return
 	}
 	grant := current && (n.role == Follower || n.role == PreCandidate) && (n.hard.Vote == "" || n.hard.Vote == m.From)
--- a/internal/hive/queen/queen_test.go
+++ b/internal/hive/queen/queen_test.go
@@ -129,3 +129,40 @@
 	f.Step(f.now, Message{Kind: Install, From: n.self.ID, Addr: n.self.Addr, Term: n.Term(), Snapshot: &late})
 	assert.Equal(t, f.last(), before)
 }
+
+// After a loss of power machines come up one after the other. One that asked for votes before a majority was up waited for a whole election
+// time, half a second and more, with nobody leading; now it asks again soon, and raises no term by it. Whoever promises another one its vote
+// waits as long, so that not two stand at once.
+func TestVotesAreAskedAboutAgainSoon(t *testing.T) {
+	members := []Member{{"a", "a"}, {"b", "b"}, {"c", "c"}}
+	begin := time.Unix(0, 0)
+	for seed := range uint64(20) {
+		n := New(members[0], Hard{Term: 3}, Snapshot{Conf: members}, nil, nil, Usual, seed, begin)
+		asked := map[time.Time]bool{}
+		now := begin
+		tick := func() (stood bool) {
+			now = now.Add(5 * time.Millisecond)
+			n.Tick(now)
+			for _, m := range n.Take().Messages {
+				stood = stood || m.Kind == PreVote
+			}
+			return stood
+		}
+		for now.Before(begin.Add(time.Second)) {
+			if tick() {
+				asked[now] = true
+			}
+		}
+		assert.Assert(t, len(asked) >= 4, "asked %d times in a second", len(asked))
+		assert.Equal(t, n.Term(), uint64(3))
+
+		n.Step(now, Message{Kind: PreVote, From: "b", Addr: "b", To: "a", Term: 4, LogTerm: 0})
+		until := now.Add(Usual.Election / 4)
+		for now.Before(until.Add(-10 * time.Millisecond)) {
+			assert.Assert(t, !tick(), "stands beside the one that it promised its vote")
+		}
+		for ok := false; !ok; ok = tick() {
+			assert.Assert(t, now.Before(until.Add(Usual.Election)), "never stands again")
+		}
+	}
+}
