The last of a used-up rate is kept for a service's highest rank

Ruled out: a longer burst at the first start (a process that is killed and comes back within the window would have the same again, and the ceiling would break). Change: a route that ranks below another one of its service finds room only past a fifth of what may be saved; the highest rank takes the last of it.

--- a/internal/hive/forager/plan.go
+++ b/internal/hive/forager/plan.go
@@ -18,6 +18,7 @@
 	*honey.Manifest
 	table    *honey.Table
 	routes   map[string]*honey.Route // by name
+	ranks    map[string]int          // the highest of each service's routes, which is the least number
 	services map[string]*service
 }
 
@@ -103,6 +104,7 @@
 	for i := range m.Routes {
 		p.routes[m.Routes[i].Name] = &m.Routes[i]
 	}
+	p.ranks = ranks(m)
 	for _, def := range m.Services {
 		sv := f.services[def.Name]
 		if sv == nil {
@@ -134,6 +136,22 @@
 	f.log.Info("configuration in force", "version", m.Version, "routes", len(m.Routes), "index", s.Index)
 }
 
+// ranks are the highest ranks among each service's routes.
+func ranks(m *honey.Manifest) map[string]int {
+	all := map[string]int{}
+	for _, r := range m.Routes {
+		for _, s := range r.Split {
+			if best, ok := all[s.Service]; s.Weight > 0 && (!ok || r.Priority < best) {
+				all[s.Service] = r.Priority
+			}
+		}
+	}
+	return all
+}
+
+// low tells whether a route ranks below another one of the service.
+func (p *plan) low(r *honey.Route, sv *service) bool { return r.Priority > p.ranks[sv.name] }
+
 // idleFor is how long a connection is kept that nobody uses: less where a server takes fewer of them than there are routers.
 func idleFor(services []honey.Service, routers int) time.Duration {
 	least := 1.0
--- a/internal/hive/forager/plan_test.go
+++ b/internal/hive/forager/plan_test.go
@@ -55,31 +55,56 @@
 		r.at = time.Now().Add(-time.Hour) // idle for long
 		taken := 0
 		for range 3000 { // at one moment
-			if r.take() {
+			if r.take(false) {
 				taken++
 			}
 		}
 		window := float64(taken) + r.per*b.CeilingWindow.Seconds()
 		assert.Assert(t, window*float64(routers) <= 410*5*1.1+float64(routers), "%d: %v", routers, window*float64(routers))
-		assert.Assert(t, r.wait() > 0 && !r.spare())
+		assert.Assert(t, r.wait(false) > 0 && !r.spare())
 	}
 	// What was sent to a second server counts as well, before anything else is let; what was let and not sent is given back.
 	var r rate
 	r.set(20, b)
-	for r.take() {
+	for r.take(false) {
 	}
 	r.spend(-1)
-	assert.Assert(t, r.take() && !r.take())
+	assert.Assert(t, r.take(false) && !r.take(false))
 	r.spend(3)
-	assert.Assert(t, r.wait() > 100*time.Millisecond && r.wait() <= 207*time.Millisecond, r.wait().String())
+	assert.Assert(t, r.wait(false) > 100*time.Millisecond && r.wait(false) <= 207*time.Millisecond, r.wait(false).String())
 	r.spend(1 << 20) // no debt for ever
-	assert.Assert(t, r.wait() < 5*time.Second, r.wait().String())
+	assert.Assert(t, r.wait(false) < 5*time.Second, r.wait(false).String())
 	r.spend(-1 << 20) // and no more than may be saved
 	assert.Assert(t, r.tokens <= r.burst)
 
 	var none rate
 	none.set(0, b)
-	assert.Assert(t, none.take() && none.spare() && none.wait() == 0)
+	assert.Assert(t, none.take(true) && none.spare() && none.wait(true) == 0)
+}
+
+// Under an origin's rate that is used up boards took what tiles, of twice the worth, needed: what ranks below others of its service leaves a
+// part of what is saved to those, and gets all the rest; a service whose routes rank alike knows no low ones.
+func TestRanksUnderARate(t *testing.T) {
+	m := &honey.Manifest{Routes: []honey.Route{
+		{Name: "board", Priority: 2, Split: []honey.Share{{Service: "vault", Weight: 1}}},
+		{Name: "tile", Priority: 1, Split: []honey.Share{{Service: "vault", Weight: 1}}},
+		{Name: "gone", Priority: 0, Split: []honey.Share{{Service: "vault"}, {Service: "desk", Weight: 1}}},
+		{Name: "seat", Priority: 0, Split: []honey.Share{{Service: "desk", Weight: 1}}},
+	}}
+	p, vault, desk := &plan{Manifest: m, ranks: ranks(m)}, &service{name: "vault"}, &service{name: "desk"}
+	assert.Assert(t, p.low(&m.Routes[0], vault) && !p.low(&m.Routes[1], vault) && !p.low(&m.Routes[3], desk))
+
+	var r rate
+	r.set(100, guard.Bounds{CeilingWindow: 5 * time.Second, CeilingExcess: 1.1})
+	r.per = 1e-9 // nothing comes back while the test looks
+	boards, tiles := 0, 0
+	for r.take(true) {
+		boards++
+	}
+	for r.take(false) {
+		tiles++
+	}
+	assert.Assert(t, tiles >= 8 && boards > 3*tiles, "%d %d", boards, tiles)
 }
 
 // Of a large fleet a part talks to the servers of objects, and one router that comes or goes changes one of them at most; the
--- a/internal/hive/forager/rate.go
+++ b/internal/hive/forager/rate.go
@@ -28,6 +28,7 @@
 	ratePart  = 0.97 // of the ceiling: for clocks and for requests that cross a window's edge
 	tellEvery = 500 * time.Millisecond
 	needPart  = 0.5 // of the newest span in the need
+	rankPart  = 0.2 // of what may be saved, that is kept for a service's highest rank
 	leastNeed = 0.5 // requests a second that are worth telling
 )
 
@@ -94,8 +95,8 @@
 	}
 }
 
-// take takes one request's room if there is any.
-func (r *rate) take() bool {
+// take takes one request's room if there is any. What ranks below others of its service leaves the last of it to those.
+func (r *rate) take(low bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.per <= 0 {
@@ -104,7 +105,7 @@
 	now := time.Now()
 	r.tokens = min(r.tokens+r.per*now.Sub(r.at).Seconds(), r.burst)
 	r.at = now
-	if r.tokens < 1 {
+	if r.tokens < r.least(low) {
 		return false
 	}
 	r.tokens--
@@ -118,14 +119,23 @@
 	r.tokens = min(max(r.tokens-float64(n), -r.burst), r.burst)
 }
 
+// least is what must have been saved for one more.
+func (r *rate) least(low bool) float64 {
+	if low {
+		return 1 + r.burst*rankPart
+	}
+	return 1
+}
+
 // wait is how long until there is room for one more.
-func (r *rate) wait() time.Duration {
+func (r *rate) wait(low bool) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.per <= 0 || r.tokens >= 1 {
+	least := r.least(low)
+	if r.per <= 0 || r.tokens >= least {
 		return 0
 	}
-	return time.Duration((1 - r.tokens) / r.per * float64(time.Second))
+	return time.Duration((least - r.tokens) / r.per * float64(time.Second))
 }
 
 // spare tells whether half of what may be saved is there: what nobody waits for leaves the rest to those who do.
--- a/internal/hive/forager/serve.go
+++ b/internal/hive/forager/serve.go
@@ -102,8 +102,9 @@
 		return
 	}
 	sv.rate.want()
-	if !sv.rate.take() {
-		q.refuse(sv.rate.wait())
+	low := q.plan.low(q.route, sv)
+	if !sv.rate.take(low) {
+		q.refuse(sv.rate.wait(low))
 		return
 	}
 	header := flight.EndToEnd(q.Header.Clone())
--- a/internal/hive/forager/shelf.go
+++ b/internal/hive/forager/shelf.go
@@ -177,8 +177,9 @@
 		}
 	}
 	sv.rate.want()
-	for late := time.Now().Add(min(patience/3, rateWait)); !sv.rate.take(); {
-		wait := sv.rate.wait()
+	low := p.low(route, sv)
+	for late := time.Now().Add(min(patience/3, rateWait)); !sv.rate.take(low); {
+		wait := sv.rate.wait(low)
 		if time.Now().Add(wait).After(late) {
 			return Fetched{Refuse: max(wait, comeAgain).Milliseconds()}
 		}
