--- a/internal/hive/comb/comb_test.go
+++ b/internal/hive/comb/comb_test.go
@@ -269,3 +269,22 @@
 	c.letGo(now.Add(absentFor))
 	assert.Equal(t, len(c.attended), 1)
 }
+
+// What a router said that it needs counts for a while and is let go then: the rate of one that has gone is cut among the others.
+func TestNeedsAreForgotten(t *testing.T) {
+	c := &Comb{needs: map[string]needed{}}
+	s := &service{c}
+	var ok bool
+	assert.NilError(t, s.Need(&honey.Needs{Node: "a", Per: map[string]float64{"shop": 10}}, &ok))
+	assert.NilError(t, s.Need(&honey.Needs{Node: "b", Per: map[string]float64{"shop": 5, "desk": 1}}, &ok))
+	assert.Assert(t, ok)
+	needs := func() (all map[string]map[string]float64) {
+		assert.NilError(t, s.Needs(new(bool), &all))
+		return all
+	}
+	assert.DeepEqual(t, needs(), map[string]map[string]float64{"shop": {"a": 10, "b": 5}, "desk": {"b": 1}})
+	c.needs["b"] = needed{c.needs["b"].per, time.Now().Add(-2 * needFor)}
+	assert.DeepEqual(t, needs(), map[string]map[string]float64{"shop": {"a": 10}})
+	c.letGo(time.Now())
+	assert.Equal(t, len(c.needs), 1)
+}
