--- /dev/null
+++ b/cmd/configstore/main.go
@@ -0,0 +1,11 @@
+// Command configstore is the store of configuration of the delivery network.
+package main
+
+import (
+	"cedarmast/internal/cdn/configstore"
+	"cedarmast/internal/cdn/process"
+)
+
+func main() {
+	process.Main(process.Program{Name: "configstore", Usage: "store of configuration of the delivery network", Run: configstore.Run})
+}
--- a/cmd/hive/main.go
+++ b/cmd/localnet/main.go
@@ -1,4 +1,4 @@
-// Command hive is for trying the delivery network out: it starts a small one on this machine.
+// Command localnet is for trying the delivery network out: it starts a small one on this machine.
 package main
 
 import (
@@ -10,7 +10,7 @@
 	"time"
 
 	"cedarmast/internal/build"
-	"cedarmast/internal/hive/meadow"
+	"cedarmast/internal/cdn/localnet"
 
 	"github.com/urfave/cli/v3"
 )
@@ -18,16 +18,16 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	root := &cli.Command{Name: "hive", Usage: "try the delivery network out", Commands: []*cli.Command{
+	root := &cli.Command{Name: "localnet", Usage: "try the delivery network out", Commands: []*cli.Command{
 		{Name: "up", Usage: "start a small network with stand-in servers on this machine, and show a request served, cached and purged",
 			Flags: []cli.Flag{&cli.IntFlag{Name: "core", Value: 3, Usage: "core machines"}, &cli.IntFlag{Name: "edges", Value: 2, Usage: "edges"},
 				&cli.BoolFlag{Name: "once", Usage: "end after the show"}, &cli.BoolFlag{Name: "logs", Usage: "print the processes' logs"}},
 			Action: func(ctx context.Context, c *cli.Command) error {
-				shape := meadow.Shape{Core: c.Int("core"), Edges: c.Int("edges"), Zones: 2, Net: 70}
+				shape := localnet.Shape{Core: c.Int("core"), Edges: c.Int("edges"), Zones: 2, Net: 70}
 				if c.Bool("logs") {
 					shape.Out = os.Stderr
 				}
-				return meadow.Show(ctx, shape, os.Stdout, !c.Bool("once"))
+				return localnet.Show(ctx, shape, os.Stdout, !c.Bool("once"))
 			}},
 		{Name: "measure", Usage: "what control costs: real core machines, hollow edges that share this process, one row a load",
 			Flags: []cli.Flag{&cli.IntFlag{Name: "core", Value: 5, Usage: "core machines"}, &cli.StringFlag{Name: "edges", Value: "30,120,420", Usage: "how many, a row each"},
@@ -35,19 +35,19 @@
 				&cli.StringFlag{Name: "puts", Value: "0.1", Usage: "configurations a second, a row each"}, &cli.StringFlag{Name: "routes", Value: "14", Usage: "of a configuration, a row each"},
 				&cli.DurationFlag{Name: "for", Value: 10 * time.Second, Usage: "how long each load lasts"}},
 			Action: func(ctx context.Context, c *cli.Command) error {
-				loads, err := meadow.Loads(c.Duration("for"), c.String("edges"), c.String("servers"), c.String("purges"), c.String("puts"), c.String("routes"))
+				loads, err := localnet.Loads(c.Duration("for"), c.String("edges"), c.String("servers"), c.String("purges"), c.String("puts"), c.String("routes"))
 				if err != nil {
 					return cli.Exit(err.Error(), 2)
 				}
-				return meadow.Measure(ctx, meadow.Shape{Core: c.Int("core"), Zones: 3, Net: 69}, loads, os.Stdout)
+				return localnet.Measure(ctx, localnet.Shape{Core: c.Int("core"), Zones: 3, Net: 69}, loads, os.Stdout)
 			}},
 		{Name: "version", Usage: "tell which build this is", Action: func(context.Context, *cli.Command) error {
-			fmt.Println(build.Line("hive"))
+			fmt.Println(build.Line("localnet"))
 			return nil
 		}},
 	}}
 	if err := root.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "hive:", err)
+		fmt.Fprintln(os.Stderr, "localnet:", err)
 		os.Exit(1)
 	}
 }
--- /dev/null
+++ b/cmd/registry/main.go
@@ -0,0 +1,11 @@
+// Command registry is the registry of the delivery network.
+package main
+
+import (
+	"cedarmast/internal/cdn/process"
+	"cedarmast/internal/cdn/registry"
+)
+
+func main() {
+	process.Main(process.Program{Name: "registry", Usage: "registry of the delivery network", Run: registry.Run})
+}
--- a/internal/hive/guard/guard.go
+++ b/internal/cdn/bootconfig/bootconfig.go
@@ -1,6 +1,6 @@
-// Package guard reads and checks the settings file that the platform gives a process: lines of the form a.b=value. A fault
+// Package bootconfig reads and checks the settings file that the platform gives a process: lines of the form a.b=value. A fault
 // names its key and ends the start; keys that nobody here knows pass.
-package guard
+package bootconfig
 
 import (
 	"bufio"
@@ -25,8 +25,8 @@
 
 // Ports of a machine that the system's processes use among themselves, counted from the first of its spare ones.
 const (
-	CombPort = iota
-	ForagerPort
+	ConfigStorePort = iota
+	EdgePort
 	portsNeeded
 )
 
@@ -256,7 +256,7 @@
 	return host
 }
 
-// Inner is the address at which a machine's comb or forager is reached by the system's other processes.
+// Inner is the address at which a machine's config store or edge is reached by the system's other processes.
 func (s Settings) Inner(ip string, port int) string {
 	return net.JoinHostPort(ip, strconv.Itoa(s.SparePort+port))
 }
--- a/internal/hive/guard/guard_test.go
+++ b/internal/cdn/bootconfig/bootconfig_test.go
@@ -1,4 +1,4 @@
-package guard
+package bootconfig
 
 import (
 	"strings"
@@ -33,7 +33,7 @@
 	assert.Equal(t, s.Bounds.Contact, 3*time.Second)
 	assert.Assert(t, s.FirstStart && len(s.Seeds) == 2 && len(s.Serves) == 1)
 	assert.Assert(t, s.Cores == 0.16 && s.LinkMbps == 8.6, "%v %v", s.Cores, s.LinkMbps)
-	assert.Equal(t, s.Inner(HostOf(s.Seeds[1]), CombPort), "10.2.0.32:7660")
+	assert.Equal(t, s.Inner(HostOf(s.Seeds[1]), ConfigStorePort), "10.2.0.32:7660")
 	cases := []struct{ old, new, key string }{
 		{"self.node=counter-1", "", "self.node"},
 		{"self.ip=10.1.0.35", "self.ip=here", "self.ip"},
--- a/internal/hive/honey/honey.go
+++ b/internal/cdn/clusterstate/clusterstate.go
@@ -1,7 +1,7 @@
-// Package honey is what the system's processes know in common: the configuration, the servers, the cache routers and who
+// Package clusterstate is what the system's processes know in common: the configuration, the servers, the cache routers and who
 // holds which duty, as one state that changes by commands in the order of the log. Every process that applies the same
 // commands holds the same state. It does no I/O.
-package honey
+package clusterstate
 
 import (
 	"bytes"
--- a/internal/hive/honey/manifest.go
+++ b/internal/cdn/clusterstate/manifest.go
@@ -1,4 +1,4 @@
-package honey
+package clusterstate
 
 import (
 	"encoding/json"
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"cedarmast/internal/hive/guard"
+	"cedarmast/internal/cdn/bootconfig"
 )
 
 // The kinds of route, in the operators' words.
@@ -137,7 +137,7 @@
 	if t == "" || t == "0" {
 		return 0, nil
 	}
-	d, err := guard.Span(string(t))
+	d, err := bootconfig.Span(string(t))
 	if err != nil {
 		return 0, fmt.Errorf("%s: %w", field, err)
 	}
--- a/internal/hive/honey/share_test.go
+++ b/internal/cdn/clusterstate/share_test.go
@@ -1,4 +1,4 @@
-package honey
+package clusterstate
 
 import (
 	"fmt"
--- a/internal/hive/comb/comb.go
+++ b/internal/cdn/configstore/configstore.go
@@ -1,6 +1,6 @@
-// Package comb is the store of configuration's process: a core machine's part in the log, the common state that it makes,
+// Package configstore is the store of configuration's process: a core machine's part in the log, the common state that it makes,
 // and the answers to those who ask what is new.
-package comb
+package configstore
 
 import (
 	"bytes"
@@ -14,18 +14,18 @@
 	"sync"
 	"time"
 
-	"cedarmast/internal/hive/antenna"
-	"cedarmast/internal/hive/guard"
-	"cedarmast/internal/hive/honey"
-	"cedarmast/internal/hive/queen"
-	"cedarmast/internal/hive/wax"
+	"cedarmast/internal/cdn/bootconfig"
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/consensus"
+	"cedarmast/internal/cdn/peerrpc"
+	"cedarmast/internal/cdn/raftlog"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/zeebo/errs"
 )
 
 // Error is the class of this package's errors.
-var Error = errs.Class("comb")
+var Error = errs.Class("configstore")
 
 const (
 	tick          = 30 * time.Millisecond
@@ -37,33 +37,33 @@
 	liveFor       = 2 * time.Second  // a core machine heard within this may hold a duty
 	absentFor     = 12 * time.Second // who has not been heard for twice as long is forgotten
 	needFor       = 2 * time.Second  // what a cache router needs counts for so long after it said so
-	toldEvery     = time.Second      // the leader hears who has asked, or beaten, at the other combs
+	toldEvery     = time.Second      // the leader hears who has asked, or beaten, at the other config stores
 	enrolAgain    = time.Second
 	enrolTogether = 150 * time.Millisecond // newcomers of so long are one change of every table
 	dialPatience  = 200 * time.Millisecond // among core machines: one that has no power yet is asked again soon, and may vote
 	leaveWithin   = 700 * time.Millisecond
 )
 
-// Comb is the process. Run starts it.
-type Comb struct {
-	set   guard.Settings
+// Store is the process. Run starts it.
+type Store struct {
+	set   bootconfig.Settings
 	log   hclog.Logger
-	peers *antenna.Peers
+	peers *peerrpc.Peers
 
-	in        chan []queen.Message
+	in        chan []consensus.Message
 	proposals chan *proposal
 	barriers  chan *reading
 	quit      chan struct{}
 	done      chan struct{}
 
 	// The loop's own:
-	node    *queen.Node
+	node    *consensus.Node
 	journal journal
 	slow    slowness
 	waiting map[uint64]*proposal
 	reads   map[uint64]*reading
 	token   uint64
-	senders map[string]chan []queen.Message
+	senders map[string]chan []consensus.Message
 	led     time.Time // since when this node has led
 	duty    time.Time // of the last look at duties
 	seeds   []string  // as the node was last told
@@ -71,7 +71,7 @@
 	gather gather
 
 	mu        sync.Mutex
-	history   *honey.History
+	history   *clusterstate.History
 	changed   chan struct{} // closed and made anew with every change
 	leader    string        // address
 	leads     bool
@@ -79,25 +79,25 @@
 	fresh     bool
 	turned    time.Time // when the loop last came round
 	core      []string
-	applied   uint64               // the last entry of the log that the state has
-	attended  map[string]time.Time // cache routers that asked here, and servers that were heard here
-	present   map[string]time.Time // at the leader: anywhere
-	enrolled  map[string]time.Time // when their entry was last proposed
-	newcomers []honey.Router       // who asked and is not in the roster; proposed together
-	told      time.Time            // when the leader was last told who asked here
-	looked    time.Time            // when the lists of who was heard were last looked through
-	needs     map[string]needed    // by cache router, while this machine holds the duty
+	applied   uint64                // the last entry of the log that the state has
+	attended  map[string]time.Time  // cache routers that asked here, and servers that were heard here
+	present   map[string]time.Time  // at the leader: anywhere
+	enrolled  map[string]time.Time  // when their entry was last proposed
+	newcomers []clusterstate.Router // who asked and is not in the roster; proposed together
+	told      time.Time             // when the leader was last told who asked here
+	looked    time.Time             // when the lists of who was heard were last looked through
+	needs     map[string]needed     // by cache router, while this machine holds the duty
 	status    Status
 
 	wrap func(journal) journal // a test's way to the disk; nil in service
 }
 
-// journal is the disk's part: *wax.Journal.
+// journal is the disk's part: *raftlog.Journal.
 type journal interface {
-	Begin(id string, h wax.Held) error
-	Save(hard *queen.Hard, snap *queen.Snapshot, entries []queen.Entry) error
+	Begin(id string, h raftlog.Held) error
+	Save(hard *consensus.Hard, snap *consensus.Snapshot, entries []consensus.Entry) error
 	Note(committed uint64)
-	Renew(hard queen.Hard, snap queen.Snapshot, entries []queen.Entry) error
+	Renew(hard consensus.Hard, snap consensus.Snapshot, entries []consensus.Entry) error
 	Reopen() error
 	Size() int64
 	Close()
@@ -132,7 +132,7 @@
 	at  time.Time
 }
 
-// Status is what a comb tells of itself.
+// Status is what a config store tells of itself.
 type Status struct {
 	ID, Role, Leader     string
 	Term, Commit, Index  uint64
@@ -140,7 +140,7 @@
 	Journal              int64 // bytes
 	Version              string
 	Servers, Routers     int
-	Duty                 honey.Duty
+	Duty                 clusterstate.Duty
 	Fresh, DiskFails     bool
 	Syncs, Messages, Put uint64
 }
@@ -159,23 +159,23 @@
 }
 
 type answer struct {
-	honey.Outcome
+	clusterstate.Outcome
 	known bool // what became of it is known
 	begun bool // it may be in the log
 }
 
 // Run opens the disk, serves the other processes and takes part in the log until the context ends.
-func Run(ctx context.Context, set guard.Settings, log hclog.Logger) error {
+func Run(ctx context.Context, set bootconfig.Settings, log hclog.Logger) error {
 	return run(ctx, set, log, nil)
 }
 
-func run(ctx context.Context, set guard.Settings, log hclog.Logger, wrap func(journal) journal) error {
+func run(ctx context.Context, set bootconfig.Settings, log hclog.Logger, wrap func(journal) journal) error {
 	if set.DataDir == "" {
 		return Error.New("self.data_dir: missing: the log needs a disk")
 	}
-	c := &Comb{set: set, log: log, peers: antenna.NewPeers(), in: make(chan []queen.Message, 256), proposals: make(chan *proposal, 1024),
+	c := &Store{set: set, log: log, peers: peerrpc.NewPeers(), in: make(chan []consensus.Message, 256), proposals: make(chan *proposal, 1024),
 		barriers: make(chan *reading, 256), quit: make(chan struct{}), done: make(chan struct{}),
-		waiting: map[uint64]*proposal{}, reads: map[uint64]*reading{}, senders: map[string]chan []queen.Message{},
+		waiting: map[uint64]*proposal{}, reads: map[uint64]*reading{}, senders: map[string]chan []consensus.Message{},
 		changed: make(chan struct{}), attended: map[string]time.Time{}, present: map[string]time.Time{},
 		enrolled: map[string]time.Time{}, needs: map[string]needed{}, wrap: wrap}
 	c.peers.DialPatience = dialPatience
@@ -183,12 +183,12 @@
 		return err
 	}
 	defer c.journal.Close()
-	listener, err := net.Listen("tcp", set.Inner(set.IP, guard.CombPort))
+	listener, err := net.Listen("tcp", set.Inner(set.IP, bootconfig.ConfigStorePort))
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	log.Info("started", "id", c.node.Self().ID, "address", c.node.Self().Addr, "members", len(c.node.Members())) // the node is the loop's from here on
-	go antenna.Serve(listener, "Comb", &service{c})
+	go peerrpc.Serve(listener, "ConfigStore", &service{c})
 	go c.loop()
 	<-ctx.Done()
 	close(c.quit)
@@ -199,8 +199,8 @@
 }
 
 // open reads the disk. An empty one is a first start or a loss: in the second case this machine counts as a new one.
-func (c *Comb) open() error {
-	opened, held, err := wax.Open(c.set.DataDir)
+func (c *Store) open() error {
+	opened, held, err := raftlog.Open(c.set.DataDir)
 	if err != nil {
 		return err
 	}
@@ -208,15 +208,15 @@
 	if c.wrap != nil {
 		c.journal = c.wrap(opened)
 	}
-	self := queen.Member{ID: held.ID, Addr: c.set.Inner(c.set.IP, guard.CombPort)}
-	var first []queen.Member
+	self := consensus.Member{ID: held.ID, Addr: c.set.Inner(c.set.IP, bootconfig.ConfigStorePort)}
+	var first []consensus.Member
 	seed := false
 	for _, s := range c.set.Seeds {
-		ip := guard.HostOf(s)
-		first = append(first, queen.Member{ID: ip, Addr: c.set.Inner(ip, guard.CombPort)})
+		ip := bootconfig.HostOf(s)
+		first = append(first, consensus.Member{ID: ip, Addr: c.set.Inner(ip, bootconfig.ConfigStorePort)})
 		seed = seed || ip == c.set.IP
 	}
-	state := honey.New()
+	state := clusterstate.New()
 	if held.ID == "" {
 		switch {
 		case c.set.FirstStart && seed:
@@ -239,20 +239,20 @@
 			return err
 		}
 	}
-	c.history, c.applied = honey.NewHistory(state), held.Snapshot.Index
+	c.history, c.applied = clusterstate.NewHistory(state), held.Snapshot.Index
 	c.replay(held)
 	var lot [8]byte
 	rand.Read(lot[:])
-	c.node = queen.New(self, held.Hard, held.Snapshot, held.Entries, c.contacts(), queen.Usual,
+	c.node = consensus.New(self, held.Hard, held.Snapshot, held.Entries, c.contacts(), consensus.Usual,
 		uint64(lot[0])|uint64(lot[1])<<8|uint64(lot[2])<<16|uint64(lot[3])<<24, time.Now())
 	c.node.SeenHere, c.node.Attended = c.seenHere, c.heardOf
 	return nil
 }
 
-// contacts are the seeds' combs, as the settings file names them by now.
-func (c *Comb) contacts() (all []string) {
+// contacts are the seeds' config stores, as the settings file names them by now.
+func (c *Store) contacts() (all []string) {
 	for _, s := range c.set.SeedsNow() {
-		all = append(all, c.set.Inner(guard.HostOf(s), guard.CombPort))
+		all = append(all, c.set.Inner(bootconfig.HostOf(s), bootconfig.ConfigStorePort))
 	}
 	return all
 }
@@ -260,7 +260,7 @@
 // replay applies what the disk knows to be committed, before anybody asks: after a loss of power each machine would else do it once a leader
 // is there, first the leader, then the others, an eighth of a second each on a quarter of a core, and all wait for it. The node hands the
 // same entries over once more, and the history passes over what it has.
-func (c *Comb) replay(held wax.Held) {
+func (c *Store) replay(held raftlog.Held) {
 	for _, e := range held.Entries {
 		if e.Index > held.Committed {
 			return
@@ -273,7 +273,7 @@
 	}
 }
 
-func encodeState(s *honey.State) []byte {
+func encodeState(s *clusterstate.State) []byte {
 	var b bytes.Buffer
 	if err := gob.NewEncoder(&b).Encode(s); err != nil {
 		panic(err) // a plain struct
@@ -281,8 +281,8 @@
 	return b.Bytes()
 }
 
-func decodeState(data []byte) (*honey.State, error) {
-	s := honey.New()
+func decodeState(data []byte) (*clusterstate.State, error) {
+	s := clusterstate.New()
 	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(s); err != nil {
 		return nil, Error.New("snapshot: %w", err)
 	}
@@ -290,7 +290,7 @@
 }
 
 // loop is the one goroutine that owns the node and the journal.
-func (c *Comb) loop() {
+func (c *Store) loop() {
 	defer close(c.done)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
@@ -307,7 +307,7 @@
 		case <-ticker.C:
 		case <-quit:
 			quit = nil
-			if c.node.Role() == queen.Leader {
+			if c.node.Role() == consensus.Leader {
 				c.node.HandOver()
 			}
 			leave = time.After(leaveWithin)
@@ -332,7 +332,7 @@
 			c.node.SetContacts(c.contacts())
 		}
 		c.node.Tick(time.Now())
-		if c.node.Role() == queen.Leader {
+		if c.node.Role() == consensus.Leader {
 			c.lead()
 		} else {
 			c.led = time.Time{}
@@ -346,14 +346,14 @@
 	}
 }
 
-func (c *Comb) step(all []queen.Message) {
+func (c *Store) step(all []consensus.Message) {
 	now := time.Now()
 	for _, m := range all {
 		c.node.Step(now, m)
 	}
 }
 
-func (c *Comb) propose(p *proposal) {
+func (c *Store) propose(p *proposal) {
 	index, term, ok := c.node.Propose(p.data)
 	if !ok {
 		p.reply <- answer{}
@@ -366,14 +366,14 @@
 	c.waiting[index] = p
 }
 
-func (c *Comb) barrier(r *reading) {
+func (c *Store) barrier(r *reading) {
 	c.token++
 	c.reads[c.token] = r
 	c.node.Barrier(c.token)
 }
 
 // carryOut saves, sends and applies what the node has ready; false if there is nothing.
-func (c *Comb) carryOut() bool {
+func (c *Store) carryOut() bool {
 	r := c.node.Take()
 	if r.Empty() {
 		return false
@@ -391,7 +391,7 @@
 			c.log.Error("snapshot not readable", "err", err)
 		} else {
 			c.mu.Lock()
-			c.history, c.applied = honey.NewHistory(state), r.Snapshot.Index
+			c.history, c.applied = clusterstate.NewHistory(state), r.Snapshot.Index
 			c.mu.Unlock()
 		}
 	}
@@ -407,7 +407,7 @@
 
 // save writes to the disk. While it takes nothing this machine does nothing either: it hands over once, and whatever hangs
 // on the write is neither said nor done.
-func (c *Comb) save(r queen.Ready) bool {
+func (c *Store) save(r consensus.Ready) bool {
 	if r.Hard == nil && r.Snapshot == nil && len(r.Entries) == 0 {
 		return true
 	}
@@ -416,7 +416,7 @@
 		begun := time.Now()
 		err := c.journal.Save(r.Hard, r.Snapshot, r.Entries)
 		if err == nil {
-			if took := time.Since(begun); c.slow.turn(took) && c.node.Role() == queen.Leader {
+			if took := time.Since(begun); c.slow.turn(took) && c.node.Role() == consensus.Leader {
 				c.log.Warn("disk is slow; gives way", "last", took.Round(time.Millisecond))
 				c.node.GiveWay()
 			}
@@ -431,7 +431,7 @@
 			c.log.Error("disk takes nothing; waiting for it", "err", err)
 			c.node.GiveWay()
 			for _, m := range c.node.Take().Messages {
-				if m.Kind == queen.TakeOver {
+				if m.Kind == consensus.TakeOver {
 					c.send(m)
 				}
 			}
@@ -452,7 +452,7 @@
 }
 
 // refuseAll answers what waits for a loop that can't go on. Of what may be in the log nothing is promised.
-func (c *Comb) refuseAll() {
+func (c *Store) refuseAll() {
 	for {
 		select {
 		case <-c.in:
@@ -467,14 +467,14 @@
 }
 
 // apply takes committed entries on and answers who waits for them.
-func (c *Comb) apply(entries []queen.Entry) {
+func (c *Store) apply(entries []consensus.Entry) {
 	if len(entries) == 0 {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, e := range entries {
-		out := honey.Outcome{Status: honey.Done}
+		out := clusterstate.Outcome{Status: clusterstate.Done}
 		if len(e.Data) > 0 {
 			var err error
 			if _, out, err = c.history.Apply(e.Index, e.Data); err != nil {
@@ -492,7 +492,7 @@
 }
 
 // publish shows the rest of the process where the node stands.
-func (c *Comb) publish() {
+func (c *Store) publish() {
 	_, leader := c.node.Leader()
 	members := c.node.Members()
 	core := make([]string, 0, len(members))
@@ -507,13 +507,13 @@
 		close(c.changed)
 		c.changed = make(chan struct{})
 	}
-	c.leader, c.leads, c.since, c.fresh, c.core = leader, c.node.Role() == queen.Leader, c.led, fresh, core
+	c.leader, c.leads, c.since, c.fresh, c.core = leader, c.node.Role() == consensus.Leader, c.led, fresh, core
 	c.status.Role, c.status.Term, c.status.Commit = c.node.Role().String(), c.node.Term(), c.node.Commit()
 	c.status.ID, c.status.Journal = c.node.Self().ID, c.journal.Size()
 }
 
 // renew begins a new journal with a snapshot when the present one has grown long.
-func (c *Comb) renew() {
+func (c *Store) renew() {
 	if c.journal.Size() < renewBytes && c.node.LogSize() < renewEntries {
 		return
 	}
@@ -530,7 +530,7 @@
 }
 
 // lead does what falls to the leader: it appoints the duty's holder, the first live core machine in the order of addresses.
-func (c *Comb) lead() {
+func (c *Store) lead() {
 	now := time.Now()
 	if c.led.IsZero() {
 		c.led, c.duty = now, now
@@ -546,16 +546,16 @@
 	live := c.node.Live(liveFor)
 	holder := ""
 	for _, m := range live { // in the order of addresses
-		if ip := guard.HostOf(m.Addr); holder == "" || ip < holder {
+		if ip := bootconfig.HostOf(m.Addr); holder == "" || ip < holder {
 			holder = ip
 		}
 	}
 	lives := false
 	for _, m := range live {
-		lives = lives || guard.HostOf(m.Addr) == state.Duty.Holder
+		lives = lives || bootconfig.HostOf(m.Addr) == state.Duty.Holder
 	}
 	if !lives && holder != "" && now.Sub(c.led) > liveFor/2 {
-		c.node.Propose(honey.Command{Appoint: holder}.Encode())
+		c.node.Propose(clusterstate.Command{Appoint: holder}.Encode())
 	}
 	for node, at := range c.present {
 		if now.Sub(at) > 2*absentFor {
@@ -565,7 +565,7 @@
 }
 
 // seenHere is who has asked this machine for news, for the leader, at times.
-func (c *Comb) seenHere() (seen []string) {
+func (c *Store) seenHere() (seen []string) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -583,7 +583,7 @@
 
 // letGo forgets who has not been heard here for long, whatever this machine's role: a leader is told by nobody's question to
 // look through its own list.
-func (c *Comb) letGo(now time.Time) {
+func (c *Store) letGo(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if now.Sub(c.looked) < absentFor {
@@ -603,7 +603,7 @@
 	}
 }
 
-func (c *Comb) heardOf(seen []string) {
+func (c *Store) heardOf(seen []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, node := range seen {
@@ -612,23 +612,23 @@
 }
 
 // send hands a message to its address's sender; what can't go out in time is dropped, for the node says it again.
-func (c *Comb) send(m queen.Message) {
+func (c *Store) send(m consensus.Message) {
 	to := c.senders[m.ToAddr]
 	if to == nil {
-		to = make(chan []queen.Message, 64)
+		to = make(chan []consensus.Message, 64)
 		c.senders[m.ToAddr] = to
 		go c.sender(m.ToAddr, to)
 	}
 	select {
-	case to <- []queen.Message{m}:
+	case to <- []consensus.Message{m}:
 	default:
 	}
 }
 
-func (c *Comb) sender(address string, in <-chan []queen.Message) {
+func (c *Store) sender(address string, in <-chan []consensus.Message) {
 	peer := c.peers.At(address)
 	for {
-		var all []queen.Message
+		var all []consensus.Message
 		select {
 		case all = <-in:
 		case <-c.done:
@@ -644,7 +644,7 @@
 			}
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 600*time.Millisecond)
-		_, err := antenna.Call[[]queen.Message, bool](ctx, peer, "Comb.Deliver", &all)
+		_, err := peerrpc.Call[[]consensus.Message, bool](ctx, peer, "ConfigStore.Deliver", &all)
 		cancel()
 		if err != nil {
 			c.log.Debug("not delivered", "err", err)
@@ -653,7 +653,7 @@
 }
 
 // wait waits until the loop's published state passes the test, or the context ends.
-func (c *Comb) wait(ctx context.Context, test func() bool) bool {
+func (c *Store) wait(ctx context.Context, test func() bool) bool {
 	for {
 		c.mu.Lock()
 		ok, changed := test(), c.changed
--- a/internal/hive/comb/comb_test.go
+++ b/internal/cdn/configstore/configstore_test.go
@@ -1,4 +1,4 @@
-package comb
+package configstore
 
 import (
 	"context"
@@ -10,24 +10,24 @@
 	"testing"
 	"time"
 
-	"cedarmast/internal/hive/antenna"
-	"cedarmast/internal/hive/guard"
-	"cedarmast/internal/hive/honey"
-	"cedarmast/internal/hive/queen"
-	"cedarmast/internal/hive/wax"
+	"cedarmast/internal/cdn/bootconfig"
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/consensus"
+	"cedarmast/internal/cdn/peerrpc"
+	"cedarmast/internal/cdn/raftlog"
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 )
 
-// start runs so many combs in this process, each on its own address and folder, until the test ends.
-func start(t *testing.T, n int, at int) (peers []*antenna.Peer) {
+// start runs so many config stores in this process, each on its own address and folder, until the test ends.
+func start(t *testing.T, n int, at int) (peers []*peerrpc.Peer) {
 	t.Helper()
 	return startOn(t, n, at, func(int) func(journal) journal { return nil })
 }
 
 // startOn does it with each one's way to its disk.
-func startOn(t *testing.T, n int, at int, disk func(i int) func(journal) journal) (peers []*antenna.Peer) {
+func startOn(t *testing.T, n int, at int, disk func(i int) func(journal) journal) (peers []*peerrpc.Peer) {
 	t.Helper()
 	var seeds []string
 	for i := range n {
@@ -36,10 +36,10 @@
 	ctx, end := context.WithCancel(context.Background())
 	done := make(chan error, n)
 	for i := range n {
-		set := guard.Settings{Node: fmt.Sprint("core-", i), IP: fmt.Sprintf("127.0.%d.%d", at, i+1), DataDir: t.TempDir(), FirstStart: true, Seeds: seeds, SparePort: 7660,
+		set := bootconfig.Settings{Node: fmt.Sprint("core-", i), IP: fmt.Sprintf("127.0.%d.%d", at, i+1), DataDir: t.TempDir(), FirstStart: true, Seeds: seeds, SparePort: 7660,
 			Heartbeat: time.Second}
 		go func() { done <- run(ctx, set, hclog.NewNullLogger(), disk(i)) }()
-		peers = append(peers, antenna.NewPeer(set.Inner(set.IP, guard.CombPort)))
+		peers = append(peers, peerrpc.NewPeer(set.Inner(set.IP, bootconfig.ConfigStorePort)))
 	}
 	t.Cleanup(func() {
 		end()
@@ -50,10 +50,10 @@
 	return peers
 }
 
-func call[A, R any](t *testing.T, p *antenna.Peer, method string, args A) (R, error) {
+func call[A, R any](t *testing.T, p *peerrpc.Peer, method string, args A) (R, error) {
 	ctx, done := context.WithTimeout(t.Context(), 3*time.Second)
 	defer done()
-	return antenna.Call[A, R](ctx, p, method, &args)
+	return peerrpc.Call[A, R](ctx, p, method, &args)
 }
 
 func until(t *testing.T, what string, ok func() bool) {
@@ -72,19 +72,19 @@
 const room = 64 << 10 // bytes of a file, at the limit
 
 func purge(tag string) Proposal {
-	return Proposal{Data: honey.Command{Purge: &honey.Purge{Tag: tag}}.Encode(), WaitMS: 700}
+	return Proposal{Data: clusterstate.Command{Purge: &clusterstate.Purge{Tag: tag}}.Encode(), WaitMS: 700}
 }
 
 // Every disk is full at once, by the limit on files: what is asked for then is not acknowledged, nothing that was is lost, the
 // machines say that their disks fail and that they are not current; when there is room again they go on by themselves.
 func TestFullDisks(t *testing.T) {
 	peers := start(t, 3, 74)
-	taken := func(p *antenna.Peer, tag string) bool {
-		r, err := call[Proposal, Reply](t, p, "Comb.Propose", purge(tag))
-		return err == nil && r.Known && r.Status == honey.Done
+	taken := func(p *peerrpc.Peer, tag string) bool {
+		r, err := call[Proposal, Reply](t, p, "ConfigStore.Propose", purge(tag))
+		return err == nil && r.Known && r.Status == clusterstate.Done
 	}
-	purges := func(p *antenna.Peer) uint64 {
-		n, err := call[honey.Ask, honey.News](t, p, "Comb.News", honey.Ask{HoldMS: 1})
+	purges := func(p *peerrpc.Peer) uint64 {
+		n, err := call[clusterstate.Ask, clusterstate.News](t, p, "ConfigStore.News", clusterstate.Ask{HoldMS: 1})
 		if err != nil || n.State == nil {
 			return 0
 		}
@@ -105,7 +105,7 @@
 	}
 	failing := 0
 	for _, p := range peers {
-		s, err := call[bool, Status](t, p, "Comb.Status", false)
+		s, err := call[bool, Status](t, p, "ConfigStore.Status", false)
 		assert.NilError(t, err)
 		if s.DiskFails {
 			failing++
@@ -128,7 +128,7 @@
 	mu sync.Mutex
 }
 
-func (h *hanging) Save(hard *queen.Hard, snap *queen.Snapshot, entries []queen.Entry) error {
+func (h *hanging) Save(hard *consensus.Hard, snap *consensus.Snapshot, entries []consensus.Entry) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.journal.Save(hard, snap, entries)
@@ -144,18 +144,18 @@
 	peers := startOn(t, 3, 77, func(i int) func(journal) journal {
 		return func(j journal) journal { disks[i].journal = j; return disks[i] }
 	})
-	taken := func(p *antenna.Peer, tag string) bool {
-		r, err := call[Proposal, Reply](t, p, "Comb.Propose", purge(tag))
-		return err == nil && r.Known && r.Status == honey.Done
+	taken := func(p *peerrpc.Peer, tag string) bool {
+		r, err := call[Proposal, Reply](t, p, "ConfigStore.Propose", purge(tag))
+		return err == nil && r.Known && r.Status == clusterstate.Done
 	}
 	status := func(i int) Status {
-		s, _ := call[bool, Status](t, peers[i], "Comb.Status", false) // none while it starts
+		s, _ := call[bool, Status](t, peers[i], "ConfigStore.Status", false) // none while it starts
 		return s
 	}
 	leader := -1
 	until(t, "a leader", func() bool {
 		for i := range peers {
-			if status(i).Role == queen.Leader.String() {
+			if status(i).Role == consensus.Leader.String() {
 				leader = i
 			}
 		}
@@ -212,26 +212,26 @@
 func TestNews(t *testing.T) {
 	peers := start(t, 3, 75)
 	until(t, "a leader", func() bool {
-		r, err := call[Proposal, Reply](t, peers[0], "Comb.Propose", purge("one"))
+		r, err := call[Proposal, Reply](t, peers[0], "ConfigStore.Propose", purge("one"))
 		return err == nil && r.Known
 	})
 	for i, p := range peers {
-		n, err := call[honey.Ask, honey.News](t, p, "Comb.News", honey.Ask{Barrier: true, HoldMS: 2000, Router: honey.Router{Node: fmt.Sprint("edge-", i), Zone: "z"}})
+		n, err := call[clusterstate.Ask, clusterstate.News](t, p, "ConfigStore.News", clusterstate.Ask{Barrier: true, HoldMS: 2000, Router: clusterstate.Router{Node: fmt.Sprint("edge-", i), Zone: "z"}})
 		assert.NilError(t, err)
 		assert.Assert(t, n.Fresh && n.State != nil && n.State.Purges >= 1)
 	}
 	until(t, "a roster of three", func() bool {
-		n, err := call[honey.Ask, honey.News](t, peers[2], "Comb.News", honey.Ask{HoldMS: 1})
+		n, err := call[clusterstate.Ask, clusterstate.News](t, peers[2], "ConfigStore.News", clusterstate.Ask{HoldMS: 1})
 		return err == nil && n.State != nil && len(n.State.Routers) == 3
 	})
-	n, err := call[honey.Ask, honey.News](t, peers[1], "Comb.News", honey.Ask{HoldMS: 1})
+	n, err := call[clusterstate.Ask, clusterstate.News](t, peers[1], "ConfigStore.News", clusterstate.Ask{HoldMS: 1})
 	assert.NilError(t, err)
-	got := make(chan honey.News, 1)
+	got := make(chan clusterstate.News, 1)
 	go func() {
-		news, _ := call[honey.Ask, honey.News](t, peers[1], "Comb.News", honey.Ask{Have: n.State.Index, HoldMS: 2500})
+		news, _ := call[clusterstate.Ask, clusterstate.News](t, peers[1], "ConfigStore.News", clusterstate.Ask{Have: n.State.Index, HoldMS: 2500})
 		got <- news
 	}()
-	_, err = call[Proposal, Reply](t, peers[2], "Comb.Propose", purge("two"))
+	_, err = call[Proposal, Reply](t, peers[2], "ConfigStore.Propose", purge("two"))
 	assert.NilError(t, err)
 	news := <-got
 	assert.Assert(t, news.State == nil && len(news.Changes) >= 1, "%+v", news)
@@ -239,13 +239,13 @@
 
 // After a loss of power a machine knows at once what its disk says is committed, and nothing beyond it: that may be voted away.
 func TestAStartAppliesWhatIsSurelyKept(t *testing.T) {
-	var held wax.Held
+	var held raftlog.Held
 	for i := range uint64(5) {
-		held.Entries = append(held.Entries, queen.Entry{Index: i + 1, Term: 1, Data: purge(fmt.Sprint(i)).Data})
+		held.Entries = append(held.Entries, consensus.Entry{Index: i + 1, Term: 1, Data: purge(fmt.Sprint(i)).Data})
 	}
 	for committed := range uint64(7) {
 		held.Committed = committed
-		c := &Comb{history: honey.NewHistory(honey.New())}
+		c := &Store{history: clusterstate.NewHistory(clusterstate.New())}
 		c.replay(held)
 		assert.Equal(t, c.history.State.Purges, min(committed, 5))
 		for _, e := range held.Entries { // the node hands all of them over later
@@ -260,7 +260,7 @@
 // bound, servers that live would pass for silent. A leader's was never looked through.
 func TestWhoIsLongSilentIsForgotten(t *testing.T) {
 	now := time.Now()
-	c := &Comb{attended: map[string]time.Time{"old": now.Add(-3 * absentFor), "new": now}, enrolled: map[string]time.Time{"old": now, "new": now}}
+	c := &Store{attended: map[string]time.Time{"old": now.Add(-3 * absentFor), "new": now}, enrolled: map[string]time.Time{"old": now, "new": now}}
 	c.letGo(now)
 	assert.Equal(t, len(c.attended)+len(c.enrolled), 2)
 	c.attended["later"] = now.Add(-3 * absentFor)
@@ -272,11 +272,11 @@
 
 // What a router said that it needs counts for a while and is let go then: the rate of one that has gone is cut among the others.
 func TestNeedsAreForgotten(t *testing.T) {
-	c := &Comb{needs: map[string]needed{}}
+	c := &Store{needs: map[string]needed{}}
 	s := &service{c}
 	var ok bool
-	assert.NilError(t, s.Need(&honey.Needs{Node: "a", Per: map[string]float64{"shop": 10}}, &ok))
-	assert.NilError(t, s.Need(&honey.Needs{Node: "b", Per: map[string]float64{"shop": 5, "desk": 1}}, &ok))
+	assert.NilError(t, s.Need(&clusterstate.Needs{Node: "a", Per: map[string]float64{"shop": 10}}, &ok))
+	assert.NilError(t, s.Need(&clusterstate.Needs{Node: "b", Per: map[string]float64{"shop": 5, "desk": 1}}, &ok))
 	assert.Assert(t, ok)
 	needs := func() (all map[string]map[string]float64) {
 		assert.NilError(t, s.Needs(new(bool), &all))
--- a/internal/hive/comb/service.go
+++ b/internal/cdn/configstore/service.go
@@ -1,34 +1,34 @@
-package comb
+package configstore
 
 import (
 	"context"
 	"sync"
 	"time"
 
-	"cedarmast/internal/hive/antenna"
-	"cedarmast/internal/hive/honey"
-	"cedarmast/internal/hive/queen"
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/consensus"
+	"cedarmast/internal/cdn/peerrpc"
 )
 
 // service is what other processes may call. Its methods have net/rpc's form.
-type service struct{ c *Comb }
+type service struct{ c *Store }
 
 // Proposal is a command on its way to the leader.
 type Proposal struct {
 	Data      []byte
 	WaitMS    int64 // how long its outcome is waited for
-	Forwarded bool  // by another comb: it is not passed on again
+	Forwarded bool  // by another config store: it is not passed on again
 }
 
 // Reply is what became of a proposal.
 type Reply struct {
-	honey.Outcome
+	clusterstate.Outcome
 	Known bool // else it may or may not come into force
 }
 
 // Deliver takes messages of the agreement.
-func (s *service) Deliver(all *[]queen.Message, ok *bool) error {
-	if len(*all) > 0 && (*all)[0].Addr != "" && (*all)[0].Kind != queen.Join { // a join may be handed on by another one
+func (s *service) Deliver(all *[]consensus.Message, ok *bool) error {
+	if len(*all) > 0 && (*all)[0].Addr != "" && (*all)[0].Kind != consensus.Join { // a join may be handed on by another one
 		s.c.peers.At((*all)[0].Addr).Awake()
 	}
 	select {
@@ -74,7 +74,7 @@
 				on.WaitMS = max(time.Until(until).Milliseconds(), 1)
 			}
 			call, done := context.WithTimeout(ctx, 1500*time.Millisecond)
-			reply, err := antenna.Call[Proposal, Reply](call, s.c.peers.At(at), "Comb.Propose", &on)
+			reply, err := peerrpc.Call[Proposal, Reply](call, s.c.peers.At(at), "ConfigStore.Propose", &on)
 			done()
 			if err == nil && reply.Known {
 				*r = reply
@@ -90,7 +90,7 @@
 }
 
 // whereLeader waits for a leader: here, or at an address.
-func (c *Comb) whereLeader(ctx context.Context) (here bool, at string) {
+func (c *Store) whereLeader(ctx context.Context) (here bool, at string) {
 	c.wait(ctx, func() bool {
 		here, at = c.leads, c.leader
 		return here || at != ""
@@ -182,7 +182,7 @@
 		default:
 			on := Asked{WaitMS: a.WaitMS, Forwarded: true}
 			call, done := context.WithTimeout(ctx, 800*time.Millisecond)
-			got, err := antenna.Call[Asked, uint64](call, s.c.peers.At(at), "Comb.Barrier", &on)
+			got, err := peerrpc.Call[Asked, uint64](call, s.c.peers.At(at), "ConfigStore.Barrier", &on)
 			done()
 			if err == nil {
 				*index = got
@@ -214,12 +214,12 @@
 	return nil
 }
 
-func (c *Comb) caughtUp(ctx context.Context, index uint64) bool {
+func (c *Store) caughtUp(ctx context.Context, index uint64) bool {
 	return c.wait(ctx, func() bool { return c.applied >= index })
 }
 
 // News answers one who asks what is new, at once if there is any or if this machine can't tell, else when there is.
-func (s *service) News(a *honey.Ask, n *honey.News) error {
+func (s *service) News(a *clusterstate.Ask, n *clusterstate.News) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(a.HoldMS)*time.Millisecond)
 	defer cancel()
 	s.c.attend(a.Router)
@@ -242,10 +242,10 @@
 }
 
 // current tells whether this machine follows a leader with a majority. The caller holds the lock.
-func (c *Comb) current() bool { return c.fresh && time.Since(c.turned) < freshFor }
+func (c *Store) current() bool { return c.fresh && time.Since(c.turned) < freshFor }
 
 // attend notes a cache router that asks, and has one that is new, or has moved, put into the roster.
-func (c *Comb) attend(r honey.Router) {
+func (c *Store) attend(r clusterstate.Router) {
 	if r.Node == "" {
 		return
 	}
@@ -266,12 +266,12 @@
 }
 
 // enrol proposes those who have come, all in one command: each command is a change of every table.
-func (c *Comb) enrol() {
+func (c *Store) enrol() {
 	c.mu.Lock()
 	all := c.newcomers
 	c.newcomers = nil
 	c.mu.Unlock()
-	(&service{c}).Propose(&Proposal{Data: honey.Command{Enrol: all}.Encode(), WaitMS: 1000}, &Reply{})
+	(&service{c}).Propose(&Proposal{Data: clusterstate.Command{Enrol: all}.Encode(), WaitMS: 1000}, &Reply{})
 }
 
 // Heard notes servers whose beats this machine's registry has acknowledged. The leader is told with the followers' answers.
@@ -297,7 +297,7 @@
 func ServerKey(id string) string { return serverMark + id }
 
 // Need notes what a cache router would ask of the servers of services, for the machine that holds the duty.
-func (s *service) Need(n *honey.Needs, ok *bool) error {
+func (s *service) Need(n *clusterstate.Needs, ok *bool) error {
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
 	if _, known := s.c.needs[n.Node]; known || len(s.c.needs) < mostAttended {
@@ -357,7 +357,7 @@
 	}
 	ctx, done := context.WithTimeout(context.Background(), 800*time.Millisecond)
 	defer done()
-	got, err := antenna.Call[Silence, []int64](ctx, s.c.peers.At(at), "Comb.Silent", &Silence{q.Names, true})
+	got, err := peerrpc.Call[Silence, []int64](ctx, s.c.peers.At(at), "ConfigStore.Silent", &Silence{q.Names, true})
 	*ages = got
 	return err
 }
--- a/internal/hive/queen/queen.go
+++ b/internal/cdn/consensus/consensus.go
@@ -1,7 +1,7 @@
-// Package queen is the agreement of the core machines: one elected leader orders all changes in a log. It follows Raft, with
+// Package consensus is the agreement of the core machines: one elected leader orders all changes in a log. It follows Raft, with
 // pre-votes, changes of membership one at a time, read barriers and snapshots. It does no I/O and has no clock or
 // goroutine of its own: the host brings messages and the time, saves what Ready names, then sends what Ready names.
-package queen
+package consensus
 
 import (
 	"math/rand/v2"
--- a/internal/hive/queen/model_test.go
+++ b/internal/cdn/consensus/model_test.go
@@ -1,4 +1,4 @@
-package queen
+package consensus
 
 import (
 	"fmt"
--- a/internal/hive/forager/capacity_test.go
+++ b/internal/cdn/edge/capacity_test.go
@@ -1,4 +1,4 @@
-package forager
+package edge
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"time"
 
 	"cedarmast/balance"
-	"cedarmast/internal/hive/nectar"
+	"cedarmast/internal/cdn/objectcache"
 )
 
 // BenchmarkRoster is what cutting the interval table costs as a fleet of so many cache routers comes in ten
@@ -18,7 +18,7 @@
 			for b.Loop() {
 				l := balance.New(balance.Settings{Classes: []balance.Class{{Name: hopClass, Aim: hopAim, Deadline: hopDeadline, Worth: 1}}, Routers: 1,
 					Ramp: time.Second, OverloadFor: time.Second, ColdFrom: 1}, 1)
-				for batch := range 10 { // as combs enrol newcomers, and then a few one by one
+				for batch := range 10 { // as config stores enrol newcomers, and then a few one by one
 					news := balance.List{Kind: balance.Partial, Version: int64(batch)}
 					for i := batch; i < routers; i += 10 {
 						news.Entries = append(news.Entries, balance.Entry{Server: balance.ServerID(fmt.Sprint("edge-", i)), Zone: fmt.Sprint(i % 31), Weight: 1})
@@ -46,9 +46,9 @@
 				var before, after runtime.MemStats
 				runtime.GC()
 				runtime.ReadMemStats(&before)
-				c := nectar.New(1 << 30)
+				c := objectcache.New(1 << 30)
 				for i := range copies {
-					c.Put(nectar.Key{Service: "s", Host: "a.example", Path: fmt.Sprint("/objects/", i)}, &nectar.Copy{Body: make([]byte, 1024),
+					c.Put(objectcache.Key{Service: "s", Host: "a.example", Path: fmt.Sprint("/objects/", i)}, &objectcache.Copy{Body: make([]byte, 1024),
 						Labels: []string{fmt.Sprint("t", i%30)}, Shelf: 20 * time.Second, At: time.Unix(int64(i), 0), Index: 1})
 				}
 				runtime.GC()
--- a/internal/hive/forager/door.go
+++ b/internal/cdn/edge/door.go
@@ -1,4 +1,4 @@
-package forager
+package edge
 
 import (
 	"errors"
--- a/internal/hive/forager/forager.go
+++ b/internal/cdn/edge/edge.go
@@ -1,7 +1,7 @@
-// Package forager is the proxy's process: it takes clients' requests on a counter machine, finds their route in the common
+// Package edge is the proxy's process: it takes clients' requests on a counter machine, finds their route in the common
 // configuration, and sends them on, shelved ones by way of the cache router that the interval table names. All decisions
 // about servers and cache routers are balance's, hosted by exchange as in the router in service.
-package forager
+package edge
 
 import (
 	"context"
@@ -16,21 +16,21 @@
 	"time"
 
 	"cedarmast/balance"
+	"cedarmast/internal/cdn/bootconfig"
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/objectcache"
+	"cedarmast/internal/cdn/peerrpc"
+	"cedarmast/internal/cdn/peersampling"
+	"cedarmast/internal/cdn/statesync"
+	"cedarmast/internal/cdn/upstream"
 	"cedarmast/internal/exchange"
-	"cedarmast/internal/hive/antenna"
-	"cedarmast/internal/hive/flight"
-	"cedarmast/internal/hive/guard"
-	"cedarmast/internal/hive/honey"
-	"cedarmast/internal/hive/nectar"
-	"cedarmast/internal/hive/scout"
-	"cedarmast/internal/hive/swarm"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/zeebo/errs"
 )
 
 // Error is the class of this package's errors.
-var Error = errs.Class("forager")
+var Error = errs.Class("edge")
 
 const (
 	maxLent      = 64 << 20                // bytes of a body that is taken from another cache router
@@ -45,24 +45,24 @@
 	memoryTarget = 0.8 // of the memory, past which garbage is collected at once
 )
 
-// Forager is the process. Run starts it.
-type Forager struct {
-	set    guard.Settings
-	log    hclog.Logger
-	quiet  *slog.Logger
-	peers  *antenna.Peers
-	scout  *scout.Scout
-	view   *swarm.View
-	cache  *nectar.Cache
-	bodies *exchange.Budget // of long requests
-	clock  exchange.Clock
-	counts exchange.Counters
-	link   *link // the machine's, to clients and others
-	from   *link // and from others
-	sender *flight.Sender
-	hop    *hop // to a key's cache router in the own zone
-	home   *hop // to its shield
-	closer *hop // to a shield in the own zone, if there is one
+// Edge is the process. Run starts it.
+type Edge struct {
+	set     bootconfig.Settings
+	log     hclog.Logger
+	quiet   *slog.Logger
+	peers   *peerrpc.Peers
+	replica *statesync.Replica
+	view    *peersampling.View
+	cache   *objectcache.Cache
+	bodies  *exchange.Budget // of long requests
+	clock   exchange.Clock
+	counts  exchange.Counters
+	link    *link // the machine's, to clients and others
+	from    *link // and from others
+	sender  *upstream.Sender
+	hop     *hop // to a key's cache router in the own zone
+	home    *hop // to its shield
+	closer  *hop // to a shield in the own zone, if there is one
 
 	plan     atomic.Pointer[plan] // what requests are served by
 	changes  chan func()          // what follows from news and may wait, in order
@@ -70,7 +70,7 @@
 	ending   atomic.Bool
 	lastWord atomic.Bool // every answer is the last of its connection
 
-	// Under the scout's lock:
+	// Under the replica's lock:
 	services map[string]*service
 	started  map[string]balance.Time
 
@@ -81,7 +81,7 @@
 }
 
 // Run serves until the context ends, then ends in order.
-func Run(ctx context.Context, set guard.Settings, log hclog.Logger) error {
+func Run(ctx context.Context, set bootconfig.Settings, log hclog.Logger) error {
 	clients := slices.Contains(set.Serves, "counter") || set.Counter != ""
 	switch {
 	case clients && set.Counter == "":
@@ -92,15 +92,15 @@
 	debug.SetMemoryLimit(int64(float64(set.MemoryMB<<20) * memoryTarget))
 	life, end := context.WithCancel(context.Background())
 	defer end()
-	f := &Forager{set: set, log: log, peers: antenna.NewPeers(), scout: scout.New(),
-		cache: nectar.New(int64(set.MemoryMB<<20) / cachePart), clock: exchange.NewClock(), changes: make(chan func(), 4096),
+	f := &Edge{set: set, log: log, peers: peerrpc.NewPeers(), replica: statesync.New(),
+		cache: objectcache.New(int64(set.MemoryMB<<20) / cachePart), clock: exchange.NewClock(), changes: make(chan func(), 4096),
 		life: life}
 	f.init()
-	own := set.Inner(set.IP, guard.ForagerPort)
-	f.view = swarm.New(own, viewMost, mrand.Uint64())
-	f.scout.Set, f.scout.Peers, f.scout.Log = set, f.peers, log.Named("scout")
-	f.scout.Router = honey.Router{Node: set.Node, Zone: set.Zone, Address: own, Weight: weight(set), Inner: !clients}
-	f.scout.Took, f.scout.Neighbours = f.took, f.view.Neighbours
+	own := set.Inner(set.IP, bootconfig.EdgePort)
+	f.view = peersampling.New(own, viewMost, mrand.Uint64())
+	f.replica.Set, f.replica.Peers, f.replica.Log = set, f.peers, log.Named("statesync")
+	f.replica.Router = clusterstate.Router{Node: set.Node, Zone: set.Zone, Address: own, Weight: weight(set), Inner: !clients}
+	f.replica.Took, f.replica.Neighbours = f.took, f.view.Neighbours
 
 	inner, err := net.Listen("tcp", own)
 	if err != nil {
@@ -119,12 +119,12 @@
 	f.running.Go(func() { f.sweep(life) })
 	f.running.Go(func() { f.mingle(life) })
 	f.running.Go(func() { f.tell(life) })
-	go f.scout.Run(life)
-	go antenna.Serve(inner, "Forager", &peerCalls{f})
+	go f.replica.Run(life)
+	go peerrpc.Serve(inner, "Edge", &peerCalls{f})
 	if front != nil {
 		front.serve()
 	}
-	log.Info("started", "address", set.Counter, "zone", set.Zone, "weight", f.scout.Router.Weight)
+	log.Info("started", "address", set.Counter, "zone", set.Zone, "weight", f.replica.Router.Weight)
 
 	<-ctx.Done()
 	f.ending.Store(true)
@@ -139,17 +139,17 @@
 }
 
 // weight is what a machine can carry beside others, in Mbit/s: its link, or what its part of a core bears.
-func weight(set guard.Settings) float64 { return max(min(set.LinkMbps, set.Cores*mbpsPerCore), 1) }
+func weight(set bootconfig.Settings) float64 { return max(min(set.LinkMbps, set.Cores*mbpsPerCore), 1) }
 
 // front is where clients and the platform come in. A machine that serves no clients has none, and only lends copies.
 type front struct {
-	f                  *Forager
+	f                  *Edge
 	readiness, counter net.Listener
 	door               *door
 	server             *http.Server
 }
 
-func (f *Forager) open() (*front, error) {
+func (f *Edge) open() (*front, error) {
 	readiness, err := net.Listen("tcp", f.set.Readiness)
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -181,7 +181,7 @@
 	t.server.Close()
 }
 
-func (f *Forager) serveReady(w http.ResponseWriter, r *http.Request) {
+func (f *Edge) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/ready" {
 		http.NotFound(w, r)
 		return
@@ -192,7 +192,7 @@
 }
 
 // follow carries out, in order, what follows from news.
-func (f *Forager) follow(ctx context.Context) {
+func (f *Edge) follow(ctx context.Context) {
 	for {
 		select {
 		case do := <-f.changes:
@@ -203,7 +203,7 @@
 	}
 }
 
-func (f *Forager) sweep(ctx context.Context) {
+func (f *Edge) sweep(ctx context.Context) {
 	look := time.NewTicker(lookEvery)
 	defer look.Stop()
 	for turn := 1; ; turn++ {
@@ -223,20 +223,20 @@
 }
 
 // init makes what hangs on the settings alone.
-func (f *Forager) init() {
+func (f *Edge) init() {
 	f.link, f.from = newLink(f.set.LinkMbps), newLink(f.set.LinkMbps)
 	f.quiet = slog.New(slog.DiscardHandler)
 	f.services, f.started = map[string]*service{}, map[string]balance.Time{}
 	f.bodies = exchange.NewBudget(int64(f.set.MemoryMB<<20) / bodiesPart)
 	f.fetches.all = map[level]*fetch{}
-	f.sender = flight.NewSender(max(f.set.FileHandles/2-fdsReserved, 64), &f.counts)
+	f.sender = upstream.NewSender(max(f.set.FileHandles/2-fdsReserved, 64), &f.counts)
 	f.closer = newHop(f, true, true)
 	f.hop, f.home = newHop(f, false, true), newHop(f, true, false)
 }
 
 // mingle keeps this router's partial view of the others: now and then it is exchanged in part with one of them. The roster is
 // only asked for somebody to begin with, or when nobody in the view answers any more.
-func (f *Forager) mingle(ctx context.Context) {
+func (f *Edge) mingle(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -244,7 +244,7 @@
 		case <-time.After(mingleEvery/2 + mrand.N(mingleEvery)):
 		}
 		if len(f.view.Neighbours()) < viewMost/2 {
-			f.scout.Read(func(s *honey.State) {
+			f.replica.Read(func(s *clusterstate.State) {
 				for _, r := range s.Routers { // in no order, and until the view is full
 					if r.Node != f.set.Node {
 						f.view.Meet(r.Address)
@@ -252,12 +252,12 @@
 				}
 			})
 		}
-		ask, offer := f.view.Begin(f.scout.Index())
+		ask, offer := f.view.Begin(f.replica.Index())
 		if ask == "" {
 			continue
 		}
 		call, done := context.WithTimeout(ctx, time.Second)
-		answer, err := antenna.Call[[]swarm.Neighbour, []swarm.Neighbour](call, f.peers.At(ask), "Forager.Mingle", &offer)
+		answer, err := peerrpc.Call[[]peersampling.Neighbour, []peersampling.Neighbour](call, f.peers.At(ask), "Edge.Mingle", &offer)
 		if done(); err != nil {
 			f.log.Debug("a neighbour is gone", "err", err)
 			continue
@@ -267,7 +267,7 @@
 }
 
 // newLoop returns a host for decisions, with this process's clock and counters.
-func (f *Forager) newLoop(set balance.Settings, sender exchange.Sender, pool *exchange.Pool) *exchange.Loop {
+func (f *Edge) newLoop(set balance.Settings, sender exchange.Sender, pool *exchange.Pool) *exchange.Loop {
 	l := exchange.NewLoop()
 	l.Clock, l.Counts, l.Log, l.Pool, l.Sender, l.Teller = f.clock, &f.counts, f.quiet, pool, sender, nobody{}
 	l.Settings, l.Seed = set, mrand.Uint64()
--- a/internal/hive/forager/frames_test.go
+++ b/internal/cdn/edge/frames_test.go
@@ -1,4 +1,4 @@
-package forager
+package edge
 
 import (
 	"bytes"
@@ -7,9 +7,9 @@
 	"net/rpc"
 	"testing"
 
-	"cedarmast/internal/hive/honey"
-	"cedarmast/internal/hive/nectar"
-	"cedarmast/internal/hive/swarm"
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/objectcache"
+	"cedarmast/internal/cdn/peersampling"
 
 	"gotest.tools/v3/assert"
 )
@@ -32,19 +32,19 @@
 		assert.NilError(f, e.Encode(args))
 		return b.Bytes()
 	}
-	f.Add(frame("Forager.Fetch", Fetch{Key: nectar.Key{Service: "shop", Host: "a", Path: "/s/1"}, Target: "/s/1", LeftMS: 1}))
-	f.Add(frame("Forager.Fetch", Fetch{LeftMS: -1, AgeMS: -1, ETag: "x", Home: true}))
-	f.Add(frame("Forager.News", honey.Ask{Have: 1 << 60}))
-	f.Add(frame("Forager.Mingle", []swarm.Neighbour{{Address: "x", Age: -1}}))
-	f.Add(frame("Forager.Serve", 1))
+	f.Add(frame("Edge.Fetch", Fetch{Key: objectcache.Key{Service: "shop", Host: "a", Path: "/s/1"}, Target: "/s/1", LeftMS: 1}))
+	f.Add(frame("Edge.Fetch", Fetch{LeftMS: -1, AgeMS: -1, ETag: "x", Home: true}))
+	f.Add(frame("Edge.News", clusterstate.Ask{Have: 1 << 60}))
+	f.Add(frame("Edge.Mingle", []peersampling.Neighbour{{Address: "x", Age: -1}}))
+	f.Add(frame("Edge.Serve", 1))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		p := &Forager{}
+		p := &Edge{}
 		p.init()
-		p.view = swarm.New("me", 4, 1)
-		s := newScoutForTest()
-		p.scout, p.cache = s, nectar.New(1<<20)
+		p.view = peersampling.New("me", 4, 1)
+		s := newReplicaForTest()
+		p.replica, p.cache = s, objectcache.New(1<<20)
 		server := rpc.NewServer()
-		assert.NilError(t, server.RegisterName("Forager", &peerCalls{p}))
+		assert.NilError(t, server.RegisterName("Edge", &peerCalls{p}))
 		server.ServeConn(wire{bytes.NewReader(text), io.Discard})
 		assert.Equal(t, s.Index(), uint64(0))
 		n, _ := p.cache.Size()
--- a/internal/hive/forager/hop.go
+++ b/internal/cdn/edge/hop.go
@@ -1,4 +1,4 @@
-package forager
+package edge
 
 import (
 	"context"
@@ -10,24 +10,24 @@
 	"time"
 
 	"cedarmast/balance"
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/objectcache"
+	"cedarmast/internal/cdn/peerrpc"
+	"cedarmast/internal/cdn/peersampling"
+	"cedarmast/internal/cdn/upstream"
 	"cedarmast/internal/exchange"
-	"cedarmast/internal/hive/antenna"
-	"cedarmast/internal/hive/flight"
-	"cedarmast/internal/hive/honey"
-	"cedarmast/internal/hive/nectar"
-	"cedarmast/internal/hive/swarm"
 )
 
 // hop is the way to the cache router that a key belongs to: the interval table, and the second hash when it is crowded.
 type hop struct {
-	f    *Forager
+	f    *Edge
 	home bool // to the shield of a key, else to its cache router
 	loop *exchange.Loop
 	base uint64 // of the roster that the table was cut by
 	done int    // steps of it that the table has
 
-	roster map[string]honey.Router // as of those steps
-	listed map[string]honey.Router // of them, that the table has: all, or the shields
+	roster map[string]clusterstate.Router // as of those steps
+	listed map[string]clusterstate.Router // of them, that the table has: all, or the shields
 }
 
 const (
@@ -38,8 +38,8 @@
 	behindFor   = 150 * time.Millisecond // a cache router that lacks a purge may take so long to learn of it
 )
 
-func newHop(f *Forager, home, near bool) *hop {
-	h := &hop{f: f, home: home, roster: map[string]honey.Router{}, listed: map[string]honey.Router{}}
+func newHop(f *Edge, home, near bool) *hop {
+	h := &hop{f: f, home: home, roster: map[string]clusterstate.Router{}, listed: map[string]clusterstate.Router{}}
 	set := balance.Settings{Classes: []balance.Class{{Name: hopClass, Aim: hopAim, Deadline: hopDeadline, Worth: 1,
 		Effect: balance.Safe}}, Routers: 1, Zone: f.set.Zone, OverShareWorth: 1, MaxAttempts: 2, ConnectTimeout: time.Second,
 		ColdFrom: 1, Ramp: time.Second, OverloadFactor: 2, OverloadFor: time.Second}
@@ -52,7 +52,7 @@
 
 // follow hands the table the changes that it lacks, one by one, as every router's table gets them. When the roster has been
 // written down anew, the table begins anew with it.
-func (h *hop) follow(s *honey.State) {
+func (h *hop) follow(s *clusterstate.State) {
 	if h.base != s.RosterBase || h.done > len(s.Roster) {
 		gone := exchange.List{Addresses: map[balance.ServerID]string{}}
 		gone.Kind, gone.Version = balance.Complete, int64(s.Index)
@@ -75,9 +75,9 @@
 
 // change tells the table how those whom it is to have differ from those whom it has.
 func (h *hop) change(version int64) {
-	chosen, want := honey.Lenders(h.roster), map[string]honey.Router{}
+	chosen, want := clusterstate.Lenders(h.roster), map[string]clusterstate.Router{}
 	if h.home {
-		chosen = honey.Shields(h.roster)
+		chosen = clusterstate.Shields(h.roster)
 	}
 	for node := range chosen {
 		want[node] = h.roster[node]
@@ -105,7 +105,7 @@
 
 // Fetch is one cache router's question to another.
 type Fetch struct {
-	Key    nectar.Key
+	Key    objectcache.Key
 	Target string // as in the request line
 	ID     string // the client's Try-Id
 	LeftMS int64
@@ -148,7 +148,7 @@
 			got, err = h.f.lentBy(a.Context, h.f.peers.At(a.Address), q)
 		}
 		switch {
-		case errors.Is(err, antenna.ErrNotBegun):
+		case errors.Is(err, peerrpc.ErrNotBegun):
 			a.End(exchange.Reply{Result: balance.NoConnect, Err: err})
 		case errors.Is(err, context.DeadlineExceeded):
 			a.End(exchange.Reply{Result: balance.TimedOut, Err: err})
@@ -180,7 +180,7 @@
 	if len(v) != 10 {
 		return Error.New("hop: a question of %d parts", len(v))
 	}
-	*q = Fetch{Key: nectar.Key{Service: v[0], Host: v[1], Path: v[2], Query: v[3]}, Target: v[4], ID: v[5], Route: v[6],
+	*q = Fetch{Key: objectcache.Key{Service: v[0], Host: v[1], Path: v[2], Query: v[3]}, Target: v[4], ID: v[5], Route: v[6],
 		Index: uint64(atoi(v[7])), AgeMS: atoi(v[8]), ETag: v[9]}
 	return nil
 }
@@ -190,7 +190,7 @@
 	if h == nil {
 		h = http.Header{}
 	}
-	h[flight.StatusKey] = []string{itoa(int64(g.Status))}
+	h[upstream.StatusKey] = []string{itoa(int64(g.Status))}
 	if g.Whole {
 		h[wholeKey], h[ageKey], h[indexKey] = []string{"1"}, []string{itoa(g.AgeMS)}, []string{itoa(int64(g.Index))}
 	}
@@ -204,9 +204,9 @@
 }
 
 func unpack(h http.Header, body []byte) Fetched {
-	g := Fetched{Status: int(atoi(first(h, flight.StatusKey))), Body: body, Whole: first(h, wholeKey) != "", Refuse: atoi(first(h, laterKey)),
+	g := Fetched{Status: int(atoi(first(h, upstream.StatusKey))), Body: body, Whole: first(h, wholeKey) != "", Refuse: atoi(first(h, laterKey)),
 		Same: first(h, sameKey) != "", AgeMS: atoi(first(h, ageKey)), Index: uint64(atoi(first(h, indexKey)))}
-	for _, name := range [...]string{flight.StatusKey, wholeKey, laterKey, sameKey, ageKey, indexKey} {
+	for _, name := range [...]string{upstream.StatusKey, wholeKey, laterKey, sameKey, ageKey, indexKey} {
 		delete(h, name)
 	}
 	g.Header = h
@@ -214,7 +214,7 @@
 }
 
 // peerCalls is what other processes may call. Its methods have net/rpc's form.
-type peerCalls struct{ f *Forager }
+type peerCalls struct{ f *Edge }
 
 // Fetch answers a cache router that asks for an object. A panic ends this call alone: net/rpc would end the process.
 func (p *peerCalls) Fetch(q *Fetch, g *Fetched) (err error) {
@@ -231,9 +231,9 @@
 	if p.f.ending.Load() {
 		return errors.New("ending")
 	}
-	if p.f.scout.Index() < q.Index {
+	if p.f.replica.Index() < q.Index {
 		wait, late := context.WithTimeout(ctx, behindFor)
-		ok := p.f.scout.Await(wait, q.Index)
+		ok := p.f.replica.Await(wait, q.Index)
 		late()
 		if !ok {
 			return errors.New("behind: it may hold what was purged")
@@ -260,13 +260,13 @@
 }
 
 // News hands on what is held, for one that no core machine answers.
-func (p *peerCalls) News(a *honey.Ask, n *honey.News) error {
-	*n = p.f.scout.News(*a)
+func (p *peerCalls) News(a *clusterstate.Ask, n *clusterstate.News) error {
+	*n = p.f.replica.News(*a)
 	return nil
 }
 
 // Mingle exchanges part of a view.
-func (p *peerCalls) Mingle(offer *[]swarm.Neighbour, answer *[]swarm.Neighbour) error {
-	*answer = p.f.view.Answer(*offer, p.f.scout.Index())
+func (p *peerCalls) Mingle(offer *[]peersampling.Neighbour, answer *[]peersampling.Neighbour) error {
+	*answer = p.f.view.Answer(*offer, p.f.replica.Index())
 	return nil
 }
--- a/internal/hive/forager/link_test.go
+++ b/internal/cdn/edge/link_test.go
@@ -1,4 +1,4 @@
-package forager
+package edge
 
 import (
 	"bytes"
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"cedarmast/internal/hive/antenna"
-	"cedarmast/internal/hive/nectar"
+	"cedarmast/internal/cdn/objectcache"
+	"cedarmast/internal/cdn/peerrpc"
 
 	"gotest.tools/v3/assert"
 )
@@ -138,9 +138,9 @@
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			assert.NilError(t, err)
 			defer l.Close()
-			go antenna.Serve(l, "Forager", &c.lender)
-			f := &Forager{from: newLink(c.mbps)}
-			got, err := f.lentBy(t.Context(), antenna.NewPeer(l.Addr().String()), Fetch{Key: nectar.Key{Path: "/a"}})
+			go peerrpc.Serve(l, "Edge", &c.lender)
+			f := &Edge{from: newLink(c.mbps)}
+			got, err := f.lentBy(t.Context(), peerrpc.NewPeer(l.Addr().String()), Fetch{Key: objectcache.Key{Path: "/a"}})
 			assert.Equal(t, c.lender.asked, c.pieces)
 			if c.fails != "" {
 				assert.ErrorContains(t, err, c.fails)
@@ -154,9 +154,9 @@
 
 // A piece is given of the copy that was begun, and of no other one; questions past its end are refused.
 func TestPiecesOfACopy(t *testing.T) {
-	f := &Forager{cache: nectar.New(1 << 20)}
-	k, body := nectar.Key{Host: "h", Path: "/a"}, []byte("0123456789")
-	f.cache.Put(k, &nectar.Copy{Body: body, ETag: "e", Shelf: time.Minute, At: time.Now(), Index: 1})
+	f := &Edge{cache: objectcache.New(1 << 20)}
+	k, body := objectcache.Key{Host: "h", Path: "/a"}, []byte("0123456789")
+	f.cache.Put(k, &objectcache.Copy{Body: body, ETag: "e", Shelf: time.Minute, At: time.Now(), Index: 1})
 	p := &peerCalls{f}
 	cases := []struct {
 		q    Piece
@@ -171,7 +171,7 @@
 		{Piece{k, "f", 10, 0, 3}, ""},
 		{Piece{k, "e", 11, 0, 3}, ""},
 		{Piece{k, "", 10, 0, 3}, ""},
-		{Piece{nectar.Key{Host: "h", Path: "/b"}, "e", 10, 0, 3}, ""},
+		{Piece{objectcache.Key{Host: "h", Path: "/b"}, "e", 10, 0, 3}, ""},
 	}
 	for _, c := range cases {
 		var part []byte
--- a/internal/hive/forager/pace.go
+++ b/internal/cdn/edge/pace.go
@@ -1,11 +1,11 @@
-package forager
+package edge
 
 import (
 	"math"
 	"sync"
 	"time"
 
-	"cedarmast/internal/hive/honey"
+	"cedarmast/internal/cdn/clusterstate"
 )
 
 // pace is what this router has learned of a service's servers: how quick each one is beside the others, and how long a
@@ -110,8 +110,8 @@
 }
 
 // weigh tells the decisions of servers that have turned out quicker or slower.
-func (f *Forager) weigh() {
-	f.scout.Read(func(s *honey.State) {
+func (f *Edge) weigh() {
+	f.replica.Read(func(s *clusterstate.State) {
 		for name, sv := range f.services {
 			servers := map[string]bool{}
 			for id, x := range s.Servers {
--- a/internal/hive/forager/pieces.go
+++ b/internal/cdn/edge/pieces.go
@@ -1,12 +1,12 @@
-package forager
+package edge
 
 import (
 	"context"
 	"errors"
 	"time"
 
-	"cedarmast/internal/hive/antenna"
-	"cedarmast/internal/hive/nectar"
+	"cedarmast/internal/cdn/objectcache"
+	"cedarmast/internal/cdn/peerrpc"
 )
 
 // This file brings long bodies over a thin link by pieces. Whoever has the thin link asks for each piece when the ones before it have about
@@ -17,7 +17,7 @@
 
 // Piece is a question for part of a body that is being lent.
 type Piece struct {
-	Key     nectar.Key
+	Key     objectcache.Key
 	ETag    string
 	Total   int // bytes of the whole
 	From, N int
@@ -26,9 +26,9 @@
 var errOther = errors.New("the copy is another one by now")
 
 // holds returns the copy's body, if it is still this one.
-func (f *Forager) holds(k nectar.Key, etag string, total int) []byte {
+func (f *Edge) holds(k objectcache.Key, etag string, total int) []byte {
 	x, grade := f.cache.Get(k, time.Now(), f.slack(), "")
-	if grade == nectar.NotThere || etag == "" || x.ETag != etag || len(x.Body) != total {
+	if grade == objectcache.NotThere || etag == "" || x.ETag != etag || len(x.Body) != total {
 		return nil
 	}
 	return x.Body
@@ -50,12 +50,12 @@
 }
 
 // lentBy asks another cache router for an object; over a thin link the rest of a long body comes by pieces.
-func (f *Forager) lentBy(ctx context.Context, peer *antenna.Peer, q Fetch) (Fetched, error) {
+func (f *Edge) lentBy(ctx context.Context, peer *peerrpc.Peer, q Fetch) (Fetched, error) {
 	if f.from.rate > 0 {
 		q.Most = lentPiece
 	}
 	begun := time.Now()
-	got, err := antenna.CallWatched[Fetch, Fetched](ctx, peer, "Forager.Fetch", &q)
+	got, err := peerrpc.CallWatched[Fetch, Fetched](ctx, peer, "Edge.Fetch", &q)
 	f.from.out(len(got.Body), time.Now())
 	if err != nil || got.Total == 0 {
 		return got, err
@@ -69,7 +69,7 @@
 		if err := f.from.wait(ctx, n, got.Total-len(body), begun); err != nil {
 			return Fetched{}, err
 		}
-		part, err := antenna.CallWatched[Piece, []byte](ctx, peer, "Forager.Piece", &Piece{q.Key, etag, got.Total, len(body), n})
+		part, err := peerrpc.CallWatched[Piece, []byte](ctx, peer, "Edge.Piece", &Piece{q.Key, etag, got.Total, len(body), n})
 		if err != nil {
 			return Fetched{}, err
 		}
--- a/internal/hive/forager/plan.go
+++ b/internal/cdn/edge/plan.go
@@ -1,4 +1,4 @@
-package forager
+package edge
 
 import (
 	"context"
@@ -8,17 +8,17 @@
 	"time"
 
 	"cedarmast/balance"
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/upstream"
 	"cedarmast/internal/exchange"
-	"cedarmast/internal/hive/flight"
-	"cedarmast/internal/hive/honey"
 )
 
 // plan is what requests are served by: one configuration. It is not changed once it is in force.
 type plan struct {
-	*honey.Manifest
-	table    *honey.Table
-	routes   map[string]*honey.Route // by name
-	ranks    map[string]int          // the highest of each service's routes, which is the least number
+	*clusterstate.Manifest
+	table    *clusterstate.Table
+	routes   map[string]*clusterstate.Route // by name
+	ranks    map[string]int                 // the highest of each service's routes, which is the least number
 	services map[string]*service
 }
 
@@ -56,8 +56,8 @@
 	fetchAim    = 4   // the part of its deadline within which a fetch is usual
 )
 
-// took hears of every change, in order, under the scout's lock.
-func (f *Forager) took(s *honey.State, c honey.Command, index uint64, whole bool) {
+// took hears of every change, in order, under the replica's lock.
+func (f *Edge) took(s *clusterstate.State, c clusterstate.Command, index uint64, whole bool) {
 	if whole {
 		f.cache.Forget(index)
 	}
@@ -88,19 +88,19 @@
 
 // configure takes the state's configuration on, with its reading if that was made already. It is the one place where the version in force
 // changes, and it only rises.
-func (f *Forager) configure(s *honey.State, m *honey.Manifest) {
+func (f *Edge) configure(s *clusterstate.State, m *clusterstate.Manifest) {
 	old := f.plan.Load()
 	if len(s.Body) == 0 || old != nil && s.Version <= old.Version {
 		return
 	}
 	if m == nil || m.Version != s.Version {
 		var err error
-		if m, err = honey.ParseManifest(s.Body); err != nil { // the log takes no invalid ones
+		if m, err = clusterstate.ParseManifest(s.Body); err != nil { // the log takes no invalid ones
 			f.log.Error("configuration not readable", "version", s.Version, "err", err)
 			return
 		}
 	}
-	p := &plan{Manifest: m, table: honey.NewTable(m), services: map[string]*service{}, routes: make(map[string]*honey.Route, len(m.Routes))}
+	p := &plan{Manifest: m, table: clusterstate.NewTable(m), services: map[string]*service{}, routes: make(map[string]*clusterstate.Route, len(m.Routes))}
 	for i := range m.Routes {
 		p.routes[m.Routes[i].Name] = &m.Routes[i]
 	}
@@ -137,7 +137,7 @@
 }
 
 // ranks are the highest ranks among each service's routes.
-func ranks(m *honey.Manifest) map[string]int {
+func ranks(m *clusterstate.Manifest) map[string]int {
 	all := map[string]int{}
 	for _, r := range m.Routes {
 		for _, s := range r.Split {
@@ -150,21 +150,21 @@
 }
 
 // low tells whether a route ranks below another one of the service.
-func (p *plan) low(r *honey.Route, sv *service) bool { return r.Priority > p.ranks[sv.name] }
+func (p *plan) low(r *clusterstate.Route, sv *service) bool { return r.Priority > p.ranks[sv.name] }
 
 // idleFor is how long a connection is kept that nobody uses: less where a server takes fewer of them than there are routers.
-func idleFor(services []honey.Service, routers int) time.Duration {
+func idleFor(services []clusterstate.Service, routers int) time.Duration {
 	least := 1.0
 	for _, def := range services {
 		if def.ConnCap > 0 {
 			least = min(least, capPart*float64(def.ConnCap)/float64(max(routers, 1)))
 		}
 	}
-	return time.Duration(least * float64(flight.IdleFor))
+	return time.Duration(least * float64(upstream.IdleFor))
 }
 
 // retune tells the decisions of the configuration's classes and of how many share the work.
-func (f *Forager) retune(s *honey.State) {
+func (f *Edge) retune(s *clusterstate.State) {
 	p := f.plan.Load()
 	if p == nil {
 		return
@@ -188,7 +188,7 @@
 	}
 }
 
-func (f *Forager) later(do func()) {
+func (f *Edge) later(do func()) {
 	select {
 	case f.changes <- do:
 	default: // the follower is thousands of changes behind: it is waited for
@@ -202,21 +202,21 @@
 
 // settings are what the decisions about a service are told. A lone router may fill its part of the servers' slots before it
 // has seen anything.
-func (f *Forager) settings(s *honey.State, p *plan, name string) balance.Settings {
+func (f *Edge) settings(s *clusterstate.State, p *plan, name string) balance.Settings {
 	set := balance.Settings{Number: 0, Zone: f.set.Zone, OverShareWorth: 1, Parallel: true, MaxRetryAfter: mostAdvice,
 		ConnectTimeout: time.Second, ColdFrom: coldPart, Ramp: cold, OverloadFactor: 2, OverloadFor: 2 * time.Second}
 	for _, r := range p.Routes {
-		if !slices.ContainsFunc(r.Split, func(x honey.Share) bool { return x.Service == name && x.Weight > 0 }) {
+		if !slices.ContainsFunc(r.Split, func(x clusterstate.Share) bool { return x.Service == name && x.Weight > 0 }) {
 			continue
 		}
 		c := balance.Class{Name: r.Name, Aim: r.Target, Deadline: r.Timeout, Worth: 1 / float64(1+max(r.Priority, 0)), LateShare: 0.3}
 		if c.Aim <= 0 {
 			c.Aim = c.Deadline / 2
 		}
-		if r.Kind != honey.OnceOnly {
+		if r.Kind != clusterstate.OnceOnly {
 			c.Effect = balance.Safe
 		}
-		if r.Kind == honey.Shelved { // a fetch serves all who come after it: what is late for one is no sign of overload
+		if r.Kind == clusterstate.Shelved { // a fetch serves all who come after it: what is late for one is no sign of overload
 			c.Aim = max(c.Aim, c.Deadline/fetchAim)
 		}
 		set.Classes = append(set.Classes, c)
@@ -236,7 +236,7 @@
 	askers := len(s.Routers)
 	for _, def := range p.Services {
 		if def.Name == name && def.RatePerS > 0 { // objects: shields ask for them
-			askers = len(honey.Shields(s.Routers))
+			askers = len(clusterstate.Shields(s.Routers))
 		}
 	}
 	each := float64(usualSlots)
@@ -248,7 +248,7 @@
 }
 
 // list tells the decisions which servers a service has; of all services if none is named.
-func (f *Forager) list(s *honey.State, name string) {
+func (f *Edge) list(s *clusterstate.State, name string) {
 	for each, sv := range f.services {
 		if name != "" && each != name {
 			continue
@@ -263,7 +263,7 @@
 			}
 			e := balance.Entry{Server: balance.ServerID(id), Zone: x.Zone, Weight: float64(max(x.Slots, 1)) * sv.pace.part(id), Started: f.startOf(x)}
 			here = here || x.Zone == f.set.Zone
-			if x.State != honey.Open {
+			if x.State != clusterstate.Open {
 				e.State = balance.Draining
 			}
 			l.Entries = append(l.Entries, e)
@@ -284,7 +284,7 @@
 }
 
 // startOf is when a server began its warm-up, by this process's clock; 0 for one that is warm.
-func (f *Forager) startOf(x honey.Server) balance.Time {
+func (f *Edge) startOf(x clusterstate.Server) balance.Time {
 	at, ok := f.started[x.ID]
 	if !ok {
 		if x.WarmupMS > 0 {
--- a/internal/hive/forager/plan_test.go
+++ b/internal/cdn/edge/plan_test.go
@@ -1,4 +1,4 @@
-package forager
+package edge
 
 import (
 	"fmt"
@@ -6,10 +6,10 @@
 	"time"
 
 	"cedarmast/balance"
+	"cedarmast/internal/cdn/bootconfig"
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/upstream"
 	"cedarmast/internal/exchange"
-	"cedarmast/internal/hive/flight"
-	"cedarmast/internal/hive/guard"
-	"cedarmast/internal/hive/honey"
 
 	"gotest.tools/v3/assert"
 )
@@ -17,12 +17,12 @@
 // A mix of the operators had a tenth of its requests refused: the aim of a board is 120 ms and a fetch takes 60 of them, which passed
 // for overload; and limits were set before the servers' slots were known.
 func TestSettingsOfDecisions(t *testing.T) {
-	f := &Forager{set: guard.Settings{Zone: "a"}}
-	s := honey.New()
-	p := &plan{Manifest: &honey.Manifest{Routes: []honey.Route{
-		{Name: "board", Kind: honey.Shelved, Target: 120 * time.Millisecond, Timeout: 1500 * time.Millisecond, Priority: 2, Tries: 3, Split: []honey.Share{{Service: "vault", Weight: 1}}},
-		{Name: "claim", Kind: honey.OnceOnly, Target: 500 * time.Millisecond, Timeout: 2 * time.Second, Priority: 1, Tries: 2, Split: []honey.Share{{Service: "vault", Weight: 1}}},
-		{Name: "other", Kind: honey.Resendable, Timeout: time.Second, Tries: 1, Split: []honey.Share{{Service: "desk", Weight: 1}, {Service: "vault", Weight: 0}}},
+	f := &Edge{set: bootconfig.Settings{Zone: "a"}}
+	s := clusterstate.New()
+	p := &plan{Manifest: &clusterstate.Manifest{Routes: []clusterstate.Route{
+		{Name: "board", Kind: clusterstate.Shelved, Target: 120 * time.Millisecond, Timeout: 1500 * time.Millisecond, Priority: 2, Tries: 3, Split: []clusterstate.Share{{Service: "vault", Weight: 1}}},
+		{Name: "claim", Kind: clusterstate.OnceOnly, Target: 500 * time.Millisecond, Timeout: 2 * time.Second, Priority: 1, Tries: 2, Split: []clusterstate.Share{{Service: "vault", Weight: 1}}},
+		{Name: "other", Kind: clusterstate.Resendable, Timeout: time.Second, Tries: 1, Split: []clusterstate.Share{{Service: "desk", Weight: 1}, {Service: "vault", Weight: 0}}},
 	}}}
 	set := f.settings(s, p, "vault")
 	assert.Equal(t, len(set.Classes), 2)
@@ -35,20 +35,20 @@
 	assert.Equal(t, f.settings(s, p, "none").Classes[0].Name, "none")
 
 	for i := range 11 {
-		s.Routers[string(rune('a'+i))] = honey.Router{}
+		s.Routers[string(rune('a'+i))] = clusterstate.Router{}
 	}
 	few := f.settings(s, p, "vault").Routers
-	s.Servers["i-1"] = honey.Server{Service: "vault", Slots: 32}
+	s.Servers["i-1"] = clusterstate.Server{Service: "vault", Slots: 32}
 	many := f.settings(s, p, "vault").Routers
 	assert.Assert(t, many < few, "%d %d", many, few)
-	s.Servers["i-1"] = honey.Server{Service: "vault", Slots: 2}
+	s.Servers["i-1"] = clusterstate.Server{Service: "vault", Slots: 2}
 	assert.Assert(t, f.settings(s, p, "vault").Routers > few)
 }
 
 // Shares of an origin's rate add up to no more than its ceiling in any window, however many routers there are and however idle
 // they were before.
 func TestSharesOfARate(t *testing.T) {
-	b := guard.Bounds{CeilingWindow: 5 * time.Second, CeilingExcess: 1.1}
+	b := bootconfig.Bounds{CeilingWindow: 5 * time.Second, CeilingExcess: 1.1}
 	for _, routers := range []int{1, 11, 82, 420} {
 		var r rate
 		r.set(410/float64(routers), b)
@@ -85,17 +85,17 @@
 // Under an origin's rate that is used up boards took what tiles, of twice the worth, needed: what ranks below others of its service leaves a
 // part of what is saved to those, and gets all the rest; a service whose routes rank alike knows no low ones.
 func TestRanksUnderARate(t *testing.T) {
-	m := &honey.Manifest{Routes: []honey.Route{
-		{Name: "board", Priority: 2, Split: []honey.Share{{Service: "vault", Weight: 1}}},
-		{Name: "tile", Priority: 1, Split: []honey.Share{{Service: "vault", Weight: 1}}},
-		{Name: "gone", Priority: 0, Split: []honey.Share{{Service: "vault"}, {Service: "desk", Weight: 1}}},
-		{Name: "seat", Priority: 0, Split: []honey.Share{{Service: "desk", Weight: 1}}},
+	m := &clusterstate.Manifest{Routes: []clusterstate.Route{
+		{Name: "board", Priority: 2, Split: []clusterstate.Share{{Service: "vault", Weight: 1}}},
+		{Name: "tile", Priority: 1, Split: []clusterstate.Share{{Service: "vault", Weight: 1}}},
+		{Name: "gone", Priority: 0, Split: []clusterstate.Share{{Service: "vault"}, {Service: "desk", Weight: 1}}},
+		{Name: "seat", Priority: 0, Split: []clusterstate.Share{{Service: "desk", Weight: 1}}},
 	}}
 	p, vault, desk := &plan{Manifest: m, ranks: ranks(m)}, &service{name: "vault"}, &service{name: "desk"}
 	assert.Assert(t, p.low(&m.Routes[0], vault) && !p.low(&m.Routes[1], vault) && !p.low(&m.Routes[3], desk))
 
 	var r rate
-	r.set(100, guard.Bounds{CeilingWindow: 5 * time.Second, CeilingExcess: 1.1})
+	r.set(100, bootconfig.Bounds{CeilingWindow: 5 * time.Second, CeilingExcess: 1.1})
 	r.per = 1e-9 // nothing comes back while the test looks
 	boards, tiles := 0, 0
 	for r.take(true) {
@@ -110,14 +110,14 @@
 // Of a large fleet a part talks to the servers of objects, and one router that comes or goes changes one of them at most; the
 // shares of all add up to the whole.
 func TestShields(t *testing.T) {
-	s := honey.New()
+	s := clusterstate.New()
 	var nodes []string
 	for i := range 82 {
 		node := fmt.Sprint("edge-", i)
-		before := honey.Shields(s.Routers)
+		before := clusterstate.Shields(s.Routers)
 		nodes = append(nodes, node)
-		s.Routers[node] = honey.Router{Node: node, Weight: 12}
-		after := honey.Shields(s.Routers)
+		s.Routers[node] = clusterstate.Router{Node: node, Weight: 12}
+		after := clusterstate.Shields(s.Routers)
 		want := i + 1
 		if want > 16 {
 			want = max(16, want/4)
@@ -144,19 +144,19 @@
 // Among routers of thin links the few strong machines are the shields and the lenders, for what goes by way of a thin link is sent twice over it;
 // when they are gone the others do it all, and in a fleet whose machines differ by less all lend. Whoever shields, shares add up to the whole.
 func TestStrongMachinesShieldAndLend(t *testing.T) {
-	roster := func(edge, store float64, edges, stores int) map[string]honey.Router {
-		all := map[string]honey.Router{}
+	roster := func(edge, store float64, edges, stores int) map[string]clusterstate.Router {
+		all := map[string]clusterstate.Router{}
 		for i := range edges {
-			all[fmt.Sprint("edge-", i)] = honey.Router{Weight: edge}
+			all[fmt.Sprint("edge-", i)] = clusterstate.Router{Weight: edge}
 		}
 		for i := range stores {
-			all[fmt.Sprint("store-", i)] = honey.Router{Weight: store}
+			all[fmt.Sprint("store-", i)] = clusterstate.Router{Weight: store}
 		}
 		return all
 	}
 	cases := []struct {
 		name            string
-		routers         map[string]honey.Router
+		routers         map[string]clusterstate.Router
 		shields, lender int
 	}{
 		{"thin links beside stores", roster(12, 640, 82, 4), 4, 4},
@@ -169,9 +169,9 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			assert.Equal(t, len(honey.Shields(c.routers)), c.shields)
-			assert.Equal(t, len(honey.Lenders(c.routers)), c.lender)
-			total, s := 0.0, honey.New()
+			assert.Equal(t, len(clusterstate.Shields(c.routers)), c.shields)
+			assert.Equal(t, len(clusterstate.Lenders(c.routers)), c.lender)
+			total, s := 0.0, clusterstate.New()
 			s.Routers = c.routers
 			for node := range c.routers {
 				total += s.Share("shop", node)
@@ -183,24 +183,24 @@
 
 // A machine that is said to serve clients does not start as one that only lends copies because its address was left out.
 func TestAMachineForClientsNeedsTheirAddress(t *testing.T) {
-	err := Run(t.Context(), guard.Settings{Serves: []string{"counter"}}, nil)
+	err := Run(t.Context(), bootconfig.Settings{Serves: []string{"counter"}}, nil)
 	assert.ErrorContains(t, err, "network.listen_on.counter")
-	err = Run(t.Context(), guard.Settings{Serves: []string{"counter"}, Counter: "127.0.0.1:1"}, nil)
+	err = Run(t.Context(), bootconfig.Settings{Serves: []string{"counter"}, Counter: "127.0.0.1:1"}, nil)
 	assert.ErrorContains(t, err, "network.listen_on.readiness")
 }
 
 // A machine's weight is what its link and its part of a core bear, whichever is less.
 func TestWeightOfAMachine(t *testing.T) {
-	assert.Equal(t, weight(guard.Settings{LinkMbps: 12, Cores: 0.16}), 12.0)
-	assert.Equal(t, weight(guard.Settings{LinkMbps: 1000, Cores: 0.8}), 0.8*mbpsPerCore)
-	assert.Equal(t, weight(guard.Settings{}), 1.0)
+	assert.Equal(t, weight(bootconfig.Settings{LinkMbps: 12, Cores: 0.16}), 12.0)
+	assert.Equal(t, weight(bootconfig.Settings{LinkMbps: 1000, Cores: 0.8}), 0.8*mbpsPerCore)
+	assert.Equal(t, weight(bootconfig.Settings{}), 1.0)
 }
 
 // Eighty-two routers that each keep a connection would fill a server that takes 63.
 func TestIdleConnections(t *testing.T) {
-	assert.Equal(t, idleFor([]honey.Service{{ConnCap: 130}, {}}, 11), flight.IdleFor)
-	few := idleFor([]honey.Service{{ConnCap: 130}, {ConnCap: 63}}, 82)
-	assert.Assert(t, few < flight.IdleFor/2 && few > time.Second, few.String())
+	assert.Equal(t, idleFor([]clusterstate.Service{{ConnCap: 130}, {}}, 11), upstream.IdleFor)
+	few := idleFor([]clusterstate.Service{{ConnCap: 130}, {ConnCap: 63}}, 82)
+	assert.Assert(t, few < upstream.IdleFor/2 && few > time.Second, few.String())
 }
 
 func TestRanges(t *testing.T) {
--- a/internal/hive/forager/rate.go
+++ b/internal/cdn/edge/rate.go
@@ -1,16 +1,16 @@
-package forager
+package edge
 
 import (
 	"context"
 	"sync"
 	"time"
 
-	"cedarmast/internal/hive/antenna"
-	"cedarmast/internal/hive/guard"
-	"cedarmast/internal/hive/honey"
+	"cedarmast/internal/cdn/bootconfig"
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/peerrpc"
 )
 
-// rate is this router's share of what a service's servers may be asked, all routers together (honey.Share says which). What is
+// rate is this router's share of what a service's servers may be asked, all routers together (clusterstate.Share says which). What is
 // not used is saved for a moment only, so that the sum stays under the ceiling in every window.
 type rate struct {
 	mu     sync.Mutex
@@ -32,7 +32,7 @@
 	leastNeed = 0.5 // requests a second that are worth telling
 )
 
-func (r *rate) set(perS float64, b guard.Bounds) {
+func (r *rate) set(perS float64, b bootconfig.Bounds) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	per := perS * ratePart
@@ -66,7 +66,7 @@
 }
 
 // tell lets the holder of the duty know what this router would ask of the servers, while that is anything: the rate is cut by it.
-func (f *Forager) tell(ctx context.Context) {
+func (f *Edge) tell(ctx context.Context) {
 	turn := time.NewTicker(tellEvery)
 	defer turn.Stop()
 	for {
@@ -74,8 +74,8 @@
 		case <-ctx.Done():
 			return
 		case now := <-turn.C:
-			needs, holder := honey.Needs{Node: f.set.Node, Per: map[string]float64{}}, ""
-			f.scout.Read(func(s *honey.State) {
+			needs, holder := clusterstate.Needs{Node: f.set.Node, Per: map[string]float64{}}, ""
+			f.replica.Read(func(s *clusterstate.State) {
 				holder = s.Duty.Holder
 				for name, sv := range f.services {
 					if need := sv.rate.needs(now); need >= leastNeed {
@@ -87,7 +87,7 @@
 				continue
 			}
 			call, done := context.WithTimeout(ctx, tellEvery)
-			if _, err := antenna.Call[honey.Needs, bool](call, f.peers.At(f.set.Inner(holder, guard.CombPort)), "Comb.Need", &needs); err != nil {
+			if _, err := peerrpc.Call[clusterstate.Needs, bool](call, f.peers.At(f.set.Inner(holder, bootconfig.ConfigStorePort)), "ConfigStore.Need", &needs); err != nil {
 				f.log.Debug("need not told", "err", err)
 			}
 			done()
--- a/internal/hive/forager/serve.go
+++ b/internal/cdn/edge/serve.go
@@ -1,4 +1,4 @@
-package forager
+package edge
 
 import (
 	"io"
@@ -9,10 +9,10 @@
 	"strings"
 	"time"
 
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/objectcache"
+	"cedarmast/internal/cdn/upstream"
 	"cedarmast/internal/exchange"
-	"cedarmast/internal/hive/flight"
-	"cedarmast/internal/hive/honey"
-	"cedarmast/internal/hive/nectar"
 )
 
 // This file is the way of a client's request from its route to its answer.
@@ -36,15 +36,15 @@
 	id      string
 	arrived time.Time
 	left    time.Duration
-	route   *honey.Route
+	route   *clusterstate.Route
 	plan    *plan
 }
 
-func (f *Forager) serve(w http.ResponseWriter, r *http.Request) {
+func (f *Edge) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	f.counts.Requests.Add(1)
-	q := &request{Request: r, w: w, link: f.link, id: r.Header.Get(flight.HeaderID), arrived: arrived, left: usualLeft, plan: f.plan.Load(), last: f.lastWord.Load()}
-	if ms := atoi(r.Header.Get(flight.HeaderLeft)); ms > 0 {
+	q := &request{Request: r, w: w, link: f.link, id: r.Header.Get(upstream.HeaderID), arrived: arrived, left: usualLeft, plan: f.plan.Load(), last: f.lastWord.Load()}
+	if ms := atoi(r.Header.Get(upstream.HeaderLeft)); ms > 0 {
 		q.left = time.Duration(min(ms, int64(time.Hour/time.Millisecond))) * time.Millisecond
 	}
 	if q.plan == nil { // just started: the common state is on its way
@@ -60,7 +60,7 @@
 		return
 	}
 	q.left = min(q.left, q.route.Timeout)
-	if q.route.Kind == honey.Shelved && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
+	if q.route.Kind == clusterstate.Shelved && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		f.serveShelved(q, strings.ToLower(host))
 		return
 	}
@@ -95,7 +95,7 @@
 }
 
 // serveDirect sends a request to a server of its route's service.
-func (f *Forager) serveDirect(q *request, body []byte) {
+func (f *Edge) serveDirect(q *request, body []byte) {
 	sv := q.plan.services[q.route.Pick(rand.Float64())]
 	if sv == nil {
 		q.refuse(comeAgain)
@@ -107,16 +107,16 @@
 		q.refuse(sv.rate.wait(low))
 		return
 	}
-	header := flight.EndToEnd(q.Header.Clone())
+	header := upstream.EndToEnd(q.Header.Clone())
 	header["Host"] = []string{q.Host}
-	order := &flight.Order{ID: q.id, OnceOnly: q.route.Kind == honey.OnceOnly}
+	order := &upstream.Order{ID: q.id, OnceOnly: q.route.Kind == clusterstate.OnceOnly}
 	a := f.ask(sv, order, exchange.Request{ID: q.id, Class: q.route.Name, Arrived: q.arrived, TimeLeft: q.left,
-		Write: q.route.Kind == honey.OnceOnly, Method: q.Method, Target: target(q.Request), Header: header, Body: body})
+		Write: q.route.Kind == clusterstate.OnceOnly, Method: q.Method, Target: target(q.Request), Header: header, Body: body})
 	switch failure := order.Failure(); {
 	case a.Kind == exchange.Served:
-		q.pass(int(atoi(first(a.Header, flight.StatusKey))), a.Header, a.Body)
+		q.pass(int(atoi(first(a.Header, upstream.StatusKey))), a.Header, a.Body)
 	case failure != nil: // a server's own word about it
-		q.pass(int(atoi(first(failure.Header, flight.StatusKey))), failure.Header, failure.Body)
+		q.pass(int(atoi(first(failure.Header, upstream.StatusKey))), failure.Header, failure.Body)
 	case a.Kind == exchange.Refused:
 		q.refuse(max(a.RetryAfter, 20*time.Millisecond))
 	case order.OnceOnly && !order.MayHaveRun(): // nothing has left: it has not run
@@ -129,15 +129,15 @@
 }
 
 // serveShelved answers from a copy: this router's, or that of the cache router which the table names.
-func (f *Forager) serveShelved(q *request, host string) {
-	k := nectar.Key{Host: host, Path: q.URL.EscapedPath(), Query: q.URL.RawQuery} // as it was written: another spelling may be another object
+func (f *Edge) serveShelved(q *request, host string) {
+	k := objectcache.Key{Host: host, Path: q.URL.EscapedPath(), Query: q.URL.RawQuery} // as it was written: another spelling may be another object
 	k.Service = q.route.Pick(float64(k.Hash()>>11) / (1 << 53))
 	own, grade := f.held(k, q.id)
-	if grade == nectar.Fresh {
+	if grade == objectcache.Fresh {
 		q.deliver(fetchedFrom(own))
 		return
 	}
-	ask := Fetch{Key: k, Target: k.Target(), ID: q.id, Route: q.route.Name, Index: f.scout.Index()}
+	ask := Fetch{Key: k, Target: k.Target(), ID: q.id, Route: q.route.Name, Index: f.replica.Index()}
 	if own != nil && own.Lent && f.vouched() {
 		ask.ETag = own.ETag
 	}
@@ -216,7 +216,7 @@
 func (q *request) pass(status int, h http.Header, body []byte) {
 	out := q.w.Header()
 	for name, values := range h {
-		if name[0] != ':' && name != flight.HeaderLoad {
+		if name[0] != ':' && name != upstream.HeaderLoad {
 			out[name] = values
 		}
 	}
@@ -241,7 +241,7 @@
 func (q *request) finish(status int, body []byte) {
 	out := q.w.Header()
 	if q.id != "" {
-		out[flight.HeaderID] = []string{q.id}
+		out[upstream.HeaderID] = []string{q.id}
 	}
 	if out["Content-Type"] == nil {
 		out["Content-Type"] = nil // nothing is guessed
--- a/internal/hive/forager/serve_test.go
+++ b/internal/cdn/edge/serve_test.go
@@ -1,4 +1,4 @@
-package forager
+package edge
 
 import (
 	"fmt"
@@ -10,13 +10,13 @@
 	"testing"
 	"time"
 
+	"cedarmast/internal/cdn/bootconfig"
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/objectcache"
+	"cedarmast/internal/cdn/peerrpc"
+	"cedarmast/internal/cdn/statesync"
+	"cedarmast/internal/cdn/upstream"
 	"cedarmast/internal/exchange"
-	"cedarmast/internal/hive/antenna"
-	"cedarmast/internal/hive/flight"
-	"cedarmast/internal/hive/guard"
-	"cedarmast/internal/hive/honey"
-	"cedarmast/internal/hive/nectar"
-	"cedarmast/internal/hive/scout"
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
@@ -54,13 +54,13 @@
 	if wait != nil {
 		<-wait
 	}
-	if id := r.Header.Get(flight.HeaderID); id != "" {
-		w.Header().Set(flight.HeaderID, id)
+	if id := r.Header.Get(upstream.HeaderID); id != "" {
+		w.Header().Set(upstream.HeaderID, id)
 	}
 	tag := fmt.Sprintf(`"%d"`, version)
 	w.Header().Set("Etag", tag)
-	w.Header().Set(flight.HeaderStamp, "stamp")
-	w.Header().Set(flight.HeaderLabels, "red big")
+	w.Header().Set(upstream.HeaderStamp, "stamp")
+	w.Header().Set(upstream.HeaderLabels, "red big")
 	if status != 0 {
 		w.WriteHeader(status)
 	} else if r.Header.Get("If-None-Match") == tag {
@@ -77,30 +77,30 @@
 }
 func (o *origin) set(f func()) { o.mu.Lock(); defer o.mu.Unlock(); f() }
 
-// lone is a forager without a core: the test hands it its news.
-func lone(t *testing.T, o *origin, routes string) (*Forager, func(c honey.Command)) {
+// lone is an edge without a core: the test hands it its news.
+func lone(t *testing.T, o *origin, routes string) (*Edge, func(c clusterstate.Command)) {
 	t.Helper()
-	f := &Forager{set: guard.Settings{Node: "me", Zone: "a", MemoryMB: 64, FileHandles: 1024, Bounds: guard.Bounds{Contact: time.Hour, StaleSlack: 2 * time.Second,
+	f := &Edge{set: bootconfig.Settings{Node: "me", Zone: "a", MemoryMB: 64, FileHandles: 1024, Bounds: bootconfig.Bounds{Contact: time.Hour, StaleSlack: 2 * time.Second,
 		CeilingWindow: 5 * time.Second, CeilingExcess: 1.1}},
-		log: hclog.NewNullLogger(), peers: antenna.NewPeers(), scout: scout.New(), cache: nectar.New(8 << 20), clock: exchange.NewClock(),
+		log: hclog.NewNullLogger(), peers: peerrpc.NewPeers(), replica: statesync.New(), cache: objectcache.New(8 << 20), clock: exchange.NewClock(),
 		changes: make(chan func(), 64), life: t.Context()}
 	f.init()
-	f.scout.Set, f.scout.Log = f.set, f.log
-	f.scout.Take(honey.News{Fresh: true}, time.Now())
+	f.replica.Set, f.replica.Log = f.set, f.log
+	f.replica.Take(clusterstate.News{Fresh: true}, time.Now())
 	go f.hop.loop.Run(t.Context())
 	go f.home.loop.Run(t.Context())
 	go f.closer.loop.Run(t.Context())
 	go f.follow(t.Context())
-	s, index := honey.New(), uint64(0)
-	give := func(c honey.Command) {
+	s, index := clusterstate.New(), uint64(0)
+	give := func(c clusterstate.Command) {
 		index++
 		out := s.Apply(index, c)
-		assert.Equal(t, out.Status, honey.Done, out.Text)
+		assert.Equal(t, out.Status, clusterstate.Done, out.Text)
 		f.took(s, c, index, false)
 	}
-	give(honey.Command{Put: []byte(`{"edition":"r1","based_on":0,"parcels":[` + routes + `{"parcel_kind":"carriers","label":{"name":"shop"},"manifest":{}}]}`)})
-	give(honey.Command{Enrol: []honey.Router{{Node: "me", Zone: "a"}}})
-	give(honey.Command{Server: &honey.Server{ID: "i-1", Service: "shop", Address: o.address, Zone: "a", Slots: 8, State: honey.Open, Beat: 1}})
+	give(clusterstate.Command{Put: []byte(`{"edition":"r1","based_on":0,"parcels":[` + routes + `{"parcel_kind":"carriers","label":{"name":"shop"},"manifest":{}}]}`)})
+	give(clusterstate.Command{Enrol: []clusterstate.Router{{Node: "me", Zone: "a"}}})
+	give(clusterstate.Command{Server: &clusterstate.Server{ID: "i-1", Service: "shop", Address: o.address, Zone: "a", Slots: 8, State: clusterstate.Open, Beat: 1}})
 	done := make(chan struct{})
 	f.later(func() { close(done) })
 	<-done
@@ -121,12 +121,12 @@
 	body   string
 }
 
-func (f *Forager) get(t *testing.T, client *http.Client, url, method, target, body string, head ...string) answer {
+func (f *Edge) get(t *testing.T, client *http.Client, url, method, target, body string, head ...string) answer {
 	t.Helper()
 	q, err := http.NewRequest(method, url+target, strings.NewReader(body))
 	assert.NilError(t, err)
 	q.Host = "a.example"
-	q.Header.Set(flight.HeaderID, fmt.Sprint("try-", time.Now().UnixNano()))
+	q.Header.Set(upstream.HeaderID, fmt.Sprint("try-", time.Now().UnixNano()))
 	for i := 0; i+1 < len(head); i += 2 {
 		q.Header.Set(head[i], head[i+1])
 	}
@@ -138,7 +138,7 @@
 	return answer{r.StatusCode, r.Header, string(text)}
 }
 
-func listen(t *testing.T, f *Forager) string {
+func listen(t *testing.T, f *Edge) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -185,7 +185,7 @@
 	}
 	a := f.get(t, http.DefaultClient, url, "GET", "/s/a%2Fb%20c?x=%31&y", "", "Range", "bytes=2-4")
 	assert.Equal(t, a.header.Get("Content-Range"), "bytes 2-4/9")
-	assert.Equal(t, a.header.Get(flight.HeaderStamp), "stamp")
+	assert.Equal(t, a.header.Get(upstream.HeaderStamp), "stamp")
 }
 
 // Whoever asks for one missing object waits for one fetch; a purge meanwhile lets nobody who asks later have what was asked for
@@ -210,13 +210,13 @@
 			break
 		}
 	}
-	give(honey.Command{Purge: &honey.Purge{Host: "A.example", Path: "/s/1"}})
+	give(clusterstate.Command{Purge: &clusterstate.Purge{Host: "A.example", Path: "/s/1"}})
 	o.set(func() { o.version, o.wait = 2, nil })
 	close(gate)
 	wg.Wait()
 	assert.Equal(t, f.get(t, http.DefaultClient, url, "GET", "/s/1", "").body, "version 2")
 	assert.Assert(t, len(o.seen()) <= 3, "%v", o.seen())
-	give(honey.Command{Purge: &honey.Purge{Tag: "red"}})
+	give(clusterstate.Command{Purge: &clusterstate.Purge{Tag: "red"}})
 	o.set(func() { o.version = 3 })
 	assert.Equal(t, f.get(t, http.DefaultClient, url, "GET", "/s/1", "").body, "version 3")
 }
@@ -230,7 +230,7 @@
 	assert.Equal(t, f.get(t, http.DefaultClient, url, "GET", "/s/1", "").body, "version 1")
 	assert.Equal(t, f.get(t, http.DefaultClient, url, "GET", "/s/1", "").body, "version 1")
 	before := len(o.seen())
-	f.set.Bounds.Contact, f.scout.Set.Bounds.Contact = 0, 0 // and nothing has been heard since
+	f.set.Bounds.Contact, f.replica.Set.Bounds.Contact = 0, 0 // and nothing has been heard since
 	o.set(func() { o.version = 2 })
 	assert.Equal(t, f.get(t, http.DefaultClient, url, "GET", "/s/1", "").body, "version 2")
 	assert.Equal(t, len(o.seen()), before+1)
@@ -253,8 +253,8 @@
 	}
 }
 
-func newScoutForTest() *scout.Scout {
-	s := scout.New()
+func newReplicaForTest() *statesync.Replica {
+	s := statesync.New()
 	s.Log = hclog.NewNullLogger()
 	return s
 }
--- a/internal/hive/forager/shelf.go
+++ b/internal/cdn/edge/shelf.go
@@ -1,4 +1,4 @@
-package forager
+package edge
 
 import (
 	"context"
@@ -7,11 +7,11 @@
 	"sync"
 	"time"
 
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/objectcache"
+	"cedarmast/internal/cdn/statesync"
+	"cedarmast/internal/cdn/upstream"
 	"cedarmast/internal/exchange"
-	"cedarmast/internal/hive/flight"
-	"cedarmast/internal/hive/honey"
-	"cedarmast/internal/hive/nectar"
-	"cedarmast/internal/hive/scout"
 )
 
 // This file is the cache router's side of a shelved request: its copy, or one fetch for all who wait for it.
@@ -40,23 +40,23 @@
 // level keeps what a router asks as a zone's cache router apart from what it asks as a shield: neither waits for the other
 // in a circle.
 type level struct {
-	nectar.Key
+	objectcache.Key
 	home bool
 }
 
 // slack is how long past its shelf time a copy may still go out while the server is asked.
-func (f *Forager) slack() time.Duration {
+func (f *Edge) slack() time.Duration {
 	return time.Duration(float64(f.set.Bounds.StaleSlack) * slackPart)
 }
 
 // vouched tells whether copies may be handed on: one that was out of touch for long may lack purges.
-func (f *Forager) vouched() bool {
-	phase, at := f.scout.Phase()
-	return phase == scout.InTouch || time.Since(at) < f.set.Bounds.Contact
+func (f *Edge) vouched() bool {
+	phase, at := f.replica.Phase()
+	return phase == statesync.InTouch || time.Since(at) < f.set.Bounds.Contact
 }
 
 // refreshDue asks the servers about copies that are wanted and about to end, while the service's rate has room to spare.
-func (f *Forager) refreshDue(now time.Time) {
+func (f *Edge) refreshDue(now time.Time) {
 	p := f.plan.Load()
 	if p == nil || !f.vouched() {
 		return
@@ -75,24 +75,24 @@
 }
 
 // held returns this router's copy, if it is good.
-func (f *Forager) held(k nectar.Key, by string) (*nectar.Copy, nectar.Grade) {
+func (f *Edge) held(k objectcache.Key, by string) (*objectcache.Copy, objectcache.Grade) {
 	x, grade := f.cache.Get(k, time.Now(), f.slack(), by)
-	if grade != nectar.NotThere && !f.vouched() {
-		grade = nectar.Stale
+	if grade != objectcache.NotThere && !f.vouched() {
+		grade = objectcache.Stale
 	}
 	return x, grade
 }
 
 // obtain brings an object: the copy, or what a server says.
-func (f *Forager) obtain(ctx context.Context, q Fetch) Fetched {
+func (f *Edge) obtain(ctx context.Context, q Fetch) Fetched {
 	x, grade := f.held(q.Key, q.ID)
-	if q.AgeMS > 0 && grade != nectar.NotThere && time.Since(x.At) > time.Duration(q.AgeMS)*time.Millisecond {
-		grade = nectar.Stale // the asker has as good a one
+	if q.AgeMS > 0 && grade != objectcache.NotThere && time.Since(x.At) > time.Duration(q.AgeMS)*time.Millisecond {
+		grade = objectcache.Stale // the asker has as good a one
 	}
 	switch grade {
-	case nectar.Fresh:
+	case objectcache.Fresh:
 		return f.answer(q, x)
-	case nectar.Ageing:
+	case objectcache.Ageing:
 		f.start(q, x, refreshTime)
 		return f.answer(q, x)
 	}
@@ -111,13 +111,13 @@
 	}
 }
 
-func fetchedFrom(x *nectar.Copy) Fetched {
+func fetchedFrom(x *objectcache.Copy) Fetched {
 	return Fetched{Status: http.StatusOK, Header: x.Header, Body: x.Body, Whole: true, Index: x.Index,
 		AgeMS: time.Since(x.At).Milliseconds() + 1}
 }
 
 // answer hands a copy on, without its body to one who has the same.
-func (f *Forager) answer(q Fetch, x *nectar.Copy) Fetched {
+func (f *Edge) answer(q Fetch, x *objectcache.Copy) Fetched {
 	got := fetchedFrom(x)
 	if q.ETag != "" && q.ETag == x.ETag {
 		got.Same, got.Header, got.Body = true, nil, nil
@@ -126,7 +126,7 @@
 }
 
 // start begins a fetch unless one is under way; nil if the configuration has no such service any more.
-func (f *Forager) start(q Fetch, old *nectar.Copy, patience time.Duration) *fetch {
+func (f *Edge) start(q Fetch, old *objectcache.Copy, patience time.Duration) *fetch {
 	p := f.plan.Load()
 	var sv *service
 	if p != nil {
@@ -162,10 +162,10 @@
 }
 
 // fetch asks the servers for a whole object, or whether a copy of it is still good, and stores what may be handed on.
-func (f *Forager) fetch(p *plan, sv *service, q Fetch, old *nectar.Copy, patience time.Duration) Fetched {
+func (f *Edge) fetch(p *plan, sv *service, q Fetch, old *objectcache.Copy, patience time.Duration) Fetched {
 	route := p.routes[q.Route]
 	if route == nil {
-		route = &honey.Route{Timeout: patience}
+		route = &clusterstate.Route{Timeout: patience}
 	}
 	if near := sv.here.Load() && sv.pace.long(route.Name); !q.Home { // a long body of the own zone's servers stays in the zone
 		way := f.home
@@ -189,26 +189,26 @@
 	if old != nil && old.ETag != "" {
 		header["If-None-Match"] = []string{old.ETag}
 	}
-	order := &flight.Order{ID: q.ID, Stamped: true}
-	index, begun := f.scout.Index(), time.Now()
+	order := &upstream.Order{ID: q.ID, Stamped: true}
+	index, begun := f.replica.Index(), time.Now()
 	a := f.ask(sv, order, exchange.Request{Class: route.Name, Arrived: begun, TimeLeft: min(patience, route.Timeout),
 		Method: http.MethodGet, Target: q.Target, Header: header})
 	if a.Kind != exchange.Served {
 		if last := order.Failure(); last != nil {
-			return Fetched{Status: int(atoi(first(last.Header, flight.StatusKey))), Header: without(last.Header, flight.StatusKey), Body: last.Body}
+			return Fetched{Status: int(atoi(first(last.Header, upstream.StatusKey))), Header: without(last.Header, upstream.StatusKey), Body: last.Body}
 		}
 		return Fetched{Refuse: max(a.RetryAfter, comeAgain).Milliseconds()}
 	}
-	status := int(atoi(first(a.Header, flight.StatusKey)))
-	head := without(a.Header, flight.StatusKey)
+	status := int(atoi(first(a.Header, upstream.StatusKey)))
+	head := without(a.Header, upstream.StatusKey)
 	switch {
 	case status == http.StatusNotModified && old != nil:
 		x := *old
 		x.At, x.Index, x.Shelf = begun, index, route.Shelf
 		f.cache.Put(q.Key, &x)
 		return fetchedFrom(&x)
-	case status == http.StatusOK && first(head, flight.HeaderStamp) != "":
-		x := f.store(q.Key, route, without(head, flight.HeaderLoad), a.Body, begun, index)
+	case status == http.StatusOK && first(head, upstream.HeaderStamp) != "":
+		x := f.store(q.Key, route, without(head, upstream.HeaderLoad), a.Body, begun, index)
 		return fetchedFrom(x)
 	}
 	return Fetched{Status: status, Header: head, Body: a.Body}
@@ -216,8 +216,8 @@
 
 // askHome asks the key's shield. It is not ok if there is none but this router, or it does not answer: then the servers are
 // asked from here.
-func (f *Forager) askHome(way *hop, q Fetch, old *nectar.Copy, route *honey.Route, patience time.Duration) (Fetched, bool) {
-	q.Index, q.AgeMS, q.ETag = f.scout.Index(), 0, ""
+func (f *Edge) askHome(way *hop, q Fetch, old *objectcache.Copy, route *clusterstate.Route, patience time.Duration) (Fetched, bool) {
+	q.Index, q.AgeMS, q.ETag = f.replica.Index(), 0, ""
 	if old != nil {
 		q.ETag, q.AgeMS = old.ETag, max(int64(route.Shelf/4/time.Millisecond), 1)
 	}
@@ -249,9 +249,9 @@
 
 // borrow keeps what the key's cache router has handed over, unless this one is it: while it is fresh it costs no hop, and
 // afterwards none of its bytes as long as it is the same.
-func (f *Forager) borrow(k nectar.Key, route *honey.Route, got Fetched, old *nectar.Copy, begun time.Time) Fetched {
-	x := &nectar.Copy{Header: got.Header, Body: got.Body, ETag: first(got.Header, "Etag"),
-		Labels: strings.Fields(strings.Join(got.Header[flight.HeaderLabels], " "))}
+func (f *Edge) borrow(k objectcache.Key, route *clusterstate.Route, got Fetched, old *objectcache.Copy, begun time.Time) Fetched {
+	x := &objectcache.Copy{Header: got.Header, Body: got.Body, ETag: first(got.Header, "Etag"),
+		Labels: strings.Fields(strings.Join(got.Header[upstream.HeaderLabels], " "))}
 	if got.Same {
 		if old == nil {
 			return Fetched{Refuse: comeAgain.Milliseconds()}
@@ -260,16 +260,16 @@
 		x = &same
 	}
 	x.Lent, x.Shelf, x.Index, x.At = true, route.Shelf, got.Index, begun.Add(-time.Duration(got.AgeMS)*time.Millisecond)
-	if now, grade := f.cache.Get(k, begun, 0, ""); route.Shelf > 0 && (grade == nectar.NotThere || now.Lent) {
+	if now, grade := f.cache.Get(k, begun, 0, ""); route.Shelf > 0 && (grade == objectcache.NotThere || now.Lent) {
 		f.cache.Put(k, x)
 	}
 	return fetchedFrom(x)
 }
 
 // store keeps an object, if the route lets copies be kept.
-func (f *Forager) store(k nectar.Key, route *honey.Route, head http.Header, body []byte, at time.Time, index uint64) *nectar.Copy {
-	x := &nectar.Copy{Header: head, Body: body, ETag: first(head, "Etag"), Shelf: route.Shelf, At: at, Index: index,
-		Labels: strings.Fields(strings.Join(head[flight.HeaderLabels], " "))}
+func (f *Edge) store(k objectcache.Key, route *clusterstate.Route, head http.Header, body []byte, at time.Time, index uint64) *objectcache.Copy {
+	x := &objectcache.Copy{Header: head, Body: body, ETag: first(head, "Etag"), Shelf: route.Shelf, At: at, Index: index,
+		Labels: strings.Fields(strings.Join(head[upstream.HeaderLabels], " "))}
 	if route.Shelf > 0 {
 		f.cache.Put(k, x)
 	}
@@ -277,7 +277,7 @@
 }
 
 // ask submits a request to a service's decisions and waits for the one answer.
-func (f *Forager) ask(sv *service, order *flight.Order, r exchange.Request) exchange.Answer {
+func (f *Edge) ask(sv *service, order *upstream.Order, r exchange.Request) exchange.Answer {
 	x := exchange.New(r)
 	f.sender.Begin(x, order)
 	defer f.sender.End(x)
--- a/internal/hive/petal/petal.go
+++ b/internal/cdn/httproute/httproute.go
@@ -1,6 +1,6 @@
-// Package petal matches calls by a tree: one level for the method, one for each part of the path. A part in braces matches
+// Package httproute matches calls by a tree: one level for the method, one for each part of the path. A part in braces matches
 // anything and is handed over.
-package petal
+package httproute
 
 import (
 	"net/http"
--- a/internal/hive/meadow/hollow.go
+++ b/internal/cdn/localnet/hollow.go
@@ -1,4 +1,4 @@
-package meadow
+package localnet
 
 import (
 	"context"
@@ -15,10 +15,10 @@
 	"syscall"
 	"time"
 
-	"cedarmast/internal/hive/antenna"
-	"cedarmast/internal/hive/guard"
-	"cedarmast/internal/hive/honey"
-	"cedarmast/internal/hive/scout"
+	"cedarmast/internal/cdn/bootconfig"
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/peerrpc"
+	"cedarmast/internal/cdn/statesync"
 
 	"github.com/hashicorp/go-hclog"
 )
@@ -35,23 +35,23 @@
 // Measured is what came of it. Costs of a core machine are the busiest one's.
 type Measured struct {
 	Load
-	CombCPU, WaggleCPU    float64 // of a core
-	CombMB, WaggleMB      float64
-	EdgeCPU               float64          // of a core, for one edge
-	EdgeKB                float64          // memory of one edge, by the growth of this process
-	EdgeIn, EdgeOut       float64          // bytes a second of one edge
-	Everywhere            [3]time.Duration // from acknowledgement to every edge: median, worst; and the worst from sending
-	Orders, NotEverywhere int
-	JournalKB             float64 // written by the leader's journal in the time
+	ConfigStoreCPU, RegistryCPU float64 // of a core
+	ConfigStoreMB, RegistryMB   float64
+	EdgeCPU                     float64          // of a core, for one edge
+	EdgeKB                      float64          // memory of one edge, by the growth of this process
+	EdgeIn, EdgeOut             float64          // bytes a second of one edge
+	Everywhere                  [3]time.Duration // from acknowledgement to every edge: median, worst; and the worst from sending
+	Orders, NotEverywhere       int
+	JournalKB                   float64 // written by the leader's journal in the time
 }
 
 func (m Measured) row() string {
 	ms := func(d time.Duration) string { return fmt.Sprint(d.Milliseconds()) }
-	return fmt.Sprintf("%6d %7d %6.1f %5.1f %6d %9.4f %7.1f %9.4f %7.1f %9.5f %7.1f %8.0f %8.0f %6s %6s %6s %6d", m.Edges, m.Servers, m.Purges, m.Puts, m.Routes, m.CombCPU, m.CombMB,
-		m.WaggleCPU, m.WaggleMB, m.EdgeCPU, m.EdgeKB, m.EdgeIn, m.EdgeOut, ms(m.Everywhere[0]), ms(m.Everywhere[1]), ms(m.Everywhere[2]), m.NotEverywhere)
+	return fmt.Sprintf("%6d %7d %6.1f %5.1f %6d %9.4f %7.1f %9.4f %7.1f %9.5f %7.1f %8.0f %8.0f %6s %6s %6s %6d", m.Edges, m.Servers, m.Purges, m.Puts, m.Routes, m.ConfigStoreCPU, m.ConfigStoreMB,
+		m.RegistryCPU, m.RegistryMB, m.EdgeCPU, m.EdgeKB, m.EdgeIn, m.EdgeOut, ms(m.Everywhere[0]), ms(m.Everywhere[1]), ms(m.Everywhere[2]), m.NotEverywhere)
 }
 
-const head = " edges servers purges  puts routes  comb cpu comb MB  wagg cpu wagg MB  edge cpu edge KB   B/s in  B/s out  med ms max ms sent ms missed"
+const head = " edges servers purges  puts routesstore cpu stor MB   reg cpu  reg MB  edge cpu edge KB   B/s in  B/s out  med ms max ms sent ms missed"
 
 // order is one order on its way to every edge.
 type order struct {
@@ -105,7 +105,7 @@
 
 	var mu sync.Mutex
 	orders := map[string]*order{} // by version or tag
-	edges, all := make([]*scout.Scout, l.Edges), make([]*antenna.Peers, l.Edges)
+	edges, all := make([]*statesync.Replica, l.Edges), make([]*peerrpc.Peers, l.Edges)
 	life, end := context.WithCancel(ctx)
 	defer end()
 	runtime.GC()
@@ -116,12 +116,12 @@
 		seeds = append(seeds, fmt.Sprintf("%s:%d", c.IP, controlPort))
 	}
 	for i := range edges {
-		s := scout.New()
-		all[i] = antenna.NewPeers()
-		s.Set = guard.Settings{Node: fmt.Sprint("hollow-", i), IP: "127.0.0.1", Seeds: seeds, SparePort: sparePort, Bounds: guard.Bounds{Contact: 3 * time.Second}}
+		s := statesync.New()
+		all[i] = peerrpc.NewPeers()
+		s.Set = bootconfig.Settings{Node: fmt.Sprint("hollow-", i), IP: "127.0.0.1", Seeds: seeds, SparePort: sparePort, Bounds: bootconfig.Bounds{Contact: 3 * time.Second}}
 		s.Peers, s.Log = all[i], hclog.NewNullLogger()
-		s.Router = honey.Router{Node: s.Set.Node, Zone: "zone-1", Address: fmt.Sprintf("127.1.%d.%d:1", i/250, i%250)}
-		s.Took = func(state *honey.State, c honey.Command, _ uint64, whole bool) {
+		s.Router = clusterstate.Router{Node: s.Set.Node, Zone: "zone-1", Address: fmt.Sprintf("127.1.%d.%d:1", i/250, i%250)}
+		s.Took = func(state *clusterstate.State, c clusterstate.Command, _ uint64, whole bool) {
 			key := ""
 			switch {
 			case c.Configures():
@@ -147,8 +147,8 @@
 		for {
 			phase, _ := s.Phase()
 			known := 0
-			s.Read(func(state *honey.State) { known = len(state.Routers) })
-			if phase == scout.InTouch && known >= l.Edges {
+			s.Read(func(state *clusterstate.State) { known = len(state.Routers) })
+			if phase == statesync.InTouch && known >= l.Edges {
 				break
 			}
 			select {
@@ -162,10 +162,10 @@
 	runtime.ReadMemStats(&after)
 	m.EdgeKB = float64(int64(after.HeapInuse+after.StackInuse)-int64(before.HeapInuse+before.StackInuse)) / 1024 / float64(max(l.Edges, 1))
 
-	type costs struct{ comb, waggle float64 }
+	type costs struct{ store, registry float64 }
 	read := func() (c []costs) {
 		for _, x := range n.Machines {
-			c = append(c, costs{cpuOf(x.processes["comb"].Process.Pid), cpuOf(x.processes["waggle"].Process.Pid)})
+			c = append(c, costs{cpuOf(x.processes["configstore"].Process.Pid), cpuOf(x.processes["registry"].Process.Pid)})
 		}
 		return c
 	}
@@ -240,10 +240,10 @@
 	last, lastOwn := read(), own()
 	lastIn, lastOut := bytes()
 	for i, x := range n.Machines {
-		m.CombCPU = max(m.CombCPU, (last[i].comb-first[i].comb)/span)
-		m.WaggleCPU = max(m.WaggleCPU, (last[i].waggle-first[i].waggle)/span)
-		m.CombMB = max(m.CombMB, peakOf(x.processes["comb"].Process.Pid))
-		m.WaggleMB = max(m.WaggleMB, peakOf(x.processes["waggle"].Process.Pid))
+		m.ConfigStoreCPU = max(m.ConfigStoreCPU, (last[i].store-first[i].store)/span)
+		m.RegistryCPU = max(m.RegistryCPU, (last[i].registry-first[i].registry)/span)
+		m.ConfigStoreMB = max(m.ConfigStoreMB, peakOf(x.processes["configstore"].Process.Pid))
+		m.RegistryMB = max(m.RegistryMB, peakOf(x.processes["registry"].Process.Pid))
 	}
 	per := float64(max(l.Edges, 1)) * span
 	m.EdgeCPU, m.EdgeIn, m.EdgeOut = (lastOwn-firstOwn)/per, float64(lastIn-firstIn)/per, float64(lastOut-firstOut)/per
--- a/internal/hive/meadow/meadow.go
+++ b/internal/cdn/localnet/localnet.go
@@ -1,7 +1,7 @@
-// Package meadow starts a small delivery network on this machine: real processes of the three programs, each on an address of
+// Package localnet starts a small delivery network on this machine: real processes of the three programs, each on an address of
 // its own of the loopback net, with stand-in servers that tell of themselves as real ones do. The network's tests and
-// `hive up` use it.
-package meadow
+// `localnet up` use it.
+package localnet
 
 import (
 	"bytes"
@@ -23,7 +23,7 @@
 )
 
 // Error is the class of this package's errors.
-var Error = errs.Class("meadow")
+var Error = errs.Class("localnet")
 
 // Shape is how large a network is.
 type Shape struct {
@@ -138,9 +138,9 @@
 		return Error.Wrap(err)
 	}
 	m.first = false
-	programs := []string{"forager"}
+	programs := []string{"edge"}
 	if m.Core {
-		programs = []string{"comb", "waggle"}
+		programs = []string{"configstore", "registry"}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/hive/meadow/meadow_test.go
+++ b/internal/cdn/localnet/localnet_test.go
@@ -1,4 +1,4 @@
-package meadow
+package localnet
 
 import (
 	"context"
@@ -11,10 +11,10 @@
 	"testing"
 	"time"
 
-	"cedarmast/internal/hive/apiary"
-	"cedarmast/internal/hive/comb"
-	"cedarmast/internal/hive/forager"
-	"cedarmast/internal/hive/waggle"
+	"cedarmast/internal/cdn/configstore"
+	"cedarmast/internal/cdn/edge"
+	"cedarmast/internal/cdn/process"
+	"cedarmast/internal/cdn/registry"
 
 	"github.com/anishathalye/porcupine"
 	"gotest.tools/v3/assert"
@@ -22,10 +22,10 @@
 
 // The test binary plays the three programs when it is told to.
 func TestMain(m *testing.M) {
-	run := map[string]apiary.Program{"comb": {Name: "comb", Run: comb.Run}, "waggle": {Name: "waggle", Run: waggle.Run}, "forager": {Name: "forager", Run: forager.Run}}
-	if p, ok := run[os.Getenv("MEADOW_PROGRAM")]; ok {
+	run := map[string]process.Program{"configstore": {Name: "configstore", Run: configstore.Run}, "registry": {Name: "registry", Run: registry.Run}, "edge": {Name: "edge", Run: edge.Run}}
+	if p, ok := run[os.Getenv("LOCALNET_PROGRAM")]; ok {
 		os.Args = []string{p.Name, "run"}
-		apiary.Main(p)
+		process.Main(p)
 		return
 	}
 	os.Exit(m.Run())
@@ -39,7 +39,7 @@
 func (s Shape) start(t *testing.T) *Network {
 	t.Helper()
 	s.Dir, s.Out, s.Program = t.TempDir(), t.Output(), func(name string) []string {
-		return []string{"/usr/bin/env", "MEADOW_PROGRAM=" + name, os.Args[0]}
+		return []string{"/usr/bin/env", "LOCALNET_PROGRAM=" + name, os.Args[0]}
 	}
 	n, err := Start(s)
 	assert.NilError(t, err)
@@ -83,7 +83,7 @@
 	return status, body
 }
 
-func (n *Network) status(m *Machine) (s comb.Status) {
+func (n *Network) status(m *Machine) (s configstore.Status) {
 	ctx, done := context.WithTimeout(context.Background(), time.Second)
 	defer done()
 	_, text, _ := n.ControlAt(ctx, m, "GET", "/status", nil)
--- a/internal/hive/meadow/show.go
+++ b/internal/cdn/localnet/show.go
@@ -1,4 +1,4 @@
-package meadow
+package localnet
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 	}
 	shape.Program = func(name string) []string { return []string{filepath.Join(filepath.Dir(self), name), "run"} }
 	if shape.Dir == "" {
-		if shape.Dir, err = os.MkdirTemp("", "hive"); err != nil {
+		if shape.Dir, err = os.MkdirTemp("", "localnet"); err != nil {
 			return Error.Wrap(err)
 		}
 		defer os.RemoveAll(shape.Dir)
--- a/internal/hive/nectar/nectar.go
+++ b/internal/cdn/objectcache/objectcache.go
@@ -1,6 +1,6 @@
-// Package nectar keeps copies of objects: for how long each may be handed on, what a purge ends, and which are let go when
+// Package objectcache keeps copies of objects: for how long each may be handed on, what a purge ends, and which are let go when
 // memory runs out. It does no I/O and has no clock; its methods may be called from many goroutines.
-package nectar
+package objectcache
 
 import (
 	"container/heap"
--- a/internal/hive/nectar/nectar_test.go
+++ b/internal/cdn/objectcache/objectcache_test.go
@@ -1,4 +1,4 @@
-package nectar
+package objectcache
 
 import (
 	"fmt"
--- a/internal/hive/antenna/antenna.go
+++ b/internal/cdn/peerrpc/peerrpc.go
@@ -1,6 +1,6 @@
-// Package antenna is how the system's own processes call one another: gob over TCP, many calls on one connection, each
+// Package peerrpc is how the system's own processes call one another: gob over TCP, many calls on one connection, each
 // with its own deadline. A connection that brings nothing within a call's time is given up and dialled anew.
-package antenna
+package peerrpc
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 )
 
 // Error is the class of this package's errors; they name the call and the peer.
-var Error = errs.Class("antenna")
+var Error = errs.Class("peerrpc")
 
 // ErrNotBegun is the cause where a call was surely not begun: no connection came up.
 var ErrNotBegun = errors.New("no connection")
@@ -294,7 +294,7 @@
 	if err := server.RegisterName(name, service); err != nil {
 		return Error.Wrap(err)
 	}
-	if err := server.RegisterName("Antenna", wordless{}); err != nil {
+	if err := server.RegisterName("Peer", wordless{}); err != nil {
 		return Error.Wrap(err)
 	}
 	for {
--- a/internal/hive/antenna/antenna_test.go
+++ b/internal/cdn/peerrpc/peerrpc_test.go
@@ -1,4 +1,4 @@
-package antenna
+package peerrpc
 
 import (
 	"context"
--- a/internal/hive/antenna/watch.go
+++ b/internal/cdn/peerrpc/watch.go
@@ -1,4 +1,4 @@
-package antenna
+package peerrpc
 
 import (
 	"context"
@@ -51,7 +51,7 @@
 // Word answers at once.
 func (wordless) Word(_ *bool, ok *bool) error { *ok = true; return nil }
 
-const wordCall = "Antenna.Word"
+const wordCall = "Peer.Word"
 
 // watch looks after a link while watched calls are out on it.
 func (p *Peer) watch(k *link) {
--- a/internal/hive/swarm/swarm.go
+++ b/internal/cdn/peersampling/peersampling.go
@@ -1,7 +1,7 @@
-// Package swarm is how cache routers know one another without anybody knowing all: each keeps a small partial view and now
+// Package peersampling is how cache routers know one another without anybody knowing all: each keeps a small partial view and now
 // and then exchanges half of it with the neighbour that it has known for longest. Who does not answer falls out of the views
 // within a few rounds. It does no I/O; the host carries the exchanges.
-package swarm
+package peersampling
 
 import (
 	"math/rand/v2"
--- a/internal/hive/swarm/swarm_test.go
+++ b/internal/cdn/peersampling/peersampling_test.go
@@ -1,4 +1,4 @@
-package swarm
+package peersampling
 
 import (
 	"fmt"
--- a/internal/hive/apiary/apiary.go
+++ b/internal/cdn/process/process.go
@@ -1,5 +1,5 @@
-// Package apiary is what the system's programs share at their start: the command line, the settings, the log, the end.
-package apiary
+// Package process is what the system's programs share at their start: the command line, the settings, the log, the end.
+package process
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"time"
 
 	"cedarmast/internal/build"
-	"cedarmast/internal/hive/guard"
+	"cedarmast/internal/cdn/bootconfig"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v3"
@@ -19,21 +19,21 @@
 // Program is one of the system's programs.
 type Program struct {
 	Name, Usage string
-	Run         func(ctx context.Context, set guard.Settings, log hclog.Logger) error
+	Run         func(ctx context.Context, set bootconfig.Settings, log hclog.Logger) error
 }
 
 const watchEvery = 5 * time.Second
 
 // Main is the program's whole main. Its status is 2 for a fault of the command line or the settings, 1 for one later on.
 func Main(p Program) {
-	settings := &cli.StringFlag{Name: "settings", Usage: "path of the settings file", Sources: cli.EnvVars(guard.EnvPath)}
+	settings := &cli.StringFlag{Name: "settings", Usage: "path of the settings file", Sources: cli.EnvVars(bootconfig.EnvPath)}
 	level := &cli.StringFlag{Name: "log", Usage: "least level that is logged: trace, debug, info, warn, error", Value: "info"}
 	root := &cli.Command{Name: p.Name, Usage: p.Usage, Flags: []cli.Flag{settings, level}, Commands: []*cli.Command{
 		{Name: "run", Usage: "serve until SIGTERM", Action: func(ctx context.Context, c *cli.Command) error {
 			return p.run(ctx, c.String("settings"), c.String("log"))
 		}},
 		{Name: "check", Usage: "check a settings file and end", Action: func(_ context.Context, c *cli.Command) error {
-			if _, err := guard.Read(c.String("settings")); err != nil {
+			if _, err := bootconfig.Read(c.String("settings")); err != nil {
 				return cli.Exit(err.Error(), 2)
 			}
 			fmt.Println("good")
@@ -52,16 +52,16 @@
 
 func (p Program) run(ctx context.Context, path, level string) error {
 	if path == "" {
-		return cli.Exit("no settings file: set "+guard.EnvPath+" or --settings", 2)
+		return cli.Exit("no settings file: set "+bootconfig.EnvPath+" or --settings", 2)
 	}
-	set, err := guard.Read(path)
+	set, err := bootconfig.Read(path)
 	if err != nil {
 		return cli.Exit(err.Error(), 2)
 	}
 	log := hclog.New(&hclog.LoggerOptions{Name: p.Name, Level: hclog.LevelFromString(level), Output: os.Stderr, DisableTime: true})
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	set.Named = new(guard.Seeds)
+	set.Named = new(bootconfig.Seeds)
 	go watch(ctx, path, set, log)
 	if err := p.Run(ctx, set, log); err != nil {
 		log.Error("ended", "err", err)
@@ -72,7 +72,7 @@
 
 // watch looks when the settings file has changed, by a signal or without one. Other seeds are taken at once; what a process is told about
 // itself holds for its life. A file that can't be read or is faulty changes nothing.
-func watch(ctx context.Context, path string, set guard.Settings, log hclog.Logger) {
+func watch(ctx context.Context, path string, set bootconfig.Settings, log hclog.Logger) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	for {
@@ -82,7 +82,7 @@
 		case <-hup:
 		case <-time.After(watchEvery):
 		}
-		now, err := guard.Read(path)
+		now, err := bootconfig.Read(path)
 		if err != nil {
 			log.Warn("settings file not taken", "err", err)
 			continue
--- a/internal/hive/wax/wax.go
+++ b/internal/cdn/raftlog/raftlog.go
@@ -1,7 +1,7 @@
-// Package wax keeps a core machine's part of the log on its disk: a journal of records on tidwall/wal, each with a checksum
+// Package raftlog keeps a core machine's part of the log on its disk: a journal of records on tidwall/wal, each with a checksum
 // of its own, written in batches of one sync. A torn or missing tail is cut off at the first record that is not whole;
 // what was synced is never behind it. The journal only grows, and a snapshot begins a new one.
-package wax
+package raftlog
 
 import (
 	"encoding/binary"
@@ -15,7 +15,7 @@
 	"strconv"
 	"strings"
 
-	"cedarmast/internal/hive/queen"
+	"cedarmast/internal/cdn/consensus"
 
 	"github.com/tidwall/wal"
 	"github.com/zeebo/errs"
@@ -27,9 +27,9 @@
 // Held is what a disk holds.
 type Held struct {
 	ID       string // this disk's, drawn when it was first used; empty: it never was
-	Hard     queen.Hard
-	Snapshot queen.Snapshot
-	Entries  []queen.Entry
+	Hard     consensus.Hard
+	Snapshot consensus.Snapshot
+	Entries  []consensus.Entry
 
 	Committed uint64 // entries up to this one are surely kept by a majority; there may be more
 }
@@ -167,7 +167,7 @@
 	case kindHard:
 		return json.Unmarshal(body, &h.Hard)
 	case kindSnapshot:
-		h.Snapshot, h.Entries = queen.Snapshot{}, nil
+		h.Snapshot, h.Entries = consensus.Snapshot{}, nil
 		return json.Unmarshal(body, &h.Snapshot)
 	case kindEntry:
 		e, err := decodeEntry(body)
@@ -201,7 +201,7 @@
 }
 
 // Save writes a batch with one sync. After an error nothing of it counts as saved, and the journal is opened anew.
-func (j *Journal) Save(hard *queen.Hard, snap *queen.Snapshot, entries []queen.Entry) error {
+func (j *Journal) Save(hard *consensus.Hard, snap *consensus.Snapshot, entries []consensus.Entry) error {
 	var b wal.Batch
 	add := func(kind byte, body []byte) {
 		b.Write(j.next, pack(kind, body))
@@ -268,7 +268,7 @@
 func (j *Journal) Size() int64 { return j.written }
 
 // Renew begins a new generation with all that is held, and lets the old one go once it is on disk.
-func (j *Journal) Renew(hard queen.Hard, snap queen.Snapshot, entries []queen.Entry) error {
+func (j *Journal) Renew(hard consensus.Hard, snap consensus.Snapshot, entries []consensus.Entry) error {
 	old := *j
 	fresh := &Journal{dir: j.dir, generation: j.generation + 1, id: j.id, committed: j.committed}
 	if err := os.RemoveAll(fresh.path()); err != nil {
@@ -400,7 +400,7 @@
 	return text
 }
 
-func encodeEntry(e queen.Entry) []byte {
+func encodeEntry(e consensus.Entry) []byte {
 	b := binary.AppendUvarint(nil, e.Index)
 	b = binary.AppendUvarint(b, e.Term)
 	var conf []byte
@@ -411,7 +411,7 @@
 	return append(append(b, conf...), e.Data...)
 }
 
-func decodeEntry(b []byte) (e queen.Entry, err error) {
+func decodeEntry(b []byte) (e consensus.Entry, err error) {
 	var nums [3]uint64
 	for i := range nums {
 		v, n := binary.Uvarint(b)
--- a/internal/hive/wax/wax_test.go
+++ b/internal/cdn/raftlog/raftlog_test.go
@@ -1,4 +1,4 @@
-package wax
+package raftlog
 
 import (
 	"fmt"
@@ -6,13 +6,13 @@
 	"path/filepath"
 	"testing"
 
-	"cedarmast/internal/hive/queen"
+	"cedarmast/internal/cdn/consensus"
 
 	"gotest.tools/v3/assert"
 )
 
-func entry(i uint64) queen.Entry {
-	return queen.Entry{Index: i, Term: 1, Data: fmt.Appendf(nil, "command %d", i)}
+func entry(i uint64) consensus.Entry {
+	return consensus.Entry{Index: i, Term: 1, Data: fmt.Appendf(nil, "command %d", i)}
 }
 
 func begin(t *testing.T) (string, *Journal) {
@@ -21,7 +21,7 @@
 	j, h, err := Open(dir)
 	assert.NilError(t, err)
 	assert.Equal(t, h.ID, "")
-	assert.NilError(t, j.Begin("me", Held{Snapshot: queen.Snapshot{Conf: []queen.Member{{ID: "me", Addr: "a"}}}}))
+	assert.NilError(t, j.Begin("me", Held{Snapshot: consensus.Snapshot{Conf: []consensus.Member{{ID: "me", Addr: "a"}}}}))
 	return dir, j
 }
 
@@ -34,21 +34,21 @@
 
 func TestWhatIsSavedComesBack(t *testing.T) {
 	dir, j := begin(t)
-	assert.NilError(t, j.Save(&queen.Hard{Term: 3, Vote: "x"}, nil, []queen.Entry{entry(1), entry(2), entry(3)}))
+	assert.NilError(t, j.Save(&consensus.Hard{Term: 3, Vote: "x"}, nil, []consensus.Entry{entry(1), entry(2), entry(3)}))
 	other := entry(2)
-	other.Term, other.Conf = 4, []queen.Member{{ID: "b", Addr: "c"}}
-	assert.NilError(t, j.Save(nil, nil, []queen.Entry{other})) // it replaces the second and the third
+	other.Term, other.Conf = 4, []consensus.Member{{ID: "b", Addr: "c"}}
+	assert.NilError(t, j.Save(nil, nil, []consensus.Entry{other})) // it replaces the second and the third
 	j.Close()
 	j, h := reopen(t, dir)
 	assert.Equal(t, h.ID, "me")
-	assert.DeepEqual(t, h.Hard, queen.Hard{Term: 3, Vote: "x"})
-	assert.DeepEqual(t, h.Entries, []queen.Entry{entry(1), other})
-	assert.NilError(t, j.Renew(h.Hard, queen.Snapshot{Index: 1, Term: 1, Data: []byte("all")}, []queen.Entry{other}))
-	assert.NilError(t, j.Save(nil, nil, []queen.Entry{entry(3)}))
+	assert.DeepEqual(t, h.Hard, consensus.Hard{Term: 3, Vote: "x"})
+	assert.DeepEqual(t, h.Entries, []consensus.Entry{entry(1), other})
+	assert.NilError(t, j.Renew(h.Hard, consensus.Snapshot{Index: 1, Term: 1, Data: []byte("all")}, []consensus.Entry{other}))
+	assert.NilError(t, j.Save(nil, nil, []consensus.Entry{entry(3)}))
 	j.Close()
 	_, h = reopen(t, dir)
 	assert.Equal(t, string(h.Snapshot.Data), "all")
-	assert.DeepEqual(t, h.Entries, []queen.Entry{other, entry(3)})
+	assert.DeepEqual(t, h.Entries, []consensus.Entry{other, entry(3)})
 	left, _ := os.ReadDir(dir)
 	assert.Equal(t, len(left), 1, "the old generation is let go")
 }
@@ -65,7 +65,7 @@
 	for i, s := range steps {
 		j.Note(s.note)
 		for range s.saves {
-			assert.NilError(t, j.Save(nil, nil, []queen.Entry{entry(at)}))
+			assert.NilError(t, j.Save(nil, nil, []consensus.Entry{entry(at)}))
 			at++
 		}
 		j.Close()
@@ -88,10 +88,10 @@
 func TestATornTail(t *testing.T) {
 	for cut := range 40 {
 		dir, j := begin(t)
-		assert.NilError(t, j.Save(nil, nil, []queen.Entry{entry(1)}))
+		assert.NilError(t, j.Save(nil, nil, []consensus.Entry{entry(1)}))
 		synced, err := os.ReadFile(lastSegment(t, dir))
 		assert.NilError(t, err)
-		assert.NilError(t, j.Save(nil, nil, []queen.Entry{entry(2), entry(3)}))
+		assert.NilError(t, j.Save(nil, nil, []consensus.Entry{entry(2), entry(3)}))
 		j.Close()
 		file := lastSegment(t, dir)
 		text, err := os.ReadFile(file)
@@ -107,7 +107,7 @@
 		assert.Assert(t, len(h.Entries) >= 1, "cut %d: %v", cut, h)
 		assert.DeepEqual(t, h.Entries[0], entry(1))
 		next := entry(uint64(len(h.Entries)) + 1)
-		assert.NilError(t, j.Save(nil, nil, []queen.Entry{next}))
+		assert.NilError(t, j.Save(nil, nil, []consensus.Entry{next}))
 		j.Close()
 		_, h = reopen(t, dir)
 		assert.DeepEqual(t, h.Entries[len(h.Entries)-1], next)
@@ -117,25 +117,25 @@
 // Power is lost while a new generation is written: without its seal it counts for nothing, and the old one goes on.
 func TestAnUnsealedGeneration(t *testing.T) {
 	dir, j := begin(t)
-	assert.NilError(t, j.Save(nil, nil, []queen.Entry{entry(1)}))
+	assert.NilError(t, j.Save(nil, nil, []consensus.Entry{entry(1)}))
 	j.Close()
 	fresh := &Journal{dir: dir, generation: 2, id: "me"}
 	assert.NilError(t, fresh.open())
 	assert.NilError(t, fresh.log.Write(1, pack(kindID, []byte("me"))))
 	fresh.Close()
 	_, h := reopen(t, dir)
-	assert.DeepEqual(t, h.Entries, []queen.Entry{entry(1)})
+	assert.DeepEqual(t, h.Entries, []consensus.Entry{entry(1)})
 }
 
 // A failed write counts for nothing, and the journal goes on once the disk takes something again.
 func TestAFailedWrite(t *testing.T) {
 	dir, j := begin(t)
-	assert.NilError(t, j.Save(nil, nil, []queen.Entry{entry(1)}))
+	assert.NilError(t, j.Save(nil, nil, []consensus.Entry{entry(1)}))
 	j.log.Close() // as a disk that refuses
-	assert.ErrorContains(t, j.Save(nil, nil, []queen.Entry{entry(2)}), "")
+	assert.ErrorContains(t, j.Save(nil, nil, []consensus.Entry{entry(2)}), "")
 	assert.NilError(t, j.Reopen())
-	assert.NilError(t, j.Save(nil, nil, []queen.Entry{entry(2)}))
+	assert.NilError(t, j.Save(nil, nil, []consensus.Entry{entry(2)}))
 	j.Close()
 	_, h := reopen(t, dir)
-	assert.DeepEqual(t, h.Entries, []queen.Entry{entry(1), entry(2)})
+	assert.DeepEqual(t, h.Entries, []consensus.Entry{entry(1), entry(2)})
 }
--- a/internal/hive/waggle/duty.go
+++ b/internal/cdn/registry/duty.go
@@ -1,14 +1,14 @@
-package waggle
+package registry
 
 import (
 	"context"
 	"slices"
 	"time"
 
-	"cedarmast/internal/hive/antenna"
-	"cedarmast/internal/hive/comb"
-	"cedarmast/internal/hive/honey"
-	"cedarmast/internal/hive/scout"
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/configstore"
+	"cedarmast/internal/cdn/peerrpc"
+	"cedarmast/internal/cdn/statesync"
 )
 
 // This file is what one registry does for all: the holder of the duty, under its epoch. The state refuses what comes under an older one.
@@ -30,7 +30,7 @@
 }
 
 // follow takes the duty on or lets it go, by the state and by whether this process is in touch.
-func (t *term) follow(d honey.Duty, self string, inTouch bool, now time.Time) {
+func (t *term) follow(d clusterstate.Duty, self string, inTouch bool, now time.Time) {
 	switch {
 	case d.Holder != self || !inTouch:
 		*t = term{}
@@ -40,7 +40,7 @@
 }
 
 // duties does what is to be done while the duty is held here.
-func (w *Waggle) duties(ctx context.Context) {
+func (w *Registry) duties(ctx context.Context) {
 	var t term
 	for {
 		select {
@@ -49,9 +49,9 @@
 		case <-time.After(w.set.Heartbeat / 2):
 		}
 		now := time.Now()
-		var duty honey.Duty
+		var duty clusterstate.Duty
 		var servers, routers, inner []string
-		w.scout.Read(func(s *honey.State) {
+		w.replica.Read(func(s *clusterstate.State) {
 			duty = s.Duty
 			for id := range s.Servers {
 				servers = append(servers, id)
@@ -64,8 +64,8 @@
 				}
 			}
 		})
-		phase, _ := w.scout.Phase()
-		t.follow(duty, w.set.IP, phase == scout.InTouch, now)
+		phase, _ := w.replica.Phase()
+		t.follow(duty, w.set.IP, phase == statesync.InTouch, now)
 		w.forget(now)
 		if t.epoch == 0 {
 			continue
@@ -80,10 +80,10 @@
 	}
 }
 
-func (w *Waggle) silence() time.Duration { return silentBeats * w.set.Heartbeat }
+func (w *Registry) silence() time.Duration { return silentBeats * w.set.Heartbeat }
 
 // forget lets beats go that are long over.
-func (w *Waggle) forget(now time.Time) {
+func (w *Registry) forget(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, b := range w.beats {
@@ -95,7 +95,7 @@
 
 // prune takes out servers that have missed several beats. One who takes the duty over gives all of them their whole time, for it has not
 // heard them before.
-func (w *Waggle) prune(ctx context.Context, t term, servers []string, now time.Time) {
+func (w *Registry) prune(ctx context.Context, t term, servers []string, now time.Time) {
 	if now.Sub(t.since) <= w.silence() {
 		return
 	}
@@ -103,22 +103,22 @@
 	w.mu.Lock()
 	for _, id := range servers {
 		if b, ok := w.beats[id]; !ok || now.Sub(b.at) > w.silence() {
-			silent = append(silent, comb.ServerKey(id))
+			silent = append(silent, configstore.ServerKey(id))
 		}
 	}
 	w.mu.Unlock()
 	for _, key := range w.surelySilent(ctx, silent, len(servers), w.silence()) {
-		id := key[len(comb.ServerKey("")):]
-		if out, err := w.propose(ctx, honey.Command{Lost: id, Epoch: t.epoch}, beatWithin); err == nil && out.Status == honey.Done {
+		id := key[len(configstore.ServerKey("")):]
+		if out, err := w.propose(ctx, clusterstate.Command{Lost: id, Epoch: t.epoch}, beatWithin); err == nil && out.Status == clusterstate.Done {
 			w.log.Info("server taken out", "id", id, "epoch", t.epoch)
 		}
 	}
 }
 
 // pruneRouters takes out cache routers that ask no core machine for news any more.
-func (w *Waggle) pruneRouters(ctx context.Context, t term, routers []string, span time.Duration) {
+func (w *Registry) pruneRouters(ctx context.Context, t term, routers []string, span time.Duration) {
 	for _, node := range w.surelySilent(ctx, routers, 2*len(routers), span) {
-		if out, err := w.propose(ctx, honey.Command{Absent: node, Epoch: t.epoch}, beatWithin); err == nil && out.Status == honey.Done {
+		if out, err := w.propose(ctx, clusterstate.Command{Absent: node, Epoch: t.epoch}, beatWithin); err == nil && out.Status == clusterstate.Done {
 			w.log.Info("cache router taken out", "node", node, "epoch", t.epoch)
 		}
 	}
@@ -126,13 +126,13 @@
 
 // surelySilent asks the leader, who hears of all who are heard at any core machine, which of the names have been silent for so long. If it
 // is more than half of all at once, it is the way to here that is silent.
-func (w *Waggle) surelySilent(ctx context.Context, names []string, all int, span time.Duration) (silent []string) {
+func (w *Registry) surelySilent(ctx context.Context, names []string, all int, span time.Duration) (silent []string) {
 	if len(names) == 0 || len(names) > max(absentAtOnce, all/2) {
 		return nil
 	}
 	call, done := context.WithTimeout(ctx, readWithin)
 	defer done()
-	ages, err := antenna.Call[comb.Silence, []int64](call, w.comb, "Comb.Silent", &comb.Silence{Names: names})
+	ages, err := peerrpc.Call[configstore.Silence, []int64](call, w.store, "ConfigStore.Silent", &configstore.Silence{Names: names})
 	if err != nil || len(ages) != len(names) {
 		return nil
 	}
@@ -146,15 +146,15 @@
 }
 
 // cutRates cuts the rates of services anew where need has moved.
-func (w *Waggle) cutRates(ctx context.Context, t term) {
+func (w *Registry) cutRates(ctx context.Context, t term) {
 	call, done := context.WithTimeout(ctx, readWithin)
-	needs, err := antenna.Call[bool, map[string]map[string]float64](call, w.comb, "Comb.Needs", new(bool))
+	needs, err := peerrpc.Call[bool, map[string]map[string]float64](call, w.store, "ConfigStore.Needs", new(bool))
 	done()
 	if err != nil {
 		return
 	}
-	var cuts []honey.Cut
-	w.scout.Read(func(s *honey.State) {
+	var cuts []clusterstate.Cut
+	w.replica.Read(func(s *clusterstate.State) {
 		for service, by := range needs {
 			if c, moved := s.Recut(service, by); moved {
 				cuts = append(cuts, c)
@@ -162,7 +162,7 @@
 		}
 	})
 	for _, c := range cuts {
-		if out, err := w.propose(ctx, honey.Command{Cut: &c, Epoch: t.epoch}, beatWithin); err == nil && out.Status == honey.Done {
+		if out, err := w.propose(ctx, clusterstate.Command{Cut: &c, Epoch: t.epoch}, beatWithin); err == nil && out.Status == clusterstate.Done {
 			w.log.Info("rate cut anew", "service", c.Service, "parts", len(c.Parts), "epoch", t.epoch)
 		}
 	}
--- a/internal/hive/waggle/duty_test.go
+++ b/internal/cdn/registry/duty_test.go
@@ -1,10 +1,10 @@
-package waggle
+package registry
 
 import (
 	"testing"
 	"time"
 
-	"cedarmast/internal/hive/honey"
+	"cedarmast/internal/cdn/clusterstate"
 
 	"gotest.tools/v3/assert"
 )
@@ -14,23 +14,23 @@
 func TestTermOfDuty(t *testing.T) {
 	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
 	type step struct {
-		duty    honey.Duty
+		duty    clusterstate.Duty
 		inTouch bool
 		now     int
 		epoch   uint64
 		since   int
 	}
-	mine, others := honey.Duty{Holder: "10.0.0.1", Epoch: 7}, honey.Duty{Holder: "10.0.0.2", Epoch: 9}
+	mine, others := clusterstate.Duty{Holder: "10.0.0.1", Epoch: 7}, clusterstate.Duty{Holder: "10.0.0.2", Epoch: 9}
 	cases := []struct {
 		name  string
 		steps []step
 	}{
 		{"held on", []step{{mine, true, 1, 7, 1}, {mine, true, 5, 7, 1}}},
 		{"another's", []step{{others, true, 1, 0, 0}}},
-		{"nobody's", []step{{honey.Duty{}, true, 1, 0, 0}}},
-		{"gone to another and come back", []step{{mine, true, 1, 7, 1}, {others, true, 2, 0, 0}, {honey.Duty{Holder: mine.Holder, Epoch: 11}, true, 3, 11, 3}}},
+		{"nobody's", []step{{clusterstate.Duty{}, true, 1, 0, 0}}},
+		{"gone to another and come back", []step{{mine, true, 1, 7, 1}, {others, true, 2, 0, 0}, {clusterstate.Duty{Holder: mine.Holder, Epoch: 11}, true, 3, 11, 3}}},
 		{"out of touch and back", []step{{mine, true, 1, 7, 1}, {mine, false, 2, 0, 0}, {mine, true, 9, 7, 9}}},
-		{"appointed anew", []step{{mine, true, 1, 7, 1}, {honey.Duty{Holder: mine.Holder, Epoch: 8}, true, 4, 8, 4}}},
+		{"appointed anew", []step{{mine, true, 1, 7, 1}, {clusterstate.Duty{Holder: mine.Holder, Epoch: 8}, true, 4, 8, 4}}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/hive/waggle/waggle.go
+++ b/internal/cdn/registry/registry.go
@@ -1,7 +1,7 @@
-// Package waggle is the registry's process: on a core machine it takes the calls of servers and of the operator, brings what
-// they change into the log by way of the machine's comb, and answers only when a majority of disks has it. The one that
+// Package registry is the registry's process: on a core machine it takes the calls of servers and of the operator, brings what
+// they change into the log by way of the machine's config store, and answers only when a majority of disks has it. The one that
 // holds the duty also takes out servers and cache routers that have fallen silent, and cuts the rates of services.
-package waggle
+package registry
 
 import (
 	"context"
@@ -13,19 +13,19 @@
 	"sync"
 	"time"
 
-	"cedarmast/internal/hive/antenna"
-	"cedarmast/internal/hive/comb"
-	"cedarmast/internal/hive/guard"
-	"cedarmast/internal/hive/honey"
-	"cedarmast/internal/hive/petal"
-	"cedarmast/internal/hive/scout"
+	"cedarmast/internal/cdn/bootconfig"
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/configstore"
+	"cedarmast/internal/cdn/httproute"
+	"cedarmast/internal/cdn/peerrpc"
+	"cedarmast/internal/cdn/statesync"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/zeebo/errs"
 )
 
 // Error is the class of this package's errors.
-var Error = errs.Class("waggle")
+var Error = errs.Class("registry")
 
 const (
 	beatWithin   = 850 * time.Millisecond // servers wait a second for their acknowledgement
@@ -38,17 +38,17 @@
 	comeAgainSec = "0.2"
 )
 
-// Waggle is the process. Run starts it.
-type Waggle struct {
-	set   guard.Settings
-	log   hclog.Logger
-	peers *antenna.Peers
-	comb  *antenna.Peer
-	scout *scout.Scout
+// Registry is the process. Run starts it.
+type Registry struct {
+	set     bootconfig.Settings
+	log     hclog.Logger
+	peers   *peerrpc.Peers
+	store   *peerrpc.Peer
+	replica *statesync.Replica
 
 	mu    sync.Mutex
 	beats map[string]beat
-	heard []string // since the comb was last told
+	heard []string // since the config store was last told
 }
 
 // beat is the last call of a server.
@@ -58,22 +58,22 @@
 }
 
 // Run serves the outside calls until the context ends.
-func Run(ctx context.Context, set guard.Settings, log hclog.Logger) error {
+func Run(ctx context.Context, set bootconfig.Settings, log hclog.Logger) error {
 	if set.Control == "" {
 		return Error.New("network.listen_on.control_dock: missing: the registry takes the outside calls")
 	}
-	w := &Waggle{set: set, log: log, peers: antenna.NewPeers(), beats: map[string]beat{}, scout: scout.New()}
-	own := set.Inner(set.IP, guard.CombPort)
-	w.comb = w.peers.At(own)
-	w.scout.Set, w.scout.Peers, w.scout.Log, w.scout.Prefer = set, w.peers, log.Named("scout"), own
-	w.scout.Took = func(*honey.State, honey.Command, uint64, bool) {}
+	w := &Registry{set: set, log: log, peers: peerrpc.NewPeers(), beats: map[string]beat{}, replica: statesync.New()}
+	own := set.Inner(set.IP, bootconfig.ConfigStorePort)
+	w.store = w.peers.At(own)
+	w.replica.Set, w.replica.Peers, w.replica.Log, w.replica.Prefer = set, w.peers, log.Named("statesync"), own
+	w.replica.Took = func(*clusterstate.State, clusterstate.Command, uint64, bool) {}
 	listener, err := net.Listen("tcp", set.Control)
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	server := &http.Server{Handler: w.calls(), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second,
 		ErrorLog: log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
-	go w.scout.Run(ctx)
+	go w.replica.Run(ctx)
 	go w.duties(ctx)
 	go w.pass(ctx)
 	go server.Serve(listener)
@@ -86,8 +86,8 @@
 	return nil
 }
 
-func (w *Waggle) calls() *petal.Tree {
-	return new(petal.Tree).
+func (w *Registry) calls() *httproute.Tree {
+	return new(httproute.Tree).
 		On(http.MethodPut, "/servers/{id}", w.putServer).
 		On(http.MethodDelete, "/servers/{id}", w.deleteServer).
 		On(http.MethodPut, "/manifest", w.putManifest).
@@ -97,11 +97,11 @@
 }
 
 // propose brings a command into the log; an error says that what became of it is not known.
-func (w *Waggle) propose(ctx context.Context, c honey.Command, within time.Duration) (honey.Outcome, error) {
+func (w *Registry) propose(ctx context.Context, c clusterstate.Command, within time.Duration) (clusterstate.Outcome, error) {
 	call, done := context.WithTimeout(ctx, within)
 	defer done()
-	p := comb.Proposal{Data: c.Encode(), WaitMS: (within - 30*time.Millisecond).Milliseconds()}
-	r, err := antenna.Call[comb.Proposal, comb.Reply](call, w.comb, "Comb.Propose", &p)
+	p := configstore.Proposal{Data: c.Encode(), WaitMS: (within - 30*time.Millisecond).Milliseconds()}
+	r, err := peerrpc.Call[configstore.Proposal, configstore.Reply](call, w.store, "ConfigStore.Propose", &p)
 	if err == nil && !r.Known {
 		err = Error.New("no majority in time")
 	}
@@ -109,7 +109,7 @@
 }
 
 // say writes an answer. What is not known to be done is never answered as if it were: 503 sends the caller on.
-func (w *Waggle) say(rw http.ResponseWriter, r *http.Request, out honey.Outcome, err error, body any) {
+func (w *Registry) say(rw http.ResponseWriter, r *http.Request, out clusterstate.Outcome, err error, body any) {
 	rw.Header().Set("Content-Type", "application/json")
 	switch {
 	case err != nil:
@@ -117,7 +117,7 @@
 		rw.Header().Set("Retry-After", comeAgainSec)
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		body = map[string]string{"error": err.Error()}
-	case out.Status != honey.Done:
+	case out.Status != clusterstate.Done:
 		rw.WriteHeader(out.Status)
 		body = map[string]string{"error": out.Text}
 	}
@@ -127,7 +127,9 @@
 	json.NewEncoder(rw).Encode(body)
 }
 
-func invalid(err error) honey.Outcome { return honey.Outcome{Status: honey.Invalid, Text: err.Error()} }
+func invalid(err error) clusterstate.Outcome {
+	return clusterstate.Outcome{Status: clusterstate.Invalid, Text: err.Error()}
+}
 
 // beatBody is what a server says of itself.
 type beatBody struct {
@@ -143,9 +145,9 @@
 }
 
 // forward is the answer to a beat: later ones go to the holder of the duty, who then knows all that are silent.
-func (w *Waggle) forward() any {
+func (w *Registry) forward() any {
 	holder := ""
-	w.scout.Read(func(s *honey.State) { holder = s.Duty.Holder })
+	w.replica.Read(func(s *clusterstate.State) { holder = s.Duty.Holder })
 	if holder == "" || holder == w.set.IP {
 		return nil
 	}
@@ -153,7 +155,7 @@
 	return map[string]string{"forward_to": net.JoinHostPort(holder, port)}
 }
 
-func (w *Waggle) putServer(rw http.ResponseWriter, r *http.Request, id string) {
+func (w *Registry) putServer(rw http.ResponseWriter, r *http.Request, id string) {
 	body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, maxBeat))
 	if err != nil {
 		w.say(rw, r, invalid(err), nil, nil)
@@ -167,13 +169,13 @@
 	if b.ID == "" {
 		b.ID = id
 	}
-	warmup, err := guard.Span(b.Warmup)
+	warmup, err := bootconfig.Span(b.Warmup)
 	if err != nil {
 		warmup = 0
 	}
-	s := honey.Server{ID: id, Service: b.Carrier, Address: b.Address, Zone: b.Zone, Edition: b.Edition, Slots: b.Berths,
+	s := clusterstate.Server{ID: id, Service: b.Carrier, Address: b.Address, Zone: b.Zone, Edition: b.Edition, Slots: b.Berths,
 		State: b.State, WarmupMS: warmup.Milliseconds(), Beat: b.Postmark}
-	if err = honey.CheckServer(s); err == nil && b.ID != id {
+	if err = clusterstate.CheckServer(s); err == nil && b.ID != id {
 		err = errors.New("id: another one than in the path")
 	}
 	if err != nil {
@@ -181,24 +183,24 @@
 		return
 	}
 	if !w.beat(s) { // a later call has been taken already
-		w.say(rw, r, honey.Outcome{Status: honey.Done}, nil, w.forward())
+		w.say(rw, r, clusterstate.Outcome{Status: clusterstate.Done}, nil, w.forward())
 		return
 	}
 	known := false
-	w.scout.Read(func(state *honey.State) {
+	w.replica.Read(func(state *clusterstate.State) {
 		old, ok := state.Servers[id]
 		known = ok && old.Same(s)
 	})
-	if phase, _ := w.scout.Phase(); known && phase == scout.InTouch && s.State == honey.Open {
-		w.say(rw, r, honey.Outcome{Status: honey.Done}, nil, w.forward())
+	if phase, _ := w.replica.Phase(); known && phase == statesync.InTouch && s.State == clusterstate.Open {
+		w.say(rw, r, clusterstate.Outcome{Status: clusterstate.Done}, nil, w.forward())
 		return
 	}
-	out, err := w.propose(r.Context(), honey.Command{Server: &s}, beatWithin)
+	out, err := w.propose(r.Context(), clusterstate.Command{Server: &s}, beatWithin)
 	w.say(rw, r, out, err, w.forward())
 }
 
 // beat notes a call; false if a later one of the same server came before it.
-func (w *Waggle) beat(s honey.Server) bool {
+func (w *Registry) beat(s clusterstate.Server) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	old, ok := w.beats[s.ID]
@@ -212,8 +214,8 @@
 	return true
 }
 
-func (w *Waggle) deleteServer(rw http.ResponseWriter, r *http.Request, id string) {
-	out, err := w.propose(r.Context(), honey.Command{Leave: id}, beatWithin)
+func (w *Registry) deleteServer(rw http.ResponseWriter, r *http.Request, id string) {
+	out, err := w.propose(r.Context(), clusterstate.Command{Leave: id}, beatWithin)
 	if err == nil {
 		w.mu.Lock()
 		delete(w.beats, id)
@@ -222,40 +224,40 @@
 	w.say(rw, r, out, err, nil)
 }
 
-func (w *Waggle) putManifest(rw http.ResponseWriter, r *http.Request, _ string) {
+func (w *Registry) putManifest(rw http.ResponseWriter, r *http.Request, _ string) {
 	body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, maxManifest))
 	if err != nil {
 		w.say(rw, r, invalid(err), nil, nil)
 		return
 	}
-	if _, err := honey.ParseManifest(body); err != nil { // the state would say the same; this costs no entry in the log
+	if _, err := clusterstate.ParseManifest(body); err != nil { // the state would say the same; this costs no entry in the log
 		w.say(rw, r, invalid(err), nil, nil)
 		return
 	}
-	out, err := w.propose(r.Context(), honey.Command{Put: body}, orderWithin)
+	out, err := w.propose(r.Context(), clusterstate.Command{Put: body}, orderWithin)
 	w.say(rw, r, out, err, nil)
 	if err == nil {
 		w.log.Info("configuration", "status", out.Status, "why", out.Text)
 	}
 }
 
-func (w *Waggle) getManifest(rw http.ResponseWriter, r *http.Request, _ string) {
+func (w *Registry) getManifest(rw http.ResponseWriter, r *http.Request, _ string) {
 	call, done := context.WithTimeout(r.Context(), readWithin)
 	defer done()
-	body, err := antenna.Call[comb.Asked, []byte](call, w.comb, "Comb.Manifest",
-		&comb.Asked{WaitMS: (readWithin - 30*time.Millisecond).Milliseconds()})
+	body, err := peerrpc.Call[configstore.Asked, []byte](call, w.store, "ConfigStore.Manifest",
+		&configstore.Asked{WaitMS: (readWithin - 30*time.Millisecond).Milliseconds()})
 	switch {
 	case err != nil:
-		w.say(rw, r, honey.Outcome{}, err, nil)
+		w.say(rw, r, clusterstate.Outcome{}, err, nil)
 	case len(body) == 0:
-		w.say(rw, r, honey.Outcome{Status: http.StatusNotFound, Text: "no configuration yet"}, nil, nil)
+		w.say(rw, r, clusterstate.Outcome{Status: http.StatusNotFound, Text: "no configuration yet"}, nil, nil)
 	default:
 		rw.Header().Set("Content-Type", "application/json")
 		rw.Write(body)
 	}
 }
 
-func (w *Waggle) purge(rw http.ResponseWriter, r *http.Request, _ string) {
+func (w *Registry) purge(rw http.ResponseWriter, r *http.Request, _ string) {
 	var p struct {
 		Domain string `json:"domain"`
 		Path   string `json:"path"`
@@ -272,19 +274,19 @@
 		w.say(rw, r, invalid(err), nil, nil)
 		return
 	}
-	out, err := w.propose(r.Context(), honey.Command{Purge: &honey.Purge{Host: p.Domain, Path: p.Path, Tag: p.Tag}}, orderWithin)
+	out, err := w.propose(r.Context(), clusterstate.Command{Purge: &clusterstate.Purge{Host: p.Domain, Path: p.Path, Tag: p.Tag}}, orderWithin)
 	w.say(rw, r, out, err, nil)
 }
 
-func (w *Waggle) status(rw http.ResponseWriter, r *http.Request, _ string) {
+func (w *Registry) status(rw http.ResponseWriter, r *http.Request, _ string) {
 	call, done := context.WithTimeout(r.Context(), readWithin)
 	defer done()
-	s, err := antenna.Call[bool, comb.Status](call, w.comb, "Comb.Status", new(bool))
-	w.say(rw, r, honey.Outcome{Status: honey.Done}, err, s)
+	s, err := peerrpc.Call[bool, configstore.Status](call, w.store, "ConfigStore.Status", new(bool))
+	w.say(rw, r, clusterstate.Outcome{Status: clusterstate.Done}, err, s)
 }
 
-// pass tells the machine's comb which servers were heard, and with it the leader: a server may beat at any registry.
-func (w *Waggle) pass(ctx context.Context) {
+// pass tells the machine's config store which servers were heard, and with it the leader: a server may beat at any registry.
+func (w *Registry) pass(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -299,7 +301,7 @@
 			continue
 		}
 		call, done := context.WithTimeout(ctx, readWithin)
-		if _, err := antenna.Call[[]string, bool](call, w.comb, "Comb.Heard", &heard); err != nil {
+		if _, err := peerrpc.Call[[]string, bool](call, w.store, "ConfigStore.Heard", &heard); err != nil {
 			w.log.Debug("not passed on", "err", err)
 		}
 		done()
--- a/internal/hive/scout/scout.go
+++ b/internal/cdn/statesync/statesync.go
@@ -1,7 +1,7 @@
-// Package scout keeps a process's copy of the common state: it asks a core machine for news with the version that it has,
+// Package statesync keeps a process's copy of the common state: it asks a core machine for news with the version that it has,
 // is answered when there is some, and goes on to the next one if that one is silent or can't tell. The copy never goes
 // back. When no core machine answers, neighbours hand on what they have.
-package scout
+package statesync
 
 import (
 	"context"
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
-	"cedarmast/internal/hive/antenna"
-	"cedarmast/internal/hive/guard"
-	"cedarmast/internal/hive/honey"
+	"cedarmast/internal/cdn/bootconfig"
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/peerrpc"
 
 	"github.com/hashicorp/go-hclog"
 )
@@ -37,20 +37,20 @@
 
 func (p Phase) String() string { return [...]string{"empty", "in touch", "out of touch"}[p] }
 
-// Scout is a process's copy. Its fields are set before Run.
-type Scout struct {
-	Set    guard.Settings
-	Peers  *antenna.Peers
+// Replica is a process's copy. Its fields are set before Run.
+type Replica struct {
+	Set    bootconfig.Settings
+	Peers  *peerrpc.Peers
 	Log    hclog.Logger
-	Router honey.Router // who asks, if it is a cache router
-	Prefer string       // the address that is asked first, if any
+	Router clusterstate.Router // who asks, if it is a cache router
+	Prefer string              // the address that is asked first, if any
 	// Took hears of each change in order, under the copy's lock; whole means that all is new. It must not wait.
-	Took func(s *honey.State, c honey.Command, index uint64, whole bool)
+	Took func(s *clusterstate.State, c clusterstate.Command, index uint64, whole bool)
 	// Neighbours are addresses that may be asked when no core machine answers; may be nil.
 	Neighbours func() []string
 
 	mu      sync.Mutex
-	history *honey.History
+	history *clusterstate.History
 	core    []string
 	phase   Phase
 	heard   time.Time // when news, or the word that there is none, last came from a fresh core machine; of the question's begin
@@ -59,19 +59,19 @@
 }
 
 // New returns an empty copy.
-func New() *Scout {
-	return &Scout{history: honey.NewHistory(honey.New()), changed: make(chan struct{})}
+func New() *Replica {
+	return &Replica{history: clusterstate.NewHistory(clusterstate.New()), changed: make(chan struct{})}
 }
 
 // Read shows the state under its lock.
-func (s *Scout) Read(look func(*honey.State)) {
+func (s *Replica) Read(look func(*clusterstate.State)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	look(s.history.State)
 }
 
 // Phase returns the phase and when the copy was last surely current.
-func (s *Scout) Phase() (Phase, time.Time) {
+func (s *Replica) Phase() (Phase, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.phase == InTouch && time.Since(s.heard) > s.Set.Bounds.Contact/2 {
@@ -81,7 +81,7 @@
 }
 
 // become is the one place where the phase changes. The caller holds the lock.
-func (s *Scout) become(p Phase) {
+func (s *Replica) become(p Phase) {
 	if s.phase != p {
 		s.Log.Info("phase", "from", s.phase.String(), "to", p.String(), "index", s.history.State.Index)
 		s.phase = p
@@ -89,14 +89,14 @@
 }
 
 // Index is the copy's version.
-func (s *Scout) Index() uint64 {
+func (s *Replica) Index() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.history.State.Index
 }
 
 // Await waits until the copy has an index, or the context ends.
-func (s *Scout) Await(ctx context.Context, index uint64) bool {
+func (s *Replica) Await(ctx context.Context, index uint64) bool {
 	for {
 		s.mu.Lock()
 		ok, changed := s.history.State.Index >= index, s.changed
@@ -113,7 +113,7 @@
 }
 
 // News answers another process, as a core machine would; it never claims to be current.
-func (s *Scout) News(a honey.Ask) honey.News {
+func (s *Replica) News(a clusterstate.Ask) clusterstate.News {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := s.history.Since(a.Have)
@@ -122,12 +122,12 @@
 }
 
 // Core returns the addresses of core machines to ask, the preferred one first.
-func (s *Scout) Core() []string {
+func (s *Replica) Core() []string {
 	s.mu.Lock()
 	all := slices.Clone(s.core)
 	s.mu.Unlock()
 	for _, seed := range s.Set.SeedsNow() {
-		if at := s.Set.Inner(guard.HostOf(seed), guard.CombPort); !slices.Contains(all, at) {
+		if at := s.Set.Inner(bootconfig.HostOf(seed), bootconfig.ConfigStorePort); !slices.Contains(all, at) {
 			all = append(all, at)
 		}
 	}
@@ -140,7 +140,7 @@
 }
 
 // Run keeps the copy until the context ends.
-func (s *Scout) Run(ctx context.Context) {
+func (s *Replica) Run(ctx context.Context) {
 	first, failed := true, 0
 	order := s.Core()
 	for ctx.Err() == nil {
@@ -174,28 +174,28 @@
 	}
 }
 
-func (s *Scout) ask(ctx context.Context, at string, first bool, patience time.Duration) (honey.News, time.Time, error) {
+func (s *Replica) ask(ctx context.Context, at string, first bool, patience time.Duration) (clusterstate.News, time.Time, error) {
 	have := s.Index()
 	if s.mustHaveAll() {
 		have = 0
 	}
-	question := honey.Ask{Have: have, Barrier: first, Router: s.Router, HoldMS: hold.Milliseconds()}
+	question := clusterstate.Ask{Have: have, Barrier: first, Router: s.Router, HoldMS: hold.Milliseconds()}
 	call, done := context.WithTimeout(ctx, hold+patience)
 	defer done()
 	begun := time.Now()
-	n, err := antenna.Call[honey.Ask, honey.News](call, s.Peers.At(at), "Comb.News", &question)
+	n, err := peerrpc.Call[clusterstate.Ask, clusterstate.News](call, s.Peers.At(at), "ConfigStore.News", &question)
 	return n, begun, err
 }
 
-func (s *Scout) mustHaveAll() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.whole }
+func (s *Replica) mustHaveAll() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.whole }
 
-func (s *Scout) askNeighbours(ctx context.Context) {
+func (s *Replica) askNeighbours(ctx context.Context) {
 	all := s.Neighbours()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	for _, at := range all[:min(len(all), 2)] {
 		call, done := context.WithTimeout(ctx, patience)
-		question := honey.Ask{Have: s.Index()}
-		n, err := antenna.Call[honey.Ask, honey.News](call, s.Peers.At(at), "Forager.News", &question)
+		question := clusterstate.Ask{Have: s.Index()}
+		n, err := peerrpc.Call[clusterstate.Ask, clusterstate.News](call, s.Peers.At(at), "Edge.News", &question)
 		done()
 		if err == nil {
 			n.Fresh = false
@@ -205,7 +205,7 @@
 }
 
 // Take takes news on, as of a question begun at that time; older news than what is held changes nothing.
-func (s *Scout) Take(n honey.News, begun time.Time) {
+func (s *Replica) Take(n clusterstate.News, begun time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.history.State.Index
@@ -213,13 +213,13 @@
 		s.whole = false
 		state := n.State
 		if state.Servers == nil { // gob leaves out what is empty
-			state.Servers = map[string]honey.Server{}
+			state.Servers = map[string]clusterstate.Server{}
 		}
 		if state.Routers == nil {
-			state.Routers = map[string]honey.Router{}
+			state.Routers = map[string]clusterstate.Router{}
 		}
-		s.history = honey.NewHistory(state)
-		s.Took(state, honey.Command{}, state.Index, true)
+		s.history = clusterstate.NewHistory(state)
+		s.Took(state, clusterstate.Command{}, state.Index, true)
 	}
 	for _, c := range n.Changes {
 		if c.Index <= s.history.State.Index {
--- a/internal/hive/scout/scout_test.go
+++ b/internal/cdn/statesync/statesync_test.go
@@ -1,4 +1,4 @@
-package scout
+package statesync
 
 import (
 	"context"
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"cedarmast/internal/hive/antenna"
-	"cedarmast/internal/hive/guard"
-	"cedarmast/internal/hive/honey"
+	"cedarmast/internal/cdn/bootconfig"
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/peerrpc"
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
@@ -19,14 +19,14 @@
 // core is a stand-in for a core machine, or for a neighbour.
 type core struct {
 	mu      sync.Mutex
-	history *honey.History
+	history *clusterstate.History
 	fresh   bool
 	down    bool
 	asked   int
 	barred  int
 }
 
-func (c *core) News(a *honey.Ask, n *honey.News) error {
+func (c *core) News(a *clusterstate.Ask, n *clusterstate.News) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.asked++
@@ -46,7 +46,7 @@
 func (c *core) purges(from, to uint64) {
 	c.set(func() {
 		for i := from; i <= to; i++ {
-			c.history.Apply(i, honey.Command{Purge: &honey.Purge{Tag: "t"}}.Encode())
+			c.history.Apply(i, clusterstate.Command{Purge: &clusterstate.Purge{Tag: "t"}}.Encode())
 		}
 	})
 }
@@ -56,7 +56,7 @@
 	l, err := net.Listen("tcp", address)
 	assert.NilError(t, err)
 	t.Cleanup(func() { l.Close() })
-	go antenna.Serve(l, name, c)
+	go peerrpc.Serve(l, name, c)
 }
 
 func until(t *testing.T, what string, ok func() bool) {
@@ -75,20 +75,20 @@
 // One day of a copy: it begins with a barrier, follows changes in order, leaves a core machine that can't tell whether it is current,
 // does not go back when it meets one that is behind, and takes what neighbours have when no core machine answers.
 func TestADayOfACopy(t *testing.T) {
-	a, b, near := &core{history: honey.NewHistory(honey.New())}, &core{history: honey.NewHistory(honey.New())}, &core{history: honey.NewHistory(honey.New())}
-	serve(t, "127.0.73.1:7660", "Comb", a)
-	serve(t, "127.0.73.2:7660", "Comb", b)
-	serve(t, "127.0.73.3:7661", "Forager", near)
+	a, b, near := &core{history: clusterstate.NewHistory(clusterstate.New())}, &core{history: clusterstate.NewHistory(clusterstate.New())}, &core{history: clusterstate.NewHistory(clusterstate.New())}
+	serve(t, "127.0.73.1:7660", "ConfigStore", a)
+	serve(t, "127.0.73.2:7660", "ConfigStore", b)
+	serve(t, "127.0.73.3:7661", "Edge", near)
 	a.fresh = true
 	a.purges(1, 3)
 
 	s := New()
-	s.Set = guard.Settings{IP: "127.0.0.1", SparePort: 7660, Seeds: []string{"127.0.73.1:1", "127.0.73.2:1"}, Bounds: guard.Bounds{Contact: 600 * time.Millisecond}}
-	s.Peers, s.Log = antenna.NewPeers(), hclog.NewNullLogger()
+	s.Set = bootconfig.Settings{IP: "127.0.0.1", SparePort: 7660, Seeds: []string{"127.0.73.1:1", "127.0.73.2:1"}, Bounds: bootconfig.Bounds{Contact: 600 * time.Millisecond}}
+	s.Peers, s.Log = peerrpc.NewPeers(), hclog.NewNullLogger()
 	s.Neighbours = func() []string { return []string{"127.0.73.3:7661"} }
 	var seen []uint64
 	last := uint64(0)
-	s.Took = func(state *honey.State, _ honey.Command, index uint64, whole bool) {
+	s.Took = func(state *clusterstate.State, _ clusterstate.Command, index uint64, whole bool) {
 		if state.Index < last || index != state.Index {
 			t.Errorf("went from %d to %d (%d)", last, state.Index, index)
 		}
@@ -130,13 +130,13 @@
 
 // A copy whose core was exchanged whole while it was cut off knows nobody who is left; the settings file names others, and it asks them.
 func TestOtherSeeds(t *testing.T) {
-	c := &core{history: honey.NewHistory(honey.New()), fresh: true}
-	serve(t, "127.0.73.5:7660", "Comb", c)
+	c := &core{history: clusterstate.NewHistory(clusterstate.New()), fresh: true}
+	serve(t, "127.0.73.5:7660", "ConfigStore", c)
 	c.purges(1, 3)
 	s := New()
-	s.Set = guard.Settings{IP: "127.0.0.1", SparePort: 7660, Seeds: []string{"127.0.73.4:1"}, Named: new(guard.Seeds), Bounds: guard.Bounds{Contact: time.Second}}
-	s.Peers, s.Log = antenna.NewPeers(), hclog.NewNullLogger()
-	s.Took = func(*honey.State, honey.Command, uint64, bool) {}
+	s.Set = bootconfig.Settings{IP: "127.0.0.1", SparePort: 7660, Seeds: []string{"127.0.73.4:1"}, Named: new(bootconfig.Seeds), Bounds: bootconfig.Bounds{Contact: time.Second}}
+	s.Peers, s.Log = peerrpc.NewPeers(), hclog.NewNullLogger()
+	s.Took = func(*clusterstate.State, clusterstate.Command, uint64, bool) {}
 	assert.DeepEqual(t, s.Core(), []string{"127.0.73.4:7660"})
 	go s.Run(t.Context())
 	s.Set.Named.Set([]string{"127.0.73.5:1"})
--- a/internal/hive/flight/flight.go
+++ b/internal/cdn/upstream/upstream.go
@@ -1,6 +1,6 @@
-// Package flight carries out attempts at servers in the form that they speak: it writes a request once, says for which server
+// Package upstream carries out attempts at servers in the form that they speak: it writes a request once, says for which server
 // it is meant, and judges by stamp, length and id what comes back. It sends nothing a second time by itself.
-package flight
+package upstream
 
 import (
 	"bufio"
@@ -23,7 +23,7 @@
 )
 
 // Error is the class of this package's errors; they name the step and the server.
-var Error = errs.Class("flight")
+var Error = errs.Class("upstream")
 
 // The headers that servers and clients speak, in canonical form.
 const (
--- a/internal/hive/flight/flight_test.go
+++ b/internal/cdn/upstream/upstream_test.go
@@ -1,4 +1,4 @@
-package flight
+package upstream
 
 import (
 	"bufio"
