--- a/internal/cdn/peerrpc/peerrpc_test.go
+++ b/internal/cdn/peerrpc/peerrpc_test.go
@@ -108,3 +108,75 @@
 	assert.Equal(t, dials, 2)
 	p.Awake() // no dial is under way
 }
+
+// holding answers each call with its own number, once it is let go.
+type holding struct {
+	came chan int
+	free map[int]chan struct{}
+}
+
+func (h *holding) Ask(n *int, answer *int) error {
+	h.came <- *n
+	<-h.free[*n]
+	*answer = *n
+	return nil
+}
+
+func serveHolding(t *testing.T, at string, calls int) (address string, h *holding, end func()) {
+	t.Helper()
+	l, err := net.Listen("tcp", at)
+	assert.NilError(t, err)
+	h = &holding{came: make(chan int, calls), free: map[int]chan struct{}{}}
+	for n := range calls {
+		h.free[n] = make(chan struct{})
+	}
+	go Serve(l, "Holding", h)
+	return l.Addr().String(), h, func() { l.Close() }
+}
+
+// An answer reaches the call that it belongs to and no other: not a later one on the same connection after its own was given
+// up, and not one to the process that has the address now.
+func TestAnswersReachTheirOwnCall(t *testing.T) {
+	const calls = 40
+	address, h, end := serveHolding(t, "127.0.0.1:0", calls)
+	p := NewPeer(address)
+	defer p.Close()
+	type result struct {
+		n, answer int
+		err       error
+	}
+	results := make(chan result, calls)
+	for n := range calls {
+		ctx, giveUp := context.WithCancel(t.Context())
+		go func() {
+			answer, err := Call[int, int](ctx, p, "Holding.Ask", &n)
+			results <- result{n, answer, err}
+		}()
+		<-h.came
+		if n%2 == 0 { // given up while it is carried out; its answer comes while others wait for theirs
+			giveUp()
+			r := <-results
+			assert.Assert(t, r.err != nil)
+		}
+		defer giveUp()
+	}
+	for n := range calls {
+		close(h.free[n])
+	}
+	for range calls / 2 {
+		r := <-results
+		assert.NilError(t, r.err)
+		assert.Equal(t, r.answer, r.n)
+	}
+
+	end()
+	p.Close()
+	_, other, endOther := serveHolding(t, address, 1)
+	defer endOther()
+	close(other.free[0])
+	n := 0
+	answer, err := Call[int, int](t.Context(), p, "Holding.Ask", &n)
+	assert.NilError(t, err)
+	assert.Equal(t, answer, 0)
+	assert.Equal(t, <-other.came, 0)
+}
