A test without the simulation for freshness that waits for the entries

Cause: of the faults that the simulation found, this one had no test of its own.

No code has changed.

Figures: it fails with the wait for the index taken out, and passes with it.

--- a/internal/cdn/consensus/consensus_test.go
+++ b/internal/cdn/consensus/consensus_test.go
@@ -422,3 +422,22 @@
 	assert.Equal(t, n.last(), before, "a membership was begun")
 	assert.DeepEqual(t, n.Take().Reads, []Read{{Token: 5}})
 }
+
+// A leader's word that it led a majority makes a follower current only once it holds what was committed then: one that hears
+// heartbeats and lacks entries is not. Found by the simulation, among others seed 266.
+func TestCurrentOnlyWithTheEntries(t *testing.T) {
+	w := newWorld(3, 0)
+	w.run(20)
+	leader := w.machines[w.leader()].node
+	n := w.machines[(w.leader()+1)%3].node
+	n.confirmed, n.promised = time.Time{}, promise{}
+	say := func(a Append) {
+		a.Confirmed, a.ConfirmedIndex, a.PrevIndex, a.PrevTerm = n.stampNow(), n.saved+1, n.last(), n.lastTerm()
+		n.Step(n.now, Message{From: leader.self.ID, Addr: leader.self.Addr, Term: leader.Term(), Append: &a})
+	}
+	next := n.last() + 1
+	say(Append{Commit: n.commit})
+	assert.Assert(t, !n.Fresh(time.Second), "current without entry %d", next)
+	say(Append{Entries: []Entry{{Index: next, Term: leader.Term()}}, Commit: next})
+	assert.Assert(t, n.Fresh(time.Second))
+}
