Sight for GONE: callers, their leaves and attempts after them, told as metrics at PORT/PATH

Logs and counters could not tell a leave that is not passed on from one that is not seen. The edge keeps account of each caller (internal/cdn/departure): in hand, attempts under way, left, attempts begun and ended after the leave, time from the leave to the last end, by route; `--metrics PORT/PATH` tells them in Prometheus' format (client_golang, exposition only: nothing is formatted before it is asked for). No logic changes.

--- a/internal/cdn/bootconfig/bootconfig.go
+++ b/internal/cdn/bootconfig/bootconfig.go
@@ -43,6 +43,7 @@
 	Named                                 *Seeds        // those that the file names by now; nil: Seeds
 	Heartbeat                             time.Duration // in which servers tell of themselves
 	Bounds                                Bounds
+	Metrics                               string // PORT/PATH where figures are told; empty: nowhere. From the command line
 }
 
 // Seeds are the core machines that the settings file names, which may change while a process runs: one that was cut off while all of the core
--- /dev/null
+++ b/internal/cdn/departure/ledger.go
@@ -0,0 +1,133 @@
+package departure
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// mostRoutes is how many routes have figures of their own; later ones share those of otherRoutes.
+const (
+	mostRoutes  = 256
+	otherRoutes = "other"
+)
+
+// Ledger is a process's account of its callers, by route. It is a prometheus.Collector: figures are put into words only when
+// they are asked for.
+type Ledger struct {
+	mu     sync.RWMutex
+	routes map[string]*figures
+}
+
+// figures are one route's.
+type figures struct {
+	inHand, attempts             atomic.Int64
+	left, begunAfter, endedAfter atomic.Int64
+	lastEnd                      histogram
+}
+
+// NewLedger returns an empty account.
+func NewLedger() *Ledger { return &Ledger{routes: map[string]*figures{}} }
+
+func (l *Ledger) route(name string) *figures {
+	l.mu.RLock()
+	f := l.routes[name]
+	l.mu.RUnlock()
+	if f != nil {
+		return f
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.routes) >= mostRoutes {
+		name = otherRoutes
+	}
+	if f = l.routes[name]; f == nil {
+		f = &figures{}
+		l.routes[name] = f
+	}
+	return f
+}
+
+// bounds are the upper bounds of the histogram's buckets, in seconds.
+var bounds = [...]float64{0.005, 0.025, 0.1, 0.25, 0.5, 1, 2.5, 10}
+
+// histogram counts spans. The zero value is empty.
+type histogram struct {
+	mu      sync.Mutex
+	buckets [len(bounds)]uint64 // spans up to each bound
+	count   uint64
+	sum     float64
+}
+
+func (h *histogram) observe(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	seconds := d.Seconds()
+	h.count++
+	h.sum += seconds
+	for i, bound := range bounds {
+		if seconds <= bound {
+			h.buckets[i]++
+		}
+	}
+}
+
+func (h *histogram) read() (count uint64, sum float64, buckets map[float64]uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	buckets = make(map[float64]uint64, len(bounds))
+	for i, bound := range bounds {
+		buckets[bound] = h.buckets[i]
+	}
+	return h.count, h.sum, buckets
+}
+
+// metric is one family of figures.
+type metric struct {
+	desc *prometheus.Desc
+	kind prometheus.ValueType
+	read func(*figures) *atomic.Int64
+}
+
+func describe(name, help string) *prometheus.Desc {
+	return prometheus.NewDesc("cedarmast_"+name, help, []string{"route"}, nil)
+}
+
+var (
+	metrics = []metric{
+		{describe("requests_in_hand", "Requests that wait for their answer."), prometheus.GaugeValue,
+			func(f *figures) *atomic.Int64 { return &f.inHand }},
+		{describe("attempts_in_flight", "Attempts that were sent and have not ended."), prometheus.GaugeValue,
+			func(f *figures) *atomic.Int64 { return &f.attempts }},
+		{describe("callers_left_total", "Callers that left before they had their answer."), prometheus.CounterValue,
+			func(f *figures) *atomic.Int64 { return &f.left }},
+		{describe("attempts_begun_after_leave_total", "Attempts that were sent after their caller had left."), prometheus.CounterValue,
+			func(f *figures) *atomic.Int64 { return &f.begunAfter }},
+		{describe("attempts_ended_after_leave_total", "Attempts that ended after their caller had left."), prometheus.CounterValue,
+			func(f *figures) *atomic.Int64 { return &f.endedAfter }},
+	}
+	lastEndDesc = describe("leave_to_last_end_seconds", "Time from a caller's leave to the end of the last attempt for it.")
+)
+
+// Describe implements prometheus.Collector.
+func (l *Ledger) Describe(out chan<- *prometheus.Desc) {
+	for _, m := range metrics {
+		out <- m.desc
+	}
+	out <- lastEndDesc
+}
+
+// Collect implements prometheus.Collector.
+func (l *Ledger) Collect(out chan<- prometheus.Metric) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	for route, f := range l.routes {
+		for _, m := range metrics {
+			out <- prometheus.MustNewConstMetric(m.desc, m.kind, float64(m.read(f).Load()), route)
+		}
+		count, sum, buckets := f.lastEnd.read()
+		out <- prometheus.MustNewConstHistogram(lastEndDesc, count, sum, buckets, route)
+	}
+}
--- a/internal/cdn/edge/edge.go
+++ b/internal/cdn/edge/edge.go
@@ -18,6 +18,8 @@
 	"cedarmast/balance"
 	"cedarmast/internal/cdn/bootconfig"
 	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/departure"
+	"cedarmast/internal/cdn/metrics"
 	"cedarmast/internal/cdn/objectcache"
 	"cedarmast/internal/cdn/peerrpc"
 	"cedarmast/internal/cdn/peersampling"
@@ -57,8 +59,9 @@
 	bodies  *exchange.Budget // of long requests
 	clock   exchange.Clock
 	counts  exchange.Counters
-	link    *link // the machine's, to clients and others
-	from    *link // and from others
+	callers *departure.Ledger // who waits for answers, and who has left
+	link    *link             // the machine's, to clients and others
+	from    *link             // and from others
 	sender  *upstream.Sender
 	hop     *hop // to a key's cache router in the own zone
 	home    *hop // to its shield
@@ -121,6 +124,7 @@
 	f.running.Go(func() { f.tell(life) })
 	go f.replica.Run(life)
 	go peerrpc.Serve(inner, "Edge", &peerCalls{f})
+	metrics.Serve(life, set, log, f.callers)
 	if front != nil {
 		front.serve()
 	}
@@ -225,6 +229,7 @@
 // init makes what hangs on the settings alone.
 func (f *Edge) init() {
 	f.link, f.from = newLink(f.set.LinkMbps), newLink(f.set.LinkMbps)
+	f.callers = departure.NewLedger()
 	f.quiet = slog.New(slog.DiscardHandler)
 	f.services, f.started = map[string]*service{}, map[string]balance.Time{}
 	f.bodies = exchange.NewBudget(int64(f.set.MemoryMB<<20) / bodiesPart)
--- a/internal/cdn/edge/serve.go
+++ b/internal/cdn/edge/serve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/departure"
 	"cedarmast/internal/cdn/objectcache"
 	"cedarmast/internal/cdn/upstream"
 	"cedarmast/internal/exchange"
@@ -38,6 +39,7 @@
 	left    time.Duration
 	route   *clusterstate.Route
 	plan    *plan
+	caller  *departure.Caller // the client
 }
 
 func (f *Edge) serve(w http.ResponseWriter, r *http.Request) {
@@ -60,6 +62,8 @@
 		return
 	}
 	q.left = min(q.left, q.route.Timeout)
+	q.caller = f.callers.Open(r.Context(), q.route.Name)
+	defer q.caller.Close()
 	if q.route.Kind == clusterstate.Shelved && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		f.serveShelved(q, strings.ToLower(host))
 		return
@@ -109,7 +113,7 @@
 	}
 	header := upstream.EndToEnd(q.Header.Clone())
 	header["Host"] = []string{q.Host}
-	order := &upstream.Order{ID: q.id, OnceOnly: q.route.Kind == clusterstate.OnceOnly}
+	order := &upstream.Order{ID: q.id, OnceOnly: q.route.Kind == clusterstate.OnceOnly, Caller: q.caller}
 	a := f.ask(sv, order, exchange.Request{ID: q.id, Class: q.route.Name, Arrived: q.arrived, TimeLeft: q.left,
 		Write: q.route.Kind == clusterstate.OnceOnly, Method: q.Method, Target: target(q.Request), Header: header, Body: body})
 	switch failure := order.Failure(); {
--- a/internal/cdn/process/process.go
+++ b/internal/cdn/process/process.go
@@ -11,6 +11,7 @@
 
 	"cedarmast/internal/build"
 	"cedarmast/internal/cdn/bootconfig"
+	"cedarmast/internal/cdn/metrics"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v3"
@@ -28,9 +29,11 @@
 func Main(p Program) {
 	settings := &cli.StringFlag{Name: "settings", Usage: "path of the settings file", Sources: cli.EnvVars(bootconfig.EnvPath)}
 	level := &cli.StringFlag{Name: "log", Usage: "least level that is logged: trace, debug, info, warn, error", Value: "info"}
+	figures := &cli.StringFlag{Name: "metrics", Usage: "PORT/PATH at which the process tells its figures; none if left out",
+		Validator: func(text string) error { _, err := metrics.ParsePlace(text); return err }}
 	root := &cli.Command{Name: p.Name, Usage: p.Usage, Flags: []cli.Flag{settings, level}, Commands: []*cli.Command{
-		{Name: "run", Usage: "serve until SIGTERM", Action: func(ctx context.Context, c *cli.Command) error {
-			return p.run(ctx, c.String("settings"), c.String("log"))
+		{Name: "run", Usage: "serve until SIGTERM", Flags: []cli.Flag{figures}, Action: func(ctx context.Context, c *cli.Command) error {
+			return p.run(ctx, c.String("settings"), c.String("log"), c.String("metrics"))
 		}},
 		{Name: "check", Usage: "check a settings file and end", Action: func(_ context.Context, c *cli.Command) error {
 			if _, err := bootconfig.Read(c.String("settings")); err != nil {
@@ -50,7 +53,7 @@
 	}
 }
 
-func (p Program) run(ctx context.Context, path, level string) error {
+func (p Program) run(ctx context.Context, path, level, figures string) error {
 	if path == "" {
 		return cli.Exit("no settings file: set "+bootconfig.EnvPath+" or --settings", 2)
 	}
@@ -61,7 +64,7 @@
 	log := hclog.New(&hclog.LoggerOptions{Name: p.Name, Level: hclog.LevelFromString(level), Output: os.Stderr, DisableTime: true})
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	set.Named = new(bootconfig.Seeds)
+	set.Named, set.Metrics = new(bootconfig.Seeds), figures
 	go watch(ctx, path, set, log)
 	if err := p.Run(ctx, set, log); err != nil {
 		log.Error("ended", "err", err)
--- a/internal/cdn/upstream/upstream.go
+++ b/internal/cdn/upstream/upstream.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"cedarmast/balance"
+	"cedarmast/internal/cdn/departure"
 	"cedarmast/internal/exchange"
 	"cedarmast/internal/socket"
 
@@ -59,7 +60,8 @@
 	// client has sent, so what is asked without one goes over a connection of its own.
 	ID       string
 	OnceOnly bool
-	Stamped  bool // a success without stamp is none
+	Stamped  bool              // a success without stamp is none
+	Caller   *departure.Caller // whom it is for
 
 	mu   sync.Mutex
 	last *exchange.Reply  // the last answer of a server that ran it and failed
@@ -105,6 +107,7 @@
 
 // note is called before a request's last byte may leave.
 func (o *Order) note() {
+	o.Caller.Begin()
 	o.mu.Lock()
 	o.sent++
 	o.mu.Unlock()
@@ -214,17 +217,20 @@
 	if err != nil {
 		return exchange.Reply{Result: balance.NoConnect, Err: Error.New("connecting to %s: %w", a.Server, err)}
 	}
-	begun := time.Now()
-	if !a.Due.After(begun) {
-		s.Pool.Put(a.Server, a.Address, c, begun)
+	start := time.Now()
+	if !a.Due.After(start) {
+		s.Pool.Put(a.Server, a.Address, c, start)
 		return exchange.Reply{Result: balance.Moot, Err: Error.New("sending to %s: no time is left", a.Server)}
 	}
 	idle := time.Duration(0)
 	if !c.idle.IsZero() {
-		idle = begun.Sub(c.idle)
+		idle = start.Sub(c.idle)
 	}
 	c.SetDeadline(a.Due)
-	written, err := c.write(a, o)
+	begun, written, err := c.write(a, o)
+	if begun {
+		defer o.Caller.End()
+	}
 	if err != nil {
 		c.Close()
 		s.Pool.Used(idle, false)
@@ -242,10 +248,10 @@
 		switch {
 		case errors.As(err, &timeout) && timeout.Timeout():
 			result = balance.TimedOut
-			s.Pool.Silent(a.Server, begun)
+			s.Pool.Silent(a.Server, start)
 		case errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF):
 			result = balance.Reset
-			if time.Since(begun) < connectWithin/4 {
+			if time.Since(start) < connectWithin/4 {
 				s.Pool.Used(idle, false)
 			}
 		}
@@ -254,7 +260,7 @@
 	s.Pool.Heard(a.Server, time.Now())
 	s.Pool.Used(idle, true)
 	o.mu.Lock()
-	o.by, o.took = a.Server, time.Since(begun)
+	o.by, o.took = a.Server, time.Since(start)
 	o.mu.Unlock()
 	if keep {
 		c.SetDeadline(time.Time{})
@@ -296,9 +302,9 @@
 
 var errEarly = errors.New("the connection ended before the request was whole")
 
-// write writes the request; written tells whether its last byte may have left, and the order is told before it does. Of what may run once the last byte follows a
+// write writes the request; begun tells whether the order was told of it, written whether its last byte may have left, which the order is told of before. Of what may run once the last byte follows a
 // moment later, so that a connection that the server has dropped shows while the request surely has not run.
-func (c *conn) write(a *exchange.Attempt, o *Order) (written bool, err error) {
+func (c *conn) write(a *exchange.Attempt, o *Order) (begun, written bool, err error) {
 	head := make([]byte, 0, 512)
 	head = fmt.Appendf(head, "%s %s HTTP/1.1\r\n", a.Method, a.Target)
 	for name, values := range a.Header {
@@ -319,18 +325,18 @@
 	if !o.OnceOnly {
 		o.note()
 		_, err := c.Conn.Write(all)
-		return true, err
+		return true, true, err
 	}
 	if _, err := c.Conn.Write(all[:len(all)-1]); err != nil {
-		return false, err
+		return false, false, err
 	}
 	time.Sleep(commitAfter)
 	if state := socket.Peek(c.Conn); state == socket.Closed || state == socket.Unread {
-		return false, errEarly
+		return false, false, errEarly
 	}
 	o.note()
 	_, err = c.Conn.Write(all[len(all)-1:])
-	return err == nil || !errors.Is(err, syscall.EPIPE), err
+	return true, err == nil || !errors.Is(err, syscall.EPIPE), err
 }
 
 // readBody reads a body. Of what may run once nothing but the attempt's own end bounds its time: a server's silence is no
