--- a/internal/cdn/departure/ledger.go
+++ b/internal/cdn/departure/ledger.go
@@ -131,3 +131,20 @@
 		out <- prometheus.MustNewConstHistogram(lastEndDesc, count, sum, buckets, route)
 	}
 }
+
+// Left is how many callers have left, over all routes.
+func (l *Ledger) Left() int64 { return l.sum(func(f *figures) *atomic.Int64 { return &f.left }) }
+
+// BegunAfter is how many attempts were sent after their caller had left.
+func (l *Ledger) BegunAfter() int64 {
+	return l.sum(func(f *figures) *atomic.Int64 { return &f.begunAfter })
+}
+
+func (l *Ledger) sum(of func(*figures) *atomic.Int64) (all int64) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	for _, f := range l.routes {
+		all += of(f).Load()
+	}
+	return all
+}
