--- a/internal/cdn/configstore/configstore_test.go
+++ b/internal/cdn/configstore/configstore_test.go
@@ -275,7 +275,7 @@
 
 // What a router said that it needs counts for a while and is let go then: the rate of one that has gone is cut among the others.
 func TestNeedsAreForgotten(t *testing.T) {
-	s := &service{&Store{view: newView(clusterstate.NewHistory(clusterstate.New()), 0)}}
+	s := &service{Store: &Store{view: newView(clusterstate.NewHistory(clusterstate.New()), 0)}}
 	p := &s.view.presence
 	var ok bool
 	assert.NilError(t, s.Need(&clusterstate.Needs{Node: "a", Per: map[string]float64{"shop": 10}}, &ok))
--- a/internal/cdn/configstore/forwarding.go
+++ b/internal/cdn/configstore/forwarding.go
@@ -93,7 +93,7 @@
 	err   error
 }
 
-func (g *gather) ask(run func() (uint64, error)) (uint64, error) {
+func (g *gather) ask(ctx context.Context, run func() (uint64, error)) (uint64, error) {
 	mine := make(chan gathered, 1)
 	g.mu.Lock()
 	g.waiting = append(g.waiting, mine)
@@ -103,8 +103,12 @@
 	if first {
 		go g.serve(run)
 	}
-	got := <-mine
-	return got.index, got.err
+	select {
+	case got := <-mine:
+		return got.index, got.err
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
 }
 
 func (g *gather) serve(run func() (uint64, error)) {
--- a/internal/cdn/configstore/service.go
+++ b/internal/cdn/configstore/service.go
@@ -14,19 +14,24 @@
 var errNoLeader = errors.New("no leader that has a majority")
 
 // service is what other processes may call. Its methods have net/rpc's form.
-type service struct{ *Store }
+type service struct {
+	*Store
+	session *peerrpc.Session // nil for the process's own calls
+}
 
 // Proposal is a command on its way to the leader.
 type Proposal struct {
 	Data      []byte
 	WaitMS    int64 // how long its outcome is waited for
 	Forwarded bool  // by another config store: it is not passed on again
+	Ticket    peerrpc.Ticket
 }
 
 // Asked is a question for what is surely committed.
 type Asked struct {
 	WaitMS    int64
 	Forwarded bool
+	Ticket    peerrpc.Ticket
 }
 
 // Silence is a question for how long servers (by ServerKey) and cache routers have been silent, wherever they were heard.
@@ -35,8 +40,9 @@
 	Forwarded bool
 }
 
-func within(ms int64) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.Background(), time.Duration(ms)*time.Millisecond)
+// begin returns the context of a call, which ends when its caller gives it up.
+func (s *service) begin(t peerrpc.Ticket, ms int64) (context.Context, func()) {
+	return s.session.Begin(t, time.Duration(ms)*time.Millisecond)
 }
 
 // Deliver takes messages of the agreement.
@@ -55,15 +61,15 @@
 // Propose brings a command into the log, by way of the leader. Commands may be brought twice: the state takes the same one
 // once, so an attempt without a clear end is made again while there is time.
 func (s *service) Propose(p *Proposal, r *Reply) error {
-	ctx, cancel := within(p.WaitMS)
+	ctx, cancel := s.begin(p.Ticket, p.WaitMS)
 	defer cancel()
 	_, err := s.askLeader(ctx, p.Forwarded, func() bool {
 		reply, err := askLoop(ctx, s.Store, s.proposals, p.Data)
 		*r = reply
 		return err == nil && reply.Known
 	}, func(leader *peerrpc.Peer) bool {
-		on := Proposal{Data: p.Data, WaitMS: left(ctx), Forwarded: true}
-		reply, err := peerrpc.CallWatched[Proposal, Reply](ctx, leader, "ConfigStore.Propose", &on)
+		on := Proposal{Data: p.Data, WaitMS: left(ctx), Forwarded: true, Ticket: peerrpc.NewTicket()}
+		reply, err := peerrpc.CallWatched[Proposal, Reply](ctx, leader, "ConfigStore.Propose", &on, on.Ticket)
 		*r = reply
 		return err == nil && reply.Known
 	})
@@ -72,12 +78,20 @@
 
 // Barrier returns an index: a state that has it holds all that was acknowledged before the call.
 func (s *service) Barrier(a *Asked, index *uint64) (err error) {
-	*index, err = s.gather.ask(func() (uint64, error) { return s.barrier(a) })
+	ctx, cancel := s.begin(a.Ticket, a.WaitMS)
+	defer cancel()
+	*index, err = s.barrierFor(ctx, a)
 	return err
 }
 
-func (s *service) barrier(a *Asked) (index uint64, err error) {
-	ctx, cancel := within(a.WaitMS)
+// barrierFor waits for a barrier that it shares with all who ask at the same time; the context ends the waiting alone.
+func (s *service) barrierFor(ctx context.Context, a *Asked) (uint64, error) {
+	shared := Asked{WaitMS: a.WaitMS, Forwarded: a.Forwarded}
+	return s.gather.ask(ctx, func() (uint64, error) { return s.barrier(shared) })
+}
+
+func (s *service) barrier(a Asked) (index uint64, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(a.WaitMS)*time.Millisecond)
 	defer cancel()
 	done, err := s.askLeader(ctx, a.Forwarded, func() bool {
 		end, err := askLoop(ctx, s.Store, s.barriers, nil)
@@ -86,7 +100,7 @@
 	}, func(leader *peerrpc.Peer) bool {
 		on := Asked{WaitMS: left(ctx), Forwarded: true}
 		var err error
-		index, err = peerrpc.CallWatched[Asked, uint64](ctx, leader, "ConfigStore.Barrier", &on)
+		index, err = peerrpc.CallWatched[Asked, uint64](ctx, leader, "ConfigStore.Barrier", &on, 0)
 		return err == nil
 	})
 	if err == nil && !done {
@@ -97,12 +111,12 @@
 
 // Manifest returns the newest configuration as it was put.
 func (s *service) Manifest(a *Asked, body *[]byte) error {
-	var index uint64
-	if err := s.Barrier(a, &index); err != nil {
+	ctx, cancel := s.begin(a.Ticket, a.WaitMS)
+	defer cancel()
+	index, err := s.barrierFor(ctx, a)
+	if err != nil {
 		return err
 	}
-	ctx, cancel := within(a.WaitMS)
-	defer cancel()
 	if !s.caughtUp(ctx, index) {
 		return errNoLeader
 	}
@@ -116,14 +130,14 @@
 
 // News answers one who asks what is new, at once if there is any or if this machine can't tell, else when there is.
 func (s *service) News(a *clusterstate.Ask, n *clusterstate.News) error {
-	ctx, cancel := within(a.HoldMS)
+	ctx, cancel := s.begin(0, a.HoldMS)
 	defer cancel()
 	if s.view.attend(a.Router) {
 		time.AfterFunc(enrolTogether, s.enrol)
 	}
 	if a.Barrier {
-		var index uint64
-		if err := s.Barrier(&Asked{WaitMS: a.HoldMS}, &index); err != nil {
+		index, err := s.barrierFor(ctx, &Asked{WaitMS: a.HoldMS})
+		if err != nil {
 			return err
 		}
 		if !s.caughtUp(ctx, index) {
@@ -176,7 +190,7 @@
 	}
 	ctx, done := context.WithTimeout(context.Background(), askLeaderWithin)
 	defer done()
-	got, err := peerrpc.CallWatched[Silence, []int64](ctx, s.peers.At(leader), "ConfigStore.Silent", &Silence{q.Names, true})
+	got, err := peerrpc.CallWatched[Silence, []int64](ctx, s.peers.At(leader), "ConfigStore.Silent", &Silence{q.Names, true}, 0)
 	*ages = got
 	return err
 }
--- a/internal/cdn/configstore/store.go
+++ b/internal/cdn/configstore/store.go
@@ -82,7 +82,7 @@
 		return Error.Wrap(err)
 	}
 	log.Info("started", "id", s.machine.Self().ID, "address", s.machine.Address, "voters", len(s.machine.Membership().Voters)) // the machine is the loop's from here on
-	go peerrpc.Serve(listener, "ConfigStore", &service{s})
+	go peerrpc.Serve(listener, "ConfigStore", func(session *peerrpc.Session) any { return &service{s, session} })
 	go s.loop()
 	select {
 	case <-ctx.Done():
--- a/internal/cdn/departure/ledger.go
+++ b/internal/cdn/departure/ledger.go
@@ -19,17 +19,62 @@
 type Ledger struct {
 	mu     sync.RWMutex
 	routes map[string]*figures
+
+	leavingMu sync.Mutex
+	leaving   map[*Caller]struct{} // that have left and for whom something is still under way
 }
 
 // figures are one route's.
 type figures struct {
-	inHand, attempts             atomic.Int64
-	left, begunAfter, endedAfter atomic.Int64
-	lastEnd                      histogram
+	inHand, attempts      atomic.Int64
+	left, endedAfter      atomic.Int64
+	begunAfter, endedLate atomic.Int64 // breaches of the invariant
+	lastEnd               histogram
 }
 
 // NewLedger returns an empty account.
-func NewLedger() *Ledger { return &Ledger{routes: map[string]*figures{}} }
+func NewLedger() *Ledger {
+	return &Ledger{routes: map[string]*figures{}, leaving: map[*Caller]struct{}{}}
+}
+
+// note and drop keep the callers that have left until nothing is under way for them.
+func (l *Ledger) note(c *Caller) {
+	l.leavingMu.Lock()
+	defer l.leavingMu.Unlock()
+	l.leaving[c] = struct{}{}
+}
+
+func (l *Ledger) drop(c *Caller) {
+	l.leavingMu.Lock()
+	defer l.leavingMu.Unlock()
+	delete(l.leaving, c)
+}
+
+// Overdue is how many callers have left for whom something is under way past its bound.
+func (l *Ledger) Overdue(now time.Time) int {
+	l.leavingMu.Lock()
+	all := make([]*Caller, 0, len(l.leaving))
+	for c := range l.leaving {
+		all = append(all, c)
+	}
+	l.leavingMu.Unlock()
+	n := 0
+	for _, c := range all {
+		c.mu.Lock()
+		if c.overdue(now) && !(c.closed && c.open == 0) {
+			n++
+		}
+		c.mu.Unlock()
+	}
+	return n
+}
+
+// Violations counts the breaches of the package's invariant: attempts that were sent after their caller had left, and callers for whom
+// something was or is under way past its bound.
+func (l *Ledger) Violations() int64 {
+	return l.sum(func(f *figures) *atomic.Int64 { return &f.begunAfter }) +
+		l.sum(func(f *figures) *atomic.Int64 { return &f.endedLate }) + int64(l.Overdue(time.Now()))
+}
 
 func (l *Ledger) route(name string) *figures {
 	l.mu.RLock()
@@ -107,7 +152,10 @@
 			func(f *figures) *atomic.Int64 { return &f.begunAfter }},
 		{describe("attempts_ended_after_leave_total", "Attempts that ended after their caller had left."), prometheus.CounterValue,
 			func(f *figures) *atomic.Int64 { return &f.endedAfter }},
+		{describe("work_ended_late_total", "Callers that left and for whom something was under way past its bound."), prometheus.CounterValue,
+			func(f *figures) *atomic.Int64 { return &f.endedLate }},
 	}
+	overdueDesc = prometheus.NewDesc("cedarmast_work_overdue", "Callers that have left and for whom something is under way past its bound.", nil, nil)
 	lastEndDesc = describe("leave_to_last_end_seconds", "Time from a caller's leave to the end of the last attempt for it.")
 )
 
@@ -117,10 +165,12 @@
 		out <- m.desc
 	}
 	out <- lastEndDesc
+	out <- overdueDesc
 }
 
 // Collect implements prometheus.Collector.
 func (l *Ledger) Collect(out chan<- prometheus.Metric) {
+	out <- prometheus.MustNewConstMetric(overdueDesc, prometheus.GaugeValue, float64(l.Overdue(time.Now())))
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	for route, f := range l.routes {
@@ -135,11 +185,6 @@
 // Left is how many callers have left, over all routes.
 func (l *Ledger) Left() int64 { return l.sum(func(f *figures) *atomic.Int64 { return &f.left }) }
 
-// BegunAfter is how many attempts were sent after their caller had left.
-func (l *Ledger) BegunAfter() int64 {
-	return l.sum(func(f *figures) *atomic.Int64 { return &f.begunAfter })
-}
-
 func (l *Ledger) sum(of func(*figures) *atomic.Int64) (all int64) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
--- a/internal/cdn/edge/edge.go
+++ b/internal/cdn/edge/edge.go
@@ -123,7 +123,7 @@
 	f.running.Go(func() { f.mingle(life) })
 	f.running.Go(func() { f.tell(life) })
 	go f.replica.Run(life)
-	go peerrpc.Serve(inner, "Edge", &peerCalls{f})
+	go peerrpc.Serve(inner, "Edge", func(s *peerrpc.Session) any { return &peerCalls{f, s} })
 	metrics.Serve(life, set, log, f.callers)
 	if front != nil {
 		front.serve()
--- a/internal/cdn/edge/hop.go
+++ b/internal/cdn/edge/hop.go
@@ -6,11 +6,13 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"cedarmast/balance"
 	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/departure"
 	"cedarmast/internal/cdn/objectcache"
 	"cedarmast/internal/cdn/peerrpc"
 	"cedarmast/internal/cdn/peersampling"
@@ -26,6 +28,8 @@
 	base uint64 // of the roster that the table was cut by
 	done int    // steps of it that the table has
 
+	callers sync.Map // *exchange.Exchange to *departure.Caller: for whom each question is asked
+
 	roster map[string]clusterstate.Router // as of those steps
 	listed map[string]clusterstate.Router // of them, that the table has: all, or the shields
 }
@@ -114,7 +118,8 @@
 	Home   bool   // who is asked is the key's shield: on a miss it goes to the servers
 	AgeMS  int64  // of a copy, at most; 0: any that may be handed on
 	ETag   string // of the asker's copy: the body is not needed if it is still this one
-	Most   int    // bytes of a body that come with the answer, the rest is asked for; 0: all
+	Ticket peerrpc.Ticket
+	Most   int // bytes of a body that come with the answer, the rest is asked for; 0: all
 }
 
 // Fetched is its answer.
@@ -130,36 +135,58 @@
 	Refuse int64  // not had: come again after so many milliseconds; 0: it was had
 }
 
+// ask submits a question on behalf of a caller and waits for the answer.
+func (h *hop) ask(x *exchange.Exchange, caller *departure.Caller) exchange.Answer {
+	h.callers.Store(x, caller)
+	defer h.callers.Delete(x)
+	return await(h.loop, x, caller)
+}
+
 // Send asks the cache router that was decided on; this one asks itself without a call.
 func (h *hop) Send(a *exchange.Attempt) {
+	known, ok := h.callers.Load(a.Exchange)
 	go func() {
-		q := Fetch{}
-		if err := decodeAsk(a.Exchange, &q); err != nil {
-			a.End(exchange.Reply{Result: balance.Moot, Err: err})
+		if !ok { // answered and let go meanwhile
+			a.End(exchange.Reply{Result: balance.Moot})
 			return
 		}
-		q.LeftMS = max(time.Until(a.Due).Milliseconds(), 1)
-		var got Fetched
-		var err error
-		q.Home = h.home
-		if string(a.Server) == h.f.set.Node {
-			got = h.f.obtain(a.Context, q)
-		} else {
-			got, err = h.f.lentBy(a.Context, h.f.peers.At(a.Address), q)
-		}
-		switch {
-		case errors.Is(err, peerrpc.ErrNotBegun):
-			a.End(exchange.Reply{Result: balance.NoConnect, Err: err})
-		case errors.Is(err, context.DeadlineExceeded):
-			a.End(exchange.Reply{Result: balance.TimedOut, Err: err})
-		case err != nil:
-			a.End(exchange.Reply{Result: balance.Reset, Err: err})
-		default:
-			a.End(exchange.Reply{Result: balance.OK, Header: got.pack(), Body: got.Body})
-		}
+		a.End(h.attempt(a, known.(*departure.Caller)))
 	}()
 }
 
+func (h *hop) attempt(a *exchange.Attempt, caller *departure.Caller) exchange.Reply {
+	q := Fetch{}
+	if err := decodeAsk(a.Exchange, &q); err != nil {
+		return exchange.Reply{Result: balance.Moot, Err: err}
+	}
+	q.LeftMS = max(time.Until(a.Due).Milliseconds(), 1)
+	q.Home = h.home
+	ctx, release := upstream.Bind(a.Context, caller)
+	defer release()
+	if !caller.Begin(departure.BreakOff, a.Due) {
+		return exchange.Reply{Result: balance.Moot, Err: departure.ErrLeft}
+	}
+	defer caller.End(departure.BreakOff)
+	var got Fetched
+	var err error
+	if string(a.Server) == h.f.set.Node {
+		got = h.f.obtain(ctx, q)
+	} else {
+		got, err = h.f.lentBy(ctx, h.f.peers.At(a.Address), q)
+	}
+	switch cause := upstream.Withdrawal(ctx); {
+	case cause != nil: // no fault of the cache router's
+		return exchange.Reply{Result: balance.Cancelled, Err: cause}
+	case errors.Is(err, peerrpc.ErrNotBegun):
+		return exchange.Reply{Result: balance.NoConnect, Err: err}
+	case errors.Is(err, context.DeadlineExceeded):
+		return exchange.Reply{Result: balance.TimedOut, Err: err}
+	case err != nil:
+		return exchange.Reply{Result: balance.Reset, Err: err}
+	}
+	return exchange.Reply{Result: balance.OK, Header: got.pack(), Body: got.Body}
+}
+
 // The question travels through the exchange in its header, which nobody between reads.
 const (
 	askKey   = ":ask"
@@ -213,8 +240,14 @@
 	return g
 }
 
+// lentRoute is what other cache routers' questions are accounted under.
+const lentRoute = ":lent"
+
 // peerCalls is what other processes may call. Its methods have net/rpc's form.
-type peerCalls struct{ f *Edge }
+type peerCalls struct {
+	f       *Edge
+	session *peerrpc.Session
+}
 
 // Fetch answers a cache router that asks for an object. A panic ends this call alone: net/rpc would end the process.
 func (p *peerCalls) Fetch(q *Fetch, g *Fetched) (err error) {
@@ -224,8 +257,10 @@
 			err = Error.New("fetch: panic: %v", panicked)
 		}
 	}()
-	ctx, done := context.WithTimeout(context.Background(), time.Duration(q.LeftMS)*time.Millisecond)
+	ctx, done := p.session.Begin(q.Ticket, time.Duration(q.LeftMS)*time.Millisecond)
 	defer done()
+	caller := p.f.callers.Open(ctx, lentRoute)
+	defer caller.Close()
 	p.f.lent.begin()
 	defer p.f.lent.done()
 	if p.f.ending.Load() {
--- a/internal/cdn/edge/link_test.go
+++ b/internal/cdn/edge/link_test.go
@@ -138,7 +138,7 @@
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			assert.NilError(t, err)
 			defer l.Close()
-			go peerrpc.Serve(l, "Edge", &c.lender)
+			go peerrpc.Serve(l, "Edge", peerrpc.Shared(&c.lender))
 			f := &Edge{from: newLink(c.mbps)}
 			got, err := f.lentBy(t.Context(), peerrpc.NewPeer(l.Addr().String()), Fetch{Key: objectcache.Key{Path: "/a"}})
 			assert.Equal(t, c.lender.asked, c.pieces)
@@ -157,7 +157,7 @@
 	f := &Edge{cache: objectcache.New(1 << 20)}
 	k, body := objectcache.Key{Host: "h", Path: "/a"}, []byte("0123456789")
 	f.cache.Put(k, &objectcache.Copy{Body: body, ETag: "e", Shelf: time.Minute, At: time.Now(), Index: 1})
-	p := &peerCalls{f}
+	p := &peerCalls{f: f}
 	cases := []struct {
 		q    Piece
 		want string // empty: refused
--- a/internal/cdn/edge/pieces.go
+++ b/internal/cdn/edge/pieces.go
@@ -55,7 +55,8 @@
 		q.Most = lentPiece
 	}
 	begun := time.Now()
-	got, err := peerrpc.CallWatched[Fetch, Fetched](ctx, peer, "Edge.Fetch", &q)
+	q.Ticket = peerrpc.NewTicket()
+	got, err := peerrpc.CallWatched[Fetch, Fetched](ctx, peer, "Edge.Fetch", &q, q.Ticket)
 	f.from.out(len(got.Body), time.Now())
 	if err != nil || got.Total == 0 {
 		return got, err
@@ -69,7 +70,7 @@
 		if err := f.from.wait(ctx, n, got.Total-len(body), begun); err != nil {
 			return Fetched{}, err
 		}
-		part, err := peerrpc.CallWatched[Piece, []byte](ctx, peer, "Edge.Piece", &Piece{q.Key, etag, got.Total, len(body), n})
+		part, err := peerrpc.CallWatched[Piece, []byte](ctx, peer, "Edge.Piece", &Piece{q.Key, etag, got.Total, len(body), n}, 0)
 		if err != nil {
 			return Fetched{}, err
 		}
--- a/internal/cdn/edge/serve.go
+++ b/internal/cdn/edge/serve.go
@@ -117,6 +117,7 @@
 	a := f.ask(sv, order, exchange.Request{ID: q.id, Class: q.route.Name, Arrived: q.arrived, TimeLeft: q.left,
 		Write: q.route.Kind == clusterstate.OnceOnly, Method: q.Method, Target: target(q.Request), Header: header, Body: body})
 	switch failure := order.Failure(); {
+	case q.caller.Left(): // nobody is there to take an answer
 	case a.Kind == exchange.Served:
 		q.pass(int(atoi(first(a.Header, upstream.StatusKey))), a.Header, a.Body)
 	case failure != nil: // a server's own word about it
@@ -152,8 +153,10 @@
 	x := exchange.New(exchange.Request{ID: q.id, Class: hopClass, Key: k.Hash(), HasKey: true, Arrived: q.arrived, TimeLeft: left,
 		Method: http.MethodGet, Target: ask.Target, Header: encodeAsk(ask)})
 	begun := time.Now()
-	f.hop.loop.Submit(x)
-	a := <-x.Answer()
+	a := f.hop.ask(x, q.caller)
+	if q.caller.Left() {
+		return
+	}
 	if a.Kind == exchange.Served {
 		got := unpack(a.Header, a.Body)
 		if got.Whole {
@@ -169,7 +172,7 @@
 		return
 	}
 	ask.LeftMS = rest.Milliseconds()
-	q.deliver(f.obtain(q.Context(), ask)) // no cache router answers: this one asks the servers itself
+	q.deliver(f.obtain(q.caller.Context(), ask)) // no cache router answers: this one asks the servers itself
 }
 
 // deliver answers with an object, whole or the range that was asked for, or with what a server said instead.
--- a/internal/cdn/edge/shelf.go
+++ b/internal/cdn/edge/shelf.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/departure"
 	"cedarmast/internal/cdn/objectcache"
 	"cedarmast/internal/cdn/statesync"
 	"cedarmast/internal/cdn/upstream"
@@ -26,10 +27,19 @@
 	mostDue      = 64
 )
 
-// fetch is one question to the servers that several requests wait for.
+// fetch is one question to the servers that several requests wait for. It goes on while one of them waits.
 type fetch struct {
-	done chan struct{}
-	got  Fetched
+	done   chan struct{}
+	got    Fetched
+	caller *departure.Caller // all who wait, taken together
+
+	abandoned bool // it ended after the last who waited had left; set before done is closed
+
+	// Under the lock of all fetches:
+	waiting int
+	kept    bool // for the router's own account: nobody need wait
+	left    bool // nobody waits any more
+	settled bool // it has ended
 }
 
 type fetches struct {
@@ -37,6 +47,43 @@
 	all map[level]*fetch
 }
 
+// join counts one more who waits, or with waits false keeps the fetch. The caller holds the lock.
+func (w *fetch) join(waits bool) {
+	if waits {
+		w.waiting++
+	} else {
+		w.kept = true
+	}
+}
+
+// leave counts one who waits no longer. With the last one the fetch ends, but for what was sent and becomes a copy: whoever asks for
+// the object meanwhile waits for that.
+func (f *fetches) leave(at level, w *fetch) {
+	f.mu.Lock()
+	w.waiting--
+	ends := w.waiting == 0 && !w.kept && !w.left && !w.settled
+	if ends {
+		w.left = true
+		if !w.caller.Finishing() && f.all[at] == w {
+			delete(f.all, at)
+		}
+	}
+	f.mu.Unlock()
+	if ends {
+		w.caller.Leave()
+	}
+}
+
+// settled takes a fetch that has ended out.
+func (f *fetches) settled(at level, w *fetch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w.settled, w.abandoned = true, w.left
+	if f.all[at] == w {
+		delete(f.all, at)
+	}
+}
+
 // level keeps what a router asks as a zone's cache router apart from what it asks as a shield: neither waits for the other
 // in a circle.
 type level struct {
@@ -70,7 +117,7 @@
 		if route == nil {
 			continue
 		}
-		f.start(Fetch{Key: due.Key, Target: due.Key.Target(), Route: route.Name, ID: due.By}, due.Copy, refreshTime)
+		f.start(Fetch{Key: due.Key, Target: due.Key.Target(), Route: route.Name, ID: due.By}, due.Copy, refreshTime, false)
 	}
 }
 
@@ -93,21 +140,37 @@
 	case objectcache.Fresh:
 		return f.answer(q, x)
 	case objectcache.Ageing:
-		f.start(q, x, refreshTime)
+		f.start(q, x, refreshTime, false)
 		return f.answer(q, x)
 	}
-	w := f.start(q, x, max(time.Duration(q.LeftMS)*time.Millisecond, 50*time.Millisecond))
-	if w == nil {
-		return Fetched{Refuse: comeAgain.Milliseconds()}
+	for ctx.Err() == nil {
+		w := f.start(q, x, max(time.Duration(q.LeftMS)*time.Millisecond, 50*time.Millisecond), true)
+		if w == nil {
+			break
+		}
+		got, ended := f.await(ctx, level{q.Key, q.Home}, w)
+		if !ended {
+			break
+		}
+		if w.abandoned && got.Refuse > 0 { // it came to nothing because those who had begun it left: this one still waits
+			continue
+		}
+		if got.Whole && q.ETag != "" && q.ETag == first(got.Header, "Etag") {
+			return Fetched{Status: http.StatusOK, Whole: true, Same: true, AgeMS: got.AgeMS, Index: got.Index}
+		}
+		return got
 	}
+	return Fetched{Refuse: comeAgain.Milliseconds()}
+}
+
+// await waits for a fetch that was joined; it is not ended if the context ends before.
+func (f *Edge) await(ctx context.Context, at level, w *fetch) (got Fetched, ended bool) {
+	defer f.fetches.leave(at, w)
 	select {
 	case <-w.done:
-		if w.got.Whole && q.ETag != "" && q.ETag == first(w.got.Header, "Etag") {
-			return Fetched{Status: http.StatusOK, Whole: true, Same: true, AgeMS: w.got.AgeMS, Index: w.got.Index}
-		}
-		return w.got
+		return w.got, true
 	case <-ctx.Done():
-		return Fetched{Refuse: comeAgain.Milliseconds()}
+		return Fetched{}, false
 	}
 }
 
@@ -125,8 +188,9 @@
 	return got
 }
 
-// start begins a fetch unless one is under way; nil if the configuration has no such service any more.
-func (f *Edge) start(q Fetch, old *objectcache.Copy, patience time.Duration) *fetch {
+// start begins a fetch unless one is under way, and joins it; nil if the configuration has no such service any more. Whoever waits is to call
+// await; what nobody waits for is kept.
+func (f *Edge) start(q Fetch, old *objectcache.Copy, patience time.Duration, waits bool) *fetch {
 	p := f.plan.Load()
 	var sv *service
 	if p != nil {
@@ -138,10 +202,12 @@
 	at := level{q.Key, q.Home}
 	f.fetches.mu.Lock()
 	if w := f.fetches.all[at]; w != nil {
+		w.join(waits)
 		f.fetches.mu.Unlock()
 		return w
 	}
-	w := &fetch{done: make(chan struct{})}
+	w := &fetch{done: make(chan struct{}), caller: f.callers.Open(f.life, q.Route)}
+	w.join(waits)
 	f.fetches.all[at] = w
 	f.fetches.mu.Unlock()
 	go func() {
@@ -151,18 +217,17 @@
 				f.log.Error("fetch panicked", "panic", panicked)
 				w.got = Fetched{Refuse: comeAgain.Milliseconds()}
 			}
-			f.fetches.mu.Lock()
-			delete(f.fetches.all, at)
-			f.fetches.mu.Unlock()
+			w.caller.Close()
+			f.fetches.settled(at, w)
 			close(w.done)
 		}()
-		w.got = f.fetch(p, sv, q, old, min(patience, fetchPatient))
+		w.got = f.fetch(w.caller, p, sv, q, old, min(patience, fetchPatient))
 	}()
 	return w
 }
 
 // fetch asks the servers for a whole object, or whether a copy of it is still good, and stores what may be handed on.
-func (f *Edge) fetch(p *plan, sv *service, q Fetch, old *objectcache.Copy, patience time.Duration) Fetched {
+func (f *Edge) fetch(caller *departure.Caller, p *plan, sv *service, q Fetch, old *objectcache.Copy, patience time.Duration) Fetched {
 	route := p.routes[q.Route]
 	if route == nil {
 		route = &clusterstate.Route{Timeout: patience}
@@ -172,7 +237,7 @@
 		if near {
 			way = f.closer
 		}
-		if got, ok := f.askHome(way, q, old, route, patience); ok {
+		if got, ok := f.askHome(caller, way, q, old, route, patience); ok {
 			return got
 		}
 	}
@@ -183,13 +248,15 @@
 		if time.Now().Add(wait).After(late) {
 			return Fetched{Refuse: max(wait, comeAgain).Milliseconds()}
 		}
-		time.Sleep(wait)
+		if !pause(caller.Context(), wait) {
+			return Fetched{Refuse: comeAgain.Milliseconds()}
+		}
 	}
 	header := http.Header{"Host": {q.Key.Host}}
 	if old != nil && old.ETag != "" {
 		header["If-None-Match"] = []string{old.ETag}
 	}
-	order := &upstream.Order{ID: q.ID, Stamped: true}
+	order := &upstream.Order{ID: q.ID, Stamped: true, Keep: route.Shelf > 0, Caller: caller}
 	index, begun := f.replica.Index(), time.Now()
 	a := f.ask(sv, order, exchange.Request{Class: route.Name, Arrived: begun, TimeLeft: min(patience, route.Timeout),
 		Method: http.MethodGet, Target: q.Target, Header: header})
@@ -216,7 +283,7 @@
 
 // askHome asks the key's shield. It is not ok if there is none but this router, or it does not answer: then the servers are
 // asked from here.
-func (f *Edge) askHome(way *hop, q Fetch, old *objectcache.Copy, route *clusterstate.Route, patience time.Duration) (Fetched, bool) {
+func (f *Edge) askHome(caller *departure.Caller, way *hop, q Fetch, old *objectcache.Copy, route *clusterstate.Route, patience time.Duration) (Fetched, bool) {
 	q.Index, q.AgeMS, q.ETag = f.replica.Index(), 0, ""
 	if old != nil {
 		q.ETag, q.AgeMS = old.ETag, max(int64(route.Shelf/4/time.Millisecond), 1)
@@ -224,8 +291,10 @@
 	begun := time.Now()
 	x := exchange.New(exchange.Request{ID: q.ID, Class: hopClass, Key: q.Key.Hash(), HasKey: true, Arrived: begun,
 		TimeLeft: patience, Method: http.MethodGet, Target: q.Target, Header: encodeAsk(q)})
-	way.loop.Submit(x)
-	a := <-x.Answer()
+	a := way.ask(x, caller)
+	if caller.Left() {
+		return Fetched{Refuse: comeAgain.Milliseconds()}, true
+	}
 	if a.Kind != exchange.Served {
 		return Fetched{}, false
 	}
@@ -281,8 +350,7 @@
 	x := exchange.New(r)
 	f.sender.Begin(x, order)
 	defer f.sender.End(x)
-	sv.loop(r.Class).Submit(x)
-	a := <-x.Answer()
+	a := await(sv.loop(r.Class), x, order.Caller)
 	sv.rate.spend(order.Sent() - 1) // one place was taken; where servers fail, what is sent again counts as well
 	if a.Kind == exchange.Served {
 		sv.pace.note(r.Class, order.Server(), order.Took(), len(a.Body))
@@ -290,6 +358,37 @@
 	return a
 }
 
+// await submits an exchange and waits for its answer. When its caller leaves the decisions are told, and nothing more is owed; what is
+// finished all the same has its answer waited for, and no further attempt is sent (departure.Caller.Begin).
+func await(l *exchange.Loop, x *exchange.Exchange, caller *departure.Caller) exchange.Answer {
+	if caller.Left() {
+		return exchange.Answer{Kind: exchange.Failed}
+	}
+	l.Submit(x)
+	select {
+	case a := <-x.Answer():
+		return a
+	case <-caller.Context().Done():
+	}
+	if caller.Finishing() {
+		return <-x.Answer()
+	}
+	l.Depart(x)
+	return exchange.Answer{Kind: exchange.Failed}
+}
+
+// pause waits for a span; false if the context has ended before.
+func pause(ctx context.Context, span time.Duration) bool {
+	late := time.NewTimer(span)
+	defer late.Stop()
+	select {
+	case <-late.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // without copies a head and leaves one name out.
 func without(h http.Header, name string) http.Header {
 	out := make(http.Header, len(h))
--- a/internal/cdn/peerrpc/peerrpc.go
+++ b/internal/cdn/peerrpc/peerrpc.go
@@ -81,16 +81,16 @@
 
 // Call makes one call and waits for its answer or the context's end.
 func Call[A, R any](ctx context.Context, p *Peer, method string, args *A) (R, error) {
-	return call[A, R](ctx, p, method, args, false)
+	return call[A, R](ctx, p, method, args, terms{})
 }
 
-func call[A, R any](ctx context.Context, p *Peer, method string, args *A, watched bool) (R, error) {
+func call[A, R any](ctx context.Context, p *Peer, method string, args *A, how terms) (R, error) {
 	var none R
-	k, err := p.connect(ctx, watched)
+	k, err := p.connect(ctx, how.watched)
 	if err != nil {
 		return none, Error.New("%s at %s: %w: %w", method, p.Address, ErrNotBegun, err)
 	}
-	if watched {
+	if how.watched {
 		p.hold(k, 1)
 		defer p.hold(k, -1)
 	}
@@ -116,7 +116,10 @@
 		p.mu.Lock()
 		silent := p.heard.Before(begun)
 		p.mu.Unlock()
-		if silent && !errors.Is(context.Cause(ctx), context.Canceled) { // it may be cut: a new connection shows
+		switch given := ctx.Err() == context.Canceled; {
+		case given && how.ticket != 0:
+			go k.giveUp(how.ticket) // not from here: a connection that takes nothing would hold the caller up
+		case silent && !given: // it may be cut: a new connection shows
 			p.drop(k)
 		}
 		return none, Error.New("%s at %s: %w", method, p.Address, ctx.Err())
@@ -288,14 +291,10 @@
 	return k.Peer
 }
 
-// Serve answers calls of the named service until the listener is closed.
-func Serve(l net.Listener, name string, service any) error {
-	server := rpc.NewServer()
-	if err := server.RegisterName(name, service); err != nil {
-		return Error.Wrap(err)
-	}
-	if err := server.RegisterName("Peer", wordless{}); err != nil {
-		return Error.Wrap(err)
+// Serve answers calls of the named service until the listener is closed. Each connection has a session, and a service made for it.
+func Serve(l net.Listener, name string, service func(*Session) any) error {
+	if _, err := newServer(name, service, newSession(context.Background())); err != nil {
+		return err
 	}
 	for {
 		c, err := l.Accept()
@@ -306,6 +305,43 @@
 			time.Sleep(10 * time.Millisecond) // for want of descriptors; connections come back
 			continue
 		}
-		go server.ServeConn(c)
+		go serveConn(c, name, service)
+	}
+}
+
+func newServer(name string, service func(*Session) any, session *Session) (*rpc.Server, error) {
+	server := rpc.NewServer()
+	if err := server.RegisterName(name, service(session)); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if err := server.RegisterName("Peer", common{session}); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return server, nil
+}
+
+// serveConn answers one connection's calls. With it they end: whoever called can't have an answer any more.
+func serveConn(c net.Conn, name string, service func(*Session) any) {
+	ctx, end := context.WithCancelCause(context.Background())
+	defer end(ErrGivenUp)
+	server, err := newServer(name, service, newSession(ctx))
+	if err != nil { // Serve has made such a one already
+		c.Close()
+		return
 	}
+	server.ServeConn(&endTelling{c, func() { end(ErrGivenUp) }})
+}
+
+// endTelling tells when its connection can't be read from any more. net/rpc waits for all calls under way before it returns.
+type endTelling struct {
+	net.Conn
+	ended func()
+}
+
+func (c *endTelling) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		c.ended()
+	}
+	return n, err
 }
--- a/internal/cdn/peerrpc/peerrpc_test.go
+++ b/internal/cdn/peerrpc/peerrpc_test.go
@@ -50,13 +50,13 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	w := &worker{make(chan struct{})}
-	go Serve(l, "Worker", w)
+	go Serve(l, "Worker", Shared(w))
 	defer l.Close()
 	p := NewPeer(l.Addr().String())
 	ctx, done := context.WithTimeout(t.Context(), 20*time.Second)
 	defer done()
 	slow := make(chan error, 1)
-	go func() { _, err := CallWatched[bool, bool](ctx, p, "Worker.Work", new(bool)); slow <- err }()
+	go func() { _, err := CallWatched[bool, bool](ctx, p, "Worker.Work", new(bool), 0); slow <- err }()
 	late := time.After(listenFor + 2*answerIn + 2*watchEvery)
 	select {
 	case err := <-slow:
@@ -72,7 +72,7 @@
 	gone := NewPeer(dead.Addr().String())
 	begun, all := time.Now(), make(chan error, 8)
 	for range cap(all) {
-		go func() { _, err := CallWatched[bool, bool](ctx, gone, "Worker.Work", new(bool)); all <- err }()
+		go func() { _, err := CallWatched[bool, bool](ctx, gone, "Worker.Work", new(bool), 0); all <- err }()
 	}
 	for range cap(all) {
 		assert.Assert(t, errors.Is(<-all, ErrGone))
@@ -82,7 +82,7 @@
 	gone.mu.Lock()
 	gone.failed = time.Now()
 	gone.mu.Unlock()
-	_, err = CallWatched[bool, bool](ctx, gone, "Worker.Work", new(bool))
+	_, err = CallWatched[bool, bool](ctx, gone, "Worker.Work", new(bool), 0)
 	assert.Assert(t, errors.Is(err, ErrNotBegun), "%v", err)
 }
 
@@ -130,7 +130,7 @@
 	for n := range calls {
 		h.free[n] = make(chan struct{})
 	}
-	go Serve(l, "Holding", h)
+	go Serve(l, "Holding", Shared(h))
 	return l.Addr().String(), h, func() { l.Close() }
 }
 
--- a/internal/cdn/peerrpc/watch.go
+++ b/internal/cdn/peerrpc/watch.go
@@ -1,7 +1,6 @@
 package peerrpc
 
 import (
-	"context"
 	"errors"
 	"time"
 )
@@ -45,14 +44,6 @@
 
 func sinceStart() int64 { return int64(time.Since(start)) }
 
-// wordless is what every process answers: that it is there.
-type wordless struct{}
-
-// Word answers at once.
-func (wordless) Word(_ *bool, ok *bool) error { *ok = true; return nil }
-
-const wordCall = "Peer.Word"
-
 // watch looks after a link while watched calls are out on it.
 func (p *Peer) watch(k *link) {
 	var l liveness
@@ -80,8 +71,3 @@
 		}
 	}
 }
-
-// CallWatched is Call for what may take long: it fails with ErrGone soon after the peer has fallen silent.
-func CallWatched[A, R any](ctx context.Context, p *Peer, method string, args *A) (R, error) {
-	return call[A, R](ctx, p, method, args, true)
-}
--- a/internal/cdn/registry/registry.go
+++ b/internal/cdn/registry/registry.go
@@ -100,8 +100,8 @@
 func (w *Registry) propose(ctx context.Context, c clusterstate.Command, within time.Duration) (clusterstate.Outcome, error) {
 	call, done := context.WithTimeout(ctx, within)
 	defer done()
-	p := configstore.Proposal{Data: c.Encode(), WaitMS: (within - 30*time.Millisecond).Milliseconds()}
-	r, err := peerrpc.Call[configstore.Proposal, configstore.Reply](call, w.store, "ConfigStore.Propose", &p)
+	p := configstore.Proposal{Data: c.Encode(), WaitMS: (within - 30*time.Millisecond).Milliseconds(), Ticket: peerrpc.NewTicket()}
+	r, err := peerrpc.CallTicketed[configstore.Proposal, configstore.Reply](call, w.store, "ConfigStore.Propose", &p, p.Ticket)
 	if err == nil && !r.Known {
 		err = Error.New("no majority in time")
 	}
@@ -248,8 +248,8 @@
 func (w *Registry) getManifest(rw http.ResponseWriter, r *http.Request, _ string) {
 	call, done := context.WithTimeout(r.Context(), readWithin)
 	defer done()
-	body, err := peerrpc.Call[configstore.Asked, []byte](call, w.store, "ConfigStore.Manifest",
-		&configstore.Asked{WaitMS: (readWithin - 30*time.Millisecond).Milliseconds()})
+	ask := configstore.Asked{WaitMS: (readWithin - 30*time.Millisecond).Milliseconds(), Ticket: peerrpc.NewTicket()}
+	body, err := peerrpc.CallTicketed[configstore.Asked, []byte](call, w.store, "ConfigStore.Manifest", &ask, ask.Ticket)
 	switch {
 	case err != nil:
 		w.say(rw, r, clusterstate.Outcome{}, err, nil)
--- a/internal/cdn/statesync/statesync_test.go
+++ b/internal/cdn/statesync/statesync_test.go
@@ -56,7 +56,7 @@
 	l, err := net.Listen("tcp", address)
 	assert.NilError(t, err)
 	t.Cleanup(func() { l.Close() })
-	go peerrpc.Serve(l, name, c)
+	go peerrpc.Serve(l, name, peerrpc.Shared(c))
 }
 
 func until(t *testing.T, what string, ok func() bool) {
--- a/internal/cdn/upstream/upstream.go
+++ b/internal/cdn/upstream/upstream.go
@@ -4,6 +4,8 @@
 
 import (
 	"bufio"
+	"cmp"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -61,6 +63,7 @@
 	ID       string
 	OnceOnly bool
 	Stamped  bool              // a success without stamp is none
+	Keep     bool              // its answer becomes a copy: what was sent is finished though its caller has left
 	Caller   *departure.Caller // whom it is for
 
 	mu   sync.Mutex
@@ -105,12 +108,23 @@
 	return o.sent
 }
 
-// note is called before a request's last byte may leave.
-func (o *Order) note() {
-	o.Caller.Begin()
+// policy is what becomes of an attempt whose caller leaves: what may run once, and what becomes a copy, is finished.
+func (o *Order) policy() departure.Policy {
+	if o.OnceOnly || o.Keep {
+		return departure.Finish
+	}
+	return departure.BreakOff
+}
+
+// begin is called before a request's last byte may leave. It is false if the caller has left: then that byte must not.
+func (o *Order) begin(due time.Time) bool {
+	if !o.Caller.Begin(o.policy(), due) {
+		return false
+	}
 	o.mu.Lock()
 	o.sent++
 	o.mu.Unlock()
+	return true
 }
 
 // Sender carries out attempts.
@@ -183,12 +197,12 @@
 	return err
 }
 
-func (s *Sender) connect(a *exchange.Attempt, careful, alone bool) (*conn, error) {
+func (s *Sender) connect(ctx context.Context, a *exchange.Attempt, careful, alone bool) (*conn, error) {
 	place := a.Server
 	if alone { // nothing lies there: none of these connections is kept
 		place += "#alone"
 	}
-	got, err := s.Pool.Get(a.Context, place, a.Address, careful, connectWithin)
+	got, err := s.Pool.Get(ctx, place, a.Address, careful, connectWithin)
 	if err != nil {
 		return nil, err
 	}
@@ -202,7 +216,7 @@
 			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, userTimeout, 3000) // a cut shows by the deadline at the latest
 		})
 	}}
-	nc, err := dialer.DialContext(a.Context, "tcp", a.Address)
+	nc, err := dialer.DialContext(ctx, "tcp", a.Address)
 	a.Connect = time.Since(begun)
 	if err != nil {
 		s.Pool.Release()
@@ -213,56 +227,49 @@
 
 // attempt sends the request and judges what comes. Whatever is returned as never run has surely not run.
 func (s *Sender) attempt(a *exchange.Attempt, o *Order) exchange.Reply {
-	c, err := s.connect(a, o.OnceOnly, o.ID == "")
+	ctx, release := Bind(a.Context, o.Caller)
+	defer release()
+	if o.Caller.Left() {
+		return unsent(a, departure.ErrLeft)
+	}
+	c, err := s.connect(ctx, a, o.OnceOnly, o.ID == "")
 	if err != nil {
+		if cause := Withdrawal(ctx); cause != nil { // no fault of the server's
+			return unsent(a, cause)
+		}
 		return exchange.Reply{Result: balance.NoConnect, Err: Error.New("connecting to %s: %w", a.Server, err)}
 	}
 	start := time.Now()
 	if !a.Due.After(start) {
 		s.Pool.Put(a.Server, a.Address, c, start)
-		return exchange.Reply{Result: balance.Moot, Err: Error.New("sending to %s: no time is left", a.Server)}
+		return unsent(a, errNoTime)
 	}
 	idle := time.Duration(0)
 	if !c.idle.IsZero() {
 		idle = start.Sub(c.idle)
 	}
 	c.SetDeadline(a.Due)
-	begun, written, err := c.write(a, o)
-	if begun {
-		defer o.Caller.End()
+	watch := context.AfterFunc(ctx, func() { c.Close() })
+	sent, err := c.write(a, o, watch)
+	if sent != notBegun {
+		defer o.Caller.End(o.policy())
 	}
-	if err != nil {
-		c.Close()
-		s.Pool.Used(idle, false)
-		result := balance.Reset
-		if !written {
-			result = balance.NoConnect
-		}
-		return exchange.Reply{Result: result, Err: Error.New("writing to %s: %w", a.Server, err)}
+	var got response
+	keep := false
+	if err == nil {
+		got, keep, err = c.read(a, o.ID, o.OnceOnly)
 	}
-	got, keep, err := c.read(a, o.ID, o.OnceOnly)
+	untouched := watch() || o.policy() == departure.Finish // nobody has closed the connection meanwhile
 	if err != nil {
 		c.Close()
-		var timeout net.Error
-		result := balance.Spoilt
-		switch {
-		case errors.As(err, &timeout) && timeout.Timeout():
-			result = balance.TimedOut
-			s.Pool.Silent(a.Server, start)
-		case errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF):
-			result = balance.Reset
-			if time.Since(start) < connectWithin/4 {
-				s.Pool.Used(idle, false)
-			}
-		}
-		return exchange.Reply{Result: result, Err: Error.New("reading from %s: %w", a.Server, err)}
+		return s.failed(ctx, a, sent, start, idle, err)
 	}
 	s.Pool.Heard(a.Server, time.Now())
 	s.Pool.Used(idle, true)
 	o.mu.Lock()
 	o.by, o.took = a.Server, time.Since(start)
 	o.mu.Unlock()
-	if keep {
+	if keep && untouched {
 		c.SetDeadline(time.Time{})
 		c.idle = time.Now()
 		s.Pool.Put(a.Server, a.Address, c, c.idle)
@@ -272,6 +279,61 @@
 	return s.judge(a, o, got)
 }
 
+// Bind returns a context that ends with the attempt's time, its withdrawal or its caller's leave, with the cause.
+func Bind(attempt context.Context, caller *departure.Caller) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(attempt)
+	left := caller.Context()
+	stop := context.AfterFunc(left, func() { cancel(context.Cause(left)) })
+	return ctx, func() { stop(); cancel(nil) }
+}
+
+// Withdrawal returns why nobody waits for an attempt any more, though its time is not over; nil if somebody does.
+func Withdrawal(ctx context.Context) error {
+	if ctx.Err() == context.Canceled {
+		return context.Cause(ctx)
+	}
+	return nil
+}
+
+var errNoTime = errors.New("no time is left")
+
+// unsent is the reply of an attempt that has surely not run, through no fault of its server.
+func unsent(a *exchange.Attempt, cause error) exchange.Reply {
+	return exchange.Reply{Result: balance.Moot, Err: Error.New("sending to %s: %w", a.Server, cause)}
+}
+
+// failed is what becomes of an attempt that brought no answer, whose connection is closed. That its caller has left tells nothing about the
+// server, nor about how long connections may rest.
+func (s *Sender) failed(ctx context.Context, a *exchange.Attempt, sent sending, start time.Time, idle time.Duration, err error) exchange.Reply {
+	cause := Withdrawal(ctx)
+	switch {
+	case errors.Is(err, errStopped), cause != nil && sent < begun:
+		return unsent(a, cmp.Or(cause, err))
+	case cause != nil:
+		return exchange.Reply{Result: balance.Cancelled, Err: Error.New("at %s: %w", a.Server, cause)}
+	case sent < written:
+		s.Pool.Used(idle, false)
+		result := balance.Reset
+		if sent < begun {
+			result = balance.NoConnect
+		}
+		return exchange.Reply{Result: result, Err: Error.New("writing to %s: %w", a.Server, err)}
+	}
+	var timeout net.Error
+	result := balance.Spoilt
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout(), ctx.Err() != nil:
+		result = balance.TimedOut
+		s.Pool.Silent(a.Server, start)
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF):
+		result = balance.Reset
+		if time.Since(start) < connectWithin/4 {
+			s.Pool.Used(idle, false)
+		}
+	}
+	return exchange.Reply{Result: result, Err: Error.New("reading from %s: %w", a.Server, err)}
+}
+
 // response is a server's whole answer.
 type response struct {
 	status int
@@ -302,9 +364,22 @@
 
 var errEarly = errors.New("the connection ended before the request was whole")
 
-// write writes the request; begun tells whether the order was told of it, written whether its last byte may have left, which the order is told of before. Of what may run once the last byte follows a
-// moment later, so that a connection that the server has dropped shows while the request surely has not run.
-func (c *conn) write(a *exchange.Attempt, o *Order) (begun, written bool, err error) {
+// sending is how far a request has come on its way to a server. From begun on it may have run.
+type sending int
+
+const (
+	notBegun sending = iota // its last byte has surely not left
+	untaken                 // its order was told that it may leave, and it was not taken
+	begun                   // it may have left
+	written
+)
+
+var errStopped = errors.New("stopped before it was sent")
+
+// write writes the request. Its order is asked before the last byte may leave. Of what may run once that byte follows a moment later, so that
+// a connection that the server has dropped shows while the request surely has not run. Of what is finished though its caller leaves, the watch
+// for that ends with the last byte.
+func (c *conn) write(a *exchange.Attempt, o *Order, watch func() bool) (sending, error) {
 	head := make([]byte, 0, 512)
 	head = fmt.Appendf(head, "%s %s HTTP/1.1\r\n", a.Method, a.Target)
 	for name, values := range a.Header {
@@ -322,21 +397,27 @@
 	}
 	head = append(head, "\r\n"...)
 	all := append(head, a.Body...)
-	if !o.OnceOnly {
-		o.note()
-		_, err := c.Conn.Write(all)
-		return true, true, err
+	if o.OnceOnly {
+		if _, err := c.Conn.Write(all[:len(all)-1]); err != nil {
+			return notBegun, err
+		}
+		time.Sleep(commitAfter)
+		if state := socket.Peek(c.Conn); state == socket.Closed || state == socket.Unread {
+			return notBegun, errEarly
+		}
+		all = all[len(all)-1:]
 	}
-	if _, err := c.Conn.Write(all[:len(all)-1]); err != nil {
-		return false, false, err
+	if o.policy() == departure.Finish && !watch() || !o.begin(a.Due) {
+		return notBegun, errStopped
 	}
-	time.Sleep(commitAfter)
-	if state := socket.Peek(c.Conn); state == socket.Closed || state == socket.Unread {
-		return false, false, errEarly
+	_, err := c.Conn.Write(all)
+	switch {
+	case err == nil:
+		return written, nil
+	case o.OnceOnly && errors.Is(err, syscall.EPIPE): // the one byte was not taken
+		return untaken, err
 	}
-	o.note()
-	_, err = c.Conn.Write(all[len(all)-1:])
-	return true, err == nil || !errors.Is(err, syscall.EPIPE), err
+	return begun, err
 }
 
 // readBody reads a body. Of what may run once nothing but the attempt's own end bounds its time: a server's silence is no
