A client that only ends its sending side still waits; one that sends early and leaves is seen

net/http takes the end of a client's bytes for its leave, and sees no leave behind an early next request. With leaves passed on, the first would have lost its answer and the second would have gone on being worked for. halfclose.Conn sends interim answers (RFC 9110, 15.2) while a request is in hand and the bytes have ended: a closed connection answers them with a reset. Weighed: the end as a leave (as before; loses answers), never (work goes on), the state of the socket (the same for both). Edge and registry use it.

--- a/internal/cdn/edge/door.go
+++ b/internal/cdn/edge/door.go
@@ -1,11 +1,14 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"cedarmast/internal/cdn/halfclose"
 )
 
 // door keeps the clients' connections, so that the end closes those that have no request in hand and no other. http.Server's
@@ -21,7 +24,7 @@
 
 // caller is one client's connection.
 type caller struct {
-	net.Conn
+	*halfclose.Conn
 	door *door
 	mu   sync.Mutex
 	busy bool // a byte of a request has been read, and its answer is not out
@@ -41,7 +44,7 @@
 		}
 		return nil, err
 	}
-	k := &caller{Conn: c, door: d}
+	k := &caller{Conn: halfclose.New(c), door: d}
 	d.mu.Lock()
 	d.all[k] = struct{}{}
 	d.mu.Unlock()
@@ -68,6 +71,21 @@
 	return c.Conn.Close()
 }
 
+// connectionKey is where a request's context has its connection.
+type connectionKey struct{}
+
+// withConnection is http.Server's ConnContext.
+func withConnection(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, c)
+}
+
+// onLeave names what is called when the client of a request leaves after it has sent more on its connection.
+func onLeave(r *http.Request, f func()) {
+	if c, ok := r.Context().Value(connectionKey{}).(*caller); ok {
+		c.OnLeave(f)
+	}
+}
+
 // state is http.Server's word on a connection: idle means that an answer is out.
 func (d *door) state(c net.Conn, s http.ConnState) {
 	if k, ok := c.(*caller); ok && s == http.StateIdle {
--- a/internal/cdn/edge/door_test.go
+++ b/internal/cdn/edge/door_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"cedarmast/internal/cdn/halfclose"
+
 	"gotest.tools/v3/assert"
 )
 
@@ -38,7 +40,7 @@
 	for _, byteFirst := range []bool{true, false} {
 		d := newDoor(nil)
 		s := &scripted{bytes: make(chan byte, 1)}
-		c := &caller{Conn: s, door: d}
+		c := &caller{Conn: halfclose.New(s), door: d}
 		d.all[c] = struct{}{}
 		buf := make([]byte, 1)
 		if byteFirst {
--- a/internal/cdn/edge/edge.go
+++ b/internal/cdn/edge/edge.go
@@ -167,7 +167,7 @@
 
 func (t *front) serve() {
 	t.door = newDoor(t.counter)
-	t.server = &http.Server{Handler: http.HandlerFunc(t.f.serve), ConnState: t.door.state, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 15 * time.Second,
+	t.server = &http.Server{Handler: http.HandlerFunc(t.f.serve), ConnState: t.door.state, ConnContext: withConnection, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 15 * time.Second,
 		MaxHeaderBytes: 64 << 10, ErrorLog: t.f.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
 	go t.server.Serve(t.door)
 	gate := &http.Server{Handler: http.HandlerFunc(t.f.serveReady), ReadHeaderTimeout: 2 * time.Second}
--- a/internal/cdn/edge/serve.go
+++ b/internal/cdn/edge/serve.go
@@ -64,6 +64,7 @@
 	q.left = min(q.left, q.route.Timeout)
 	q.caller = f.callers.Open(r.Context(), q.route.Name)
 	defer q.caller.Close()
+	onLeave(r, q.caller.Leave)
 	if q.route.Kind == clusterstate.Shelved && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		f.serveShelved(q, strings.ToLower(host))
 		return
--- a/internal/cdn/edge/serve_test.go
+++ b/internal/cdn/edge/serve_test.go
@@ -142,8 +142,9 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := &http.Server{Handler: http.HandlerFunc(f.serve)}
-	go s.Serve(l)
+	d := newDoor(l)
+	s := &http.Server{Handler: http.HandlerFunc(f.serve), ConnState: d.state, ConnContext: withConnection}
+	go s.Serve(d)
 	t.Cleanup(func() { s.Close() })
 	return "http://" + l.Addr().String()
 }
--- a/internal/cdn/registry/registry.go
+++ b/internal/cdn/registry/registry.go
@@ -16,6 +16,7 @@
 	"cedarmast/internal/cdn/bootconfig"
 	"cedarmast/internal/cdn/clusterstate"
 	"cedarmast/internal/cdn/configstore"
+	"cedarmast/internal/cdn/halfclose"
 	"cedarmast/internal/cdn/httproute"
 	"cedarmast/internal/cdn/peerrpc"
 	"cedarmast/internal/cdn/statesync"
@@ -76,7 +77,7 @@
 	go w.replica.Run(ctx)
 	go w.duties(ctx)
 	go w.pass(ctx)
-	go server.Serve(listener)
+	go server.Serve(halfclose.Listen(listener))
 	log.Info("started", "address", set.Control)
 	<-ctx.Done()
 	last, done := context.WithTimeout(context.Background(), leaveWithin)
