A soak on real processes; refreshing that never ended and a wait past the client's time, found by it

localnet soak plays eight real processes under overlapping kills, pauses and planned restarts, configurations that come and take a route away, slow servers and lost answers, with clients of which most leave; it checks runs at servers against leaves from outside and the counted invariant from inside, and that nothing is left in hand. A pause is no breach: the ledger learns of standstills by its own pulse.

--- a/cmd/localnet/main.go
+++ b/cmd/localnet/main.go
@@ -12,6 +12,7 @@
 	"cedarmast/internal/build"
 	"cedarmast/internal/cdn/localnet"
 	"cedarmast/internal/cdn/simulation"
+	"cedarmast/internal/cdn/soak"
 
 	"github.com/urfave/cli/v3"
 )
@@ -42,6 +43,20 @@
 				}
 				return localnet.Measure(ctx, localnet.Shape{Core: c.Int("core"), Zones: 3, Net: 69}, loads, os.Stdout)
 			}},
+		{Name: "soak", Usage: "play real processes on this machine under troubles that overlap, with clients that leave, and check that the work for those ends",
+			Flags: []cli.Flag{&cli.Uint64Flag{Name: "seeds", Value: 10, Usage: "how many are played"}, &cli.Uint64Flag{Name: "from", Value: 1, Usage: "the first one"},
+				&cli.DurationFlag{Name: "day", Value: 10 * time.Second, Usage: "how long each lasts"}, &cli.IntFlag{Name: "at", Value: 82, Usage: "the network is at 127.0.AT.x"},
+				&cli.BoolFlag{Name: "tell", Usage: "print what happens"}, &cli.BoolFlag{Name: "logs", Usage: "print the processes' logs"}},
+			Action: func(ctx context.Context, c *cli.Command) error {
+				plan := soak.Plan{Day: c.Duration("day"), Shape: localnet.Shape{Core: 3, Edges: 3, Stores: 2, Zones: 2, Net: byte(c.Int("at"))}}
+				if c.Bool("tell") {
+					plan.Out = os.Stdout
+				}
+				if c.Bool("logs") {
+					plan.Shape.Out = os.Stderr
+				}
+				return soak.Sweep(ctx, plan, c.Uint64("from"), c.Uint64("seeds"), os.Stdout)
+			}},
 		{Name: "simulate", Usage: "play the control side in virtual time under faults that a seed draws, and check its rules",
 			Flags: []cli.Flag{&cli.Uint64Flag{Name: "seeds", Value: 300, Usage: "how many are played"}, &cli.Uint64Flag{Name: "from", Usage: "the first one"},
 				&cli.Int64Flag{Name: "seed", Value: -1, Usage: "replay this one alone and tell what happens; one that fails is replayed with the fewest faults"}},
--- a/internal/cdn/departure/departure.go
+++ b/internal/cdn/departure/departure.go
@@ -43,11 +43,12 @@
 	cancel  context.CancelCauseFunc
 
 	mu        sync.Mutex
-	leftAt    time.Time // zero while it waits
-	open      int       // attempts that were sent and have not ended
-	finishing int       // of them, those with the policy Finish
-	finished  bool      // such a one was under way when the caller left
-	due       time.Time // the latest deadline of those
+	leftAt    time.Time     // zero while it waits
+	stoodAt   time.Duration // for how long the process had stood still by then
+	open      int           // attempts that were sent and have not ended
+	finishing int           // of them, those with the policy Finish
+	finished  bool          // such a one was under way when the caller left
+	due       time.Time     // the latest deadline of those
 	closed    bool
 }
 
@@ -80,7 +81,7 @@
 	if !c.leftAt.IsZero() || c.closed {
 		return
 	}
-	c.leftAt = now
+	c.leftAt, c.stoodAt = now, c.ledger.standstill.until(now)
 	c.finished = c.finishing > 0
 	c.figures.left.Add(1)
 	c.ledger.note(c)
@@ -142,6 +143,7 @@
 func (c *Caller) checkBegun() {
 	if !c.leftAt.IsZero() {
 		c.figures.begunAfter.Add(1)
+		c.ledger.tell(Breach{Route: c.figures.name, Begun: true, After: time.Since(c.leftAt)})
 	}
 }
 
@@ -184,18 +186,19 @@
 		return
 	}
 	c.figures.lastEnd.observe(now.Sub(c.leftAt))
-	if c.overdue(now) {
+	if late := now.Sub(c.bound(now)); late > 0 {
 		c.figures.endedLate.Add(1)
+		c.ledger.tell(Breach{Route: c.figures.name, After: now.Sub(c.leftAt), Late: late, Finished: c.finished})
 	}
 	c.ledger.drop(c)
 }
 
-// overdue is the second half of the invariant: whether what is under way for a caller that has left should have ended. The caller of it
-// holds the lock.
-func (c *Caller) overdue(now time.Time) bool {
+// bound is the second half of the invariant: when all that is under way for a caller that has left should have ended. The caller of it holds
+// the lock.
+func (c *Caller) bound(now time.Time) time.Time {
 	bound := c.leftAt.Add(EndWithin)
 	if c.finished && c.due.Add(deadlineSlack).After(bound) {
 		bound = c.due.Add(deadlineSlack)
 	}
-	return now.After(bound)
+	return bound.Add(c.ledger.standstill.until(now) - c.stoodAt)
 }
--- a/internal/cdn/departure/departure_test.go
+++ b/internal/cdn/departure/departure_test.go
@@ -114,6 +114,26 @@
 	assert.Equal(t, testutil.CollectAndCount(l), 2+len(metrics))
 }
 
+// A process that was stopped has its time anew: what was under way could not end meanwhile. A standstill before the leave gives none.
+func TestAStandstillIsNoBreach(t *testing.T) {
+	l, at := NewLedger(), time.Now()
+	l.Pulse(at)
+	l.Pulse(at.Add(10 * time.Second)) // before
+	c := l.Open(t.Context(), "r")
+	assert.Assert(t, c.Begin(BreakOff, at.Add(time.Hour)))
+	c.mu.Lock()
+	c.leave(at.Add(10*time.Second + PulseEvery))
+	c.mu.Unlock()
+	late := at.Add(15 * time.Second)
+	assert.Equal(t, l.Overdue(late), 0, "not noted yet")
+	l.Pulse(late)
+	assert.Equal(t, l.Overdue(late.Add(EndWithin/2)), 0)
+	l.Pulse(late.Add(PulseEvery))
+	l.Pulse(late.Add(2 * PulseEvery))
+	l.Pulse(late.Add(3 * PulseEvery))
+	assert.Equal(t, l.Overdue(late.Add(3*PulseEvery)), 1, "it runs again, and nothing ends")
+}
+
 // Routes past a bound share their figures.
 func TestFiguresAreBounded(t *testing.T) {
 	l := NewLedger()
--- a/internal/cdn/departure/ledger.go
+++ b/internal/cdn/departure/ledger.go
@@ -17,15 +17,35 @@
 // Ledger is a process's account of its callers, by route. It is a prometheus.Collector: figures are put into words only when
 // they are asked for.
 type Ledger struct {
+	OnBreach func(Breach) // called where the invariant is broken; set before use, may be nil
+
 	mu     sync.RWMutex
 	routes map[string]*figures
 
 	leavingMu sync.Mutex
 	leaving   map[*Caller]struct{} // that have left and for whom something is still under way
+
+	standstill standstill
+}
+
+// Breach is one breach of the invariant.
+type Breach struct {
+	Route    string
+	Begun    bool          // an attempt was sent after its caller had left; else something ended late
+	After    time.Duration // from the leave
+	Late     time.Duration // past the bound
+	Finished bool          // what was under way was to be finished
+}
+
+func (l *Ledger) tell(b Breach) {
+	if l.OnBreach != nil {
+		l.OnBreach(b)
+	}
 }
 
 // figures are one route's.
 type figures struct {
+	name                  string
 	inHand, attempts      atomic.Int64
 	left, endedAfter      atomic.Int64
 	begunAfter, endedLate atomic.Int64 // breaches of the invariant
@@ -37,11 +57,15 @@
 	return &Ledger{routes: map[string]*figures{}, leaving: map[*Caller]struct{}{}}
 }
 
+// Pulse is to be called every PulseEvery: from calls that come late the ledger learns for how long the process stood still, and what was
+// under way with it.
+func (l *Ledger) Pulse(now time.Time) { l.standstill.pulse(now) }
+
 // note and drop keep the callers that have left until nothing is under way for them.
 func (l *Ledger) note(c *Caller) {
 	l.leavingMu.Lock()
 	defer l.leavingMu.Unlock()
-	l.leaving[c] = struct{}{}
+	l.leaving[c] = struct{}{} // bounded by what is under way
 }
 
 func (l *Ledger) drop(c *Caller) {
@@ -61,7 +85,7 @@
 	n := 0
 	for _, c := range all {
 		c.mu.Lock()
-		if c.overdue(now) && !(c.closed && c.open == 0) {
+		if now.After(c.bound(now)) && !(c.closed && c.open == 0) {
 			n++
 		}
 		c.mu.Unlock()
@@ -89,7 +113,7 @@
 		name = otherRoutes
 	}
 	if f = l.routes[name]; f == nil {
-		f = &figures{}
+		f = &figures{name: name}
 		l.routes[name] = f
 	}
 	return f
--- a/internal/cdn/edge/edge.go
+++ b/internal/cdn/edge/edge.go
@@ -124,7 +124,7 @@
 	f.running.Go(func() { f.tell(life) })
 	go f.replica.Run(life)
 	go peerrpc.Serve(inner, "Edge", func(s *peerrpc.Session) any { return &peerCalls{f, s} })
-	metrics.Serve(life, set, log, f.callers)
+	metrics.Serve(life, set, log, f.figures()...)
 	if front != nil {
 		front.serve()
 	}
@@ -213,6 +213,7 @@
 	for turn := 1; ; turn++ {
 		select {
 		case now := <-look.C:
+			f.callers.Pulse(time.Now())
 			f.refreshDue(now)
 			if turn%10 == 0 {
 				f.weigh()
@@ -230,6 +231,9 @@
 func (f *Edge) init() {
 	f.link, f.from = newLink(f.set.LinkMbps), newLink(f.set.LinkMbps)
 	f.callers = departure.NewLedger()
+	f.callers.OnBreach = func(b departure.Breach) {
+		f.log.Warn("work for a caller that had left", "route", b.Route, "begun", b.Begun, "after", b.After, "late", b.Late, "finished", b.Finished)
+	}
 	f.quiet = slog.New(slog.DiscardHandler)
 	f.services, f.started = map[string]*service{}, map[string]balance.Time{}
 	f.bodies = exchange.NewBudget(int64(f.set.MemoryMB<<20) / bodiesPart)
--- /dev/null
+++ b/internal/cdn/edge/figures.go
@@ -0,0 +1,35 @@
+package edge
+
+import (
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// figures are what the process tells of itself beside its callers: see package departure for those.
+func (f *Edge) figures() []prometheus.Collector {
+	gauge := func(name, help string, read func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cedarmast_" + name, Help: help}, read)
+	}
+	counter := func(name, help string, of *atomic.Int64) prometheus.Collector {
+		return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "cedarmast_" + name, Help: help}, func() float64 { return float64(of.Load()) })
+	}
+	return []prometheus.Collector{
+		f.callers,
+		gauge("server_connections_busy", "Connections to servers that an attempt uses or opens.", func() float64 {
+			return float64(f.counts.ServerConnections.Load() - f.counts.IdleConnections.Load())
+		}),
+		gauge("server_connections_idle", "Connections to servers that nobody uses.", func() float64 { return float64(f.counts.IdleConnections.Load()) }),
+		gauge("fetches_under_way", "Fetches of objects that somebody or the cache waits for.", func() float64 { return float64(f.fetches.count()) }),
+		counter("requests_total", "Requests that clients have sent.", &f.counts.Requests),
+		counter("attempts_total", "Attempts that were decided on.", &f.counts.Attempts),
+		counter("dials_total", "Connections to servers that were opened.", &f.counts.Dials),
+		counter("panics_total", "Panics that were survived.", &f.counts.Panics),
+	}
+}
+
+func (f *fetches) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.all)
+}
--- a/internal/cdn/edge/hop.go
+++ b/internal/cdn/edge/hop.go
@@ -115,6 +115,7 @@
 	LeftMS int64
 	Route  string
 	Index  uint64 // the asker's history: the one who is asked must hold as much
+	Own    bool   // asked of itself: whoever wanted the object has been counted, and a refresh does not make its copy wanted
 	Home   bool   // who is asked is the key's shield: on a miss it goes to the servers
 	AgeMS  int64  // of a copy, at most; 0: any that may be handed on
 	ETag   string // of the asker's copy: the body is not needed if it is still this one
@@ -170,6 +171,7 @@
 	var got Fetched
 	var err error
 	if string(a.Server) == h.f.set.Node {
+		q.Own = true
 		got = h.f.obtain(ctx, q)
 	} else {
 		got, err = h.f.lentBy(ctx, h.f.peers.At(a.Address), q)
--- a/internal/cdn/edge/serve.go
+++ b/internal/cdn/edge/serve.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -138,7 +139,7 @@
 func (f *Edge) serveShelved(q *request, host string) {
 	k := objectcache.Key{Host: host, Path: q.URL.EscapedPath(), Query: q.URL.RawQuery} // as it was written: another spelling may be another object
 	k.Service = q.route.Pick(float64(k.Hash()>>11) / (1 << 53))
-	own, grade := f.held(k, q.id)
+	own, grade := f.held(k, q.id, true)
 	if grade == objectcache.Fresh {
 		q.deliver(fetchedFrom(own))
 		return
@@ -173,7 +174,9 @@
 		return
 	}
 	ask.LeftMS = rest.Milliseconds()
-	q.deliver(f.obtain(q.caller.Context(), ask)) // no cache router answers: this one asks the servers itself
+	ctx, done := context.WithTimeout(q.caller.Context(), rest) // a fetch that another one has begun may take longer
+	defer done()
+	q.deliver(f.obtain(ctx, ask)) // no cache router answers: this one asks the servers itself
 }
 
 // deliver answers with an object, whole or the range that was asked for, or with what a server said instead.
--- a/internal/cdn/edge/shelf.go
+++ b/internal/cdn/edge/shelf.go
@@ -18,13 +18,14 @@
 // This file is the cache router's side of a shelved request: its copy, or one fetch for all who wait for it.
 
 const (
-	slackPart    = 0.6 // of the slack past a copy's shelf time that is used while the server is asked
-	fetchPatient = 8 * time.Second
-	refreshTime  = 2 * time.Second
-	comeAgain    = 120 * time.Millisecond
-	rateWait     = 250 * time.Millisecond // for a place under the rate, if it is sure to come by then
-	lookEvery    = 100 * time.Millisecond // for copies that are about to end
-	mostDue      = 64
+	slackPart     = 0.6 // of the slack past a copy's shelf time that is used while the server is asked
+	fetchPatient  = 8 * time.Second
+	leastPatience = 50 * time.Millisecond
+	refreshTime   = 2 * time.Second
+	comeAgain     = 120 * time.Millisecond
+	rateWait      = 250 * time.Millisecond // for a place under the rate, if it is sure to come by then
+	lookEvery     = departure.PulseEvery   // for copies that are about to end
+	mostDue       = 64
 )
 
 // fetch is one question to the servers that several requests wait for. It goes on while one of them waits.
@@ -121,9 +122,12 @@
 	}
 }
 
-// held returns this router's copy, if it is good.
-func (f *Edge) held(k objectcache.Key, by string) (*objectcache.Copy, objectcache.Grade) {
-	x, grade := f.cache.Get(k, time.Now(), f.slack(), by)
+// held returns this router's copy, if it is good. With wanted false it does not count as wanted by that.
+func (f *Edge) held(k objectcache.Key, by string, wanted bool) (*objectcache.Copy, objectcache.Grade) {
+	x, grade := f.cache.Peek(k, time.Now(), f.slack())
+	if wanted {
+		x, grade = f.cache.Get(k, time.Now(), f.slack(), by)
+	}
 	if grade != objectcache.NotThere && !f.vouched() {
 		grade = objectcache.Stale
 	}
@@ -132,7 +136,7 @@
 
 // obtain brings an object: the copy, or what a server says.
 func (f *Edge) obtain(ctx context.Context, q Fetch) Fetched {
-	x, grade := f.held(q.Key, q.ID)
+	x, grade := f.held(q.Key, q.ID, !q.Own)
 	if q.AgeMS > 0 && grade != objectcache.NotThere && time.Since(x.At) > time.Duration(q.AgeMS)*time.Millisecond {
 		grade = objectcache.Stale // the asker has as good a one
 	}
@@ -144,7 +148,7 @@
 		return f.answer(q, x)
 	}
 	for ctx.Err() == nil {
-		w := f.start(q, x, max(time.Duration(q.LeftMS)*time.Millisecond, 50*time.Millisecond), true)
+		w := f.start(q, x, patienceOf(ctx, q), true)
 		if w == nil {
 			break
 		}
@@ -163,6 +167,15 @@
 	return Fetched{Refuse: comeAgain.Milliseconds()}
 }
 
+// patienceOf is how long a fetch that is begun for a question may take.
+func patienceOf(ctx context.Context, q Fetch) time.Duration {
+	left := time.Duration(q.LeftMS) * time.Millisecond
+	if due, ok := ctx.Deadline(); ok {
+		left = min(left, time.Until(due))
+	}
+	return max(left, leastPatience)
+}
+
 // await waits for a fetch that was joined; it is not ended if the context ends before.
 func (f *Edge) await(ctx context.Context, at level, w *fetch) (got Fetched, ended bool) {
 	defer f.fetches.leave(at, w)
--- a/internal/cdn/localnet/localnet.go
+++ b/internal/cdn/localnet/localnet.go
@@ -35,6 +35,7 @@
 	// Program returns the command line of a program; it is run with CEDARMAST_CONFIG set.
 	Program func(name string) []string
 	Out     io.Writer // of all processes' logs; nil: none
+	Metrics bool      // proxies tell their figures; see Figures
 }
 
 // The ports are alike on all machines, as on the operators'.
@@ -43,6 +44,7 @@
 	readinessPort = 8140
 	controlPort   = 8146
 	sparePort     = 7660
+	metricsPort   = 9464
 	beatEvery     = 300 * time.Millisecond
 )
 
@@ -149,6 +151,9 @@
 			continue
 		}
 		line := n.Program(p)
+		if n.Metrics && p == "edge" {
+			line = append(line, "--metrics", fmt.Sprintf("%d/metrics", metricsPort))
+		}
 		cmd := exec.Command(line[0], line[1:]...)
 		cmd.Env = append(os.Environ(), "CEDARMAST_CONFIG="+file)
 		if n.Out != nil {
@@ -271,8 +276,31 @@
 	Acked   chan struct{} // gets a word for each acknowledged call, when somebody listens
 }
 
+// Figures returns what a proxy tells of itself, in the text format of Prometheus.
+func (n *Network) Figures(ctx context.Context, m *Machine) (string, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/metrics", m.IP, metricsPort), nil)
+	if err != nil {
+		return "", err
+	}
+	r, err := n.client.Do(q)
+	if err != nil {
+		return "", err
+	}
+	defer r.Body.Close()
+	text, err := io.ReadAll(r.Body)
+	return string(text), err
+}
+
+// Client is where a machine takes clients' requests.
+func (m *Machine) Client() string { return fmt.Sprintf("%s:%d", m.IP, counterPort) }
+
 // Serve starts a stand-in server of a service.
 func (n *Network) Serve(id, service string, at byte) (*Server, error) {
+	return n.ServeWith(id, service, at, nil)
+}
+
+// ServeWith starts a stand-in server whose requests the handler runs; nil: its own.
+func (n *Network) ServeWith(id, service string, at byte, handler http.Handler) (*Server, error) {
 	l, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", n.Net, at))
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -280,7 +308,10 @@
 	ctx, stop := context.WithCancel(context.Background())
 	s := &Server{ID: id, Service: service, Address: l.Addr().String(), Zone: "zone-1", network: n, version: 1, state: "open", ran: map[string]int{}, stop: stop,
 		Acked: make(chan struct{})}
-	s.http = &http.Server{Handler: s}
+	if handler == nil {
+		handler = s
+	}
+	s.http = &http.Server{Handler: handler}
 	go s.http.Serve(l)
 	go s.tell(ctx)
 	n.mu.Lock()
--- a/internal/cdn/objectcache/objectcache.go
+++ b/internal/cdn/objectcache/objectcache.go
@@ -119,15 +119,27 @@
 func (c *Cache) Get(k Key, now time.Time, slack time.Duration, by string) (*Copy, Grade) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	x, grade := c.look(k, now, slack)
+	if grade == Fresh || grade == Ageing {
+		x.wanted, x.by = wantedFor, by
+	}
+	return x, grade
+}
+
+// Peek is Get for whom nobody wants the copy: it is not asked about again for that.
+func (c *Cache) Peek(k Key, now time.Time, slack time.Duration) (*Copy, Grade) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.look(k, now, slack)
+}
+
+// look finds a copy. The caller holds the lock.
+func (c *Cache) look(k Key, now time.Time, slack time.Duration) (*Copy, Grade) {
 	x, ok := c.lru.Get(k)
 	if !ok {
 		return nil, NotThere
 	}
-	if grade := x.grade(now, slack); grade != Stale {
-		x.wanted, x.by = wantedFor, by
-		return x, grade
-	}
-	return x, Stale
+	return x, x.grade(now, slack)
 }
 
 func (x *Copy) grade(now time.Time, slack time.Duration) Grade {
--- /dev/null
+++ b/internal/cdn/soak/book.go
@@ -0,0 +1,122 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// book is what was seen from outside: clients' requests, servers' runs, machines' troubles.
+type book struct {
+	mu       sync.Mutex
+	asks     []*ask
+	runs     []*run
+	troubles map[string][]span // by machine
+	breaches []string
+}
+
+// ask is one request of a client.
+type ask struct {
+	id, path, edge string
+	kind           kind
+	manner         manner
+	wait           time.Duration // before it leaves
+	status         int           // of its answer; 0: none. Its client's until over
+
+	begun, end time.Time // of the client's interest; a zero end: it waits
+	hasLeft    bool
+}
+
+// run is one run of a request at a server.
+type run struct {
+	path, id, server string
+	begun, end       time.Time
+	broken           bool // its connection closed before it had ended
+}
+
+// span is the time of a trouble; a zero end: it lasts.
+type span struct {
+	what       string
+	begun, end time.Time
+}
+
+func newBook() *book { return &book{troubles: map[string][]span{}} }
+
+func (b *book) asked(a *ask) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a.begun = time.Now()
+	b.asks = append(b.asks, a)
+}
+
+func (b *book) left(a *ask) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a.end, a.hasLeft = time.Now(), true
+}
+
+func (b *book) over(a *ask) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.end.IsZero() {
+		a.end = time.Now()
+	}
+}
+
+func (b *book) begun(path, id, server string) *run {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := &run{path: path, id: id, server: server, begun: time.Now()}
+	b.runs = append(b.runs, r)
+	return r
+}
+
+func (b *book) ended(r *run, broken bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r.end, r.broken = time.Now(), broken
+}
+
+// trouble notes that one begins, and returns what notes its end.
+func (b *book) trouble(machine, what string) func() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at := len(b.troubles[machine])
+	b.troubles[machine] = append(b.troubles[machine], span{what: what, begun: time.Now()})
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.troubles[machine][at].end = time.Now()
+	}
+}
+
+func (b *book) breach(format string, args ...any) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.breaches = append(b.breaches, fmt.Sprintf(format, args...))
+}
+
+// pausedUntil is the end of the last pause of a machine, or of any machine, that touches the time from a moment on for a span.
+func (b *book) pausedUntil(machine string, from time.Time, within time.Duration) (until time.Time) {
+	for name, all := range b.troubles {
+		if machine != "" && name != machine {
+			continue
+		}
+		for _, s := range all {
+			if s.what == pause && s.begun.Before(from.Add(within)) && s.end.After(from) && s.end.After(until) {
+				until = s.end
+			}
+		}
+	}
+	return until
+}
+
+// struck tells whether a machine's processes ended between two moments.
+func (b *book) struck(machine string, from, to time.Time) bool {
+	for _, s := range b.troubles[machine] {
+		if s.what != pause && s.begun.Before(to) && (s.end.IsZero() || s.end.After(from)) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/cdn/soak/judge.go
@@ -0,0 +1,188 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"cedarmast/internal/cdn/localnet"
+)
+
+const (
+	goneWithin  = 500 * time.Millisecond // from a leave to the end of the work for it, over all processes
+	dueSlack    = 150 * time.Millisecond
+	probes      = 30
+	probeWithin = 20 * time.Second
+)
+
+// interest is who wanted a path, over all clients that asked for it.
+type interest struct {
+	end        time.Time // when the last one wanted it no longer
+	kind       kind
+	edges      []string
+	left, stay int
+}
+
+// judge looks at a day that is over.
+func (d *day) judge(ctx context.Context, troubles int) (Report, error) {
+	for _, m := range d.net.Machines { // a trouble's own start may have been cut short by the day's end
+		if err := d.net.Up(m); err != nil {
+			return Report{}, err
+		}
+	}
+	if err := sleep(ctx, restTime); err != nil {
+		return Report{}, err
+	}
+	d.checkRuns()
+	d.checkAnswers()
+	d.checkFigures(ctx)
+	d.checkService(ctx)
+	b := d.book
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := Report{Requests: len(b.asks), Runs: len(b.runs), Troubles: troubles, Breaches: b.breaches}
+	for _, a := range b.asks {
+		if a.hasLeft {
+			r.Left++
+		}
+	}
+	return r, nil
+}
+
+func (b *book) interests() map[string]*interest {
+	all := map[string]*interest{}
+	for _, a := range b.asks {
+		i := all[a.path]
+		if i == nil {
+			i = &interest{kind: a.kind}
+			all[a.path] = i
+		}
+		i.edges = append(i.edges, a.edge)
+		if a.hasLeft {
+			i.left++
+		} else {
+			i.stay++
+		}
+		if a.end.After(i.end) {
+			i.end = a.end
+		}
+	}
+	return all
+}
+
+// checkRuns holds each run against those who wanted it: nothing begins or is still at work half a second after the last one has left, but for
+// what is finished, which nobody breaks off; what may run once runs once.
+func (d *day) checkRuns() {
+	b := d.book
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	wanted, once := b.interests(), map[string]int{}
+	var breaches []string
+	breach := func(format string, args ...any) { breaches = append(breaches, fmt.Sprintf(format, args...)) }
+	for _, r := range b.runs {
+		i := wanted[r.path]
+		if i == nil || i.kind.copies { // copies are refreshed on the proxies' own account
+			continue
+		}
+		bound := i.end.Add(goneWithin)
+		machine := ""
+		if i.kind.shared == 0 {
+			machine = i.edges[0]
+		}
+		if until := b.pausedUntil(machine, i.end.Add(-goneWithin), 2*goneWithin); until.Add(goneWithin).After(bound) {
+			bound = until.Add(goneWithin)
+		}
+		after := func(t time.Time) time.Duration { return t.Sub(i.end).Round(time.Millisecond) }
+		switch {
+		case i.kind.once:
+			if once[r.id]++; once[r.id] == 2 {
+				breach("%s ran twice", r.path)
+			}
+			if r.begun.After(bound) {
+				breach("%s begins %s after its client has left", r.path, after(r.begun))
+			}
+			if r.broken && r.end.Before(r.begun.Add(timeLeft/2)) && !b.struck(machine, r.begun, r.end.Add(dueSlack)) && i.left > 0 {
+				breach("%s is broken off %s after its client has left", r.path, after(r.end))
+			}
+		case r.begun.After(bound):
+			breach("%s begins at %s %s after the last one has left", r.path, r.server, after(r.begun))
+		case r.end.IsZero() || r.end.After(bound):
+			breach("%s is at work at %s until %s after the last one has left", r.path, r.server, after(r.end))
+		}
+	}
+	b.breaches = append(b.breaches, breaches...)
+}
+
+// checkAnswers holds that a client that waits gets an answer, unless the processes that worked for it have ended.
+func (d *day) checkAnswers() {
+	b := d.book
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ran := map[string]bool{}
+	for _, r := range b.runs {
+		ran[r.id] = true
+	}
+	for _, a := range b.asks {
+		if waits := a.manner == stays || a.manner == halfCloses; waits && a.status == 0 && ran[a.id] && !b.struck(a.edge, a.begun.Add(-time.Second), a.end) {
+			b.breaches = append(b.breaches, fmt.Sprintf("%s (%s, a client that %s) gets no answer from %s for %s", a.path, a.id, mannerNames[a.manner], a.edge, a.end.Sub(a.begun).Round(time.Millisecond)))
+		}
+	}
+}
+
+// The figures that must be zero at every proxy once a day is over: breaches of the invariant, and what would not have been given back.
+var mustBeZero = []string{"cedarmast_attempts_begun_after_leave_total", "cedarmast_work_ended_late_total", "cedarmast_work_overdue",
+	"cedarmast_requests_in_hand", "cedarmast_attempts_in_flight", "cedarmast_server_connections_busy", "cedarmast_fetches_under_way"}
+
+func (d *day) checkFigures(ctx context.Context) {
+	for _, m := range append(append([]*localnet.Machine{}, d.net.EdgeMachines()...), d.net.StoreMachines()...) {
+		text, err := d.net.Figures(ctx, m)
+		if err != nil {
+			d.book.breach("%s tells no figures: %v", m.Name, err)
+			continue
+		}
+		wrong := notZero(text)
+		for _, line := range wrong {
+			d.book.breach("%s: %s", m.Name, line)
+		}
+		if len(wrong) > 0 && d.Shape.Out != nil {
+			d.net.Signal(m, syscall.SIGQUIT) // it logs what its goroutines do
+		}
+	}
+}
+
+// notZero returns the figures that must be zero and are not.
+func notZero(text string) (wrong []string) {
+	for line := range strings.Lines(text) {
+		line = strings.TrimSpace(line)
+		at := strings.LastIndexByte(line, ' ')
+		if at < 0 || strings.HasPrefix(line, "#") {
+			continue
+		}
+		name, _, _ := strings.Cut(line[:at], "{")
+		if value, err := strconv.ParseFloat(line[at+1:], 64); slices.Contains(mustBeZero, name) && (err != nil || value != 0) {
+			wrong = append(wrong, line)
+		}
+	}
+	return wrong
+}
+
+// checkService holds that every proxy serves again once all is calm: neither places nor trust in servers were lost.
+func (d *day) checkService(ctx context.Context) {
+	call, done := context.WithTimeout(ctx, probeWithin)
+	defer done()
+	for _, m := range d.net.EdgeMachines() {
+		served := 0
+		for n := 0; served < probes && call.Err() == nil; n++ {
+			if status, _, _, err := d.net.Ask(m, "GET", "shop.example", fmt.Sprintf("/again/probe-%s-%d", m.Name, n), fmt.Sprintf("probe-%s-%d-%d", m.Name, d.Seed, n)); err == nil && status == 200 {
+				served++
+			}
+		}
+		if served < probes {
+			d.book.breach("%s serves %d of %d once all is calm", m.Name, served, probes)
+		}
+	}
+}
