--- a/internal/cdn/edge/serve.go
+++ b/internal/cdn/edge/serve.go
@@ -41,6 +41,8 @@
 	route   *clusterstate.Route
 	plan    *plan
 	caller  *departure.Caller // the client
+
+	answered bool // its answer has begun
 }
 
 func (f *Edge) serve(w http.ResponseWriter, r *http.Request) {
@@ -66,6 +68,15 @@
 	q.caller = f.callers.Open(r.Context(), q.route.Name)
 	defer q.caller.Close()
 	onLeave(r, q.caller.Leave)
+	f.route(q, host)
+	if q.caller.Left() && !q.answered { // http.Server would write an empty success for a handler that writes nothing
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// route sends a request the way of its route's kind.
+func (f *Edge) route(q *request, host string) {
+	r := q.Request
 	if q.route.Kind == clusterstate.Shelved && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		f.serveShelved(q, strings.ToLower(host))
 		return
@@ -84,7 +95,7 @@
 		}
 		defer let()
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	body, err := io.ReadAll(http.MaxBytesReader(q.w, r.Body, most))
 	if err != nil {
 		q.final(http.StatusBadRequest, nil, nil)
 		return
@@ -250,6 +261,7 @@
 }
 
 func (q *request) finish(status int, body []byte) {
+	q.answered = true
 	out := q.w.Header()
 	if q.id != "" {
 		out[upstream.HeaderID] = []string{q.id}
--- a/internal/cdn/soak/book.go
+++ b/internal/cdn/soak/book.go
@@ -23,6 +23,8 @@
 	wait           time.Duration // before it leaves
 	status         int           // of its answer; 0: none. Its client's until over
 
+	unstamped bool // a success that no server gave
+
 	begun, end time.Time // of the client's interest; a zero end: it waits
 	hasLeft    bool
 }
--- a/internal/cdn/soak/clients.go
+++ b/internal/cdn/soak/clients.go
@@ -115,19 +115,19 @@
 		return
 	}
 	c.SetReadDeadline(time.Now().Add(answerWithin))
-	a.status = finalStatus(bufio.NewReader(c))
+	a.status, a.unstamped = finalStatus(bufio.NewReader(c))
 }
 
-// finalStatus reads the status of the answer that is no interim one; 0 if none comes.
-func finalStatus(r *bufio.Reader) int {
+// finalStatus reads the status of the answer that is no interim one, 0 if none comes, and whether it is a success that no server gave.
+func finalStatus(r *bufio.Reader) (status int, unstamped bool) {
 	for {
 		resp, err := http.ReadResponse(r, nil)
 		if err != nil {
-			return 0
+			return 0, false
 		}
 		if resp.StatusCode >= 200 {
 			resp.Body.Close()
-			return resp.StatusCode
+			return resp.StatusCode, resp.StatusCode == http.StatusOK && resp.Header.Get("Postmark") == ""
 		}
 	}
 }
--- a/internal/cdn/soak/judge.go
+++ b/internal/cdn/soak/judge.go
@@ -127,6 +127,9 @@
 		ran[r.id] = true
 	}
 	for _, a := range b.asks {
+		if a.unstamped {
+			b.breaches = append(b.breaches, fmt.Sprintf("%s (%s, a client that %s) gets a success from %s that no server gave", a.path, a.id, mannerNames[a.manner], a.edge))
+		}
 		if waits := a.manner == stays || a.manner == halfCloses; waits && a.status == 0 && ran[a.id] && !b.struck(a.edge, a.begun.Add(-time.Second), a.end) {
 			b.breaches = append(b.breaches, fmt.Sprintf("%s (%s, a client that %s) gets no answer from %s for %s", a.path, a.id, mannerNames[a.manner], a.edge, a.end.Sub(a.begun).Round(time.Millisecond)))
 		}
