Registry and config store keep account of their callers too, and tell figures

The invariant stood at the proxies alone; servers' and operators' calls and what they set off at the config stores are now accounted in the same way, checked in the soak on every process. Nothing is sent for one who has its answer already.

--- a/internal/cdn/configstore/service.go
+++ b/internal/cdn/configstore/service.go
@@ -7,6 +7,7 @@
 
 	"cedarmast/internal/cdn/clusterstate"
 	"cedarmast/internal/cdn/consensus"
+	"cedarmast/internal/cdn/departure"
 	"cedarmast/internal/cdn/peerrpc"
 )
 
@@ -40,9 +41,14 @@
 	Forwarded bool
 }
 
-// begin returns the context of a call, which ends when its caller gives it up.
-func (s *service) begin(t peerrpc.Ticket, ms int64) (context.Context, func()) {
-	return s.session.Begin(t, time.Duration(ms)*time.Millisecond)
+// begin returns the context of a call, which ends when its caller gives it up. Calls that can be given up are accounted by their name.
+func (s *service) begin(t peerrpc.Ticket, name string, ms int64) (context.Context, func()) {
+	ctx, done := s.session.Begin(t, time.Duration(ms)*time.Millisecond)
+	if t == 0 {
+		return ctx, done
+	}
+	caller := s.callers.Open(ctx, departure.Neighbour, name)
+	return ctx, func() { caller.Close(); done() }
 }
 
 // Deliver takes messages of the agreement.
@@ -61,7 +67,7 @@
 // Propose brings a command into the log, by way of the leader. Commands may be brought twice: the state takes the same one
 // once, so an attempt without a clear end is made again while there is time.
 func (s *service) Propose(p *Proposal, r *Reply) error {
-	ctx, cancel := s.begin(p.Ticket, p.WaitMS)
+	ctx, cancel := s.begin(p.Ticket, "propose", p.WaitMS)
 	defer cancel()
 	_, err := s.askLeader(ctx, p.Forwarded, func() bool {
 		reply, err := askLoop(ctx, s.Store, s.proposals, p.Data)
@@ -78,7 +84,7 @@
 
 // Barrier returns an index: a state that has it holds all that was acknowledged before the call.
 func (s *service) Barrier(a *Asked, index *uint64) (err error) {
-	ctx, cancel := s.begin(a.Ticket, a.WaitMS)
+	ctx, cancel := s.begin(a.Ticket, "barrier", a.WaitMS)
 	defer cancel()
 	*index, err = s.barrierFor(ctx, a)
 	return err
@@ -111,7 +117,7 @@
 
 // Manifest returns the newest configuration as it was put.
 func (s *service) Manifest(a *Asked, body *[]byte) error {
-	ctx, cancel := s.begin(a.Ticket, a.WaitMS)
+	ctx, cancel := s.begin(a.Ticket, "manifest", a.WaitMS)
 	defer cancel()
 	index, err := s.barrierFor(ctx, a)
 	if err != nil {
@@ -130,7 +136,7 @@
 
 // News answers one who asks what is new, at once if there is any or if this machine can't tell, else when there is.
 func (s *service) News(a *clusterstate.Ask, n *clusterstate.News) error {
-	ctx, cancel := s.begin(0, a.HoldMS)
+	ctx, cancel := s.begin(0, "news", a.HoldMS)
 	defer cancel()
 	if s.view.attend(a.Router) {
 		time.AfterFunc(enrolTogether, s.enrol)
--- a/internal/cdn/configstore/store.go
+++ b/internal/cdn/configstore/store.go
@@ -14,6 +14,8 @@
 
 	"cedarmast/internal/cdn/bootconfig"
 	"cedarmast/internal/cdn/consensus"
+	"cedarmast/internal/cdn/departure"
+	"cedarmast/internal/cdn/metrics"
 	"cedarmast/internal/cdn/peerrpc"
 	"cedarmast/internal/cdn/raftlog"
 
@@ -41,6 +43,7 @@
 	peers   *peerrpc.Peers
 	machine *Machine // the loop's
 	view    *View
+	callers *departure.Ledger // registries and other config stores whose calls can be given up
 
 	in        chan []consensus.Message
 	proposals chan asked[Reply]
@@ -71,7 +74,8 @@
 	}
 	s := &Store{set: set, log: log, peers: peerrpc.NewPeers(), in: make(chan []consensus.Message, 256),
 		proposals: make(chan asked[Reply], 1024), barriers: make(chan asked[Barrier], 256), quit: make(chan struct{}),
-		done: make(chan struct{}), senders: map[string]chan consensus.Message{}}
+		done: make(chan struct{}), senders: map[string]chan consensus.Message{}, callers: departure.NewLedger()}
+	s.callers.LogBreaches(log)
 	s.peers.DialPatience = dialPatience
 	if err := s.open(ctx, wrap); err != nil || s.machine == nil {
 		return err
@@ -84,6 +88,8 @@
 	log.Info("started", "id", s.machine.Self().ID, "address", s.machine.Address, "voters", len(s.machine.Membership().Voters)) // the machine is the loop's from here on
 	go peerrpc.Serve(listener, "ConfigStore", func(session *peerrpc.Session) any { return &service{s, session} })
 	go s.loop()
+	go s.callers.Run(ctx)
+	metrics.Serve(ctx, set, log, s.callers)
 	select {
 	case <-ctx.Done():
 		close(s.quit)
--- a/internal/cdn/departure/departure.go
+++ b/internal/cdn/departure/departure.go
@@ -52,9 +52,19 @@
 	closed    bool
 }
 
+// Kind is who a caller is.
+type Kind string
+
+// The kinds of callers.
+const (
+	Client    Kind = "client"
+	Neighbour Kind = "neighbour" // another process of the network
+	Waiters   Kind = "waiters"   // of a gathered fetch, taken together
+)
+
 // Open notes a caller of a route that waits from now on. It has left when the parent context ends before Close.
-func (l *Ledger) Open(parent context.Context, route string) *Caller {
-	c := &Caller{ledger: l, figures: l.route(route), parent: parent}
+func (l *Ledger) Open(parent context.Context, kind Kind, route string) *Caller {
+	c := &Caller{ledger: l, figures: l.figuresOf(subject{kind, route}), parent: parent}
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	c.figures.inHand.Add(1)
 	c.stop = context.AfterFunc(parent, c.Leave)
@@ -116,7 +126,7 @@
 	return c.finishing > 0
 }
 
-// Begin asks whether an attempt may be sent now. A leave comes either before it, and nothing is sent, or after it, and finds the
+// Begin asks whether an attempt may be sent now: not for one that has left, nor for one that has its answer. A leave comes either before it, and nothing is sent, or after it, and finds the
 // attempt under way. Each attempt that may be sent is to be ended.
 func (c *Caller) Begin(policy Policy, due time.Time) bool {
 	if c == nil {
@@ -124,7 +134,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.hasLeft() {
+	if c.hasLeft() || c.closed {
 		return false
 	}
 	c.checkBegun()
@@ -143,7 +153,7 @@
 func (c *Caller) checkBegun() {
 	if !c.leftAt.IsZero() {
 		c.figures.begunAfter.Add(1)
-		c.ledger.tell(Breach{Route: c.figures.name, Begun: true, After: time.Since(c.leftAt)})
+		c.ledger.tell(Breach{Kind: c.figures.kind, Route: c.figures.route, Begun: true, After: time.Since(c.leftAt)})
 	}
 }
 
@@ -188,7 +198,7 @@
 	c.figures.lastEnd.observe(now.Sub(c.leftAt))
 	if late := now.Sub(c.bound(now)); late > 0 {
 		c.figures.endedLate.Add(1)
-		c.ledger.tell(Breach{Route: c.figures.name, After: now.Sub(c.leftAt), Late: late, Finished: c.finished})
+		c.ledger.tell(Breach{Kind: c.figures.kind, Route: c.figures.route, After: now.Sub(c.leftAt), Late: late, Finished: c.finished})
 	}
 	c.ledger.drop(c)
 }
--- a/internal/cdn/departure/departure_test.go
+++ b/internal/cdn/departure/departure_test.go
@@ -33,6 +33,7 @@
 		{"leaves after its answer", []string{begin, end, closes, leave}, 1, 0, 0, false, true},
 		{"the parent's end is seen at once", []string{parentEnds, begin}, 0, 1, 0, false, true},
 		{"two under way", []string{begin, begin, leave, end, end, closes}, 2, 1, 2, false, true},
+		{"begins after its caller's answer", []string{begin, end, closes, begin}, 1, 0, 0, false, true},
 		{"an attempt outlives its caller's answer", []string{begin, begin, end, closes, end}, 2, 0, 0, false, true},
 	}
 	for _, c := range cases {
@@ -40,7 +41,7 @@
 			l := NewLedger()
 			parent, cancel := context.WithCancel(t.Context())
 			defer cancel()
-			caller := l.Open(parent, "r")
+			caller := l.Open(parent, Client, "r")
 			sent, due := 0, time.Now().Add(time.Minute)
 			may := func(p Policy) {
 				if caller.Begin(p, due) {
@@ -65,7 +66,7 @@
 					caller.Close()
 				}
 			}
-			f := l.route("r")
+			f := l.figuresOf(subject{Client, "r"})
 			assert.Equal(t, sent, c.sent)
 			assert.Equal(t, f.left.Load(), c.left)
 			assert.Equal(t, f.endedAfter.Load(), c.endedAfter)
@@ -82,7 +83,7 @@
 	l := NewLedger()
 	past := time.Now().Add(-2 * EndWithin)
 	open := func() *Caller {
-		c := l.Open(t.Context(), "r")
+		c := l.Open(t.Context(), Client, "r")
 		assert.Assert(t, c.Begin(BreakOff, time.Now().Add(time.Minute)))
 		c.Leave()
 		return c
@@ -102,7 +103,7 @@
 	assert.Equal(t, l.Overdue(time.Now()), 0)
 	assert.Equal(t, l.Violations(), int64(2), "it ended late")
 
-	c = l.Open(t.Context(), "r")
+	c = l.Open(t.Context(), Client, "r")
 	assert.Assert(t, c.Begin(Finish, time.Now().Add(time.Minute)))
 	c.Leave()
 	c.leftAt = past
@@ -119,7 +120,7 @@
 	l, at := NewLedger(), time.Now()
 	l.Pulse(at)
 	l.Pulse(at.Add(10 * time.Second)) // before
-	c := l.Open(t.Context(), "r")
+	c := l.Open(t.Context(), Client, "r")
 	assert.Assert(t, c.Begin(BreakOff, at.Add(time.Hour)))
 	c.mu.Lock()
 	c.leave(at.Add(10*time.Second + PulseEvery))
@@ -137,8 +138,8 @@
 // Routes past a bound share their figures.
 func TestFiguresAreBounded(t *testing.T) {
 	l := NewLedger()
-	for i := range 2 * mostRoutes {
-		l.Open(t.Context(), string(rune('a'+i))).Close()
+	for i := range 2 * mostSubjects {
+		l.Open(t.Context(), Client, string(rune('a'+i))).Close()
 	}
-	assert.Equal(t, len(l.routes), mostRoutes+1)
+	assert.Equal(t, len(l.all), mostSubjects+1)
 }
--- a/internal/cdn/departure/ledger.go
+++ b/internal/cdn/departure/ledger.go
@@ -1,26 +1,28 @@
 package departure
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// mostRoutes is how many routes have figures of their own; later ones share those of otherRoutes.
+// mostSubjects is how many have figures of their own; the routes of later ones share those of otherRoutes.
 const (
-	mostRoutes  = 256
-	otherRoutes = "other"
+	mostSubjects = 256
+	otherRoutes  = "other"
 )
 
-// Ledger is a process's account of its callers, by route. It is a prometheus.Collector: figures are put into words only when
+// Ledger is a process's account of its callers, by kind and route. It is a prometheus.Collector: figures are put into words only when
 // they are asked for.
 type Ledger struct {
 	OnBreach func(Breach) // called where the invariant is broken; set before use, may be nil
 
-	mu     sync.RWMutex
-	routes map[string]*figures
+	mu  sync.RWMutex
+	all map[subject]*figures
 
 	leavingMu sync.Mutex
 	leaving   map[*Caller]struct{} // that have left and for whom something is still under way
@@ -30,6 +32,7 @@
 
 // Breach is one breach of the invariant.
 type Breach struct {
+	Kind     Kind
 	Route    string
 	Begun    bool          // an attempt was sent after its caller had left; else something ended late
 	After    time.Duration // from the leave
@@ -37,15 +40,34 @@
 	Finished bool          // what was under way was to be finished
 }
 
+// mostLogged is how many breaches a process logs; all are counted.
+const mostLogged = 50
+
+// LogBreaches logs breaches.
+func (l *Ledger) LogBreaches(log hclog.Logger) {
+	var logged atomic.Int64
+	l.OnBreach = func(b Breach) {
+		if logged.Add(1) <= mostLogged {
+			log.Warn("work for a caller that had left", "caller", b.Kind, "route", b.Route, "begun", b.Begun, "after", b.After, "late", b.Late, "finished", b.Finished)
+		}
+	}
+}
+
 func (l *Ledger) tell(b Breach) {
 	if l.OnBreach != nil {
 		l.OnBreach(b)
 	}
 }
 
-// figures are one route's.
+// subject is whose figures are kept apart.
+type subject struct {
+	kind  Kind
+	route string
+}
+
+// figures are one subject's.
 type figures struct {
-	name                  string
+	subject
 	inHand, attempts      atomic.Int64
 	left, endedAfter      atomic.Int64
 	begunAfter, endedLate atomic.Int64 // breaches of the invariant
@@ -54,7 +76,21 @@
 
 // NewLedger returns an empty account.
 func NewLedger() *Ledger {
-	return &Ledger{routes: map[string]*figures{}, leaving: map[*Caller]struct{}{}}
+	return &Ledger{all: map[subject]*figures{}, leaving: map[*Caller]struct{}{}}
+}
+
+// Run calls Pulse until the context ends, for a process that has no turn of its own to do it.
+func (l *Ledger) Run(ctx context.Context) {
+	turn := time.NewTicker(PulseEvery)
+	defer turn.Stop()
+	for {
+		select {
+		case <-turn.C:
+			l.Pulse(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // Pulse is to be called every PulseEvery: from calls that come late the ledger learns for how long the process stood still, and what was
@@ -100,21 +136,21 @@
 		l.sum(func(f *figures) *atomic.Int64 { return &f.endedLate }) + int64(l.Overdue(time.Now()))
 }
 
-func (l *Ledger) route(name string) *figures {
+func (l *Ledger) figuresOf(s subject) *figures {
 	l.mu.RLock()
-	f := l.routes[name]
+	f := l.all[s]
 	l.mu.RUnlock()
 	if f != nil {
 		return f
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.routes) >= mostRoutes {
-		name = otherRoutes
+	if len(l.all) >= mostSubjects {
+		s.route = otherRoutes
 	}
-	if f = l.routes[name]; f == nil {
-		f = &figures{name: name}
-		l.routes[name] = f
+	if f = l.all[s]; f == nil {
+		f = &figures{subject: s}
+		l.all[s] = f
 	}
 	return f
 }
@@ -161,7 +197,7 @@
 }
 
 func describe(name, help string) *prometheus.Desc {
-	return prometheus.NewDesc("cedarmast_"+name, help, []string{"route"}, nil)
+	return prometheus.NewDesc("cedarmast_"+name, help, []string{"caller", "route"}, nil)
 }
 
 var (
@@ -197,12 +233,12 @@
 	out <- prometheus.MustNewConstMetric(overdueDesc, prometheus.GaugeValue, float64(l.Overdue(time.Now())))
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	for route, f := range l.routes {
+	for s, f := range l.all {
 		for _, m := range metrics {
-			out <- prometheus.MustNewConstMetric(m.desc, m.kind, float64(m.read(f).Load()), route)
+			out <- prometheus.MustNewConstMetric(m.desc, m.kind, float64(m.read(f).Load()), string(s.kind), s.route)
 		}
 		count, sum, buckets := f.lastEnd.read()
-		out <- prometheus.MustNewConstHistogram(lastEndDesc, count, sum, buckets, route)
+		out <- prometheus.MustNewConstHistogram(lastEndDesc, count, sum, buckets, string(s.kind), s.route)
 	}
 }
 
@@ -212,7 +248,7 @@
 func (l *Ledger) sum(of func(*figures) *atomic.Int64) (all int64) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	for _, f := range l.routes {
+	for _, f := range l.all {
 		all += of(f).Load()
 	}
 	return all
--- a/internal/cdn/edge/edge.go
+++ b/internal/cdn/edge/edge.go
@@ -231,9 +231,7 @@
 func (f *Edge) init() {
 	f.link, f.from = newLink(f.set.LinkMbps), newLink(f.set.LinkMbps)
 	f.callers = departure.NewLedger()
-	f.callers.OnBreach = func(b departure.Breach) {
-		f.log.Warn("work for a caller that had left", "route", b.Route, "begun", b.Begun, "after", b.After, "late", b.Late, "finished", b.Finished)
-	}
+	f.callers.LogBreaches(f.log)
 	f.quiet = slog.New(slog.DiscardHandler)
 	f.services, f.started = map[string]*service{}, map[string]balance.Time{}
 	f.bodies = exchange.NewBudget(int64(f.set.MemoryMB<<20) / bodiesPart)
--- a/internal/cdn/edge/hop.go
+++ b/internal/cdn/edge/hop.go
@@ -242,9 +242,6 @@
 	return g
 }
 
-// lentRoute is what other cache routers' questions are accounted under.
-const lentRoute = ":lent"
-
 // peerCalls is what other processes may call. Its methods have net/rpc's form.
 type peerCalls struct {
 	f       *Edge
@@ -261,7 +258,7 @@
 	}()
 	ctx, done := p.session.Begin(q.Ticket, time.Duration(q.LeftMS)*time.Millisecond)
 	defer done()
-	caller := p.f.callers.Open(ctx, lentRoute)
+	caller := p.f.callers.Open(ctx, departure.Neighbour, q.Route)
 	defer caller.Close()
 	p.f.lent.begin()
 	defer p.f.lent.done()
--- a/internal/cdn/edge/serve.go
+++ b/internal/cdn/edge/serve.go
@@ -65,7 +65,7 @@
 		return
 	}
 	q.left = min(q.left, q.route.Timeout)
-	q.caller = f.callers.Open(r.Context(), q.route.Name)
+	q.caller = f.callers.Open(r.Context(), departure.Client, q.route.Name)
 	defer q.caller.Close()
 	onLeave(r, q.caller.Leave)
 	f.route(q, host)
--- a/internal/cdn/edge/shelf.go
+++ b/internal/cdn/edge/shelf.go
@@ -219,7 +219,7 @@
 		f.fetches.mu.Unlock()
 		return w
 	}
-	w := &fetch{done: make(chan struct{}), caller: f.callers.Open(f.life, q.Route)}
+	w := &fetch{done: make(chan struct{}), caller: f.callers.Open(f.life, departure.Waiters, q.Route)}
 	w.join(waits)
 	f.fetches.all[at] = w
 	f.fetches.mu.Unlock()
--- a/internal/cdn/localnet/localnet.go
+++ b/internal/cdn/localnet/localnet.go
@@ -44,10 +44,12 @@
 	readinessPort = 8140
 	controlPort   = 8146
 	sparePort     = 7660
-	metricsPort   = 9464
 	beatEvery     = 300 * time.Millisecond
 )
 
+// metricsPorts are where each program tells its figures.
+var metricsPorts = map[string]int{"edge": 9464, "configstore": 9465, "registry": 9466}
+
 // Machine is one address with the processes on it.
 type Machine struct {
 	Name, IP, Zone string
@@ -151,8 +153,8 @@
 			continue
 		}
 		line := n.Program(p)
-		if n.Metrics && p == "edge" {
-			line = append(line, "--metrics", fmt.Sprintf("%d/metrics", metricsPort))
+		if n.Metrics {
+			line = append(line, "--metrics", fmt.Sprintf("%d/metrics", metricsPorts[p]))
 		}
 		cmd := exec.Command(line[0], line[1:]...)
 		cmd.Env = append(os.Environ(), "CEDARMAST_CONFIG="+file)
@@ -276,19 +278,30 @@
 	Acked   chan struct{} // gets a word for each acknowledged call, when somebody listens
 }
 
-// Figures returns what a proxy tells of itself, in the text format of Prometheus.
+// Figures returns what a machine's programs tell of themselves, in the text format of Prometheus.
 func (n *Network) Figures(ctx context.Context, m *Machine) (string, error) {
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/metrics", m.IP, metricsPort), nil)
-	if err != nil {
-		return "", err
+	programs := []string{"edge"}
+	if m.Core {
+		programs = []string{"configstore", "registry"}
 	}
-	r, err := n.client.Do(q)
-	if err != nil {
-		return "", err
+	all := ""
+	for _, p := range programs {
+		q, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/metrics", m.IP, metricsPorts[p]), nil)
+		if err != nil {
+			return "", err
+		}
+		r, err := n.client.Do(q)
+		if err != nil {
+			return "", err
+		}
+		text, err := io.ReadAll(r.Body)
+		r.Body.Close()
+		if err != nil {
+			return "", err
+		}
+		all += string(text)
 	}
-	defer r.Body.Close()
-	text, err := io.ReadAll(r.Body)
-	return string(text), err
+	return all, nil
 }
 
 // Client is where a machine takes clients' requests.
--- a/internal/cdn/registry/registry.go
+++ b/internal/cdn/registry/registry.go
@@ -10,14 +10,17 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
 	"cedarmast/internal/cdn/bootconfig"
 	"cedarmast/internal/cdn/clusterstate"
 	"cedarmast/internal/cdn/configstore"
+	"cedarmast/internal/cdn/departure"
 	"cedarmast/internal/cdn/halfclose"
 	"cedarmast/internal/cdn/httproute"
+	"cedarmast/internal/cdn/metrics"
 	"cedarmast/internal/cdn/peerrpc"
 	"cedarmast/internal/cdn/statesync"
 
@@ -46,6 +49,7 @@
 	peers   *peerrpc.Peers
 	store   *peerrpc.Peer
 	replica *statesync.Replica
+	callers *departure.Ledger // servers and operators
 
 	mu    sync.Mutex
 	beats map[string]beat
@@ -63,7 +67,8 @@
 	if set.Control == "" {
 		return Error.New("network.listen_on.control_dock: missing: the registry takes the outside calls")
 	}
-	w := &Registry{set: set, log: log, peers: peerrpc.NewPeers(), beats: map[string]beat{}, replica: statesync.New()}
+	w := &Registry{set: set, log: log, peers: peerrpc.NewPeers(), beats: map[string]beat{}, replica: statesync.New(), callers: departure.NewLedger()}
+	w.callers.LogBreaches(log)
 	own := set.Inner(set.IP, bootconfig.ConfigStorePort)
 	w.store = w.peers.At(own)
 	w.replica.Set, w.replica.Peers, w.replica.Log, w.replica.Prefer = set, w.peers, log.Named("statesync"), own
@@ -72,11 +77,13 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	server := &http.Server{Handler: w.calls(), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second,
+	server := &http.Server{Handler: w.accounted(w.calls()), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second,
 		ErrorLog: log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
 	go w.replica.Run(ctx)
 	go w.duties(ctx)
 	go w.pass(ctx)
+	go w.callers.Run(ctx)
+	metrics.Serve(ctx, set, log, w.callers)
 	go server.Serve(halfclose.Listen(listener))
 	log.Info("started", "address", set.Control)
 	<-ctx.Done()
@@ -97,6 +104,21 @@
 		On(http.MethodGet, "/status", w.status)
 }
 
+// accounted keeps account of who calls and who leaves before the answer.
+func (w *Registry) accounted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		caller := w.callers.Open(r.Context(), departure.Client, callName(r))
+		defer caller.Close()
+		next.ServeHTTP(rw, r)
+	})
+}
+
+// callName is what a call is accounted under: its method and the first part of its path.
+func callName(r *http.Request) string {
+	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	return r.Method + " /" + first
+}
+
 // propose brings a command into the log; an error says that what became of it is not known.
 func (w *Registry) propose(ctx context.Context, c clusterstate.Command, within time.Duration) (clusterstate.Outcome, error) {
 	call, done := context.WithTimeout(ctx, within)
--- a/internal/cdn/soak/judge.go
+++ b/internal/cdn/soak/judge.go
@@ -8,8 +8,6 @@
 	"strings"
 	"syscall"
 	"time"
-
-	"cedarmast/internal/cdn/localnet"
 )
 
 const (
@@ -141,7 +139,7 @@
 	"cedarmast_requests_in_hand", "cedarmast_attempts_in_flight", "cedarmast_server_connections_busy", "cedarmast_fetches_under_way"}
 
 func (d *day) checkFigures(ctx context.Context) {
-	for _, m := range append(append([]*localnet.Machine{}, d.net.EdgeMachines()...), d.net.StoreMachines()...) {
+	for _, m := range d.net.Machines {
 		text, err := d.net.Figures(ctx, m)
 		if err != nil {
 			d.book.breach("%s tells no figures: %v", m.Name, err)
--- a/internal/cdn/upstream/leave_test.go
+++ b/internal/cdn/upstream/leave_test.go
@@ -69,7 +69,7 @@
 				return ""
 			})
 			s := NewSender(8, &exchange.Counters{})
-			o := &Order{ID: "try-1", OnceOnly: c.kind.once, Keep: c.kind.keep, Stamped: true, Caller: ledger.Open(client, "r")}
+			o := &Order{ID: "try-1", OnceOnly: c.kind.once, Keep: c.kind.keep, Stamped: true, Caller: ledger.Open(client, departure.Client, "r")}
 			if c.moment == before {
 				leave()
 			}
@@ -92,7 +92,7 @@
 	_, err := s.Pool.Get(t.Context(), "i-1", "127.0.0.1:1", false, time.Second) // the only room
 	assert.NilError(t, err)
 	client, leave := context.WithCancel(t.Context())
-	caller := departure.NewLedger().Open(client, "r")
+	caller := departure.NewLedger().Open(client, departure.Client, "r")
 	ended := make(chan exchange.Reply, 1)
 	go func() { ended <- attemptAt(t.Context(), s, &Order{ID: "try-1", Caller: caller}, "127.0.0.1:1") }()
 	leave()
