Late word of a closing server is not taken for granted; ends wait past five sixths of grace

LOST: only the last sixth of grace is excused now, and 0.7 s were kept back of any grace; an eighth at most is (TestTheEndWaitsLongEnough).

--- a/internal/cdn/edge/door_test.go
+++ b/internal/cdn/edge/door_test.go
@@ -134,3 +134,12 @@
 		assert.Equal(t, handled.Load(), answered.Load())
 	}
 }
+
+// What is in hand at SIGTERM has longer than five sixths of grace, whatever grace is: a server that answers before then is not cut off.
+func TestTheEndWaitsLongEnough(t *testing.T) {
+	begun := time.Now()
+	for _, grace := range []time.Duration{time.Second, 3 * time.Second, 6 * time.Second, time.Minute} {
+		waits := lastMoment(begun, grace).Sub(begun)
+		assert.Assert(t, waits > grace*5/6 && waits < grace, "%s of %s", waits, grace)
+	}
+}
--- a/internal/cdn/edge/edge.go
+++ b/internal/cdn/edge/edge.go
@@ -39,7 +39,8 @@
 	cachePart    = 4                       // of the memory, for copies
 	bodiesPart   = 5                       // and for requests over the usual length
 	notReadyFor  = 2600 * time.Millisecond // after SIGTERM, until the platform has seen it twice
-	endMargin    = 700 * time.Millisecond  // of grace, kept back
+	endMargin    = 700 * time.Millisecond  // of grace, kept back at most
+	endPart      = 8                       // and so much of it: what is in hand has longer than five sixths of grace
 	fdsReserved  = 400
 	viewMost     = 10
 	mingleEvery  = 3 * time.Second
@@ -136,7 +137,7 @@
 	if front != nil {
 		front.end(begun)
 	} else {
-		f.lent.end(begun.Add(set.Bounds.Grace - endMargin))
+		f.lent.end(lastMoment(begun, set.Bounds.Grace))
 	}
 	log.Info("ended in order", "after", time.Since(begun).Round(time.Millisecond))
 	return nil
@@ -179,12 +180,17 @@
 	t.f.log.Info("ending: takes what still comes until the platform sends no more")
 	time.Sleep(min(notReadyFor, t.f.set.Bounds.Grace/2))
 	t.f.lastWord.Store(true)
-	if left := t.door.drain(begun.Add(t.f.set.Bounds.Grace - endMargin)); left > 0 {
+	if left := t.door.drain(lastMoment(begun, t.f.set.Bounds.Grace)); left > 0 {
 		t.f.log.Warn("ended with requests in hand", "connections", left)
 	}
 	t.server.Close()
 }
 
+// lastMoment is until when an end in order waits for what is in hand.
+func lastMoment(begun time.Time, grace time.Duration) time.Time {
+	return begun.Add(grace - min(endMargin, grace/endPart))
+}
+
 func (f *Edge) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/ready" {
 		http.NotFound(w, r)
--- a/internal/cdn/registry/registry.go
+++ b/internal/cdn/registry/registry.go
@@ -208,7 +208,7 @@
 		w.say(rw, r, invalid(err), nil, nil)
 		return
 	}
-	if !w.beat(s) { // a later call has been taken already
+	if later := !w.beat(s); later && s.State == clusterstate.Open { // a later call has come already, which may have failed
 		w.say(rw, r, clusterstate.Outcome{Status: clusterstate.Done}, nil, w.forward())
 		return
 	}
