upstream and fetches in files of one job each; standstills count from the last pulse

Clean-up: upstream.go (530 lines) is split into order, conn and headers, gathered fetches leave shelf.go, two test mains share internal/cdn/programs. A standstill counted up to 0.1 s too short, from one pulse after its begin; it counts from the last pulse now, and the test says so (one bound in it moved by that 0.1 s, one assertion more).

--- a/internal/cdn/departure/departure_test.go
+++ b/internal/cdn/departure/departure_test.go
@@ -129,10 +129,11 @@
 	assert.Equal(t, l.Overdue(late), 0, "not noted yet")
 	l.Pulse(late)
 	assert.Equal(t, l.Overdue(late.Add(EndWithin/2)), 0)
-	l.Pulse(late.Add(PulseEvery))
-	l.Pulse(late.Add(2 * PulseEvery))
-	l.Pulse(late.Add(3 * PulseEvery))
-	assert.Equal(t, l.Overdue(late.Add(3*PulseEvery)), 1, "it runs again, and nothing ends")
+	for n := range 4 {
+		l.Pulse(late.Add(time.Duration(n+1) * PulseEvery))
+	}
+	assert.Equal(t, l.Overdue(late.Add(2*PulseEvery)), 0, "the whole span between two pulses counts: the standstill may have begun right after the first")
+	assert.Equal(t, l.Overdue(late.Add(4*PulseEvery)), 1, "it runs again, and nothing ends")
 }
 
 // Routes past a bound share their figures.
--- a/internal/cdn/departure/standstill.go
+++ b/internal/cdn/departure/standstill.go
@@ -34,13 +34,11 @@
 	return s.sum + s.late(now)
 }
 
-// late is how much too late a call would come now. The caller holds the lock.
+// late is the time since the last call, if the next one would come too late now: the standstill may have begun right after that one. The
+// caller holds the lock.
 func (s *standstill) late(now time.Time) time.Duration {
-	if s.last.IsZero() {
-		return 0
-	}
-	if late := now.Sub(s.last) - PulseEvery; late > pulseSlack {
-		return late
+	if since := now.Sub(s.last); !s.last.IsZero() && since > PulseEvery+pulseSlack {
+		return since
 	}
 	return 0
 }
--- a/internal/cdn/edge/figures.go
+++ b/internal/cdn/edge/figures.go
@@ -27,9 +27,3 @@
 		counter("panics_total", "Panics that were survived.", &f.counts.Panics),
 	}
 }
-
-func (f *fetches) count() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.all)
-}
--- a/internal/cdn/localnet/localnet_test.go
+++ b/internal/cdn/localnet/localnet_test.go
@@ -12,9 +12,7 @@
 	"time"
 
 	"cedarmast/internal/cdn/configstore"
-	"cedarmast/internal/cdn/edge"
-	"cedarmast/internal/cdn/process"
-	"cedarmast/internal/cdn/registry"
+	"cedarmast/internal/cdn/programs"
 
 	"github.com/anishathalye/porcupine"
 	"gotest.tools/v3/assert"
@@ -22,10 +20,7 @@
 
 // The test binary plays the three programs when it is told to.
 func TestMain(m *testing.M) {
-	run := map[string]process.Program{"configstore": {Name: "configstore", Run: configstore.Run}, "registry": {Name: "registry", Run: registry.Run}, "edge": {Name: "edge", Run: edge.Run}}
-	if p, ok := run[os.Getenv("LOCALNET_PROGRAM")]; ok {
-		os.Args = append([]string{p.Name, "run"}, os.Args[1:]...)
-		process.Main(p)
+	if programs.Play() {
 		return
 	}
 	os.Exit(m.Run())
@@ -38,9 +33,7 @@
 
 func (s Shape) start(t *testing.T) *Network {
 	t.Helper()
-	s.Dir, s.Out, s.Program = t.TempDir(), t.Output(), func(name string) []string {
-		return []string{"/usr/bin/env", "LOCALNET_PROGRAM=" + name, os.Args[0]}
-	}
+	s.Dir, s.Out, s.Program = t.TempDir(), t.Output(), programs.Line
 	n, err := Start(s)
 	assert.NilError(t, err)
 	t.Cleanup(n.Stop)
--- a/internal/cdn/soak/soak_test.go
+++ b/internal/cdn/soak/soak_test.go
@@ -5,21 +5,15 @@
 	"testing"
 	"time"
 
-	"cedarmast/internal/cdn/configstore"
-	"cedarmast/internal/cdn/edge"
 	"cedarmast/internal/cdn/localnet"
-	"cedarmast/internal/cdn/process"
-	"cedarmast/internal/cdn/registry"
+	"cedarmast/internal/cdn/programs"
 
 	"gotest.tools/v3/assert"
 )
 
 // The test binary plays the three programs when it is told to.
 func TestMain(m *testing.M) {
-	run := map[string]process.Program{"configstore": {Name: "configstore", Run: configstore.Run}, "registry": {Name: "registry", Run: registry.Run}, "edge": {Name: "edge", Run: edge.Run}}
-	if p, ok := run[os.Getenv("LOCALNET_PROGRAM")]; ok {
-		os.Args = append([]string{p.Name, "run"}, os.Args[1:]...)
-		process.Main(p)
+	if programs.Play() {
 		return
 	}
 	os.Exit(m.Run())
@@ -28,9 +22,7 @@
 // The short form of the soak: one day of real processes under overlapping troubles, on which no rule of package departure is broken and no work
 // goes on for clients that have left. `localnet soak` plays many seeds.
 func TestAShortDay(t *testing.T) {
-	shape := localnet.Shape{Core: 3, Edges: 3, Stores: 2, Zones: 2, Net: 81, Dir: t.TempDir(), Program: func(name string) []string {
-		return []string{"/usr/bin/env", "LOCALNET_PROGRAM=" + name, os.Args[0]}
-	}}
+	shape := localnet.Shape{Core: 3, Edges: 3, Stores: 2, Zones: 2, Net: 81, Dir: t.TempDir(), Program: programs.Line}
 	r, err := Play(t.Context(), Plan{Seed: 1, Day: 5 * time.Second, Shape: shape, Out: t.Output()})
 	assert.NilError(t, err)
 	t.Log(r)
--- /dev/null
+++ b/internal/cdn/upstream/order.go
@@ -0,0 +1,81 @@
+package upstream
+
+import (
+	"sync"
+	"time"
+
+	"cedarmast/balance"
+	"cedarmast/internal/cdn/departure"
+	"cedarmast/internal/exchange"
+)
+
+// Order is what a request adds for its attempts, kept until its answer is out.
+type Order struct {
+	// ID is a client's Try-Id: an answer is told by it from one to another request that comes late. Servers tell no id that no
+	// client has sent, so what is asked without one goes over a connection of its own.
+	ID       string
+	OnceOnly bool
+	Stamped  bool              // a success without stamp is none
+	Keep     bool              // its answer becomes a copy: what was sent is finished though its caller has left
+	Caller   *departure.Caller // whom it is for
+
+	mu   sync.Mutex
+	last *exchange.Reply  // the last answer of a server that ran it and failed
+	sent int              // times that it went to a server: it may have run there
+	by   balance.ServerID // who answered
+	took time.Duration    // from its sending to its answer, whole
+}
+
+// Server is who gave the answer that was taken, or the last one.
+func (o *Order) Server() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return string(o.by)
+}
+
+// Took is how long that server took.
+func (o *Order) Took() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.took
+}
+
+// Failure returns the last failure that a server itself answered; nil if there is none.
+func (o *Order) Failure() *exchange.Reply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.last
+}
+
+// MayHaveRun tells whether a server may have begun the request.
+func (o *Order) MayHaveRun() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.sent > 0
+}
+
+// Sent is how often it went to a server.
+func (o *Order) Sent() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.sent
+}
+
+// policy is what becomes of an attempt whose caller leaves: what may run once, and what becomes a copy, is finished.
+func (o *Order) policy() departure.Policy {
+	if o.OnceOnly || o.Keep {
+		return departure.Finish
+	}
+	return departure.BreakOff
+}
+
+// begin is called before a request's last byte may leave. It is false if the caller has left: then that byte must not.
+func (o *Order) begin(due time.Time) bool {
+	if !o.Caller.Begin(o.policy(), due) {
+		return false
+	}
+	o.mu.Lock()
+	o.sent++
+	o.mu.Unlock()
+	return true
+}
