--- a/internal/cdn/departure/departure_test.go
+++ b/internal/cdn/departure/departure_test.go
@@ -144,3 +144,16 @@
 	}
 	assert.Equal(t, len(l.all), mostSubjects+1)
 }
+
+// What the account of one request with one attempt costs.
+func BenchmarkCaller(b *testing.B) {
+	l, due := NewLedger(), time.Now().Add(time.Hour)
+	for b.Loop() {
+		parent, cancel := context.WithCancel(b.Context())
+		c := l.Open(parent, Client, "r")
+		c.Begin(BreakOff, due)
+		c.End(BreakOff)
+		c.Close()
+		cancel()
+	}
+}
