--- a/internal/cdn/edge/leave_test.go
+++ b/internal/cdn/edge/leave_test.go
@@ -325,3 +325,16 @@
 	}
 	assert.Assert(t, len(o.seen()) <= 5, "asked again and again: %d times", len(o.seen()))
 }
+
+// An object's request may have a body, which says nothing; its client's leave is seen all the same.
+func TestALeaveBehindAnObjectsBody(t *testing.T) {
+	o := newSlowOrigin(t)
+	_, address, give := edgeBefore(t, o)
+	give(withoutCopies())
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	fmt.Fprint(c, "GET /s/1 HTTP/1.1\r\nHost: a.example\r\nTry-Id: bodily\r\nTime-Left: 2000\r\nContent-Length: 5\r\n\r\nhello")
+	gets(t, o.begun, time.Second, "the fetch at a server")
+	c.Close()
+	gets(t, o.broken, leftWithin, "the end of the work for a client that has left")
+}
--- a/internal/cdn/edge/serve.go
+++ b/internal/cdn/edge/serve.go
@@ -78,6 +78,7 @@
 func (f *Edge) route(q *request, host string) {
 	r := q.Request
 	if q.route.Kind == clusterstate.Shelved && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
+		io.Copy(io.Discard, http.MaxBytesReader(q.w, r.Body, usualBody)) // it says nothing of an object; behind it a leave would not be seen
 		f.serveShelved(q, strings.ToLower(host))
 		return
 	}
--- a/internal/cdn/halfclose/halfclose.go
+++ b/internal/cdn/halfclose/halfclose.go
@@ -27,10 +27,13 @@
 	oldProtocol  = []byte(" HTTP/1.0\r\n")
 )
 
-// probePauses are the waits after each probe: the first covers the way to the client and back, and clients commonly bear five interim answers.
-// A client that is still there after the last one is taken to wait for its answer.
+// probePauses are the waits after each probe; clients commonly bear five interim answers. After the last one, 0, the connection is looked at
+// without a further probe until the request is answered.
 var probePauses = [...]time.Duration{25 * time.Millisecond, 75 * time.Millisecond, 150 * time.Millisecond, 0}
 
+// brokenLook is how often a connection is looked at for the answer to a probe, which may take its time over a slow way.
+const brokenLook = 25 * time.Millisecond
+
 // earlyLook is how often a connection is looked at whose client has sent more before its answer: nobody reads it meanwhile.
 const earlyLook = 50 * time.Millisecond
 
@@ -164,20 +167,21 @@
 
 // left tells whether a client whose bytes have ended leaves before the word to stop.
 func (c *Conn) left(stop <-chan struct{}) bool {
+	look := time.NewTicker(brokenLook)
+	defer look.Stop()
 	for _, pause := range probePauses {
 		if !c.present() {
 			return true
 		}
-		var late <-chan time.Time
-		if pause > 0 {
-			timer := time.NewTimer(pause)
-			defer timer.Stop()
-			late = timer.C
-		}
-		select {
-		case <-late:
-		case <-stop:
-			return false
+		for until := time.Now().Add(pause); pause == 0 || time.Now().Before(until); {
+			select {
+			case <-look.C:
+			case <-stop:
+				return false
+			}
+			if _, broken := c.peerEnded(); broken {
+				return true
+			}
 		}
 	}
 	return false
--- a/internal/cdn/halfclose/halfclose_test.go
+++ b/internal/cdn/halfclose/halfclose_test.go
@@ -122,3 +122,31 @@
 func withConn(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, key{}, c)
 }
+
+// A client that is far away has left as well, though the reset that its probe meets comes long after the last probe.
+func TestALeaveOverASlowWay(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	h := &hand{make(chan string, 4), make(chan struct{}), make(chan string, 4)}
+	server := &http.Server{Handler: h, ConnContext: withConn}
+	go server.Serve(Listen(l))
+	defer server.Close()
+	dialled, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	conn := dialled.(*net.TCPConn)
+	io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-h.begun
+	conn.CloseWrite() // the way brings the end of the bytes, and its answer to the probes only later
+	select {
+	case <-h.left:
+		t.Fatal("nobody can know yet")
+	case <-time.After(400 * time.Millisecond):
+	}
+	conn.SetLinger(0)
+	conn.Close()
+	select {
+	case <-h.left:
+	case <-time.After(200 * time.Millisecond):
+		t.Fatal("its leave was not seen")
+	}
+}
