Acknowledgements are measured; standstills are looked for only while somebody has left

Change: a histogram at the config store that received the order, by kind, outcome and whether the leader had been the same for contact; a log line past a second. The ledger begins to look for standstills with the first leave and ends with the last piece of work; nobody calls Pulse any more. Ruled out: a ticker of the process's own loops (the registry's are 0.5 and 0.75 s apart, too seldom for a bound of 0.2 s). Tests: TestPulsesWhileSomethingIsUnderWay; the two tests of the invariant keep their times by the standstill itself, as strict as before.

--- a/internal/cdn/clusterstate/clusterstate.go
+++ b/internal/cdn/clusterstate/clusterstate.go
@@ -123,6 +123,33 @@
 // Configures tells whether a command brings a configuration.
 func (c Command) Configures() bool { return c.Put != nil || c.Change != nil }
 
+// Kind names what a command changes, for figures and logs.
+func (c Command) Kind() string {
+	switch {
+	case c.Configures():
+		return "configuration"
+	case c.Server != nil && c.Server.State == Closing:
+		return "closing"
+	case c.Server != nil:
+		return "server"
+	case c.Leave != "":
+		return "leave"
+	case c.Lost != "":
+		return "lost"
+	case c.Purge != nil:
+		return "purge"
+	case len(c.Enrol) > 0:
+		return "enrol"
+	case c.Absent != "":
+		return "absent"
+	case c.Appoint != "":
+		return "appoint"
+	case c.Cut != nil:
+		return "cut"
+	}
+	return "none"
+}
+
 // Encode writes a command for the log.
 func (c Command) Encode() []byte {
 	text, err := json.Marshal(c)
--- a/internal/cdn/configstore/service.go
+++ b/internal/cdn/configstore/service.go
@@ -23,8 +23,9 @@
 // Proposal is a command on its way to the leader.
 type Proposal struct {
 	Data      []byte
-	WaitMS    int64 // how long its outcome is waited for
-	Forwarded bool  // by another config store: it is not passed on again
+	Kind      string // of the command, for the figures: clusterstate.Command.Kind
+	WaitMS    int64  // how long its outcome is waited for
+	Forwarded bool   // by another config store: it is not passed on again
 	Ticket    peerrpc.Ticket
 }
 
@@ -69,6 +70,10 @@
 func (s *service) Propose(p *Proposal, r *Reply) error {
 	ctx, cancel := s.begin(p.Ticket, "propose", p.WaitMS)
 	defer cancel()
+	if !p.Forwarded { // where it was received, and once
+		received, settled := time.Now(), s.view.settled(time.Now(), s.set.Bounds.Contact)
+		defer func() { s.acknowledgements.observe(p.Kind, *r, settled, time.Since(received)) }()
+	}
 	_, err := s.askLeader(ctx, p.Forwarded, func() bool {
 		reply, err := askLoop(ctx, s.Store, s.proposals, p.Data)
 		*r = reply
@@ -162,7 +167,7 @@
 // enrol proposes the cache routers that have come.
 func (s *service) enrol() {
 	command := clusterstate.Command{Enrol: s.view.takeNewcomers()}
-	s.Propose(&Proposal{Data: command.Encode(), WaitMS: time.Second.Milliseconds()}, &Reply{})
+	s.Propose(&Proposal{Data: command.Encode(), Kind: command.Kind(), WaitMS: time.Second.Milliseconds()}, &Reply{})
 }
 
 // Heard notes servers whose beats this machine's registry has acknowledged.
--- a/internal/cdn/configstore/store.go
+++ b/internal/cdn/configstore/store.go
@@ -45,6 +45,8 @@
 	view    *View
 	callers *departure.Ledger // registries and other config stores whose calls can be given up
 
+	acknowledgements *acknowledgements
+
 	in        chan []consensus.Message
 	proposals chan asked[Reply]
 	barriers  chan asked[Barrier]
@@ -74,7 +76,8 @@
 	}
 	s := &Store{set: set, log: log, peers: peerrpc.NewPeers(), in: make(chan []consensus.Message, 256),
 		proposals: make(chan asked[Reply], 1024), barriers: make(chan asked[Barrier], 256), quit: make(chan struct{}),
-		done: make(chan struct{}), senders: map[string]chan consensus.Message{}, callers: departure.NewLedger()}
+		done: make(chan struct{}), senders: map[string]chan consensus.Message{}, callers: departure.NewLedger(),
+		acknowledgements: newAcknowledgements(log)}
 	s.callers.LogBreaches(log)
 	s.peers.DialPatience = dialPatience
 	if err := s.open(ctx, wrap); err != nil || s.machine == nil {
@@ -88,8 +91,7 @@
 	log.Info("started", "id", s.machine.Self().ID, "address", s.machine.Address, "voters", len(s.machine.Membership().Voters)) // the machine is the loop's from here on
 	go peerrpc.Serve(listener, "ConfigStore", func(session *peerrpc.Session) any { return &service{s, session} })
 	go s.loop()
-	go s.callers.Run(ctx)
-	metrics.Serve(ctx, set, log, s.callers)
+	metrics.Serve(ctx, set, log, s.callers, s.acknowledgements.seconds)
 	select {
 	case <-ctx.Done():
 		close(s.quit)
--- a/internal/cdn/configstore/view.go
+++ b/internal/cdn/configstore/view.go
@@ -16,7 +16,8 @@
 	history  *clusterstate.History
 	changed  chan struct{} // closed and made anew with every change
 	position position
-	applied  uint64 // the last entry of the log that the state has
+	followed time.Time // since when the leader has been the same; zero without one
+	applied  uint64    // the last entry of the log that the state has
 	syncs    uint64
 	presence presence
 }
@@ -124,6 +125,12 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	was := v.position
+	switch {
+	case p.leader == "" && !p.leads:
+		v.followed = time.Time{}
+	case p.leader != was.leader || p.leads != was.leads || v.followed.IsZero():
+		v.followed = now
+	}
 	moved := p.leader != was.leader || p.leads != was.leads || now.Before(p.freshUntil) != now.Before(was.freshUntil)
 	v.position = p
 	if moved {
@@ -137,6 +144,13 @@
 	v.mu.Unlock()
 }
 
+// settled tells whether the same leader has been known for so long.
+func (v *View) settled(now time.Time, span time.Duration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.followed.IsZero() && now.Sub(v.followed) >= span
+}
+
 // Applied is the last entry that the state has.
 func (v *View) Applied() uint64 {
 	v.mu.Lock()
--- a/internal/cdn/departure/departure.go
+++ b/internal/cdn/departure/departure.go
@@ -91,10 +91,10 @@
 	if !c.leftAt.IsZero() || c.closed {
 		return
 	}
+	c.ledger.note(c, now) // before the standstills are read: it begins to look for them
 	c.leftAt, c.stoodAt = now, c.ledger.standstill.until(now)
 	c.finished = c.finishing > 0
 	c.figures.left.Add(1)
-	c.ledger.note(c)
 	c.cancel(ErrLeft)
 }
 
--- a/internal/cdn/departure/departure_test.go
+++ b/internal/cdn/departure/departure_test.go
@@ -109,6 +109,7 @@
 	c.leftAt = past
 	c.Close()
 	assert.Equal(t, l.Overdue(time.Now()), 0, "it may take its request's time")
+	l.standstill.end() // the two minutes pass without one
 	assert.Equal(t, l.Overdue(time.Now().Add(2*time.Minute)), 1, "and no more")
 	c.End(Finish)
 	assert.Equal(t, l.Violations(), int64(2))
@@ -118,22 +119,38 @@
 // A process that was stopped has its time anew: what was under way could not end meanwhile. A standstill before the leave gives none.
 func TestAStandstillIsNoBreach(t *testing.T) {
 	l, at := NewLedger(), time.Now()
-	l.Pulse(at)
-	l.Pulse(at.Add(10 * time.Second)) // before
+	l.pulse = func() {} // the test's own times
+	l.standstill.begin(at)
+	l.standstill.pulse(at.Add(10 * time.Second)) // before
 	c := l.Open(t.Context(), Client, "r")
 	assert.Assert(t, c.Begin(BreakOff, at.Add(time.Hour)))
 	c.mu.Lock()
-	c.leave(at.Add(10*time.Second + PulseEvery))
+	c.leave(at.Add(10*time.Second + pulseEvery))
 	c.mu.Unlock()
 	late := at.Add(15 * time.Second)
 	assert.Equal(t, l.Overdue(late), 0, "not noted yet")
-	l.Pulse(late)
+	l.standstill.pulse(late)
 	assert.Equal(t, l.Overdue(late.Add(EndWithin/2)), 0)
 	for n := range 4 {
-		l.Pulse(late.Add(time.Duration(n+1) * PulseEvery))
+		l.standstill.pulse(late.Add(time.Duration(n+1) * pulseEvery))
 	}
-	assert.Equal(t, l.Overdue(late.Add(2*PulseEvery)), 0, "the whole span between two pulses counts: the standstill may have begun right after the first")
-	assert.Equal(t, l.Overdue(late.Add(4*PulseEvery)), 1, "it runs again, and nothing ends")
+	assert.Equal(t, l.Overdue(late.Add(2*pulseEvery)), 0, "the whole span between two pulses counts: the standstill may have begun right after the first")
+	assert.Equal(t, l.Overdue(late.Add(4*pulseEvery)), 1, "it runs again, and nothing ends")
+}
+
+// A process looks for standstills while something is under way for a caller that has left, and is woken by nothing else.
+func TestPulsesWhileSomethingIsUnderWay(t *testing.T) {
+	l, begun := NewLedger(), make(chan struct{}, 1)
+	l.pulse = func() { begun <- struct{}{} }
+	c := l.Open(t.Context(), Client, "r")
+	assert.Assert(t, c.Begin(BreakOff, time.Now().Add(time.Minute)))
+	assert.Assert(t, !l.pulsing && l.standstill.last.IsZero(), "it waits still")
+	c.Leave()
+	<-begun
+	assert.Assert(t, !l.endPulses(), "its attempt is under way")
+	c.Close()
+	c.End(BreakOff)
+	assert.Assert(t, l.endPulses() && !l.pulsing && l.standstill.last.IsZero())
 }
 
 // Routes past a bound share their figures.
--- a/internal/cdn/departure/ledger.go
+++ b/internal/cdn/departure/ledger.go
@@ -1,7 +1,6 @@
 package departure
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +25,8 @@
 
 	leavingMu sync.Mutex
 	leaving   map[*Caller]struct{} // that have left and for whom something is still under way
+	pulsing   bool                 // the process looks for standstills
+	pulse     func()               // looks for them, while something is under way
 
 	standstill standstill
 }
@@ -76,32 +77,46 @@
 
 // NewLedger returns an empty account.
 func NewLedger() *Ledger {
-	return &Ledger{all: map[subject]*figures{}, leaving: map[*Caller]struct{}{}}
+	l := &Ledger{all: map[subject]*figures{}, leaving: map[*Caller]struct{}{}}
+	l.pulse = l.pulseWhileLeaving
+	return l
 }
 
-// Run calls Pulse until the context ends, for a process that has no turn of its own to do it.
-func (l *Ledger) Run(ctx context.Context) {
-	turn := time.NewTicker(PulseEvery)
+// note keeps a caller that has left until nothing is under way for it. While there are any the process looks for standstills, from that
+// caller's leave on; else nothing wakes it.
+func (l *Ledger) note(c *Caller, now time.Time) {
+	l.leavingMu.Lock()
+	defer l.leavingMu.Unlock()
+	l.leaving[c] = struct{}{} // bounded by what is under way
+	if !l.pulsing {
+		l.pulsing = true
+		l.standstill.begin(now)
+		go l.pulse()
+	}
+}
+
+// pulseWhileLeaving notes the time as long as something is under way for a caller that has left.
+func (l *Ledger) pulseWhileLeaving() {
+	turn := time.NewTicker(pulseEvery)
 	defer turn.Stop()
-	for {
-		select {
-		case <-turn.C:
-			l.Pulse(time.Now())
-		case <-ctx.Done():
+	for range turn.C {
+		l.standstill.pulse(time.Now())
+		if l.endPulses() {
 			return
 		}
 	}
 }
 
-// Pulse is to be called every PulseEvery: from calls that come late the ledger learns for how long the process stood still, and what was
-// under way with it.
-func (l *Ledger) Pulse(now time.Time) { l.standstill.pulse(now) }
-
-// note and drop keep the callers that have left until nothing is under way for them.
-func (l *Ledger) note(c *Caller) {
+// endPulses ends the pulses if nothing is under way any more.
+func (l *Ledger) endPulses() bool {
 	l.leavingMu.Lock()
 	defer l.leavingMu.Unlock()
-	l.leaving[c] = struct{}{} // bounded by what is under way
+	if len(l.leaving) > 0 {
+		return false
+	}
+	l.pulsing = false
+	l.standstill.end()
+	return true
 }
 
 func (l *Ledger) drop(c *Caller) {
--- a/internal/cdn/edge/edge.go
+++ b/internal/cdn/edge/edge.go
@@ -219,7 +219,6 @@
 	for turn := 1; ; turn++ {
 		select {
 		case now := <-look.C:
-			f.callers.Pulse(time.Now())
 			f.refreshDue(now)
 			if turn%10 == 0 {
 				f.weigh()
--- a/internal/cdn/edge/shelf.go
+++ b/internal/cdn/edge/shelf.go
@@ -23,7 +23,7 @@
 	refreshTime   = 2 * time.Second
 	comeAgain     = 120 * time.Millisecond
 	rateWait      = 250 * time.Millisecond // for a place under the rate, if it is sure to come by then
-	lookEvery     = departure.PulseEvery   // for copies that are about to end
+	lookEvery     = 100 * time.Millisecond // for copies that are about to end
 	mostDue       = 64
 )
 
--- a/internal/cdn/registry/registry.go
+++ b/internal/cdn/registry/registry.go
@@ -82,7 +82,6 @@
 	go w.replica.Run(ctx)
 	go w.duties(ctx)
 	go w.pass(ctx)
-	go w.callers.Run(ctx)
 	metrics.Serve(ctx, set, log, w.callers)
 	go server.Serve(halfclose.Listen(listener))
 	log.Info("started", "address", set.Control)
@@ -123,7 +122,7 @@
 func (w *Registry) propose(ctx context.Context, c clusterstate.Command, within time.Duration) (clusterstate.Outcome, error) {
 	call, done := context.WithTimeout(ctx, within)
 	defer done()
-	p := configstore.Proposal{Data: c.Encode(), WaitMS: (within - 30*time.Millisecond).Milliseconds(), Ticket: peerrpc.NewTicket()}
+	p := configstore.Proposal{Data: c.Encode(), Kind: c.Kind(), WaitMS: (within - 30*time.Millisecond).Milliseconds(), Ticket: peerrpc.NewTicket()}
 	r, err := peerrpc.CallTicketed[configstore.Proposal, configstore.Reply](call, w.store, "ConfigStore.Propose", &p, p.Ticket)
 	if err == nil && !r.Known {
 		err = Error.New("no majority in time")
