A silence ends no answer; answers without a length are whole when their connection ends

Ruled out: keeping the silence for what has a budget: decisions send a second copy beside the first one by themselves (Parallel), so that giving the first up gains nothing. Change: a body's only bound is the attempt's own end. Tests: TestSilenceIsBorne, two rows of TestEveryEnd; the row of silence now has the decisions' settings in service (a second copy in parallel) and the same outcomes.

--- a/internal/cdn/upstream/conn.go
+++ b/internal/cdn/upstream/conn.go
@@ -100,41 +100,24 @@
 	return begun, err
 }
 
-// readBody reads a body. Of what may run once nothing but the attempt's own end bounds its time: a server's silence is no
-// reason to end an answer sooner. What may be repeated is given up after a silence, so that another server is asked.
-func (c *conn) readBody(resp *http.Response, a *exchange.Attempt, onceOnly bool) ([]byte, error) {
-	defer c.SetDeadline(a.Due)
-	var from io.Reader = resp.Body
-	if !onceOnly {
-		from = &impatient{resp.Body, c, a.Due}
-	}
-	if resp.ContentLength > 0 && a.Method != http.MethodHead {
+// readBody reads a body. Nothing but the attempt's own end bounds its time: a server's silence is no reason to end an answer sooner. Of what may
+// be repeated the decisions send a second copy meanwhile, where the budget allows one.
+func readBody(resp *http.Response, method string) ([]byte, error) {
+	if resp.ContentLength > 0 && method != http.MethodHead {
 		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(from, body)
+		_, err := io.ReadFull(resp.Body, body)
 		return body, err
 	}
-	return io.ReadAll(io.LimitReader(from, maxBody))
-}
-
-// impatient reads a body whose bytes follow one another within a span.
-type impatient struct {
-	io.Reader
-	conn net.Conn
-	due  time.Time
-}
-
-func (r *impatient) Read(b []byte) (int, error) {
-	until := time.Now().Add(silentFor)
-	if r.due.Before(until) {
-		until = r.due
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	if err == nil && len(body) > maxBody {
+		err = fmt.Errorf("a body of more than %d bytes", maxBody)
 	}
-	r.conn.SetDeadline(until)
-	return r.Reader.Read(b)
+	return body, err
 }
 
 // read reads the answer that carries the id, passing over answers to earlier requests. Keep tells whether the connection may
-// be used again.
-func (c *conn) read(a *exchange.Attempt, id string, onceOnly bool) (got response, keep bool, err error) {
+// be used again. An answer without a length ends with its connection and is whole then, unless the connection was reset.
+func (c *conn) read(a *exchange.Attempt, id string) (got response, keep bool, err error) {
 	keep = true
 	for range maxSurplus {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: a.Method})
@@ -147,11 +130,7 @@
 		if resp.ContentLength > maxBody {
 			return got, false, fmt.Errorf("a body of %d bytes", resp.ContentLength)
 		}
-		if resp.ContentLength < 0 && !resp.Close && len(resp.TransferEncoding) == 0 {
-			return got, false, errors.New("an answer without a length")
-		}
-		ends := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 // with its connection: it can't be told from one cut short
-		body, err := c.readBody(resp, a, onceOnly)
+		body, err := readBody(resp, a.Method)
 		if err != nil {
 			return got, false, fmt.Errorf("body: %w", err)
 		}
@@ -164,9 +143,6 @@
 			}
 			continue
 		}
-		if ends && resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified {
-			return got, false, errors.New("an answer without a length")
-		}
 		keep = keep && !resp.Close && c.r.Buffered() == 0
 		return response{resp.StatusCode, EndToEnd(resp.Header), body}, keep, nil
 	}
--- a/internal/cdn/upstream/upstream.go
+++ b/internal/cdn/upstream/upstream.go
@@ -28,7 +28,6 @@
 const (
 	connectWithin = 350 * time.Millisecond
 	commitAfter   = 1500 * time.Microsecond // the last byte of what may run once is kept back so long
-	silentFor     = 1500 * time.Millisecond // within an answer, after which what may be repeated is asked of another server
 	maxHead       = 32 << 10
 	maxBody       = 64 << 20
 	maxSurplus    = 4 // answers to earlier requests that are passed over
@@ -149,7 +148,7 @@
 	var got response
 	keep := false
 	if err == nil {
-		got, keep, err = c.read(a, o.ID, o.OnceOnly)
+		got, keep, err = c.read(a, o.ID)
 	}
 	untouched := watch() || o.policy() == departure.Finish // nobody has closed the connection meanwhile
 	if err != nil {
