Limits hold for connections; a proxy shows its decisions; the soak tells apart

Cause: idle and envelope of the configuration were read and never used (15 and 5 s were fixed, so that a longer idle would have closed connections that clients may take up); what a proxy's decisions hold could not be seen, and the panics of their hosts were logged nowhere; the soak's last check had one deadline for all proxies, so that one that serves hardly anything hid the others. A share of a rate under 2.75 a second let nothing of a lower rank through, ever, for more had to be saved than could be. Ruled out: a deadline a connection (http.Server's bounds can't change while it runs). Tests: TestConnectionsAreHeldAgainstTheConfiguration, a sliver of a rate in TestSharesOfARate.

--- a/cmd/localnet/main.go
+++ b/cmd/localnet/main.go
@@ -31,24 +31,13 @@
 				}
 				return localnet.Show(ctx, shape, os.Stdout, !c.Bool("once"))
 			}},
-		{Name: "measure", Usage: "what control costs: real core machines, hollow edges that share this process, one row a load",
-			Flags: []cli.Flag{&cli.IntFlag{Name: "core", Value: 5, Usage: "core machines"}, &cli.StringFlag{Name: "edges", Value: "30,120,420", Usage: "how many, a row each"},
-				&cli.StringFlag{Name: "servers", Value: "60", Usage: "how many are listed, a row each"}, &cli.StringFlag{Name: "purges", Value: "11", Usage: "a second, a row each"},
-				&cli.StringFlag{Name: "puts", Value: "0.1", Usage: "configurations a second, a row each"}, &cli.StringFlag{Name: "routes", Value: "14", Usage: "of a configuration, a row each"},
-				&cli.DurationFlag{Name: "for", Value: 10 * time.Second, Usage: "how long each load lasts"}},
-			Action: func(ctx context.Context, c *cli.Command) error {
-				loads, err := localnet.Loads(c.Duration("for"), c.String("edges"), c.String("servers"), c.String("purges"), c.String("puts"), c.String("routes"))
-				if err != nil {
-					return cli.Exit(err.Error(), 2)
-				}
-				return localnet.Measure(ctx, localnet.Shape{Core: c.Int("core"), Zones: 3, Net: 69}, loads, os.Stdout)
-			}},
 		{Name: "soak", Usage: "play real processes on this machine under troubles that overlap, with clients that leave, and check that the work for those ends",
 			Flags: []cli.Flag{&cli.Uint64Flag{Name: "seeds", Value: 10, Usage: "how many are played"}, &cli.Uint64Flag{Name: "from", Value: 1, Usage: "the first one"},
 				&cli.DurationFlag{Name: "day", Value: 10 * time.Second, Usage: "how long each lasts"}, &cli.IntFlag{Name: "at", Value: 82, Usage: "the network is at 127.0.AT.x"},
+				&cli.StringFlag{Name: "keep", Usage: "a folder where days with a breach leave their processes' logs"},
 				&cli.BoolFlag{Name: "tell", Usage: "print what happens"}, &cli.BoolFlag{Name: "logs", Usage: "print the processes' logs"}},
 			Action: func(ctx context.Context, c *cli.Command) error {
-				plan := soak.Plan{Day: c.Duration("day"), Shape: localnet.Shape{Core: 3, Edges: 3, Stores: 2, Zones: 2, Net: byte(c.Int("at"))}}
+				plan := soak.Plan{Day: c.Duration("day"), Keep: c.String("keep"), Shape: localnet.Shape{Core: 3, Edges: 3, Stores: 2, Zones: 2, Net: byte(c.Int("at"))}}
 				if c.Bool("tell") {
 					plan.Out = os.Stdout
 				}
--- a/internal/cdn/clusterstate/manifest.go
+++ b/internal/cdn/clusterstate/manifest.go
@@ -57,7 +57,10 @@
 	RatePerS         float64
 }
 
-// Limits are what a client may send.
+// UsualLimits hold where a configuration says nothing.
+var UsualLimits = Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, Header: 3 * time.Second, Idle: 15 * time.Second}
+
+// Limits are what a client may send, and how long it may take or rest.
 type Limits struct {
 	HeaderBytes, BodyBytes int64
 	Header, Idle           time.Duration
@@ -194,7 +197,7 @@
 
 func newManifest(edition, base Version) *Manifest {
 	return &Manifest{Version: edition, Base: base,
-		Limits: Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, Header: 3 * time.Second, Idle: 15 * time.Second}}
+		Limits: UsualLimits}
 }
 
 func (m *Manifest) takeParcel(p wireParcel) error {
--- a/internal/cdn/edge/door.go
+++ b/internal/cdn/edge/door.go
@@ -3,14 +3,23 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"cedarmast/internal/cdn/clusterstate"
 	"cedarmast/internal/cdn/halfclose"
 )
 
+const (
+	limitEvery    = time.Second      // connections are held against the configuration's limits
+	longestIdle   = 10 * time.Minute // http.Server's own bounds, whatever the configuration says
+	longestHeader = time.Minute
+)
+
 // door keeps the clients' connections, so that the end closes those that have no request in hand and no other. http.Server's
 // own Shutdown goes by a state that it sets after a request has been read: one that came in that moment was passed on to a
 // server and lost its answer.
@@ -25,10 +34,12 @@
 // caller is one client's connection.
 type caller struct {
 	*halfclose.Conn
-	door *door
-	mu   sync.Mutex
-	busy bool // a byte of a request has been read, and its answer is not out
-	shut bool
+	door  *door
+	mu    sync.Mutex
+	busy  bool      // a byte of a request has been read, and its answer is not out
+	whole bool      // with busy: the request's head has been read
+	since time.Time // when it was accepted, its answer was out, or the first byte of a request was read
+	shut  bool
 }
 
 func newDoor(l net.Listener) *door {
@@ -44,7 +55,7 @@
 		}
 		return nil, err
 	}
-	k := &caller{Conn: halfclose.New(c), door: d}
+	k := &caller{Conn: halfclose.New(c), door: d, since: time.Now()}
 	d.mu.Lock()
 	d.all[k] = struct{}{}
 	d.mu.Unlock()
@@ -59,7 +70,9 @@
 	if c.shut {
 		return 0, net.ErrClosed
 	}
-	c.busy = c.busy || n > 0
+	if n > 0 && !c.busy {
+		c.busy, c.since = true, time.Now()
+	}
 	return n, err
 }
 
@@ -86,25 +99,60 @@
 	}
 }
 
-// state is http.Server's word on a connection: idle means that an answer is out.
+// state is http.Server's word on a connection: active means that a request's head has been read, idle that its answer is out.
 func (d *door) state(c net.Conn, s http.ConnState) {
-	if k, ok := c.(*caller); ok && s == http.StateIdle {
-		k.mu.Lock()
-		k.busy = false
-		k.mu.Unlock()
+	k, ok := c.(*caller)
+	if !ok {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch s {
+	case http.StateActive:
+		k.busy, k.whole = true, true
+	case http.StateIdle:
+		k.busy, k.whole, k.since = false, false, time.Now()
+	}
+}
+
+// limit closes the connections that rest for longer than the configuration in force allows, or whose request's head takes longer, until the
+// context ends. http.Server has such bounds as well, but can't change them while it runs.
+func (d *door) limit(ctx context.Context, limits func() clusterstate.Limits) {
+	turn := time.NewTicker(limitEvery)
+	defer turn.Stop()
+	for {
+		select {
+		case now := <-turn.C:
+			d.closeLate(now, limits())
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
+func (d *door) closeLate(now time.Time, limits clusterstate.Limits) {
+	for _, c := range d.connections() {
+		c.mu.Lock()
+		rests := now.Sub(c.since)
+		late := !c.busy && rests > limits.Idle || c.busy && !c.whole && rests > limits.Header
+		c.shut = c.shut || late
+		c.mu.Unlock()
+		if late {
+			c.Close()
+		}
+	}
+}
+
+func (d *door) connections() []*caller {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Collect(maps.Keys(d.all))
+}
+
 // closeIdle closes the connections that have no request in hand and returns how many are left.
 func (d *door) closeIdle() int {
-	d.mu.Lock()
-	all := make([]*caller, 0, len(d.all))
-	for c := range d.all {
-		all = append(all, c)
-	}
-	d.mu.Unlock()
 	left := 0
-	for _, c := range all {
+	for _, c := range d.connections() {
 		c.mu.Lock()
 		idle := !c.busy
 		c.shut = c.shut || idle
--- a/internal/cdn/edge/door_test.go
+++ b/internal/cdn/edge/door_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"cedarmast/internal/cdn/clusterstate"
 	"cedarmast/internal/cdn/halfclose"
 
 	"gotest.tools/v3/assert"
@@ -58,6 +59,41 @@
 	}
 }
 
+// Connections rest, and heads of requests take, as long as the configuration in force allows and no longer: fixed bounds of 15 and 5 s closed
+// those of clients that were told of longer ones.
+func TestConnectionsAreHeldAgainstTheConfiguration(t *testing.T) {
+	limits := clusterstate.Limits{Header: 8 * time.Second, Idle: 30 * time.Second}
+	cases := []struct {
+		name  string
+		read  bool // the first byte of a request
+		whole bool // and its head
+		after time.Duration
+		stays bool
+	}{
+		{"rests", false, false, 24 * time.Second, true},
+		{"rests too long", false, false, 31 * time.Second, false},
+		{"sends its head", true, false, 7 * time.Second, true},
+		{"sends its head too slowly", true, false, 9 * time.Second, false},
+		{"waits for its answer", true, true, time.Hour, true},
+	}
+	for _, c := range cases {
+		d := newDoor(nil)
+		s := &scripted{bytes: make(chan byte, 1)}
+		k := &caller{Conn: halfclose.New(s), door: d, since: time.Now()}
+		d.all[k] = struct{}{}
+		if c.read {
+			s.bytes <- 'G'
+			_, err := k.Read(make([]byte, 1))
+			assert.NilError(t, err)
+		}
+		if c.whole {
+			d.state(k, http.StateActive)
+		}
+		d.closeLate(time.Now().Add(c.after), limits)
+		assert.Equal(t, len(d.all) == 1, c.stays, c.name)
+	}
+}
+
 // lateListener has one more connection as it is closed, as a kernel may.
 type lateListener struct {
 	net.Listener
--- a/internal/cdn/edge/edge.go
+++ b/internal/cdn/edge/edge.go
@@ -50,23 +50,23 @@
 
 // Edge is the process. Run starts it.
 type Edge struct {
-	set     bootconfig.Settings
-	log     hclog.Logger
-	quiet   *slog.Logger
-	peers   *peerrpc.Peers
-	replica *statesync.Replica
-	view    *peersampling.View
-	cache   *objectcache.Cache
-	bodies  *exchange.Budget // of long requests
-	clock   exchange.Clock
-	counts  exchange.Counters
-	callers *departure.Ledger // who waits for answers, and who has left
-	link    *link             // the machine's, to clients and others
-	from    *link             // and from others
-	sender  *upstream.Sender
-	hop     *hop // to a key's cache router in the own zone
-	home    *hop // to its shield
-	closer  *hop // to a shield in the own zone, if there is one
+	set       bootconfig.Settings
+	log       hclog.Logger
+	decisions *slog.Logger // of the decisions' hosts
+	peers     *peerrpc.Peers
+	replica   *statesync.Replica
+	view      *peersampling.View
+	cache     *objectcache.Cache
+	bodies    *exchange.Budget // of long requests
+	clock     exchange.Clock
+	counts    exchange.Counters
+	callers   *departure.Ledger // who waits for answers, and who has left
+	link      *link             // the machine's, to clients and others
+	from      *link             // and from others
+	sender    *upstream.Sender
+	hop       *hop // to a key's cache router in the own zone
+	home      *hop // to its shield
+	closer    *hop // to a shield in the own zone, if there is one
 
 	plan     atomic.Pointer[plan] // what requests are served by
 	changes  chan func()          // what follows from news and may wait, in order
@@ -123,6 +123,7 @@
 	f.running.Go(func() { f.sweep(life) })
 	f.running.Go(func() { f.mingle(life) })
 	f.running.Go(func() { f.tell(life) })
+	f.running.Go(func() { f.showOnSignal(life) })
 	go f.replica.Run(life)
 	go peerrpc.Serve(inner, "Edge", func(s *peerrpc.Session) any { return &peerCalls{f, s} })
 	metrics.Serve(life, set, log, f.figures()...)
@@ -168,13 +169,22 @@
 
 func (t *front) serve() {
 	t.door = newDoor(t.counter)
-	t.server = &http.Server{Handler: http.HandlerFunc(t.f.serve), ConnState: t.door.state, ConnContext: withConnection, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 15 * time.Second,
+	t.server = &http.Server{Handler: http.HandlerFunc(t.f.serve), ConnState: t.door.state, ConnContext: withConnection, ReadHeaderTimeout: longestHeader, IdleTimeout: longestIdle,
 		MaxHeaderBytes: 64 << 10, ErrorLog: t.f.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
 	go t.server.Serve(t.door)
+	t.f.running.Go(func() { t.door.limit(t.f.life, t.f.limits) })
 	gate := &http.Server{Handler: http.HandlerFunc(t.f.serveReady), ReadHeaderTimeout: 2 * time.Second}
 	go gate.Serve(t.readiness)
 }
 
+// limits are what clients may do by the configuration in force.
+func (f *Edge) limits() clusterstate.Limits {
+	if p := f.plan.Load(); p != nil {
+		return p.Limits
+	}
+	return clusterstate.UsualLimits
+}
+
 // end is the end in order: not ready, then no new connections, then what is in hand.
 func (t *front) end(begun time.Time) {
 	t.f.log.Info("ending: takes what still comes until the platform sends no more")
@@ -237,7 +247,10 @@
 	f.link, f.from = newLink(f.set.LinkMbps), newLink(f.set.LinkMbps)
 	f.callers = departure.NewLedger()
 	f.callers.LogBreaches(f.log)
-	f.quiet = slog.New(slog.DiscardHandler)
+	if f.log == nil {
+		f.log = hclog.NewNullLogger()
+	}
+	f.decisions = slog.New(decisionLog{log: f.log.Named("decisions")})
 	f.services, f.started = map[string]*service{}, map[string]balance.Time{}
 	f.bodies = exchange.NewBudget(int64(f.set.MemoryMB<<20) / bodiesPart)
 	f.fetches.all = map[level]*fetch{}
@@ -281,7 +294,7 @@
 // newLoop returns a host for decisions, with this process's clock and counters.
 func (f *Edge) newLoop(set balance.Settings, sender exchange.Sender, pool *exchange.Pool) *exchange.Loop {
 	l := exchange.NewLoop()
-	l.Clock, l.Counts, l.Log, l.Pool, l.Sender, l.Teller = f.clock, &f.counts, f.quiet, pool, sender, nobody{}
+	l.Clock, l.Counts, l.Log, l.Pool, l.Sender, l.Teller = f.clock, &f.counts, f.decisions, pool, sender, nobody{}
 	l.Settings, l.Seed = set, mrand.Uint64()
 	return l
 }
--- a/internal/cdn/edge/plan_test.go
+++ b/internal/cdn/edge/plan_test.go
@@ -77,6 +77,12 @@
 	r.spend(-1 << 20) // and no more than may be saved
 	assert.Assert(t, r.tokens <= r.burst)
 
+	// A share of a few requests a second is a sliver that lower ranks get as well: what must be saved for them is never more than can be.
+	var sliver rate
+	sliver.set(1, b)
+	sliver.at = time.Now().Add(-time.Minute)
+	assert.Assert(t, sliver.take(true), "nothing of a low rank is ever let through")
+
 	var none rate
 	none.set(0, b)
 	assert.Assert(t, none.take(true) && none.spare() && none.wait(true) == 0)
--- a/internal/cdn/edge/rate.go
+++ b/internal/cdn/edge/rate.go
@@ -119,10 +119,10 @@
 	r.tokens = min(max(r.tokens-float64(n), -r.burst), r.burst)
 }
 
-// least is what must have been saved for one more.
+// least is what must have been saved for one more; never more than can be saved, for a sliver of a rate would let nothing through then.
 func (r *rate) least(low bool) float64 {
 	if low {
-		return 1 + r.burst*rankPart
+		return min(1+r.burst*rankPart, r.burst)
 	}
 	return 1
 }
@@ -138,6 +138,15 @@
 	return time.Duration((least - r.tokens) / r.per * float64(time.Second))
 }
 
+// rateView is what a rate is at a moment, for whoever looks into a router.
+type rateView struct{ perSecond, tokens, burst, need float64 }
+
+func (r *rate) view() rateView {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return rateView{perSecond: r.per, tokens: r.tokens, burst: r.burst, need: r.need}
+}
+
 // spare tells whether half of what may be saved is there: what nobody waits for leaves the rest to those who do.
 func (r *rate) spare() bool {
 	r.mu.Lock()
--- a/internal/cdn/localnet/localnet.go
+++ b/internal/cdn/localnet/localnet.go
@@ -66,13 +66,15 @@
 	Shape
 	Machines []*Machine
 	client   http.Client
+	started  time.Time
+	logMu    sync.Mutex // of Out
 	mu       sync.Mutex
 	servers  []*Server
 }
 
 // Start writes the settings and starts all processes.
 func Start(shape Shape) (*Network, error) {
-	n := &Network{Shape: shape, client: http.Client{Timeout: 3 * time.Second}}
+	n := &Network{Shape: shape, client: http.Client{Timeout: 3 * time.Second}, started: time.Now()}
 	for i := range shape.Core + shape.Edges + shape.Stores {
 		m := &Machine{IP: fmt.Sprintf("127.0.%d.%d", shape.Net, i+1), Zone: fmt.Sprint("zone-", i%max(shape.Zones, 1)+1), Core: i < shape.Core, Store: i >= shape.Core+shape.Edges,
 			first: true, processes: map[string]*exec.Cmd{}}
@@ -159,7 +161,8 @@
 		cmd := exec.Command(line[0], line[1:]...)
 		cmd.Env = append(os.Environ(), "CEDARMAST_CONFIG="+file)
 		if n.Out != nil {
-			cmd.Stdout, cmd.Stderr = n.Out, n.Out
+			out := &lineWriter{out: n.Out, mu: &n.logMu, prefix: m.Name + " ", started: n.started}
+			cmd.Stdout, cmd.Stderr = out, out
 		}
 		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 		if err := cmd.Start(); err != nil {
@@ -229,6 +232,9 @@
 	return r.StatusCode, text, err
 }
 
+// CoreMachines are the machines that hold the log.
+func (n *Network) CoreMachines() []*Machine { return n.Machines[:n.Core] }
+
 // EdgeMachines are the machines that clients call.
 func (n *Network) EdgeMachines() []*Machine { return n.Machines[n.Core : n.Core+n.Edges] }
 
--- a/internal/cdn/soak/judge.go
+++ b/internal/cdn/soak/judge.go
@@ -11,10 +11,8 @@
 )
 
 const (
-	goneWithin  = 500 * time.Millisecond // from a leave to the end of the work for it, over all processes
-	dueSlack    = 150 * time.Millisecond
-	probes      = 30
-	probeWithin = 20 * time.Second
+	goneWithin = 500 * time.Millisecond // from a leave to the end of the work for it, over all processes
+	dueSlack   = 150 * time.Millisecond
 )
 
 // interest is who wanted a path, over all clients that asked for it.
@@ -80,8 +78,10 @@
 	defer b.mu.Unlock()
 	wanted, once := b.interests(), map[string]int{}
 	var breaches []string
-	breach := func(format string, args ...any) { breaches = append(breaches, fmt.Sprintf(format, args...)) }
 	for _, r := range b.runs {
+		breach := func(format string, args ...any) {
+			breaches = append(breaches, fmt.Sprintf(format, args...)+" ("+d.story(r.path)+")")
+		}
 		i := wanted[r.path]
 		if i == nil || i.kind.copies { // copies are refreshed on the proxies' own account
 			continue
@@ -115,6 +115,28 @@
 	b.breaches = append(b.breaches, breaches...)
 }
 
+// story tells who wanted a path, where and until when, and where it ran, in the day's time.
+func (d *day) story(path string) string {
+	at := func(t time.Time) string {
+		if t.IsZero() {
+			return "never"
+		}
+		return fmt.Sprintf("%.3f", t.Sub(d.start).Seconds())
+	}
+	var all []string
+	for _, a := range d.book.asks {
+		if a.path == path {
+			all = append(all, fmt.Sprintf("%s asked %s at %s, %s, until %s, got %d", a.id, a.edge, at(a.begun), mannerNames[a.manner], at(a.end), a.status))
+		}
+	}
+	for _, r := range d.book.runs {
+		if r.path == path {
+			all = append(all, fmt.Sprintf("%s ran it for %q from %s to %s, broken off %v", r.server, r.id, at(r.begun), at(r.end), r.broken))
+		}
+	}
+	return strings.Join(all, "; ")
+}
+
 // checkAnswers holds that a client that waits gets an answer, unless the processes that worked for it have ended.
 func (d *day) checkAnswers() {
 	b := d.book
@@ -170,20 +192,3 @@
 	}
 	return wrong
 }
-
-// checkService holds that every proxy serves again once all is calm: neither places nor trust in servers were lost.
-func (d *day) checkService(ctx context.Context) {
-	call, done := context.WithTimeout(ctx, probeWithin)
-	defer done()
-	for _, m := range d.net.EdgeMachines() {
-		served := 0
-		for n := 0; served < probes && call.Err() == nil; n++ {
-			if status, _, _, err := d.net.Ask(m, "GET", "shop.example", fmt.Sprintf("/again/probe-%s-%d", m.Name, n), fmt.Sprintf("probe-%s-%d-%d", m.Name, d.Seed, n)); err == nil && status == 200 {
-				served++
-			}
-		}
-		if served < probes {
-			d.book.breach("%s serves %d of %d once all is calm", m.Name, served, probes)
-		}
-	}
-}
--- a/internal/cdn/soak/soak.go
+++ b/internal/cdn/soak/soak.go
@@ -38,6 +38,7 @@
 	Day   time.Duration // how long clients come and troubles last
 	Shape localnet.Shape
 	Out   io.Writer // what happens; nil: nothing
+	Keep  string    // for Sweep: the folder where days with a breach leave their logs; empty: nowhere
 }
 
 // Report is what a day came to.
--- a/internal/cdn/soak/sweep.go
+++ b/internal/cdn/soak/sweep.go
@@ -38,12 +38,31 @@
 	return Error.Wrap(ctx.Err())
 }
 
-func sweepOne(ctx context.Context, plan Plan, seed uint64) (Report, error) {
+// sweepOne plays one seed. What happened on a day with a breach, and its processes' logs, stay in plan.Keep if that is named.
+func sweepOne(ctx context.Context, plan Plan, seed uint64) (report Report, err error) {
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return Report{}, Error.Wrap(err)
 	}
 	defer os.RemoveAll(dir)
 	plan.Seed, plan.Shape.Dir = seed, dir
-	return Play(ctx, plan)
+	if plan.Keep == "" {
+		return Play(ctx, plan)
+	}
+	file, err := os.Create(filepath.Join(plan.Keep, fmt.Sprintf("seed-%d.log", seed)))
+	if err != nil {
+		return Report{}, Error.Wrap(err)
+	}
+	defer func() {
+		file.Close()
+		if err == nil && len(report.Breaches) == 0 {
+			os.Remove(file.Name())
+		}
+	}()
+	plan.Out, plan.Shape.Out = file, file
+	report, err = Play(ctx, plan)
+	for _, breach := range report.Breaches {
+		fmt.Fprintln(file, "BREACH", breach)
+	}
+	return report, err
 }
