--- /dev/null
+++ b/internal/cdn/edge/configure_bench_test.go
@@ -0,0 +1,65 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/statesync"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+)
+
+// manyRoutes is a configuration of so many routes of two services, the first with a time of its own.
+func manyRoutes(b *testing.B, routes, firstTimeoutMS int) *clusterstate.Manifest {
+	b.Helper()
+	var text strings.Builder
+	text.WriteString(`{"edition":"r1","based_on":"0","parcels":[`)
+	kinds := []string{clusterstate.Shelved, clusterstate.Resendable, clusterstate.OnceOnly}
+	for i := range routes {
+		timeout := 1500
+		if i == 0 {
+			timeout = firstTimeoutMS
+		}
+		fmt.Fprintf(&text, `{"parcel_kind":"routes","label":{"name":"r-%d"},"manifest":{"domain":"host%d.example","path_prefix":"/p%d/","mail_class":"%s","timeout":"%dms",`+
+			`"target":"%dms","precedence":2,"carrier":"s-%d","tries":2,"shelf":"20s"}},`, i, i%7, i, kinds[i%3], timeout, 120+10*(i%3), i%2)
+	}
+	text.WriteString(`{"parcel_kind":"carriers","label":{"name":"s-0"},"manifest":{"line_cap":130,"rate_per_s":380}},{"parcel_kind":"carriers","label":{"name":"s-1"},"manifest":{"line_cap":130}}]}`)
+	m, err := clusterstate.ParseManifest([]byte(text.String()))
+	assert.NilError(b, err)
+	return m
+}
+
+// What a change of one route costs an edge beside the reading of the configuration, by how many routes there are, until the decisions have it.
+// `go test -run XXX -bench ConfigurationInForce ./internal/cdn/edge`
+func BenchmarkConfigurationInForce(b *testing.B) {
+	for _, routes := range []int{14, 300, 1400, 5000} {
+		b.Run(fmt.Sprint(routes), func(b *testing.B) {
+			life, end := context.WithCancel(b.Context())
+			defer end()
+			f := &Edge{log: hclog.NewNullLogger(), replica: statesync.New(), changes: make(chan func(), 4096), life: life}
+			f.set.MemoryMB, f.set.FileHandles = 256, 4096
+			f.init()
+			s := clusterstate.New()
+			s.Body = clusterstate.Text("{}")
+			for i := range 40 {
+				id := fmt.Sprint("i-", i)
+				s.Servers[id] = clusterstate.Server{ID: id, Service: fmt.Sprint("s-", i%2), Address: "127.0.0.1:9", Slots: 4, State: clusterstate.Open}
+			}
+			versions := [2]*clusterstate.Manifest{manyRoutes(b, routes, 1500), manyRoutes(b, routes, 1501)}
+			version := clusterstate.Version(1)
+			for b.Loop() {
+				version++
+				m := *versions[version%2]
+				m.Version, s.Version = version, version
+				f.configure(s, &m)
+				for len(f.changes) > 0 {
+					(<-f.changes)()
+				}
+			}
+		})
+	}
+}
--- a/internal/cdn/edge/plan.go
+++ b/internal/cdn/edge/plan.go
@@ -18,6 +18,7 @@
 	*clusterstate.Manifest
 	table    *clusterstate.Table
 	routes   map[string]*clusterstate.Route // by name
+	classes  classNames                     // names of the decisions' classes of all routes
 	ranks    map[string]int                 // the highest of each service's routes, which is the least number
 	services map[string]*service
 }
@@ -53,7 +54,6 @@
 	usualSlots  = 8
 	noSuchClass = 2 * time.Second
 	capPart     = 0.5 // of a server's connections that routers may hold without using them
-	fetchAim    = 4   // the part of its deadline within which a fetch is usual
 )
 
 // took hears of every change, in order, under the replica's lock.
@@ -100,9 +100,10 @@
 			return
 		}
 	}
-	p := &plan{Manifest: m, table: clusterstate.NewTable(m), services: map[string]*service{}, routes: make(map[string]*clusterstate.Route, len(m.Routes))}
+	p := &plan{Manifest: m, table: clusterstate.NewTable(m), services: map[string]*service{}, classes: classNames{}, routes: make(map[string]*clusterstate.Route, len(m.Routes))}
 	for i := range m.Routes {
 		p.routes[m.Routes[i].Name] = &m.Routes[i]
+		p.classes.of(&m.Routes[i])
 	}
 	p.ranks = ranks(m)
 	for _, def := range m.Services {
@@ -149,6 +150,9 @@
 	return all
 }
 
+// class is the name of a route's class.
+func (p *plan) class(r *clusterstate.Route) string { return p.classes[classKeyOf(r)] }
+
 // low tells whether a route ranks below another one of the service.
 func (p *plan) low(r *clusterstate.Route, sv *service) bool { return r.Priority > p.ranks[sv.name] }
 
@@ -205,21 +209,16 @@
 func (f *Edge) settings(s *clusterstate.State, p *plan, name string) balance.Settings {
 	set := balance.Settings{Number: 0, Zone: f.set.Zone, OverShareWorth: 1, Parallel: true, MaxRetryAfter: mostAdvice,
 		ConnectTimeout: time.Second, ColdFrom: coldPart, Ramp: cold, OverloadFactor: 2, OverloadFor: 2 * time.Second}
-	for _, r := range p.Routes {
+	known := map[classKey]bool{}
+	for i := range p.Routes {
+		r := &p.Routes[i]
 		if !slices.ContainsFunc(r.Split, func(x clusterstate.Share) bool { return x.Service == name && x.Weight > 0 }) {
 			continue
 		}
-		c := balance.Class{Name: r.Name, Aim: r.Target, Deadline: r.Timeout, Worth: 1 / float64(1+max(r.Priority, 0)), LateShare: 0.3}
-		if c.Aim <= 0 {
-			c.Aim = c.Deadline / 2
-		}
-		if r.Kind != clusterstate.OnceOnly {
-			c.Effect = balance.Safe
-		}
-		if r.Kind == clusterstate.Shelved { // a fetch serves all who come after it: what is late for one is no sign of overload
-			c.Aim = max(c.Aim, c.Deadline/fetchAim)
+		if key := classKeyOf(r); !known[key] {
+			known[key] = true
+			set.Classes = append(set.Classes, key.class())
 		}
-		set.Classes = append(set.Classes, c)
 		if set.MaxAttempts == 0 || r.Tries < set.MaxAttempts {
 			set.MaxAttempts = r.Tries
 		}
--- a/internal/cdn/edge/serve.go
+++ b/internal/cdn/edge/serve.go
@@ -128,7 +128,7 @@
 	header := upstream.EndToEnd(q.Header.Clone())
 	header["Host"] = []string{q.Host}
 	order := &upstream.Order{ID: q.id, OnceOnly: q.route.Kind == clusterstate.OnceOnly, Caller: q.caller}
-	a := f.ask(sv, order, exchange.Request{ID: q.id, Class: q.route.Name, Arrived: q.arrived, TimeLeft: q.left,
+	a := f.ask(sv, q.route.Name, order, exchange.Request{ID: q.id, Class: q.plan.class(q.route), Arrived: q.arrived, TimeLeft: q.left,
 		Write: q.route.Kind == clusterstate.OnceOnly, Method: q.Method, Target: target(q.Request), Header: header, Body: body})
 	switch failure := order.Failure(); {
 	case q.caller.Left(): // nobody is there to take an answer
@@ -206,7 +206,7 @@
 		case !ranged:
 			q.pass(http.StatusOK, g.Header, g.Body)
 		case !ok:
-			h := without(g.Header, "Content-Range")
+			h := without(g.Header, upstream.HeaderStamp) // a server's stamp stands under the status that it gave, and this one is ours
 			h["Content-Range"] = []string{"bytes */" + itoa(int64(len(g.Body)))}
 			q.pass(http.StatusRequestedRangeNotSatisfiable, h, nil)
 		default:
--- a/internal/cdn/edge/serve_test.go
+++ b/internal/cdn/edge/serve_test.go
@@ -187,6 +187,8 @@
 	a := f.get(t, http.DefaultClient, url, "GET", "/s/a%2Fb%20c?x=%31&y", "", "Range", "bytes=2-4")
 	assert.Equal(t, a.header.Get("Content-Range"), "bytes 2-4/9")
 	assert.Equal(t, a.header.Get(upstream.HeaderStamp), "stamp")
+	a = f.get(t, http.DefaultClient, url, "GET", "/s/a%2Fb%20c?x=%31&y", "", "Range", "bytes=40-")
+	assert.Equal(t, a.header.Get(upstream.HeaderStamp), "", "a refusal of ours under the stamp of a server's success")
 }
 
 // Whoever asks for one missing object waits for one fetch; a purge meanwhile lets nobody who asks later have what was asked for
--- a/internal/cdn/edge/shelf.go
+++ b/internal/cdn/edge/shelf.go
@@ -206,7 +206,7 @@
 	}
 	order := &upstream.Order{ID: q.ID, Stamped: true, Keep: route.Shelf > 0, Caller: caller}
 	index, begun := f.replica.Index(), time.Now()
-	a := f.ask(sv, order, exchange.Request{Class: route.Name, Arrived: begun, TimeLeft: min(patience, route.Timeout),
+	a := f.ask(sv, route.Name, order, exchange.Request{Class: p.class(route), Arrived: begun, TimeLeft: min(patience, route.Timeout),
 		Method: http.MethodGet, Target: q.Target, Header: header})
 	if a.Kind != exchange.Served {
 		if last := order.Failure(); last != nil {
@@ -294,14 +294,14 @@
 }
 
 // ask submits a request to a service's decisions and waits for the one answer.
-func (f *Edge) ask(sv *service, order *upstream.Order, r exchange.Request) exchange.Answer {
+func (f *Edge) ask(sv *service, route string, order *upstream.Order, r exchange.Request) exchange.Answer {
 	x := exchange.New(r)
 	f.sender.Begin(x, order)
 	defer f.sender.End(x)
-	a := await(sv.loop(r.Class), x, order.Caller)
+	a := await(sv.loop(route), x, order.Caller)
 	sv.rate.spend(order.Sent() - 1) // one place was taken; where servers fail, what is sent again counts as well
 	if a.Kind == exchange.Served {
-		sv.pace.note(r.Class, order.Server(), order.Took(), len(a.Body))
+		sv.pace.note(route, order.Server(), order.Took(), len(a.Body))
 	}
 	return a
 }
