The soak silences a server for good and reads acknowledgements

Tests: TestFreshnessRunsOutWhileTheLoopHangs, TestAcknowledgementsAreMeasured; TestAShortDay asks that some acknowledgement was measured.

--- a/internal/cdn/configstore/configstore_test.go
+++ b/internal/cdn/configstore/configstore_test.go
@@ -17,6 +17,7 @@
 	"cedarmast/internal/cdn/raftlog"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"gotest.tools/v3/assert"
 )
 
@@ -291,3 +292,35 @@
 	s.view.letGo(time.Now())
 	assert.Equal(t, len(p.needs), 1)
 }
+
+// What is told of a machine's freshness is until when it holds, not that it holds: a loop that hangs in a write publishes nothing, and the
+// machine is no longer current all the same. (A flag held for as long as the write did; seeds of the simulation were up to 4.6 s behind.)
+func TestFreshnessRunsOutWhileTheLoopHangs(t *testing.T) {
+	view, now := newView(clusterstate.NewHistory(clusterstate.New()), 0), time.Now()
+	view.publish(now, position{leader: "a", freshUntil: now.Add(freshFor)})
+	assert.Assert(t, view.Since(0, now.Add(freshFor-time.Millisecond)).Fresh)
+	assert.Assert(t, !view.Since(0, now.Add(freshFor+time.Millisecond)).Fresh, "the loop has said nothing since")
+	assert.Assert(t, !view.Status(now.Add(freshFor+time.Millisecond)).Fresh)
+}
+
+// An order is measured where it was received, once, under what became of it and whether the leader had been the same for long.
+func TestAcknowledgementsAreMeasured(t *testing.T) {
+	view, now := newView(clusterstate.NewHistory(clusterstate.New()), 0), time.Now()
+	view.publish(now, position{leader: "a"})
+	assert.Assert(t, !view.settled(now.Add(time.Second), 3*time.Second))
+	view.publish(now.Add(2*time.Second), position{leader: "a"})
+	assert.Assert(t, view.settled(now.Add(3*time.Second), 3*time.Second), "the same leader for as long as contact")
+	view.publish(now.Add(4*time.Second), position{leader: "b"})
+	assert.Assert(t, !view.settled(now.Add(5*time.Second), 3*time.Second), "another leader")
+	view.publish(now.Add(6*time.Second), position{})
+	assert.Assert(t, !view.settled(now.Add(time.Hour), 3*time.Second), "none")
+
+	a := newAcknowledgements(hclog.NewNullLogger())
+	a.observe("purge", Reply{Known: true, Outcome: clusterstate.Outcome{Status: clusterstate.Done}}, true, time.Millisecond)
+	a.observe("purge", Reply{Known: true, Outcome: clusterstate.Outcome{Status: clusterstate.Stale}}, true, time.Millisecond)
+	a.observe("purge", Reply{}, false, 2*time.Second)
+	assert.Equal(t, testutil.CollectAndCount(a.seconds), 3)
+	for _, labels := range [][]string{{"purge", outcomeDone, "yes"}, {"purge", outcomeRefused, "yes"}, {"purge", outcomeUnclear, "no"}} {
+		assert.Assert(t, a.seconds.DeleteLabelValues(labels...), "%v", labels)
+	}
+}
--- a/internal/cdn/localnet/localnet.go
+++ b/internal/cdn/localnet/localnet.go
@@ -387,6 +387,9 @@
 	s.mu.Unlock()
 }
 
+// Mute ends its beats; it goes on taking requests.
+func (s *Server) Mute() { s.stop() }
+
 // Stop ends it without a word.
 func (s *Server) Stop() {
 	s.stop()
--- a/internal/cdn/soak/judge.go
+++ b/internal/cdn/soak/judge.go
@@ -40,7 +40,7 @@
 	b := d.book
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := Report{Requests: len(b.asks), Runs: len(b.runs), Troubles: troubles, Breaches: b.breaches}
+	r := Report{Requests: len(b.asks), Runs: len(b.runs), Troubles: troubles, Breaches: b.breaches, Acknowledgements: d.acks}
 	for _, a := range b.asks {
 		if a.hasLeft {
 			r.Left++
@@ -167,6 +167,7 @@
 			d.book.breach("%s tells no figures: %v", m.Name, err)
 			continue
 		}
+		d.acks.add(text)
 		wrong := notZero(text)
 		for _, line := range wrong {
 			d.book.breach("%s: %s", m.Name, line)
--- a/internal/cdn/soak/servers.go
+++ b/internal/cdn/soak/servers.go
@@ -6,7 +6,10 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"cedarmast/internal/cdn/localnet"
 )
 
 // server is a stand-in server that works for long at times, fails, loses answers and falls silent. It drops what its caller has closed.
@@ -14,6 +17,9 @@
 	id  string
 	day *day
 
+	told   *localnet.Server // its beats
+	silent atomic.Bool      // from some moment on for good: it takes requests and answers nothing
+
 	mu  sync.Mutex
 	rng *rand.Rand
 }
@@ -57,6 +63,11 @@
 		return // it never came whole
 	}
 	run := s.day.book.begun(r.URL.Path, id, s.id)
+	if s.silent.Load() {
+		<-r.Context().Done()
+		s.day.book.ended(run, true)
+		return
+	}
 	w := s.draw()
 	late := time.NewTimer(w.lasts)
 	defer late.Stop()
--- a/internal/cdn/soak/soak.go
+++ b/internal/cdn/soak/soak.go
@@ -46,6 +46,7 @@
 	Requests, Left, Runs int
 	Troubles             int
 	Breaches             []string
+	Acknowledgements     acknowledgements
 }
 
 func (r Report) String() string {
@@ -60,13 +61,14 @@
 	servers []*server
 	start   time.Time
 	calm    atomic.Bool // servers work as they should
-	told    sync.Mutex  // of Out
+	acks    acknowledgements
+	told    sync.Mutex // of Out
 }
 
 // Play plays a day and ends by itself. An error says that it could not be played.
 func Play(ctx context.Context, p Plan) (Report, error) {
 	p.Shape.Metrics = true
-	d := &day{Plan: p, book: newBook()}
+	d := &day{Plan: p, book: newBook(), acks: newAcknowledgements()}
 	var err error
 	if d.net, err = localnet.Start(p.Shape); err != nil {
 		return Report{}, err
@@ -87,6 +89,7 @@
 		all.Go(func() { d.strike(ends, t) })
 	}
 	all.Go(func() { d.configure(ends) })
+	all.Go(func() { d.silence(ends) })
 	all.Wait()
 	d.calm.Store(true)
 	return d.judge(ctx, len(troubles))
@@ -96,9 +99,11 @@
 func (d *day) prepare(ctx context.Context) error {
 	for i := range serverCount {
 		s := &server{id: fmt.Sprint("i-", i+1), day: d, rng: rand.New(rand.NewPCG(d.Seed, uint64(100+i)))}
-		if _, err := d.net.ServeWith(s.id, service, byte(200+i), s); err != nil {
+		told, err := d.net.ServeWith(s.id, service, byte(200+i), s)
+		if err != nil {
 			return err
 		}
+		s.told = told
 		d.servers = append(d.servers, s)
 	}
 	call, done := context.WithTimeout(ctx, readyWithin)
@@ -129,6 +134,18 @@
 	}
 }
 
+// silence has one server fall silent for good, in the day's second quarter: it beats no more and answers nothing, and its connections stay open.
+func (d *day) silence(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(d.Seed, 2))
+	s := d.servers[rng.IntN(len(d.servers))]
+	if sleep(ctx, d.Day/4+time.Duration(rng.Int64N(int64(d.Day/4)))) != nil {
+		return
+	}
+	d.say("%s falls silent for good", s.id)
+	s.silent.Store(true)
+	s.told.Mute()
+}
+
 // manifest is a configuration of the routes that clients ask for; the odd editions have one more.
 func manifest(edition, base int) []byte {
 	based := `"0"`
--- a/internal/cdn/soak/soak_test.go
+++ b/internal/cdn/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math"
 	"os"
 	"testing"
 	"time"
@@ -29,5 +30,6 @@
 	for _, breach := range r.Breaches {
 		t.Error(breach)
 	}
+	assert.Assert(t, r.Acknowledgements.settled[math.Inf(1)]+r.Acknowledgements.unsettled[math.Inf(1)] > 0, "no acknowledgement was measured")
 	assert.Assert(t, r.Left > r.Requests/4 && r.Runs > r.Requests/4, "too little was played")
 }
--- a/internal/cdn/soak/sweep.go
+++ b/internal/cdn/soak/sweep.go
@@ -18,13 +18,14 @@
 		return Error.Wrap(err)
 	}
 	plan.Shape.Program = func(name string) []string { return []string{filepath.Join(filepath.Dir(self), name), "run"} }
-	broken := 0
+	broken, acks := 0, newAcknowledgements()
 	for seed := from; seed < from+seeds && ctx.Err() == nil; seed++ {
 		r, err := sweepOne(ctx, plan, seed)
 		if err != nil {
 			return err
 		}
 		fmt.Fprintf(out, "seed %d: %s\n", seed, r)
+		acks.merge(r.Acknowledgements)
 		if len(r.Breaches) > 0 {
 			broken++
 		}
@@ -32,6 +33,7 @@
 			fmt.Fprintln(out, "   ", breach)
 		}
 	}
+	fmt.Fprintln(out, acks)
 	if broken > 0 {
 		return Error.New("%d of %d seeds have breaches", broken, seeds)
 	}
