A fresh copy is handed out without an account of its client

Change: the account begins where something is done for the client; the way of an object and of a request with a body are functions of their own. Ruled out: contexts made only when asked for, which would lose the moment of a leave at registry and config store. Tests: those of leaves, unchanged.

--- a/internal/cdn/edge/serve.go
+++ b/internal/cdn/edge/serve.go
@@ -40,7 +40,7 @@
 	left    time.Duration
 	route   *clusterstate.Route
 	plan    *plan
-	caller  *departure.Caller // the client
+	caller  *departure.Caller // the client, while something is done for it
 
 	answered bool // its answer has begun
 }
@@ -65,23 +65,31 @@
 		return
 	}
 	q.left = min(q.left, q.route.Timeout)
-	q.caller = f.callers.Open(r.Context(), departure.Client, q.route.Name)
-	defer q.caller.Close()
-	onLeave(r, q.caller.Leave)
-	f.route(q, host)
-	if q.caller.Left() && !q.answered { // http.Server would write an empty success for a handler that writes nothing
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// route sends a request the way of its route's kind.
-func (f *Edge) route(q *request, host string) {
-	r := q.Request
 	if q.route.Kind == clusterstate.Shelved && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		io.Copy(io.Discard, http.MaxBytesReader(q.w, r.Body, usualBody)) // it says nothing of an object; behind it a leave would not be seen
-		f.serveShelved(q, strings.ToLower(host))
+		f.serveObject(q, objectKey(q, strings.ToLower(host)))
 		return
 	}
+	defer f.account(q)()
+	f.serveWithBody(q)
+}
+
+// account keeps account of a request's client from now until the returned function is called.
+func (f *Edge) account(q *request) (done func()) {
+	q.caller = f.callers.Open(q.Context(), departure.Client, q.route.Name)
+	onLeave(q.Request, q.caller.Leave)
+	return func() {
+		left := q.caller.Left()
+		q.caller.Close()
+		if left && !q.answered { // http.Server would write an empty success for a handler that writes nothing
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// serveWithBody reads a request's body and sends it to a server.
+func (f *Edge) serveWithBody(q *request) {
+	r := q.Request
 	most := q.plan.Limits.BodyBytes
 	if r.ContentLength > most {
 		q.final(http.StatusRequestEntityTooLarge, nil, nil)
@@ -147,15 +155,26 @@
 	}
 }
 
-// serveShelved answers from a copy: this router's, or that of the cache router which the table names.
-func (f *Edge) serveShelved(q *request, host string) {
-	k := objectcache.Key{Host: host, Path: q.URL.EscapedPath(), Query: q.URL.RawQuery} // as it was written: another spelling may be another object
+// objectKey is the key of the object that a request asks for, as it was written: another spelling may be another object.
+func objectKey(q *request, host string) objectcache.Key {
+	k := objectcache.Key{Host: host, Path: q.URL.EscapedPath(), Query: q.URL.RawQuery}
 	k.Service = q.route.Pick(float64(k.Hash()>>11) / (1 << 53))
+	return k
+}
+
+// serveObject answers from this router's copy. Nothing is done for the client of one that is fresh, so that no account of it is kept.
+func (f *Edge) serveObject(q *request, k objectcache.Key) {
 	own, grade := f.held(k, q.id, true)
 	if grade == objectcache.Fresh {
 		q.deliver(fetchedFrom(own))
 		return
 	}
+	defer f.account(q)()
+	f.serveShelved(q, k, own)
+}
+
+// serveShelved answers from the copy of the cache router that the table names, or of the servers.
+func (f *Edge) serveShelved(q *request, k objectcache.Key, own *objectcache.Copy) {
 	ask := Fetch{Key: k, Target: k.Target(), ID: q.id, Route: q.route.Name, Index: f.replica.Index()}
 	if own != nil && own.Lent && f.vouched() {
 		ask.ETag = own.ETag
--- a/internal/cdn/edge/serve_test.go
+++ b/internal/cdn/edge/serve_test.go
@@ -34,7 +34,7 @@
 	status  int
 }
 
-func newOrigin(t *testing.T) *origin {
+func newOrigin(t testing.TB) *origin {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -78,7 +78,7 @@
 func (o *origin) set(f func()) { o.mu.Lock(); defer o.mu.Unlock(); f() }
 
 // lone is an edge without a core: the test hands it its news.
-func lone(t *testing.T, o *origin, routes string) (*Edge, func(c clusterstate.Command)) {
+func lone(t testing.TB, o *origin, routes string) (*Edge, func(c clusterstate.Command)) {
 	t.Helper()
 	f := &Edge{set: bootconfig.Settings{Node: "me", Zone: "a", MemoryMB: 64, FileHandles: 1024, Bounds: bootconfig.Bounds{Contact: time.Hour, StaleSlack: 2 * time.Second,
 		CeilingWindow: 5 * time.Second, CeilingExcess: 1.1}},
@@ -138,7 +138,7 @@
 	return answer{r.StatusCode, r.Header, string(text)}
 }
 
-func listen(t *testing.T, f *Edge) string {
+func listen(t testing.TB, f *Edge) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
