edge: names of the field for the listener, the tiers of caches and servers' speeds

No logic changed; the receiver f of Edge and Fetch.Home stay, the second for the wire's sake. Ruled out: renaming what clusterstate exports in the same step. Tests of the package pass unchanged but for the names.

--- a/internal/cdn/edge/capacity_test.go
+++ b/internal/cdn/edge/capacity_test.go
@@ -16,7 +16,7 @@
 	for _, routers := range []int{105, 210, 420} {
 		b.Run(fmt.Sprint(routers), func(b *testing.B) {
 			for b.Loop() {
-				l := balance.New(balance.Settings{Classes: []balance.Class{{Name: hopClass, Aim: hopAim, Deadline: hopDeadline, Worth: 1}}, Routers: 1,
+				l := balance.New(balance.Settings{Classes: []balance.Class{{Name: copyClass, Aim: tierAim, Deadline: tierDeadline, Worth: 1}}, Routers: 1,
 					Ramp: time.Second, OverloadFor: time.Second, ColdFrom: 1}, 1)
 				for batch := range 10 { // as config stores enrol newcomers, and then a few one by one
 					news := balance.List{Kind: balance.Partial, Version: int64(batch)}
--- a/internal/cdn/edge/edge.go
+++ b/internal/cdn/edge/edge.go
@@ -50,23 +50,23 @@
 
 // Edge is the process. Run starts it.
 type Edge struct {
-	set       bootconfig.Settings
-	log       hclog.Logger
-	decisions *slog.Logger // of the decisions' hosts
-	peers     *peerrpc.Peers
-	replica   *statesync.Replica
-	view      *peersampling.View
-	cache     *objectcache.Cache
-	bodies    *exchange.Budget // of long requests
-	clock     exchange.Clock
-	counts    exchange.Counters
-	callers   *departure.Ledger // who waits for answers, and who has left
-	link      *link             // the machine's, to clients and others
-	from      *link             // and from others
-	sender    *upstream.Sender
-	hop       *hop // to a key's cache router in the own zone
-	home      *hop // to its shield
-	closer    *hop // to a shield in the own zone, if there is one
+	set         bootconfig.Settings
+	log         hclog.Logger
+	decisions   *slog.Logger // of the decisions' hosts
+	peers       *peerrpc.Peers
+	replica     *statesync.Replica
+	view        *peersampling.View
+	cache       *objectcache.Cache
+	bodies      *exchange.Budget // of long requests
+	clock       exchange.Clock
+	counts      exchange.Counters
+	callers     *departure.Ledger // who waits for answers, and who has left
+	link        *link             // the machine's, to clients and others
+	from        *link             // and from others
+	sender      *upstream.Sender
+	zoneCaches  *cacheTier // to a key's cache router in the own zone
+	shields     *cacheTier // to its shield
+	zoneShields *cacheTier // to a shield in the own zone, if there is one
 
 	plan     atomic.Pointer[plan] // what requests are served by
 	changes  chan func()          // what follows from news and may wait, in order
@@ -116,9 +116,9 @@
 			return err
 		}
 	}
-	f.running.Go(func() { f.hop.loop.Run(life) })
-	f.running.Go(func() { f.home.loop.Run(life) })
-	f.running.Go(func() { f.closer.loop.Run(life) })
+	f.running.Go(func() { f.zoneCaches.loop.Run(life) })
+	f.running.Go(func() { f.shields.loop.Run(life) })
+	f.running.Go(func() { f.zoneShields.loop.Run(life) })
 	f.running.Go(func() { f.follow(life) })
 	f.running.Go(func() { f.sweep(life) })
 	f.running.Go(func() { f.mingle(life) })
@@ -151,7 +151,7 @@
 type front struct {
 	f                  *Edge
 	readiness, counter net.Listener
-	door               *door
+	listener           *clientListener
 	server             *http.Server
 }
 
@@ -168,11 +168,11 @@
 }
 
 func (t *front) serve() {
-	t.door = newDoor(t.counter)
-	t.server = &http.Server{Handler: http.HandlerFunc(t.f.serve), ConnState: t.door.state, ConnContext: withConnection, ReadHeaderTimeout: longestHeader, IdleTimeout: longestIdle,
+	t.listener = newClientListener(t.counter)
+	t.server = &http.Server{Handler: http.HandlerFunc(t.f.serve), ConnState: t.listener.state, ConnContext: withConnection, ReadHeaderTimeout: longestHeader, IdleTimeout: longestIdle,
 		MaxHeaderBytes: 64 << 10, ErrorLog: t.f.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
-	go t.server.Serve(t.door)
-	t.f.running.Go(func() { t.door.limit(t.f.life, t.f.limits) })
+	go t.server.Serve(t.listener)
+	t.f.running.Go(func() { t.listener.limit(t.f.life, t.f.limits) })
 	gate := &http.Server{Handler: http.HandlerFunc(t.f.serveReady), ReadHeaderTimeout: 2 * time.Second}
 	go gate.Serve(t.readiness)
 }
@@ -190,7 +190,7 @@
 	t.f.log.Info("ending: takes what still comes until the platform sends no more")
 	time.Sleep(min(notReadyFor, t.f.set.Bounds.Grace/2))
 	t.f.lastWord.Store(true)
-	if left := t.door.drain(lastMoment(begun, t.f.set.Bounds.Grace)); left > 0 {
+	if left := t.listener.drain(lastMoment(begun, t.f.set.Bounds.Grace)); left > 0 {
 		t.f.log.Warn("ended with requests in hand", "connections", left)
 	}
 	t.server.Close()
@@ -255,8 +255,8 @@
 	f.bodies = exchange.NewBudget(int64(f.set.MemoryMB<<20) / bodiesPart)
 	f.fetches.all = map[level]*fetch{}
 	f.sender = upstream.NewSender(max(f.set.FileHandles/2-fdsReserved, 64), &f.counts)
-	f.closer = newHop(f, true, true)
-	f.hop, f.home = newHop(f, false, true), newHop(f, true, false)
+	f.zoneShields = newCacheTier(f, true, true)
+	f.zoneCaches, f.shields = newCacheTier(f, false, true), newCacheTier(f, true, false)
 }
 
 // mingle keeps this router's partial view of the others: now and then it is exchanged in part with one of them. The roster is
--- a/internal/cdn/edge/door.go
+++ b/internal/cdn/edge/listener.go
@@ -20,50 +20,50 @@
 	longestHeader = time.Minute
 )
 
-// door keeps the clients' connections, so that the end closes those that have no request in hand and no other. http.Server's
+// clientListener keeps the clients' connections, so that the end closes those that have no request in hand and no other. http.Server's
 // own Shutdown goes by a state that it sets after a request has been read: one that came in that moment was passed on to a
 // server and lost its answer.
-type door struct {
+type clientListener struct {
 	net.Listener
 	mu    sync.Mutex
-	all   map[*caller]struct{}
+	all   map[*clientConn]struct{}
 	over  chan struct{} // closed once no connection can come any more
 	ended sync.Once
 }
 
-// caller is one client's connection.
-type caller struct {
+// clientConn is one client's connection.
+type clientConn struct {
 	*halfclose.Conn
-	door  *door
-	mu    sync.Mutex
-	busy  bool      // a byte of a request has been read, and its answer is not out
-	whole bool      // with busy: the request's head has been read
-	since time.Time // when it was accepted, its answer was out, or the first byte of a request was read
-	shut  bool
+	listener *clientListener
+	mu       sync.Mutex
+	busy     bool      // a byte of a request has been read, and its answer is not out
+	whole    bool      // with busy: the request's head has been read
+	since    time.Time // when it was accepted, its answer was out, or the first byte of a request was read
+	shut     bool
 }
 
-func newDoor(l net.Listener) *door {
-	return &door{Listener: l, all: map[*caller]struct{}{}, over: make(chan struct{})}
+func newClientListener(l net.Listener) *clientListener {
+	return &clientListener{Listener: l, all: map[*clientConn]struct{}{}, over: make(chan struct{})}
 }
 
 // Accept takes the next connection.
-func (d *door) Accept() (net.Conn, error) {
-	c, err := d.Listener.Accept()
+func (l *clientListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
 	if err != nil {
 		if errors.Is(err, net.ErrClosed) {
-			d.ended.Do(func() { close(d.over) })
+			l.ended.Do(func() { close(l.over) })
 		}
 		return nil, err
 	}
-	k := &caller{Conn: halfclose.New(c), door: d, since: time.Now()}
-	d.mu.Lock()
-	d.all[k] = struct{}{}
-	d.mu.Unlock()
+	k := &clientConn{Conn: halfclose.New(c), listener: l, since: time.Now()}
+	l.mu.Lock()
+	l.all[k] = struct{}{}
+	l.mu.Unlock()
 	return k, nil
 }
 
 // Read reads, and begins a request with its first byte. What comes to a connection that is shut is read by nobody.
-func (c *caller) Read(b []byte) (int, error) {
+func (c *clientConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -77,10 +77,10 @@
 }
 
 // Close closes it and lets it go.
-func (c *caller) Close() error {
-	c.door.mu.Lock()
-	delete(c.door.all, c)
-	c.door.mu.Unlock()
+func (c *clientConn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.all, c)
+	c.listener.mu.Unlock()
 	return c.Conn.Close()
 }
 
@@ -94,14 +94,14 @@
 
 // onLeave names what is called when the client of a request leaves after it has sent more on its connection.
 func onLeave(r *http.Request, f func()) {
-	if c, ok := r.Context().Value(connectionKey{}).(*caller); ok {
+	if c, ok := r.Context().Value(connectionKey{}).(*clientConn); ok {
 		c.OnLeave(f)
 	}
 }
 
 // state is http.Server's word on a connection: active means that a request's head has been read, idle that its answer is out.
-func (d *door) state(c net.Conn, s http.ConnState) {
-	k, ok := c.(*caller)
+func (l *clientListener) state(c net.Conn, s http.ConnState) {
+	k, ok := c.(*clientConn)
 	if !ok {
 		return
 	}
@@ -117,21 +117,21 @@
 
 // limit closes the connections that rest for longer than the configuration in force allows, or whose request's head takes longer, until the
 // context ends. http.Server has such bounds as well, but can't change them while it runs.
-func (d *door) limit(ctx context.Context, limits func() clusterstate.Limits) {
+func (l *clientListener) limit(ctx context.Context, limits func() clusterstate.Limits) {
 	turn := time.NewTicker(limitEvery)
 	defer turn.Stop()
 	for {
 		select {
 		case now := <-turn.C:
-			d.closeLate(now, limits())
+			l.closeLate(now, limits())
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (d *door) closeLate(now time.Time, limits clusterstate.Limits) {
-	for _, c := range d.connections() {
+func (l *clientListener) closeLate(now time.Time, limits clusterstate.Limits) {
+	for _, c := range l.connections() {
 		c.mu.Lock()
 		rests := now.Sub(c.since)
 		late := !c.busy && rests > limits.Idle || c.busy && !c.whole && rests > limits.Header
@@ -143,16 +143,16 @@
 	}
 }
 
-func (d *door) connections() []*caller {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return slices.Collect(maps.Keys(d.all))
+func (l *clientListener) connections() []*clientConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.all))
 }
 
 // closeIdle closes the connections that have no request in hand and returns how many are left.
-func (d *door) closeIdle() int {
+func (l *clientListener) closeIdle() int {
 	left := 0
-	for _, c := range d.connections() {
+	for _, c := range l.connections() {
 		c.mu.Lock()
 		idle := !c.busy
 		c.shut = c.shut || idle
@@ -168,16 +168,16 @@
 
 // drain takes no more connections, closes the idle ones as they fall idle, and returns how many have requests in hand at the end. One
 // that was accepted as the listener closed may not be among all yet: none is the last word only once the accepting has ended.
-func (d *door) drain(until time.Time) (left int) {
-	d.Listener.Close()
+func (l *clientListener) drain(until time.Time) (left int) {
+	l.Listener.Close()
 	late := time.NewTimer(time.Until(until))
 	defer late.Stop()
 	select {
-	case <-d.over:
+	case <-l.over:
 	case <-late.C:
 	}
 	for {
-		if left = d.closeIdle(); left == 0 || !time.Now().Before(until) {
+		if left = l.closeIdle(); left == 0 || !time.Now().Before(until) {
 			return left
 		}
 		time.Sleep(20 * time.Millisecond)
--- a/internal/cdn/edge/door_test.go
+++ b/internal/cdn/edge/listener_test.go
@@ -39,9 +39,9 @@
 // connection went. Bytes that come first keep a connection open; those that come after are read by nobody.
 func TestIdleConnectionsAndTheFirstByte(t *testing.T) {
 	for _, byteFirst := range []bool{true, false} {
-		d := newDoor(nil)
+		d := newClientListener(nil)
 		s := &scripted{bytes: make(chan byte, 1)}
-		c := &caller{Conn: halfclose.New(s), door: d}
+		c := &clientConn{Conn: halfclose.New(s), listener: d}
 		d.all[c] = struct{}{}
 		buf := make([]byte, 1)
 		if byteFirst {
@@ -77,9 +77,9 @@
 		{"waits for its answer", true, true, time.Hour, true},
 	}
 	for _, c := range cases {
-		d := newDoor(nil)
+		d := newClientListener(nil)
 		s := &scripted{bytes: make(chan byte, 1)}
-		k := &caller{Conn: halfclose.New(s), door: d, since: time.Now()}
+		k := &clientConn{Conn: halfclose.New(s), listener: d, since: time.Now()}
 		d.all[k] = struct{}{}
 		if c.read {
 			s.bytes <- 'G'
@@ -115,7 +115,7 @@
 // later with its request in hand. (It hung the test below, once in some thousand plays on a busy machine.)
 func TestAConnectionAcceptedAsTheEndComes(t *testing.T) {
 	l := &lateListener{closed: make(chan struct{}), last: make(chan net.Conn)}
-	d := newDoor(l)
+	d := newClientListener(l)
 	ours, theirs := net.Pipe()
 	go func() { // http.Server's loop
 		for {
@@ -136,7 +136,7 @@
 	for range 20 {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
-		d := newDoor(l)
+		d := newClientListener(l)
 		var handled, answered atomic.Int64
 		s := &http.Server{ConnState: d.state, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			handled.Add(1)
--- a/internal/cdn/edge/shelf.go
+++ b/internal/cdn/edge/objects.go
@@ -180,10 +180,10 @@
 	if route == nil {
 		route = &clusterstate.Route{Timeout: patience}
 	}
-	if near := sv.here.Load() && sv.pace.long(route.Name); !q.Home { // a long body of the own zone's servers stays in the zone
-		way := f.home
+	if near := sv.here.Load() && sv.speeds.long(route.Name); !q.Home { // a long body of the own zone's servers stays in the zone
+		way := f.shields
 		if near {
-			way = f.closer
+			way = f.zoneShields
 		}
 		if got, ok := f.askHome(caller, way, q, old, route, patience); ok {
 			return got
@@ -231,13 +231,13 @@
 
 // askHome asks the key's shield. It is not ok if there is none but this router, or it does not answer: then the servers are
 // asked from here.
-func (f *Edge) askHome(caller *departure.Caller, way *hop, q Fetch, old *objectcache.Copy, route *clusterstate.Route, patience time.Duration) (Fetched, bool) {
+func (f *Edge) askHome(caller *departure.Caller, way *cacheTier, q Fetch, old *objectcache.Copy, route *clusterstate.Route, patience time.Duration) (Fetched, bool) {
 	q.Index, q.AgeMS, q.ETag = f.replica.Index(), 0, ""
 	if old != nil {
 		q.ETag, q.AgeMS = old.ETag, max(int64(route.Shelf/4/time.Millisecond), 1)
 	}
 	begun := time.Now()
-	x := exchange.New(exchange.Request{ID: q.ID, Class: hopClass, Key: q.Key.Hash(), HasKey: true, Arrived: begun,
+	x := exchange.New(exchange.Request{ID: q.ID, Class: copyClass, Key: q.Key.Hash(), HasKey: true, Arrived: begun,
 		TimeLeft: patience, Method: http.MethodGet, Target: q.Target, Header: encodeAsk(q)})
 	a := way.ask(x, caller)
 	if caller.Left() {
@@ -264,7 +264,7 @@
 	return got, true
 }
 
-// borrow keeps what the key's cache router has handed over, unless this one is it: while it is fresh it costs no hop, and
+// borrow keeps what the key's cache router has handed over, unless this one is it: while it is fresh it costs no call, and
 // afterwards none of its bytes as long as it is the same.
 func (f *Edge) borrow(k objectcache.Key, route *clusterstate.Route, got Fetched, old *objectcache.Copy, begun time.Time) Fetched {
 	x := &objectcache.Copy{Header: got.Header, Body: got.Body, ETag: first(got.Header, "Etag"),
@@ -301,7 +301,7 @@
 	a := await(sv.loop(route), x, order.Caller)
 	sv.rate.spend(order.Sent() - 1) // one place was taken; where servers fail, what is sent again counts as well
 	if a.Kind == exchange.Served {
-		sv.pace.note(route, order.Server(), order.Took(), len(a.Body))
+		sv.speeds.note(route, order.Server(), order.Took(), len(a.Body))
 	}
 	return a
 }
--- a/internal/cdn/edge/plan.go
+++ b/internal/cdn/edge/plan.go
@@ -25,19 +25,19 @@
 
 // service is the decisions about one service's servers, and its share of the origin's rate.
 type service struct {
-	name  string
-	near  *exchange.Loop // own zone first: for long bodies
-	any   *exchange.Loop // wherever there is room
-	end   context.CancelFunc
-	rate  rate
-	tuned balance.Settings // as last told; the follower's
-	pace  pace
-	here  atomic.Bool // it has servers in this router's zone
+	name   string
+	near   *exchange.Loop // own zone first: for long bodies
+	any    *exchange.Loop // wherever there is room
+	end    context.CancelFunc
+	rate   rate
+	tuned  balance.Settings // as last told; the follower's
+	speeds serverSpeeds
+	here   atomic.Bool // it has servers in this router's zone
 }
 
 // loop is the decisions that send a route's requests.
 func (sv *service) loop(route string) *exchange.Loop {
-	if sv.pace.long(route) {
+	if sv.speeds.long(route) {
 		return sv.near
 	}
 	return sv.any
@@ -73,9 +73,9 @@
 		f.list(s, name)
 	}
 	if whole || c.Enrol != nil || c.Absent != "" {
-		f.hop.follow(s)
-		f.home.follow(s)
-		f.closer.follow(s)
+		f.zoneCaches.follow(s)
+		f.shields.follow(s)
+		f.zoneShields.follow(s)
 		f.retune(s)
 	}
 	if c.Cut != nil {
@@ -109,7 +109,7 @@
 	for _, def := range m.Services {
 		sv := f.services[def.Name]
 		if sv == nil {
-			sv = &service{name: def.Name, pace: newPace()}
+			sv = &service{name: def.Name, speeds: newServerSpeeds()}
 			ctx, end := context.WithCancel(f.life)
 			sv.end = end
 			set := f.settings(s, p, def.Name)
@@ -260,7 +260,7 @@
 			if x.Service != each {
 				continue
 			}
-			e := balance.Entry{Server: balance.ServerID(id), Zone: x.Zone, Weight: float64(max(x.Slots, 1)) * sv.pace.part(id), Started: f.startOf(x)}
+			e := balance.Entry{Server: balance.ServerID(id), Zone: x.Zone, Weight: float64(max(x.Slots, 1)) * sv.speeds.part(id), Started: f.startOf(x)}
 			here = here || x.Zone == f.set.Zone
 			if x.State != clusterstate.Open {
 				e.State = balance.Draining
--- a/internal/cdn/edge/plan_test.go
+++ b/internal/cdn/edge/plan_test.go
@@ -248,7 +248,7 @@
 
 // A server that takes twice as long as the mean is drawn a quarter as often, and is forgotten once it is gone.
 func TestPace(t *testing.T) {
-	p := newPace()
+	p := newServerSpeeds()
 	assert.Assert(t, p.long("r"), "of what is not known it is assumed")
 	p.part("slow")
 	for range 200 {
--- a/internal/cdn/edge/serve.go
+++ b/internal/cdn/edge/serve.go
@@ -179,14 +179,14 @@
 	if own != nil && own.Lent && f.vouched() {
 		ask.ETag = own.ETag
 	}
-	left := q.left - hopSlack
+	left := q.left - tierSlack
 	if left <= 0 {
 		left = q.left
 	}
-	x := exchange.New(exchange.Request{ID: q.id, Class: hopClass, Key: k.Hash(), HasKey: true, Arrived: q.arrived, TimeLeft: left,
+	x := exchange.New(exchange.Request{ID: q.id, Class: copyClass, Key: k.Hash(), HasKey: true, Arrived: q.arrived, TimeLeft: left,
 		Method: http.MethodGet, Target: ask.Target, Header: encodeAsk(ask)})
 	begun := time.Now()
-	a := f.hop.ask(x, q.caller)
+	a := f.zoneCaches.ask(x, q.caller)
 	if q.caller.Left() {
 		return
 	}
--- a/internal/cdn/edge/serve_test.go
+++ b/internal/cdn/edge/serve_test.go
@@ -87,9 +87,9 @@
 	f.init()
 	f.replica.Set, f.replica.Log = f.set, f.log
 	f.replica.Take(clusterstate.News{Fresh: true}, time.Now())
-	go f.hop.loop.Run(t.Context())
-	go f.home.loop.Run(t.Context())
-	go f.closer.loop.Run(t.Context())
+	go f.zoneCaches.loop.Run(t.Context())
+	go f.shields.loop.Run(t.Context())
+	go f.zoneShields.loop.Run(t.Context())
 	go f.follow(t.Context())
 	s, index := clusterstate.New(), uint64(0)
 	give := func(c clusterstate.Command) {
@@ -142,7 +142,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	d := newDoor(l)
+	d := newClientListener(l)
 	s := &http.Server{Handler: http.HandlerFunc(f.serve), ConnState: d.state, ConnContext: withConnection}
 	go s.Serve(d)
 	t.Cleanup(func() { s.Close() })
--- a/internal/cdn/edge/show.go
+++ b/internal/cdn/edge/show.go
@@ -28,7 +28,7 @@
 }
 
 func (f *Edge) show() {
-	for _, l := range []*exchange.Loop{f.hop.loop, f.home.loop, f.closer.loop} {
+	for _, l := range []*exchange.Loop{f.zoneCaches.loop, f.shields.loop, f.zoneShields.loop} {
 		l.View(slog.LevelInfo)
 	}
 	p := f.plan.Load()
--- a/internal/cdn/edge/hop.go
+++ b/internal/cdn/edge/tier.go
@@ -20,8 +20,8 @@
 	"cedarmast/internal/exchange"
 )
 
-// hop is the way to the cache router that a key belongs to: the interval table, and the second hash when it is crowded.
-type hop struct {
+// cacheTier is the way to the cache router that a key belongs to: the interval table, and the second hash when it is crowded.
+type cacheTier struct {
 	f    *Edge
 	home bool // to the shield of a key, else to its cache router
 	loop *exchange.Loop
@@ -35,16 +35,16 @@
 }
 
 const (
-	hopClass    = "copy"
-	hopDeadline = 30 * time.Second
-	hopAim      = 4 * time.Second // far over what a hop takes: an origin's slowness is not to pass for the cache router's
-	hopSlack    = 60 * time.Millisecond
-	behindFor   = 150 * time.Millisecond // a cache router that lacks a purge may take so long to learn of it
+	copyClass    = "copy"
+	tierDeadline = 30 * time.Second
+	tierAim      = 4 * time.Second // far over what the way to a cache router takes: an origin's slowness is not to pass for the cache router's
+	tierSlack    = 60 * time.Millisecond
+	behindFor    = 150 * time.Millisecond // a cache router that lacks a purge may take so long to learn of it
 )
 
-func newHop(f *Edge, home, near bool) *hop {
-	h := &hop{f: f, home: home, roster: map[string]clusterstate.Router{}, listed: map[string]clusterstate.Router{}}
-	set := balance.Settings{Classes: []balance.Class{{Name: hopClass, Aim: hopAim, Deadline: hopDeadline, Worth: 1,
+func newCacheTier(f *Edge, home, near bool) *cacheTier {
+	h := &cacheTier{f: f, home: home, roster: map[string]clusterstate.Router{}, listed: map[string]clusterstate.Router{}}
+	set := balance.Settings{Classes: []balance.Class{{Name: copyClass, Aim: tierAim, Deadline: tierDeadline, Worth: 1,
 		Effect: balance.Safe}}, Routers: 1, Zone: f.set.Zone, OverShareWorth: 1, MaxAttempts: 2, ConnectTimeout: time.Second,
 		ColdFrom: 1, Ramp: time.Second, OverloadFactor: 2, OverloadFor: time.Second}
 	if near {
@@ -56,7 +56,7 @@
 
 // follow hands the table the changes that it lacks, one by one, as every router's table gets them. When the roster has been
 // written down anew, the table begins anew with it.
-func (h *hop) follow(s *clusterstate.State) {
+func (h *cacheTier) follow(s *clusterstate.State) {
 	if h.base != s.RosterBase || h.done > len(s.Roster) {
 		gone := exchange.List{Addresses: map[balance.ServerID]string{}}
 		gone.Kind, gone.Version = balance.Complete, int64(s.Index)
@@ -78,7 +78,7 @@
 }
 
 // change tells the table how those whom it is to have differ from those whom it has.
-func (h *hop) change(version int64) {
+func (h *cacheTier) change(version int64) {
 	chosen, want := clusterstate.Lenders(h.roster), map[string]clusterstate.Router{}
 	if h.home {
 		chosen = clusterstate.Shields(h.roster)
@@ -105,7 +105,7 @@
 	}
 }
 
-func (h *hop) post(l exchange.List) { h.f.later(func() { h.loop.Listed(l) }) }
+func (h *cacheTier) post(l exchange.List) { h.f.later(func() { h.loop.Listed(l) }) }
 
 // Fetch is one cache router's question to another.
 type Fetch struct {
@@ -137,14 +137,14 @@
 }
 
 // ask submits a question on behalf of a caller and waits for the answer.
-func (h *hop) ask(x *exchange.Exchange, caller *departure.Caller) exchange.Answer {
+func (h *cacheTier) ask(x *exchange.Exchange, caller *departure.Caller) exchange.Answer {
 	h.callers.Store(x, caller)
 	defer h.callers.Delete(x)
 	return await(h.loop, x, caller)
 }
 
 // Send asks the cache router that was decided on; this one asks itself without a call.
-func (h *hop) Send(a *exchange.Attempt) {
+func (h *cacheTier) Send(a *exchange.Attempt) {
 	known, ok := h.callers.Load(a.Exchange)
 	go func() {
 		if !ok { // answered and let go meanwhile
@@ -155,7 +155,7 @@
 	}()
 }
 
-func (h *hop) attempt(a *exchange.Attempt, caller *departure.Caller) exchange.Reply {
+func (h *cacheTier) attempt(a *exchange.Attempt, caller *departure.Caller) exchange.Reply {
 	q := Fetch{}
 	if err := decodeAsk(a.Exchange, &q); err != nil {
 		return exchange.Reply{Result: balance.Moot, Err: err}
@@ -207,7 +207,7 @@
 func decodeAsk(x *exchange.Exchange, q *Fetch) error {
 	v := x.Header[askKey]
 	if len(v) != 10 {
-		return Error.New("hop: a question of %d parts", len(v))
+		return Error.New("cache tier: a question of %d parts", len(v))
 	}
 	*q = Fetch{Key: objectcache.Key{Service: v[0], Host: v[1], Path: v[2], Query: v[3]}, Target: v[4], ID: v[5], Route: v[6],
 		Index: uint64(atoi(v[7])), AgeMS: atoi(v[8]), ETag: v[9]}
