How a question is brought to the leader is one piece of code, played by the simulation

Change: configstore.Question decides each step of a question (wait, ask here, ask there, ask again, the three ends) without a clock or I/O; the process and the simulation carry out its moves. A forwarded question waits for a leader as the process's does, which the simulation's did not. Ruled out: playing the process's goroutines under testing/synctest (their order is not a seed's).

--- a/internal/cdn/configstore/forwarding.go
+++ b/internal/cdn/configstore/forwarding.go
@@ -10,10 +10,7 @@
 
 // This file brings questions to the leader, from whichever core machine they came to.
 
-const (
-	askLeaderWithin = 800 * time.Millisecond
-	askLeaderAgain  = 25 * time.Millisecond
-)
+const askLeaderWithin = 800 * time.Millisecond
 
 // left is how much of a context's time is left, in milliseconds.
 func left(ctx context.Context) int64 {
@@ -42,36 +39,49 @@
 	}
 }
 
-// askLeader asks the leader, here or there, again and again until one of the two says that it is done or the time is over. A
-// question that was forwarded is asked here once and goes no further. An error says that nothing was begun.
+// askLeader asks the leader, here or there, again and again until one of the two says that it is done or the time is over. An error says that
+// nothing was begun.
 func (s *Store) askLeader(ctx context.Context, forwarded bool, here func() bool, there func(*peerrpc.Peer) bool) (done bool, err error) {
-	begun := false
+	due, bounded := ctx.Deadline()
+	if !bounded {
+		due = time.Now().Add(askLeaderWithin)
+	}
+	q := NewQuestion(forwarded, due)
 	for {
 		leads, at := s.whereLeader(ctx)
-		switch {
-		case leads:
-			begun = true
-			done = here()
-		case forwarded:
-			return false, errNoLeader
-		case at != "":
-			begun = true
-			done = there(s.peers.At(at))
+		move := q.Led(time.Now(), leads, at)
+		switch move.Kind {
+		case AskHere:
+			clear := here()
+			move = q.Answered(time.Now(), clear)
+		case AskThere:
+			clear := there(s.peers.At(move.To))
+			move = q.Answered(time.Now(), clear)
 		}
-		if done || forwarded {
-			return done, nil
+		if !move.Ends() {
+			move = pauseBefore(ctx, q, move)
 		}
-		select {
-		case <-ctx.Done():
-			if begun {
-				return false, nil // in the log, perhaps
-			}
+		switch move.Kind {
+		case EndAnswered:
+			return true, nil
+		case EndUnclear:
+			return false, nil
+		case EndNotBegun:
 			return false, errNoLeader
-		case <-time.After(askLeaderAgain):
 		}
 	}
 }
 
+// pauseBefore waits before a question is asked again; it ends with its context.
+func pauseBefore(ctx context.Context, q *Question, next Move) Move {
+	select {
+	case <-ctx.Done():
+		return q.End()
+	case <-time.After(next.After):
+		return next
+	}
+}
+
 // whereLeader waits for a leader: here, or at an address.
 func (s *Store) whereLeader(ctx context.Context) (here bool, at string) {
 	s.view.wait(ctx, func() bool {
--- a/internal/cdn/simulation/clients.go
+++ b/internal/cdn/simulation/clients.go
@@ -15,7 +15,7 @@
 	orderWithin  = 2500 * time.Millisecond // of one try, at the machine that takes it
 	patience     = time.Second             // of a caller
 	forwardAfter = 700 * time.Millisecond  // without a word, a forwarded question is asked again
-	askAgain     = 25 * time.Millisecond
+	lookAgain    = 5 * time.Millisecond    // who waits for news of a machine's own state looks so often
 	servers      = 4
 )
 
@@ -223,68 +223,86 @@
 		func(b configstore.Barrier) bool { return b.OK }, func(b configstore.Barrier) { reply(b.Index, b.OK) })
 }
 
-// ask brings a question to the leader from the machine that was called, again and again while there is time. A process that
-// has ended or is stopped says nothing.
+// ask brings a question to the leader from the machine that was called, as its process does: configstore.Question decides each step. A process
+// that has ended or is stopped says nothing.
 func ask[T any](w *world, h *host, until time.Time, question func(*configstore.Machine, func(T)), good func(T) bool, reply func(T)) {
-	incarnation := h.incarnation
-	var none T
-	var attempt func()
-	again := func() { w.after(askAgain, attempt) }
-	attempt = func() {
-		switch {
-		case h.machine == nil || h.incarnation != incarnation:
-			return
-		case h.frozen:
-			h.waiting = append(h.waiting, attempt)
-			return
-		case w.now.After(until):
-			reply(none)
-			return
-		}
-		answered := false
-		answer := func(r T) {
-			if answered {
-				return
-			}
-			answered = true
-			if good(r) {
-				reply(r)
-			} else {
-				again()
-			}
-		}
-		here, at := h.machine.View.Leader()
-		switch leader := w.hostAt(at); {
-		case here:
-			h.run(func() { question(h.machine, answer) })
-		case leader == nil || leader == h:
-			again()
-		default:
-			forward(w, h, leader, question, answer)
-			w.after(forwardAfter, func() { answer(none) })
-		}
+	p := &pursuit[T]{w: w, h: h, incarnation: h.incarnation, q: configstore.NewQuestion(false, until), question: question, good: good, reply: reply}
+	p.there = func(to *host, answer func(T)) {
+		forward(w, h, to, until, question, good, answer)
+		var none T
+		w.after(forwardAfter, func() { answer(none) })
 	}
-	w.carry("operator", h.address, attempt)
+	w.carry("operator", h.address, p.look)
 }
 
-// forward asks another machine, once.
-func forward[T any](w *world, from, to *host, question func(*configstore.Machine, func(T)), answer func(T)) {
+// forward brings a question to another machine, once.
+func forward[T any](w *world, from, to *host, until time.Time, question func(*configstore.Machine, func(T)), good func(T) bool, answer func(T)) {
 	back := func(r T) { w.carry(to.address, from.address, func() { from.run(func() { answer(r) }) }) }
 	w.carry(from.address, to.address, func() {
-		if to.machine == nil {
-			return
-		}
-		to.run(func() {
-			if leads, _ := to.machine.View.Leader(); leads {
-				question(to.machine, back)
-			} else {
-				var none T
-				back(none)
-			}
-		})
+		p := &pursuit[T]{w: w, h: to, incarnation: to.incarnation, q: configstore.NewQuestion(true, until), question: question, good: good, reply: back}
+		p.look()
 	})
 }
 
+// pursuit is a question at one machine: its moves are carried out in virtual time.
+type pursuit[T any] struct {
+	w           *world
+	h           *host
+	incarnation int
+	q           *configstore.Question
+	question    func(*configstore.Machine, func(T))
+	there       func(to *host, answer func(T)) // asks the leader at another machine
+	good        func(T) bool
+	reply       func(T)
+}
+
+// look sees who leads and does what follows.
+func (p *pursuit[T]) look() {
+	switch {
+	case p.h.machine == nil || p.h.incarnation != p.incarnation:
+		return
+	case p.h.frozen:
+		p.h.waiting = append(p.h.waiting, p.look)
+		return
+	}
+	var none T
+	here, at := p.h.machine.View.Leader()
+	p.carryOut(p.q.Led(p.w.now, here, at), none)
+}
+
+func (p *pursuit[T]) carryOut(move configstore.Move, got T) {
+	var none T
+	switch move.Kind {
+	case configstore.AskHere:
+		p.h.run(func() { p.question(p.h.machine, p.answerOnce()) })
+	case configstore.AskThere:
+		if to := p.w.hostAt(move.To); to != nil && to != p.h {
+			p.there(to, p.answerOnce())
+		} else {
+			p.w.after(forwardAfter, func() { p.carryOut(p.q.Answered(p.w.now, false), none) })
+		}
+	case configstore.WaitForLeader:
+		p.w.after(lookAgain, p.look)
+	case configstore.AskAgain:
+		p.w.after(move.After, p.look)
+	case configstore.EndAnswered:
+		p.reply(got)
+	default:
+		p.reply(none)
+	}
+}
+
+// answerOnce takes the first answer to what was asked.
+func (p *pursuit[T]) answerOnce() func(T) {
+	answered := false
+	return func(r T) {
+		if !answered {
+			answered = true
+			p.carryOut(p.q.Answered(p.w.now, p.good(r)), r)
+		}
+	}
+}
+
 // whenApplied waits until a machine's state has an entry.
 func (w *world) whenApplied(h *host, index uint64, then func()) {
 	incarnation := h.incarnation
@@ -297,7 +315,7 @@
 		case h.machine.View.Applied() >= index:
 			then()
 		default:
-			w.after(5*time.Millisecond, look)
+			w.after(lookAgain, look)
 		}
 	}
 	look()
