--- a/internal/cdn/simulation/clients.go
+++ b/internal/cdn/simulation/clients.go
@@ -25,6 +25,7 @@
 	acknowledged int
 	answered     int
 	taken        []order // that were acknowledged
+	took         []time.Duration
 	known        clusterstate.Version
 	knownSince   []knownVersion
 	storm        bool
@@ -156,6 +157,7 @@
 		}
 		w.record(*c, r.Outcome, true)
 		if r.Status == clusterstate.Done {
+			w.client.took = append(w.client.took, w.now.Sub(c.begun))
 			w.acknowledge(c.order, h)
 		}
 		then()
--- a/internal/cdn/simulation/world.go
+++ b/internal/cdn/simulation/world.go
@@ -45,6 +45,9 @@
 	Elapsed   time.Duration // in virtual time
 	Messages  int
 	DisksLost int // and machines that were gone for good
+
+	Acknowledged []time.Duration // from an operator's first sending of an order to its acknowledgement, in the order in which they came
+	Syncs        uint64          // of all disks, by the processes that run at the end
 }
 
 // event is something that happens at a time. Events of one time happen in the order in which they were made.
@@ -107,7 +110,17 @@
 		w.checkHistory()
 	}
 	return Result{Seed: o.Seed, Failure: w.failure, At: w.since(), Faults: w.faults, Orders: w.client.acknowledged, Reads: w.client.answered,
-		Elapsed: w.since(), Messages: w.messages, DisksLost: w.disksLost}
+		Elapsed: w.since(), Messages: w.messages, DisksLost: w.disksLost, Acknowledged: w.client.took, Syncs: w.syncs()}
+}
+
+// syncs is how often the disks were synced by the processes that run.
+func (w *world) syncs() (sum uint64) {
+	for _, h := range w.hosts {
+		if h.machine != nil {
+			sum += h.machine.View.Status(w.now).Syncs
+		}
+	}
+	return sum
 }
 
 func newWorld(o Options) *world {
