--- a/internal/cdn/edge/listener.go
+++ b/internal/cdn/edge/listener.go
@@ -29,6 +29,8 @@
 	all   map[*clientConn]struct{}
 	over  chan struct{} // closed once no connection can come any more
 	ended sync.Once
+
+	looked time.Time // when connections were last held against the limits
 }
 
 // clientConn is one client's connection.
@@ -122,14 +124,23 @@
 	defer turn.Stop()
 	for {
 		select {
-		case now := <-turn.C:
-			l.closeLate(now, limits())
+		case <-turn.C:
+			l.look(time.Now(), limits())
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// look holds the connections against the limits, but for the first time after the process stood still: what clients sent meanwhile has yet to be read.
+func (l *clientListener) look(now time.Time, limits clusterstate.Limits) {
+	stood := !l.looked.IsZero() && now.Sub(l.looked) > 2*limitEvery
+	l.looked = now
+	if !stood {
+		l.closeLate(now, limits)
+	}
+}
+
 func (l *clientListener) closeLate(now time.Time, limits clusterstate.Limits) {
 	for _, c := range l.connections() {
 		c.mu.Lock()
--- a/internal/cdn/edge/listener_test.go
+++ b/internal/cdn/edge/listener_test.go
@@ -94,6 +94,18 @@
 	}
 }
 
+// A process that stood still reads first what its clients sent meanwhile, and looks at their times after that.
+func TestAStandstillIsNoFaultOfClients(t *testing.T) {
+	limits := clusterstate.Limits{Header: 3 * time.Second, Idle: 15 * time.Second}
+	d, at := newClientListener(nil), time.Now()
+	d.all[&clientConn{Conn: halfclose.New(&scripted{}), listener: d, since: at}] = struct{}{}
+	d.look(at, limits)
+	d.look(at.Add(20*time.Second), limits)
+	assert.Equal(t, len(d.all), 1, "closed before its bytes could be read")
+	d.look(at.Add(21*time.Second), limits)
+	assert.Equal(t, len(d.all), 0)
+}
+
 // lateListener has one more connection as it is closed, as a kernel may.
 type lateListener struct {
 	net.Listener
