--- a/internal/cdn/edge/edge.go
+++ b/internal/cdn/edge/edge.go
@@ -96,15 +96,15 @@
 	debug.SetMemoryLimit(int64(float64(set.MemoryMB<<20) * memoryTarget))
 	life, end := context.WithCancel(context.Background())
 	defer end()
-	f := &Edge{set: set, log: log, peers: peerrpc.NewPeers(), replica: statesync.New(),
+	e := &Edge{set: set, log: log, peers: peerrpc.NewPeers(), replica: statesync.New(),
 		cache: objectcache.New(int64(set.MemoryMB<<20) / cachePart), clock: exchange.NewClock(), changes: make(chan func(), 4096),
 		life: life}
-	f.init()
+	e.init()
 	own := set.Inner(set.IP, bootconfig.EdgePort)
-	f.view = peersampling.New(own, viewMost, mrand.Uint64())
-	f.replica.Set, f.replica.Peers, f.replica.Log = set, f.peers, log.Named("statesync")
-	f.replica.Router = clusterstate.Router{Node: set.Node, Zone: set.Zone, Address: own, Weight: weight(set), Inner: !clients}
-	f.replica.Took, f.replica.Neighbours = f.took, f.view.Neighbours
+	e.view = peersampling.New(own, viewMost, mrand.Uint64())
+	e.replica.Set, e.replica.Peers, e.replica.Log = set, e.peers, log.Named("statesync")
+	e.replica.Router = clusterstate.Router{Node: set.Node, Zone: set.Zone, Address: own, Weight: weight(set), Inner: !clients}
+	e.replica.Took, e.replica.Neighbours = e.took, e.view.Neighbours
 
 	inner, err := net.Listen("tcp", own)
 	if err != nil {
@@ -112,33 +112,33 @@
 	}
 	var front *front
 	if clients {
-		if front, err = f.open(); err != nil {
+		if front, err = e.open(); err != nil {
 			return err
 		}
 	}
-	f.running.Go(func() { f.zoneCaches.loop.Run(life) })
-	f.running.Go(func() { f.shields.loop.Run(life) })
-	f.running.Go(func() { f.zoneShields.loop.Run(life) })
-	f.running.Go(func() { f.follow(life) })
-	f.running.Go(func() { f.sweep(life) })
-	f.running.Go(func() { f.mingle(life) })
-	f.running.Go(func() { f.tell(life) })
-	f.running.Go(func() { f.showOnSignal(life) })
-	go f.replica.Run(life)
-	go peerrpc.Serve(inner, "Edge", func(s *peerrpc.Session) any { return &peerCalls{f, s} })
-	metrics.Serve(life, set, log, f.figures()...)
+	e.running.Go(func() { e.zoneCaches.loop.Run(life) })
+	e.running.Go(func() { e.shields.loop.Run(life) })
+	e.running.Go(func() { e.zoneShields.loop.Run(life) })
+	e.running.Go(func() { e.follow(life) })
+	e.running.Go(func() { e.sweep(life) })
+	e.running.Go(func() { e.mingle(life) })
+	e.running.Go(func() { e.tell(life) })
+	e.running.Go(func() { e.showOnSignal(life) })
+	go e.replica.Run(life)
+	go peerrpc.Serve(inner, "Edge", func(s *peerrpc.Session) any { return &peerCalls{e, s} })
+	metrics.Serve(life, set, log, e.figures()...)
 	if front != nil {
 		front.serve()
 	}
-	log.Info("started", "address", set.Counter, "zone", set.Zone, "weight", f.replica.Router.Weight)
+	log.Info("started", "address", set.Counter, "zone", set.Zone, "weight", e.replica.Router.Weight)
 
 	<-ctx.Done()
-	f.ending.Store(true)
+	e.ending.Store(true)
 	begun := time.Now()
 	if front != nil {
 		front.end(begun)
 	} else {
-		f.lent.end(lastMoment(begun, set.Bounds.Grace))
+		e.lent.end(lastMoment(begun, set.Bounds.Grace))
 	}
 	log.Info("ended in order", "after", time.Since(begun).Round(time.Millisecond))
 	return nil
@@ -149,37 +149,37 @@
 
 // front is where clients and the platform come in. A machine that serves no clients has none, and only lends copies.
 type front struct {
-	f                  *Edge
+	edge               *Edge
 	readiness, counter net.Listener
 	listener           *clientListener
 	server             *http.Server
 }
 
-func (f *Edge) open() (*front, error) {
-	readiness, err := net.Listen("tcp", f.set.Readiness)
+func (e *Edge) open() (*front, error) {
+	readiness, err := net.Listen("tcp", e.set.Readiness)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	counter, err := net.Listen("tcp", f.set.Counter)
+	counter, err := net.Listen("tcp", e.set.Counter)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	return &front{f: f, readiness: readiness, counter: counter}, nil
+	return &front{edge: e, readiness: readiness, counter: counter}, nil
 }
 
 func (t *front) serve() {
 	t.listener = newClientListener(t.counter)
-	t.server = &http.Server{Handler: http.HandlerFunc(t.f.serve), ConnState: t.listener.state, ConnContext: withConnection, ReadHeaderTimeout: longestHeader, IdleTimeout: longestIdle,
-		MaxHeaderBytes: 64 << 10, ErrorLog: t.f.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
+	t.server = &http.Server{Handler: http.HandlerFunc(t.edge.serve), ConnState: t.listener.state, ConnContext: withConnection, ReadHeaderTimeout: longestHeader, IdleTimeout: longestIdle,
+		MaxHeaderBytes: 64 << 10, ErrorLog: t.edge.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
 	go t.server.Serve(t.listener)
-	t.f.running.Go(func() { t.listener.limit(t.f.life, t.f.limits) })
-	gate := &http.Server{Handler: http.HandlerFunc(t.f.serveReady), ReadHeaderTimeout: 2 * time.Second}
+	t.edge.running.Go(func() { t.listener.limit(t.edge.life, t.edge.limits) })
+	gate := &http.Server{Handler: http.HandlerFunc(t.edge.serveReady), ReadHeaderTimeout: 2 * time.Second}
 	go gate.Serve(t.readiness)
 }
 
 // limits are what clients may do by the configuration in force.
-func (f *Edge) limits() clusterstate.Limits {
-	if p := f.plan.Load(); p != nil {
+func (e *Edge) limits() clusterstate.Limits {
+	if p := e.plan.Load(); p != nil {
 		return p.Limits
 	}
 	return clusterstate.UsualLimits
@@ -187,11 +187,11 @@
 
 // end is the end in order: not ready, then no new connections, then what is in hand.
 func (t *front) end(begun time.Time) {
-	t.f.log.Info("ending: takes what still comes until the platform sends no more")
-	time.Sleep(min(notReadyFor, t.f.set.Bounds.Grace/2))
-	t.f.lastWord.Store(true)
-	if left := t.listener.drain(lastMoment(begun, t.f.set.Bounds.Grace)); left > 0 {
-		t.f.log.Warn("ended with requests in hand", "connections", left)
+	t.edge.log.Info("ending: takes what still comes until the platform sends no more")
+	time.Sleep(min(notReadyFor, t.edge.set.Bounds.Grace/2))
+	t.edge.lastWord.Store(true)
+	if left := t.listener.drain(lastMoment(begun, t.edge.set.Bounds.Grace)); left > 0 {
+		t.edge.log.Warn("ended with requests in hand", "connections", left)
 	}
 	t.server.Close()
 }
@@ -201,21 +201,21 @@
 	return begun.Add(grace - min(endMargin, grace/endPart))
 }
 
-func (f *Edge) serveReady(w http.ResponseWriter, r *http.Request) {
+func (e *Edge) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/ready" {
 		http.NotFound(w, r)
 		return
 	}
-	if !f.ready.Load() || f.ending.Load() {
+	if !e.ready.Load() || e.ending.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
 // follow carries out, in order, what follows from news.
-func (f *Edge) follow(ctx context.Context) {
+func (e *Edge) follow(ctx context.Context) {
 	for {
 		select {
-		case do := <-f.changes:
+		case do := <-e.changes:
 			do()
 		case <-ctx.Done():
 			return
@@ -223,18 +223,18 @@
 	}
 }
 
-func (f *Edge) sweep(ctx context.Context) {
+func (e *Edge) sweep(ctx context.Context) {
 	look := time.NewTicker(lookEvery)
 	defer look.Stop()
 	for turn := 1; ; turn++ {
 		select {
 		case now := <-look.C:
-			f.refreshDue(now)
+			e.refreshDue(now)
 			if turn%10 == 0 {
-				f.weigh()
+				e.weigh()
 			}
 			if turn%20 == 0 {
-				f.sender.Pool.Sweep(now)
+				e.sender.Pool.Sweep(now)
 			}
 		case <-ctx.Done():
 			return
@@ -243,58 +243,58 @@
 }
 
 // init makes what hangs on the settings alone.
-func (f *Edge) init() {
-	f.link, f.from = newLink(f.set.LinkMbps), newLink(f.set.LinkMbps)
-	f.callers = departure.NewLedger()
-	f.callers.LogBreaches(f.log)
-	if f.log == nil {
-		f.log = hclog.NewNullLogger()
+func (e *Edge) init() {
+	e.link, e.from = newLink(e.set.LinkMbps), newLink(e.set.LinkMbps)
+	e.callers = departure.NewLedger()
+	e.callers.LogBreaches(e.log)
+	if e.log == nil {
+		e.log = hclog.NewNullLogger()
 	}
-	f.decisions = slog.New(decisionLog{log: f.log.Named("decisions")})
-	f.services, f.started = map[string]*service{}, map[string]balance.Time{}
-	f.bodies = exchange.NewBudget(int64(f.set.MemoryMB<<20) / bodiesPart)
-	f.fetches.all = map[level]*fetch{}
-	f.sender = upstream.NewSender(max(f.set.FileHandles/2-fdsReserved, 64), &f.counts)
-	f.zoneShields = newCacheTier(f, true, true)
-	f.zoneCaches, f.shields = newCacheTier(f, false, true), newCacheTier(f, true, false)
+	e.decisions = slog.New(decisionLog{log: e.log.Named("decisions")})
+	e.services, e.started = map[string]*service{}, map[string]balance.Time{}
+	e.bodies = exchange.NewBudget(int64(e.set.MemoryMB<<20) / bodiesPart)
+	e.fetches.all = map[level]*fetch{}
+	e.sender = upstream.NewSender(max(e.set.FileHandles/2-fdsReserved, 64), &e.counts)
+	e.zoneShields = newCacheTier(e, true, true)
+	e.zoneCaches, e.shields = newCacheTier(e, false, true), newCacheTier(e, true, false)
 }
 
 // mingle keeps this router's partial view of the others: now and then it is exchanged in part with one of them. The roster is
 // only asked for somebody to begin with, or when nobody in the view answers any more.
-func (f *Edge) mingle(ctx context.Context) {
+func (e *Edge) mingle(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(mingleEvery/2 + mrand.N(mingleEvery)):
 		}
-		if len(f.view.Neighbours()) < viewMost/2 {
-			f.replica.Read(func(s *clusterstate.State) {
+		if len(e.view.Neighbours()) < viewMost/2 {
+			e.replica.Read(func(s *clusterstate.State) {
 				for _, r := range s.Routers { // in no order, and until the view is full
-					if r.Node != f.set.Node {
-						f.view.Meet(r.Address)
+					if r.Node != e.set.Node {
+						e.view.Meet(r.Address)
 					}
 				}
 			})
 		}
-		ask, offer := f.view.Begin(f.replica.Index())
+		ask, offer := e.view.Begin(e.replica.Index())
 		if ask == "" {
 			continue
 		}
 		call, done := context.WithTimeout(ctx, time.Second)
-		answer, err := peerrpc.Call[[]peersampling.Neighbour, []peersampling.Neighbour](call, f.peers.At(ask), "Edge.Mingle", &offer)
+		answer, err := peerrpc.Call[[]peersampling.Neighbour, []peersampling.Neighbour](call, e.peers.At(ask), "Edge.Mingle", &offer)
 		if done(); err != nil {
-			f.log.Debug("a neighbour is gone", "err", err)
+			e.log.Debug("a neighbour is gone", "err", err)
 			continue
 		}
-		f.view.End(answer, offer)
+		e.view.End(answer, offer)
 	}
 }
 
 // newLoop returns a host for decisions, with this process's clock and counters.
-func (f *Edge) newLoop(set balance.Settings, sender exchange.Sender, pool *exchange.Pool) *exchange.Loop {
+func (e *Edge) newLoop(set balance.Settings, sender exchange.Sender, pool *exchange.Pool) *exchange.Loop {
 	l := exchange.NewLoop()
-	l.Clock, l.Counts, l.Log, l.Pool, l.Sender, l.Teller = f.clock, &f.counts, f.decisions, pool, sender, nobody{}
+	l.Clock, l.Counts, l.Log, l.Pool, l.Sender, l.Teller = e.clock, &e.counts, e.decisions, pool, sender, nobody{}
 	l.Settings, l.Seed = set, mrand.Uint64()
 	return l
 }
--- a/internal/cdn/edge/figures.go
+++ b/internal/cdn/edge/figures.go
@@ -7,7 +7,7 @@
 )
 
 // figures are what the process tells of itself beside its callers: see package departure for those.
-func (f *Edge) figures() []prometheus.Collector {
+func (e *Edge) figures() []prometheus.Collector {
 	gauge := func(name, help string, read func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cedarmast_" + name, Help: help}, read)
 	}
@@ -15,15 +15,15 @@
 		return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "cedarmast_" + name, Help: help}, func() float64 { return float64(of.Load()) })
 	}
 	return []prometheus.Collector{
-		f.callers,
+		e.callers,
 		gauge("server_connections_busy", "Connections to servers that an attempt uses or opens.", func() float64 {
-			return float64(f.counts.ServerConnections.Load() - f.counts.IdleConnections.Load())
+			return float64(e.counts.ServerConnections.Load() - e.counts.IdleConnections.Load())
 		}),
-		gauge("server_connections_idle", "Connections to servers that nobody uses.", func() float64 { return float64(f.counts.IdleConnections.Load()) }),
-		gauge("fetches_under_way", "Fetches of objects that somebody or the cache waits for.", func() float64 { return float64(f.fetches.count()) }),
-		counter("requests_total", "Requests that clients have sent.", &f.counts.Requests),
-		counter("attempts_total", "Attempts that were decided on.", &f.counts.Attempts),
-		counter("dials_total", "Connections to servers that were opened.", &f.counts.Dials),
-		counter("panics_total", "Panics that were survived.", &f.counts.Panics),
+		gauge("server_connections_idle", "Connections to servers that nobody uses.", func() float64 { return float64(e.counts.IdleConnections.Load()) }),
+		gauge("fetches_under_way", "Fetches of objects that somebody or the cache waits for.", func() float64 { return float64(e.fetches.count()) }),
+		counter("requests_total", "Requests that clients have sent.", &e.counts.Requests),
+		counter("attempts_total", "Attempts that were decided on.", &e.counts.Attempts),
+		counter("dials_total", "Connections to servers that were opened.", &e.counts.Dials),
+		counter("panics_total", "Panics that were survived.", &e.counts.Panics),
 	}
 }
--- a/internal/cdn/edge/frames_test.go
+++ b/internal/cdn/edge/frames_test.go
@@ -44,7 +44,7 @@
 		s := newReplicaForTest()
 		p.replica, p.cache = s, objectcache.New(1<<20)
 		server := rpc.NewServer()
-		assert.NilError(t, server.RegisterName("Edge", &peerCalls{f: p}))
+		assert.NilError(t, server.RegisterName("Edge", &peerCalls{edge: p}))
 		server.ServeConn(wire{bytes.NewReader(text), io.Discard})
 		assert.Equal(t, s.Index(), uint64(0))
 		n, _ := p.cache.Size()
--- a/internal/cdn/edge/link_test.go
+++ b/internal/cdn/edge/link_test.go
@@ -157,7 +157,7 @@
 	f := &Edge{cache: objectcache.New(1 << 20)}
 	k, body := objectcache.Key{Host: "h", Path: "/a"}, []byte("0123456789")
 	f.cache.Put(k, &objectcache.Copy{Body: body, ETag: "e", Shelf: time.Minute, At: time.Now(), Index: 1})
-	p := &peerCalls{f: f}
+	p := &peerCalls{edge: f}
 	cases := []struct {
 		q    Piece
 		want string // empty: refused
--- a/internal/cdn/edge/objects.go
+++ b/internal/cdn/edge/objects.go
@@ -28,23 +28,23 @@
 )
 
 // slack is how long past its shelf time a copy may still go out while the server is asked.
-func (f *Edge) slack() time.Duration {
-	return time.Duration(float64(f.set.Bounds.StaleSlack) * slackPart)
+func (e *Edge) slack() time.Duration {
+	return time.Duration(float64(e.set.Bounds.StaleSlack) * slackPart)
 }
 
 // vouched tells whether copies may be handed on: one that was out of touch for long may lack purges.
-func (f *Edge) vouched() bool {
-	phase, at := f.replica.Phase()
-	return phase == statesync.InTouch || time.Since(at) < f.set.Bounds.Contact
+func (e *Edge) vouched() bool {
+	phase, at := e.replica.Phase()
+	return phase == statesync.InTouch || time.Since(at) < e.set.Bounds.Contact
 }
 
 // refreshDue asks the servers about copies that are wanted and about to end, while the service's rate has room to spare.
-func (f *Edge) refreshDue(now time.Time) {
-	p := f.plan.Load()
-	if p == nil || !f.vouched() {
+func (e *Edge) refreshDue(now time.Time) {
+	p := e.plan.Load()
+	if p == nil || !e.vouched() {
 		return
 	}
-	for _, due := range f.cache.Due(now, mostDue) {
+	for _, due := range e.cache.Due(now, mostDue) {
 		sv := p.services[due.Key.Service]
 		if sv == nil || !sv.rate.spare() {
 			continue
@@ -53,41 +53,41 @@
 		if route == nil {
 			continue
 		}
-		f.start(Fetch{Key: due.Key, Target: due.Key.Target(), Route: route.Name, ID: due.By}, due.Copy, refreshTime, false)
+		e.start(Fetch{Key: due.Key, Target: due.Key.Target(), Route: route.Name, ID: due.By}, due.Copy, refreshTime, false)
 	}
 }
 
 // held returns this router's copy, if it is good. With wanted false it does not count as wanted by that.
-func (f *Edge) held(k objectcache.Key, by string, wanted bool) (*objectcache.Copy, objectcache.Grade) {
-	x, grade := f.cache.Peek(k, time.Now(), f.slack())
+func (e *Edge) held(k objectcache.Key, by string, wanted bool) (*objectcache.Copy, objectcache.Grade) {
+	x, grade := e.cache.Peek(k, time.Now(), e.slack())
 	if wanted {
-		x, grade = f.cache.Get(k, time.Now(), f.slack(), by)
+		x, grade = e.cache.Get(k, time.Now(), e.slack(), by)
 	}
-	if grade != objectcache.NotThere && !f.vouched() {
+	if grade != objectcache.NotThere && !e.vouched() {
 		grade = objectcache.Stale
 	}
 	return x, grade
 }
 
 // obtain brings an object: the copy, or what a server says.
-func (f *Edge) obtain(ctx context.Context, q Fetch) Fetched {
-	x, grade := f.held(q.Key, q.ID, !q.Own)
+func (e *Edge) obtain(ctx context.Context, q Fetch) Fetched {
+	x, grade := e.held(q.Key, q.ID, !q.Own)
 	if q.AgeMS > 0 && grade != objectcache.NotThere && time.Since(x.At) > time.Duration(q.AgeMS)*time.Millisecond {
 		grade = objectcache.Stale // the asker has as good a one
 	}
 	switch grade {
 	case objectcache.Fresh:
-		return f.answer(q, x)
+		return e.answer(q, x)
 	case objectcache.Ageing:
-		f.start(q, x, refreshTime, false)
-		return f.answer(q, x)
+		e.start(q, x, refreshTime, false)
+		return e.answer(q, x)
 	}
 	for ctx.Err() == nil {
-		w := f.start(q, x, patienceOf(ctx, q), true)
+		w := e.start(q, x, patienceOf(ctx, q), true)
 		if w == nil {
 			break
 		}
-		got, ended := f.await(ctx, level{q.Key, q.Home}, w)
+		got, ended := e.await(ctx, level{q.Key, q.Home}, w)
 		if !ended {
 			break
 		}
@@ -112,8 +112,8 @@
 }
 
 // await waits for a fetch that was joined; it is not ended if the context ends before.
-func (f *Edge) await(ctx context.Context, at level, w *fetch) (got Fetched, ended bool) {
-	defer f.fetches.leave(at, w)
+func (e *Edge) await(ctx context.Context, at level, w *fetch) (got Fetched, ended bool) {
+	defer e.fetches.leave(at, w)
 	select {
 	case <-w.done:
 		return w.got, true
@@ -128,7 +128,7 @@
 }
 
 // answer hands a copy on, without its body to one who has the same.
-func (f *Edge) answer(q Fetch, x *objectcache.Copy) Fetched {
+func (e *Edge) answer(q Fetch, x *objectcache.Copy) Fetched {
 	got := fetchedFrom(x)
 	if q.ETag != "" && q.ETag == x.ETag {
 		got.Same, got.Header, got.Body = true, nil, nil
@@ -138,8 +138,8 @@
 
 // start begins a fetch unless one is under way, and joins it; nil if the configuration has no such service any more. Whoever waits is to call
 // await; what nobody waits for is kept.
-func (f *Edge) start(q Fetch, old *objectcache.Copy, patience time.Duration, waits bool) *fetch {
-	p := f.plan.Load()
+func (e *Edge) start(q Fetch, old *objectcache.Copy, patience time.Duration, waits bool) *fetch {
+	p := e.plan.Load()
 	var sv *service
 	if p != nil {
 		sv = p.services[q.Key.Service]
@@ -148,44 +148,44 @@
 		return nil
 	}
 	at := level{q.Key, q.Home}
-	f.fetches.mu.Lock()
-	if w := f.fetches.all[at]; w != nil {
+	e.fetches.mu.Lock()
+	if w := e.fetches.all[at]; w != nil {
 		w.join(waits)
-		f.fetches.mu.Unlock()
+		e.fetches.mu.Unlock()
 		return w
 	}
-	w := &fetch{done: make(chan struct{}), caller: f.callers.Open(f.life, departure.Waiters, q.Route)}
+	w := &fetch{done: make(chan struct{}), caller: e.callers.Open(e.life, departure.Waiters, q.Route)}
 	w.join(waits)
-	f.fetches.all[at] = w
-	f.fetches.mu.Unlock()
+	e.fetches.all[at] = w
+	e.fetches.mu.Unlock()
 	go func() {
 		defer func() {
 			if panicked := recover(); panicked != nil { // nobody waits for ever, and the process goes on
-				f.counts.Panics.Add(1)
-				f.log.Error("fetch panicked", "panic", panicked)
+				e.counts.Panics.Add(1)
+				e.log.Error("fetch panicked", "panic", panicked)
 				w.got = Fetched{Refuse: comeAgain.Milliseconds()}
 			}
 			w.caller.Close()
-			f.fetches.settled(at, w)
+			e.fetches.settled(at, w)
 			close(w.done)
 		}()
-		w.got = f.fetch(w.caller, p, sv, q, old, min(patience, fetchPatient))
+		w.got = e.fetch(w.caller, p, sv, q, old, min(patience, fetchPatient))
 	}()
 	return w
 }
 
 // fetch asks the servers for a whole object, or whether a copy of it is still good, and stores what may be handed on.
-func (f *Edge) fetch(caller *departure.Caller, p *plan, sv *service, q Fetch, old *objectcache.Copy, patience time.Duration) Fetched {
+func (e *Edge) fetch(caller *departure.Caller, p *plan, sv *service, q Fetch, old *objectcache.Copy, patience time.Duration) Fetched {
 	route := p.routes[q.Route]
 	if route == nil {
 		route = &clusterstate.Route{Timeout: patience}
 	}
 	if near := sv.here.Load() && sv.speeds.long(route.Name); !q.Home { // a long body of the own zone's servers stays in the zone
-		way := f.shields
+		way := e.shields
 		if near {
-			way = f.zoneShields
+			way = e.zoneShields
 		}
-		if got, ok := f.askHome(caller, way, q, old, route, patience); ok {
+		if got, ok := e.askHome(caller, way, q, old, route, patience); ok {
 			return got
 		}
 	}
@@ -205,8 +205,8 @@
 		header["If-None-Match"] = []string{old.ETag}
 	}
 	order := &upstream.Order{ID: q.ID, Stamped: true, Keep: route.Shelf > 0, Caller: caller}
-	index, begun := f.replica.Index(), time.Now()
-	a := f.ask(sv, route.Name, order, exchange.Request{Class: p.class(route), Arrived: begun, TimeLeft: min(patience, route.Timeout),
+	index, begun := e.replica.Index(), time.Now()
+	a := e.ask(sv, route.Name, order, exchange.Request{Class: p.class(route), Arrived: begun, TimeLeft: min(patience, route.Timeout),
 		Method: http.MethodGet, Target: q.Target, Header: header})
 	if a.Kind != exchange.Served {
 		if last := order.Failure(); last != nil {
@@ -220,10 +220,10 @@
 	case status == http.StatusNotModified && old != nil:
 		x := *old
 		x.At, x.Index, x.Shelf = begun, index, route.Shelf
-		f.cache.Put(q.Key, &x)
+		e.cache.Put(q.Key, &x)
 		return fetchedFrom(&x)
 	case status == http.StatusOK && first(head, upstream.HeaderStamp) != "":
-		x := f.store(q.Key, route, without(head, upstream.HeaderLoad), a.Body, begun, index)
+		x := e.store(q.Key, route, without(head, upstream.HeaderLoad), a.Body, begun, index)
 		return fetchedFrom(x)
 	}
 	return Fetched{Status: status, Header: head, Body: a.Body}
@@ -231,8 +231,8 @@
 
 // askHome asks the key's shield. It is not ok if there is none but this router, or it does not answer: then the servers are
 // asked from here.
-func (f *Edge) askHome(caller *departure.Caller, way *cacheTier, q Fetch, old *objectcache.Copy, route *clusterstate.Route, patience time.Duration) (Fetched, bool) {
-	q.Index, q.AgeMS, q.ETag = f.replica.Index(), 0, ""
+func (e *Edge) askHome(caller *departure.Caller, way *cacheTier, q Fetch, old *objectcache.Copy, route *clusterstate.Route, patience time.Duration) (Fetched, bool) {
+	q.Index, q.AgeMS, q.ETag = e.replica.Index(), 0, ""
 	if old != nil {
 		q.ETag, q.AgeMS = old.ETag, max(int64(route.Shelf/4/time.Millisecond), 1)
 	}
@@ -257,16 +257,16 @@
 		}
 		same := *old
 		same.At, same.Index, same.Shelf = at, got.Index, route.Shelf
-		f.cache.Put(q.Key, &same)
+		e.cache.Put(q.Key, &same)
 		return fetchedFrom(&same), true
 	}
-	f.store(q.Key, route, got.Header, got.Body, at, got.Index)
+	e.store(q.Key, route, got.Header, got.Body, at, got.Index)
 	return got, true
 }
 
 // borrow keeps what the key's cache router has handed over, unless this one is it: while it is fresh it costs no call, and
 // afterwards none of its bytes as long as it is the same.
-func (f *Edge) borrow(k objectcache.Key, route *clusterstate.Route, got Fetched, old *objectcache.Copy, begun time.Time) Fetched {
+func (e *Edge) borrow(k objectcache.Key, route *clusterstate.Route, got Fetched, old *objectcache.Copy, begun time.Time) Fetched {
 	x := &objectcache.Copy{Header: got.Header, Body: got.Body, ETag: first(got.Header, "Etag"),
 		Labels: strings.Fields(strings.Join(got.Header[upstream.HeaderLabels], " "))}
 	if got.Same {
@@ -277,27 +277,27 @@
 		x = &same
 	}
 	x.Lent, x.Shelf, x.Index, x.At = true, route.Shelf, got.Index, begun.Add(-time.Duration(got.AgeMS)*time.Millisecond)
-	if now, grade := f.cache.Get(k, begun, 0, ""); route.Shelf > 0 && (grade == objectcache.NotThere || now.Lent) {
-		f.cache.Put(k, x)
+	if now, grade := e.cache.Get(k, begun, 0, ""); route.Shelf > 0 && (grade == objectcache.NotThere || now.Lent) {
+		e.cache.Put(k, x)
 	}
 	return fetchedFrom(x)
 }
 
 // store keeps an object, if the route lets copies be kept.
-func (f *Edge) store(k objectcache.Key, route *clusterstate.Route, head http.Header, body []byte, at time.Time, index uint64) *objectcache.Copy {
+func (e *Edge) store(k objectcache.Key, route *clusterstate.Route, head http.Header, body []byte, at time.Time, index uint64) *objectcache.Copy {
 	x := &objectcache.Copy{Header: head, Body: body, ETag: first(head, "Etag"), Shelf: route.Shelf, At: at, Index: index,
 		Labels: strings.Fields(strings.Join(head[upstream.HeaderLabels], " "))}
 	if route.Shelf > 0 {
-		f.cache.Put(k, x)
+		e.cache.Put(k, x)
 	}
 	return x
 }
 
 // ask submits a request to a service's decisions and waits for the one answer.
-func (f *Edge) ask(sv *service, route string, order *upstream.Order, r exchange.Request) exchange.Answer {
+func (e *Edge) ask(sv *service, route string, order *upstream.Order, r exchange.Request) exchange.Answer {
 	x := exchange.New(r)
-	f.sender.Begin(x, order)
-	defer f.sender.End(x)
+	e.sender.Begin(x, order)
+	defer e.sender.End(x)
 	a := await(sv.loop(route), x, order.Caller)
 	sv.rate.spend(order.Sent() - 1) // one place was taken; where servers fail, what is sent again counts as well
 	if a.Kind == exchange.Served {
--- a/internal/cdn/edge/pieces.go
+++ b/internal/cdn/edge/pieces.go
@@ -26,8 +26,8 @@
 var errOther = errors.New("the copy is another one by now")
 
 // holds returns the copy's body, if it is still this one.
-func (f *Edge) holds(k objectcache.Key, etag string, total int) []byte {
-	x, grade := f.cache.Get(k, time.Now(), f.slack(), "")
+func (e *Edge) holds(k objectcache.Key, etag string, total int) []byte {
+	x, grade := e.cache.Get(k, time.Now(), e.slack(), "")
 	if grade == objectcache.NotThere || etag == "" || x.ETag != etag || len(x.Body) != total {
 		return nil
 	}
@@ -36,9 +36,9 @@
 
 // Piece answers with part of a body.
 func (p *peerCalls) Piece(q *Piece, part *[]byte) error {
-	p.f.lent.begin()
-	defer p.f.lent.done()
-	body := p.f.holds(q.Key, q.ETag, q.Total)
+	p.edge.lent.begin()
+	defer p.edge.lent.done()
+	body := p.edge.holds(q.Key, q.ETag, q.Total)
 	if body == nil {
 		return errOther
 	}
@@ -50,14 +50,14 @@
 }
 
 // lentBy asks another cache router for an object; over a thin link the rest of a long body comes by pieces.
-func (f *Edge) lentBy(ctx context.Context, peer *peerrpc.Peer, q Fetch) (Fetched, error) {
-	if f.from.rate > 0 {
+func (e *Edge) lentBy(ctx context.Context, peer *peerrpc.Peer, q Fetch) (Fetched, error) {
+	if e.from.rate > 0 {
 		q.Most = lentPiece
 	}
 	begun := time.Now()
 	q.Ticket = peerrpc.NewTicket()
 	got, err := peerrpc.CallWatched[Fetch, Fetched](ctx, peer, "Edge.Fetch", &q, q.Ticket)
-	f.from.out(len(got.Body), time.Now())
+	e.from.out(len(got.Body), time.Now())
 	if err != nil || got.Total == 0 {
 		return got, err
 	}
@@ -67,7 +67,7 @@
 	body := append(make([]byte, 0, got.Total), got.Body...)
 	for etag := first(got.Header, "Etag"); len(body) < got.Total; {
 		n := min(lentPiece, got.Total-len(body))
-		if err := f.from.wait(ctx, n, got.Total-len(body), begun); err != nil {
+		if err := e.from.wait(ctx, n, got.Total-len(body), begun); err != nil {
 			return Fetched{}, err
 		}
 		part, err := peerrpc.CallWatched[Piece, []byte](ctx, peer, "Edge.Piece", &Piece{q.Key, etag, got.Total, len(body), n}, 0)
--- a/internal/cdn/edge/plan.go
+++ b/internal/cdn/edge/plan.go
@@ -57,46 +57,46 @@
 )
 
 // took hears of every change, in order, under the replica's lock.
-func (f *Edge) took(s *clusterstate.State, c clusterstate.Command, index uint64, whole bool) {
+func (e *Edge) took(s *clusterstate.State, c clusterstate.Command, index uint64, whole bool) {
 	if whole {
-		f.cache.Forget(index)
+		e.cache.Forget(index)
 	}
 	if whole || c.Configures() {
-		f.configure(s, c.Taken)
+		e.configure(s, c.Taken)
 	}
 	if whole || c.Server != nil || c.Leave != "" || c.Lost != "" {
 		name := ""
 		if c.Server != nil {
 			name = c.Server.Service
 		}
-		f.retune(s) // before the list: a new server's limit hangs on how many slots there are
-		f.list(s, name)
+		e.retune(s) // before the list: a new server's limit hangs on how many slots there are
+		e.list(s, name)
 	}
 	if whole || c.Enrol != nil || c.Absent != "" {
-		f.zoneCaches.follow(s)
-		f.shields.follow(s)
-		f.zoneShields.follow(s)
-		f.retune(s)
+		e.zoneCaches.follow(s)
+		e.shields.follow(s)
+		e.zoneShields.follow(s)
+		e.retune(s)
 	}
 	if c.Cut != nil {
-		f.retune(s)
+		e.retune(s)
 	}
 	if p := c.Purge; p != nil {
-		f.cache.Purge(index, p.Host, p.Path, p.Tag)
+		e.cache.Purge(index, p.Host, p.Path, p.Tag)
 	}
 }
 
 // configure takes the state's configuration on, with its reading if that was made already. It is the one place where the version in force
 // changes, and it only rises.
-func (f *Edge) configure(s *clusterstate.State, m *clusterstate.Manifest) {
-	old := f.plan.Load()
+func (e *Edge) configure(s *clusterstate.State, m *clusterstate.Manifest) {
+	old := e.plan.Load()
 	if len(s.Body) == 0 || old != nil && s.Version <= old.Version {
 		return
 	}
 	if m == nil || m.Version != s.Version {
 		var err error
 		if m, err = clusterstate.ParseManifest(s.Body); err != nil { // the log takes no invalid ones
-			f.log.Error("configuration not readable", "version", s.Version, "err", err)
+			e.log.Error("configuration not readable", "version", s.Version, "err", err)
 			return
 		}
 	}
@@ -107,34 +107,34 @@
 	}
 	p.ranks = ranks(m)
 	for _, def := range m.Services {
-		sv := f.services[def.Name]
+		sv := e.services[def.Name]
 		if sv == nil {
 			sv = &service{name: def.Name, speeds: newServerSpeeds()}
-			ctx, end := context.WithCancel(f.life)
+			ctx, end := context.WithCancel(e.life)
 			sv.end = end
-			set := f.settings(s, p, def.Name)
-			sv.any = f.newLoop(set, f.sender, f.sender.Pool)
-			set.Tiers = func() balance.Tiers { return &nearFirst{zone: f.set.Zone} }
-			sv.near = f.newLoop(set, f.sender, f.sender.Pool)
-			f.services[def.Name] = sv
+			set := e.settings(s, p, def.Name)
+			sv.any = e.newLoop(set, e.sender, e.sender.Pool)
+			set.Tiers = func() balance.Tiers { return &nearFirst{zone: e.set.Zone} }
+			sv.near = e.newLoop(set, e.sender, e.sender.Pool)
+			e.services[def.Name] = sv
 			for _, l := range sv.loops() {
-				f.running.Go(func() { l.Run(ctx) })
+				e.running.Go(func() { l.Run(ctx) })
 			}
 		}
-		sv.rate.set(def.RatePerS*s.Share(def.Name, f.set.Node), f.set.Bounds)
+		sv.rate.set(def.RatePerS*s.Share(def.Name, e.set.Node), e.set.Bounds)
 		p.services[def.Name] = sv
 	}
-	f.plan.Store(p)
-	f.ready.Store(true)
-	for name, sv := range f.services {
+	e.plan.Store(p)
+	e.ready.Store(true)
+	for name, sv := range e.services {
 		if p.services[name] == nil { // let go once what is in hand has ended
-			delete(f.services, name)
+			delete(e.services, name)
 			time.AfterFunc(time.Minute, sv.end)
 		}
 	}
-	f.list(s, "")
-	f.retune(s)
-	f.log.Info("configuration in force", "version", m.Version, "routes", len(m.Routes), "index", s.Index)
+	e.list(s, "")
+	e.retune(s)
+	e.log.Info("configuration in force", "version", m.Version, "routes", len(m.Routes), "index", s.Index)
 }
 
 // ranks are the highest ranks among each service's routes.
@@ -168,20 +168,20 @@
 }
 
 // retune tells the decisions of the configuration's classes and of how many share the work.
-func (f *Edge) retune(s *clusterstate.State) {
-	p := f.plan.Load()
+func (e *Edge) retune(s *clusterstate.State) {
+	p := e.plan.Load()
 	if p == nil {
 		return
 	}
-	f.sender.Pool.SetIdleFor(idleFor(p.Services, len(s.Routers)))
+	e.sender.Pool.SetIdleFor(idleFor(p.Services, len(s.Routers)))
 	for name, sv := range p.services {
-		set := f.settings(s, p, name)
+		set := e.settings(s, p, name)
 		for _, def := range p.Services {
 			if def.Name == name {
-				sv.rate.set(def.RatePerS*s.Share(def.Name, f.set.Node), f.set.Bounds)
+				sv.rate.set(def.RatePerS*s.Share(def.Name, e.set.Node), e.set.Bounds)
 			}
 		}
-		f.later(func() {
+		e.later(func() {
 			if !sameSettings(sv.tuned, set) {
 				sv.tuned = set
 				for _, l := range sv.loops() {
@@ -192,11 +192,11 @@
 	}
 }
 
-func (f *Edge) later(do func()) {
+func (e *Edge) later(do func()) {
 	select {
-	case f.changes <- do:
+	case e.changes <- do:
 	default: // the follower is thousands of changes behind: it is waited for
-		f.changes <- do
+		e.changes <- do
 	}
 }
 
@@ -206,8 +206,8 @@
 
 // settings are what the decisions about a service are told. A lone router may fill its part of the servers' slots before it
 // has seen anything.
-func (f *Edge) settings(s *clusterstate.State, p *plan, name string) balance.Settings {
-	set := balance.Settings{Number: 0, Zone: f.set.Zone, OverShareWorth: 1, Parallel: true, MaxRetryAfter: mostAdvice,
+func (e *Edge) settings(s *clusterstate.State, p *plan, name string) balance.Settings {
+	set := balance.Settings{Number: 0, Zone: e.set.Zone, OverShareWorth: 1, Parallel: true, MaxRetryAfter: mostAdvice,
 		ConnectTimeout: time.Second, ColdFrom: coldPart, Ramp: cold, OverloadFactor: 2, OverloadFor: 2 * time.Second}
 	known := map[classKey]bool{}
 	for i := range p.Routes {
@@ -247,8 +247,8 @@
 }
 
 // list tells the decisions which servers a service has; of all services if none is named.
-func (f *Edge) list(s *clusterstate.State, name string) {
-	for each, sv := range f.services {
+func (e *Edge) list(s *clusterstate.State, name string) {
+	for each, sv := range e.services {
 		if name != "" && each != name {
 			continue
 		}
@@ -260,36 +260,36 @@
 			if x.Service != each {
 				continue
 			}
-			e := balance.Entry{Server: balance.ServerID(id), Zone: x.Zone, Weight: float64(max(x.Slots, 1)) * sv.speeds.part(id), Started: f.startOf(x)}
-			here = here || x.Zone == f.set.Zone
+			entry := balance.Entry{Server: balance.ServerID(id), Zone: x.Zone, Weight: float64(max(x.Slots, 1)) * sv.speeds.part(id), Started: e.startOf(x)}
+			here = here || x.Zone == e.set.Zone
 			if x.State != clusterstate.Open {
-				e.State = balance.Draining
+				entry.State = balance.Draining
 			}
-			l.Entries = append(l.Entries, e)
-			l.Addresses[e.Server] = x.Address
+			l.Entries = append(l.Entries, entry)
+			l.Addresses[entry.Server] = x.Address
 		}
 		sv.here.Store(here)
-		f.later(func() {
+		e.later(func() {
 			for _, to := range sv.loops() {
 				to.Listed(l)
 			}
 		})
 	}
-	for id := range f.started {
+	for id := range e.started {
 		if _, ok := s.Servers[id]; !ok {
-			delete(f.started, id)
+			delete(e.started, id)
 		}
 	}
 }
 
 // startOf is when a server began its warm-up, by this process's clock; 0 for one that is warm.
-func (f *Edge) startOf(x clusterstate.Server) balance.Time {
-	at, ok := f.started[x.ID]
+func (e *Edge) startOf(x clusterstate.Server) balance.Time {
+	at, ok := e.started[x.ID]
 	if !ok {
 		if x.WarmupMS > 0 {
-			at = f.clock.Now().Add(time.Duration(x.WarmupMS)*time.Millisecond - cold)
+			at = e.clock.Now().Add(time.Duration(x.WarmupMS)*time.Millisecond - cold)
 		}
-		f.started[x.ID] = at
+		e.started[x.ID] = at
 	}
 	return at
 }
--- a/internal/cdn/edge/rate.go
+++ b/internal/cdn/edge/rate.go
@@ -66,7 +66,7 @@
 }
 
 // tell lets the holder of the duty know what this router would ask of the servers, while that is anything: the rate is cut by it.
-func (f *Edge) tell(ctx context.Context) {
+func (e *Edge) tell(ctx context.Context) {
 	turn := time.NewTicker(tellEvery)
 	defer turn.Stop()
 	for {
@@ -74,10 +74,10 @@
 		case <-ctx.Done():
 			return
 		case now := <-turn.C:
-			needs, holder := clusterstate.Needs{Node: f.set.Node, Per: map[string]float64{}}, ""
-			f.replica.Read(func(s *clusterstate.State) {
+			needs, holder := clusterstate.Needs{Node: e.set.Node, Per: map[string]float64{}}, ""
+			e.replica.Read(func(s *clusterstate.State) {
 				holder = s.Duty.Holder
-				for name, sv := range f.services {
+				for name, sv := range e.services {
 					if need := sv.rate.needs(now); need >= leastNeed {
 						needs.Per[name] = need
 					}
@@ -87,8 +87,8 @@
 				continue
 			}
 			call, done := context.WithTimeout(ctx, tellEvery)
-			if _, err := peerrpc.Call[clusterstate.Needs, bool](call, f.peers.At(f.set.Inner(holder, bootconfig.ConfigStorePort)), "ConfigStore.Need", &needs); err != nil {
-				f.log.Debug("need not told", "err", err)
+			if _, err := peerrpc.Call[clusterstate.Needs, bool](call, e.peers.At(e.set.Inner(holder, bootconfig.ConfigStorePort)), "ConfigStore.Need", &needs); err != nil {
+				e.log.Debug("need not told", "err", err)
 			}
 			done()
 		}
--- a/internal/cdn/edge/serve.go
+++ b/internal/cdn/edge/serve.go
@@ -45,10 +45,10 @@
 	answered bool // its answer has begun
 }
 
-func (f *Edge) serve(w http.ResponseWriter, r *http.Request) {
+func (e *Edge) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	f.counts.Requests.Add(1)
-	q := &request{Request: r, w: w, link: f.link, id: r.Header.Get(upstream.HeaderID), arrived: arrived, left: usualLeft, plan: f.plan.Load(), last: f.lastWord.Load()}
+	e.counts.Requests.Add(1)
+	q := &request{Request: r, w: w, link: e.link, id: r.Header.Get(upstream.HeaderID), arrived: arrived, left: usualLeft, plan: e.plan.Load(), last: e.lastWord.Load()}
 	if ms := atoi(r.Header.Get(upstream.HeaderLeft)); ms > 0 {
 		q.left = time.Duration(min(ms, int64(time.Hour/time.Millisecond))) * time.Millisecond
 	}
@@ -67,16 +67,16 @@
 	q.left = min(q.left, q.route.Timeout)
 	if q.route.Kind == clusterstate.Shelved && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		io.Copy(io.Discard, http.MaxBytesReader(q.w, r.Body, usualBody)) // it says nothing of an object; behind it a leave would not be seen
-		f.serveObject(q, objectKey(q, strings.ToLower(host)))
+		e.serveObject(q, objectKey(q, strings.ToLower(host)))
 		return
 	}
-	defer f.account(q)()
-	f.serveWithBody(q)
+	defer e.account(q)()
+	e.serveWithBody(q)
 }
 
 // account keeps account of a request's client from now until the returned function is called.
-func (f *Edge) account(q *request) (done func()) {
-	q.caller = f.callers.Open(q.Context(), departure.Client, q.route.Name)
+func (e *Edge) account(q *request) (done func()) {
+	q.caller = e.callers.Open(q.Context(), departure.Client, q.route.Name)
 	onLeave(q.Request, q.caller.Leave)
 	return func() {
 		left := q.caller.Left()
@@ -88,7 +88,7 @@
 }
 
 // serveWithBody reads a request's body and sends it to a server.
-func (f *Edge) serveWithBody(q *request) {
+func (e *Edge) serveWithBody(q *request) {
 	r := q.Request
 	most := q.plan.Limits.BodyBytes
 	if r.ContentLength > most {
@@ -96,8 +96,8 @@
 		return
 	}
 	if r.ContentLength < 0 || r.ContentLength > usualBody { // held whole, all of them within a part of the memory
-		most = min(most, f.bodies.Most())
-		let, ok := f.bodies.Take(max(r.ContentLength, min(most, usualBody)))
+		most = min(most, e.bodies.Most())
+		let, ok := e.bodies.Take(max(r.ContentLength, min(most, usualBody)))
 		if !ok {
 			q.refuse(comeAgain)
 			return
@@ -109,7 +109,7 @@
 		q.final(http.StatusBadRequest, nil, nil)
 		return
 	}
-	f.serveDirect(q, body)
+	e.serveDirect(q, body)
 }
 
 // target is the request line's, as the client wrote it, but for the host before it that some write.
@@ -121,7 +121,7 @@
 }
 
 // serveDirect sends a request to a server of its route's service.
-func (f *Edge) serveDirect(q *request, body []byte) {
+func (e *Edge) serveDirect(q *request, body []byte) {
 	sv := q.plan.services[q.route.Pick(rand.Float64())]
 	if sv == nil {
 		q.refuse(comeAgain)
@@ -136,7 +136,7 @@
 	header := upstream.EndToEnd(q.Header.Clone())
 	header["Host"] = []string{q.Host}
 	order := &upstream.Order{ID: q.id, OnceOnly: q.route.Kind == clusterstate.OnceOnly, Caller: q.caller}
-	a := f.ask(sv, q.route.Name, order, exchange.Request{ID: q.id, Class: q.plan.class(q.route), Arrived: q.arrived, TimeLeft: q.left,
+	a := e.ask(sv, q.route.Name, order, exchange.Request{ID: q.id, Class: q.plan.class(q.route), Arrived: q.arrived, TimeLeft: q.left,
 		Write: q.route.Kind == clusterstate.OnceOnly, Method: q.Method, Target: target(q.Request), Header: header, Body: body})
 	switch failure := order.Failure(); {
 	case q.caller.Left(): // nobody is there to take an answer
@@ -163,20 +163,20 @@
 }
 
 // serveObject answers from this router's copy. Nothing is done for the client of one that is fresh, so that no account of it is kept.
-func (f *Edge) serveObject(q *request, k objectcache.Key) {
-	own, grade := f.held(k, q.id, true)
+func (e *Edge) serveObject(q *request, k objectcache.Key) {
+	own, grade := e.held(k, q.id, true)
 	if grade == objectcache.Fresh {
 		q.deliver(fetchedFrom(own))
 		return
 	}
-	defer f.account(q)()
-	f.serveShelved(q, k, own)
+	defer e.account(q)()
+	e.serveShelved(q, k, own)
 }
 
 // serveShelved answers from the copy of the cache router that the table names, or of the servers.
-func (f *Edge) serveShelved(q *request, k objectcache.Key, own *objectcache.Copy) {
-	ask := Fetch{Key: k, Target: k.Target(), ID: q.id, Route: q.route.Name, Index: f.replica.Index()}
-	if own != nil && own.Lent && f.vouched() {
+func (e *Edge) serveShelved(q *request, k objectcache.Key, own *objectcache.Copy) {
+	ask := Fetch{Key: k, Target: k.Target(), ID: q.id, Route: q.route.Name, Index: e.replica.Index()}
+	if own != nil && own.Lent && e.vouched() {
 		ask.ETag = own.ETag
 	}
 	left := q.left - tierSlack
@@ -186,14 +186,14 @@
 	x := exchange.New(exchange.Request{ID: q.id, Class: copyClass, Key: k.Hash(), HasKey: true, Arrived: q.arrived, TimeLeft: left,
 		Method: http.MethodGet, Target: ask.Target, Header: encodeAsk(ask)})
 	begun := time.Now()
-	a := f.zoneCaches.ask(x, q.caller)
+	a := e.zoneCaches.ask(x, q.caller)
 	if q.caller.Left() {
 		return
 	}
 	if a.Kind == exchange.Served {
 		got := unpack(a.Header, a.Body)
 		if got.Whole {
-			got = f.borrow(k, q.route, got, own, begun)
+			got = e.borrow(k, q.route, got, own, begun)
 		}
 		q.deliver(got)
 		return
@@ -207,7 +207,7 @@
 	ask.LeftMS = rest.Milliseconds()
 	ctx, done := context.WithTimeout(q.caller.Context(), rest) // a fetch that another one has begun may take longer
 	defer done()
-	q.deliver(f.obtain(ctx, ask)) // no cache router answers: this one asks the servers itself
+	q.deliver(e.obtain(ctx, ask)) // no cache router answers: this one asks the servers itself
 }
 
 // deliver answers with an object, whole or the range that was asked for, or with what a server said instead.
--- a/internal/cdn/edge/serve_test.go
+++ b/internal/cdn/edge/serve_test.go
@@ -121,7 +121,7 @@
 	body   string
 }
 
-func (f *Edge) get(t *testing.T, client *http.Client, url, method, target, body string, head ...string) answer {
+func (e *Edge) get(t *testing.T, client *http.Client, url, method, target, body string, head ...string) answer {
 	t.Helper()
 	q, err := http.NewRequest(method, url+target, strings.NewReader(body))
 	assert.NilError(t, err)
--- a/internal/cdn/edge/show.go
+++ b/internal/cdn/edge/show.go
@@ -13,31 +13,31 @@
 )
 
 // showOnSignal logs on SIGUSR1 what the decisions hold of servers and cache routers, and this router's shares of rates, until the context ends.
-func (f *Edge) showOnSignal(ctx context.Context) {
+func (e *Edge) showOnSignal(ctx context.Context) {
 	asked := make(chan os.Signal, 1)
 	signal.Notify(asked, syscall.SIGUSR1)
 	defer signal.Stop(asked)
 	for {
 		select {
 		case <-asked:
-			f.show()
+			e.show()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (f *Edge) show() {
-	for _, l := range []*exchange.Loop{f.zoneCaches.loop, f.shields.loop, f.zoneShields.loop} {
+func (e *Edge) show() {
+	for _, l := range []*exchange.Loop{e.zoneCaches.loop, e.shields.loop, e.zoneShields.loop} {
 		l.View(slog.LevelInfo)
 	}
-	p := f.plan.Load()
+	p := e.plan.Load()
 	if p == nil {
 		return
 	}
 	for name, sv := range p.services {
 		share := sv.rate.view()
-		f.log.Info("service viewed", "service", name, "share_per_s", share.perSecond, "tokens", share.tokens, "burst", share.burst, "need_per_s", share.need)
+		e.log.Info("service viewed", "service", name, "share_per_s", share.perSecond, "tokens", share.tokens, "burst", share.burst, "need_per_s", share.need)
 		for _, l := range sv.loops() {
 			l.View(slog.LevelInfo)
 		}
--- a/internal/cdn/edge/speeds.go
+++ b/internal/cdn/edge/speeds.go
@@ -110,9 +110,9 @@
 }
 
 // weigh tells the decisions of servers that have turned out quicker or slower.
-func (f *Edge) weigh() {
-	f.replica.Read(func(s *clusterstate.State) {
-		for name, sv := range f.services {
+func (e *Edge) weigh() {
+	e.replica.Read(func(s *clusterstate.State) {
+		for name, sv := range e.services {
 			servers := map[string]bool{}
 			for id, x := range s.Servers {
 				if x.Service == name {
@@ -120,7 +120,7 @@
 				}
 			}
 			if sv.speeds.moved(servers) {
-				f.list(s, name)
+				e.list(s, name)
 			}
 		}
 	})
--- a/internal/cdn/edge/tier.go
+++ b/internal/cdn/edge/tier.go
@@ -22,7 +22,7 @@
 
 // cacheTier is the way to the cache router that a key belongs to: the interval table, and the second hash when it is crowded.
 type cacheTier struct {
-	f    *Edge
+	edge *Edge
 	home bool // to the shield of a key, else to its cache router
 	loop *exchange.Loop
 	base uint64 // of the roster that the table was cut by
@@ -42,15 +42,15 @@
 	behindFor    = 150 * time.Millisecond // a cache router that lacks a purge may take so long to learn of it
 )
 
-func newCacheTier(f *Edge, home, near bool) *cacheTier {
-	h := &cacheTier{f: f, home: home, roster: map[string]clusterstate.Router{}, listed: map[string]clusterstate.Router{}}
+func newCacheTier(e *Edge, home, near bool) *cacheTier {
+	h := &cacheTier{edge: e, home: home, roster: map[string]clusterstate.Router{}, listed: map[string]clusterstate.Router{}}
 	set := balance.Settings{Classes: []balance.Class{{Name: copyClass, Aim: tierAim, Deadline: tierDeadline, Worth: 1,
-		Effect: balance.Safe}}, Routers: 1, Zone: f.set.Zone, OverShareWorth: 1, MaxAttempts: 2, ConnectTimeout: time.Second,
+		Effect: balance.Safe}}, Routers: 1, Zone: e.set.Zone, OverShareWorth: 1, MaxAttempts: 2, ConnectTimeout: time.Second,
 		ColdFrom: 1, Ramp: time.Second, OverloadFactor: 2, OverloadFor: time.Second}
 	if near {
-		set.Tiers = func() balance.Tiers { return &nearFirst{zone: f.set.Zone} }
+		set.Tiers = func() balance.Tiers { return &nearFirst{zone: e.set.Zone} }
 	}
-	h.loop = f.newLoop(set, h, f.sender.Pool)
+	h.loop = e.newLoop(set, h, e.sender.Pool)
 	return h
 }
 
@@ -105,7 +105,7 @@
 	}
 }
 
-func (h *cacheTier) post(l exchange.List) { h.f.later(func() { h.loop.Listed(l) }) }
+func (h *cacheTier) post(l exchange.List) { h.edge.later(func() { h.loop.Listed(l) }) }
 
 // Fetch is one cache router's question to another.
 type Fetch struct {
@@ -170,11 +170,11 @@
 	defer caller.End(departure.BreakOff)
 	var got Fetched
 	var err error
-	if string(a.Server) == h.f.set.Node {
+	if string(a.Server) == h.edge.set.Node {
 		q.Own = true
-		got = h.f.obtain(ctx, q)
+		got = h.edge.obtain(ctx, q)
 	} else {
-		got, err = h.f.lentBy(ctx, h.f.peers.At(a.Address), q)
+		got, err = h.edge.lentBy(ctx, h.edge.peers.At(a.Address), q)
 	}
 	switch cause := upstream.Withdrawal(ctx); {
 	case cause != nil: // no fault of the cache router's
@@ -244,7 +244,7 @@
 
 // peerCalls is what other processes may call. Its methods have net/rpc's form.
 type peerCalls struct {
-	f       *Edge
+	edge    *Edge
 	session *peerrpc.Session
 }
 
@@ -252,29 +252,29 @@
 func (p *peerCalls) Fetch(q *Fetch, g *Fetched) (err error) {
 	defer func() {
 		if panicked := recover(); panicked != nil {
-			p.f.counts.Panics.Add(1)
+			p.edge.counts.Panics.Add(1)
 			err = Error.New("fetch: panic: %v", panicked)
 		}
 	}()
 	ctx, done := p.session.Begin(q.Ticket, time.Duration(q.LeftMS)*time.Millisecond)
 	defer done()
-	caller := p.f.callers.Open(ctx, departure.Neighbour, q.Route)
+	caller := p.edge.callers.Open(ctx, departure.Neighbour, q.Route)
 	defer caller.Close()
-	p.f.lent.begin()
-	defer p.f.lent.done()
-	if p.f.ending.Load() {
+	p.edge.lent.begin()
+	defer p.edge.lent.done()
+	if p.edge.ending.Load() {
 		return errors.New("ending")
 	}
-	if p.f.replica.Index() < q.Index {
+	if p.edge.replica.Index() < q.Index {
 		wait, late := context.WithTimeout(ctx, behindFor)
-		ok := p.f.replica.Await(wait, q.Index)
+		ok := p.edge.replica.Await(wait, q.Index)
 		late()
 		if !ok {
 			return errors.New("behind: it may hold what was purged")
 		}
 	}
-	*g = p.f.obtain(ctx, *q)
-	if q.Most > 0 && g.Whole && len(g.Body) > q.Most && p.f.holds(q.Key, first(g.Header, "Etag"), len(g.Body)) != nil {
+	*g = p.edge.obtain(ctx, *q)
+	if q.Most > 0 && g.Whole && len(g.Body) > q.Most && p.edge.holds(q.Key, first(g.Header, "Etag"), len(g.Body)) != nil {
 		g.Total, g.Body = len(g.Body), g.Body[:q.Most]
 	}
 	return nil
@@ -295,12 +295,12 @@
 
 // News hands on what is held, for one that no core machine answers.
 func (p *peerCalls) News(a *clusterstate.Ask, n *clusterstate.News) error {
-	*n = p.f.replica.News(*a)
+	*n = p.edge.replica.News(*a)
 	return nil
 }
 
 // Mingle exchanges part of a view.
 func (p *peerCalls) Mingle(offer *[]peersampling.Neighbour, answer *[]peersampling.Neighbour) error {
-	*answer = p.f.view.Answer(*offer, p.f.replica.Index())
+	*answer = p.edge.view.Answer(*offer, p.edge.replica.Index())
 	return nil
 }
