A registry whose config store is gone acknowledges no beat by itself

Cause: found while the calm fleet was looked for. (1) A registry whose machine's config store is down keeps a copy in touch by way of other machines and acknowledged beats that nobody else ever heard of: the holder of the duty would take living servers out after six beats. Change: while who was heard can't be passed on, beats go to the log or get 503, and their server goes to the next machine; localnet replaces settings files by a rename.

--- a/internal/cdn/localnet/localnet.go
+++ b/internal/cdn/localnet/localnet.go
@@ -139,17 +139,17 @@
 
 // Up starts a machine's processes that do not run.
 func (n *Network) Up(m *Machine) error {
-	file := filepath.Join(m.Dir, "boot.conf")
-	if err := os.WriteFile(file, []byte(n.settings(m)), 0o644); err != nil {
-		return Error.Wrap(err)
-	}
-	m.first = false
 	programs := []string{"edge"}
 	if m.Core {
 		programs = []string{"configstore", "registry"}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	file := filepath.Join(m.Dir, "boot.conf")
+	if err := replaceFile(file, []byte(n.settings(m))); err != nil {
+		return err
+	}
+	m.first = false
 	for _, p := range programs {
 		if m.processes[p] != nil {
 			continue
@@ -173,6 +173,15 @@
 	return nil
 }
 
+// replaceFile writes a file whole or not at all: a process that starts meanwhile reads the old one or the new one.
+func replaceFile(path string, text []byte) error {
+	next := path + ".next"
+	if err := os.WriteFile(next, text, 0o644); err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(os.Rename(next, path))
+}
+
 // Signal sends a signal to a machine's processes; a killed one is waited for.
 func (n *Network) Signal(m *Machine, s syscall.Signal) {
 	m.mu.Lock()
--- a/internal/cdn/registry/registry.go
+++ b/internal/cdn/registry/registry.go
@@ -52,6 +52,7 @@
 
 	mu    sync.Mutex
 	beats *Beats
+	deaf  bool // the machine's config store could not be told who was heard
 }
 
 // Run serves the outside calls until the context ends.
@@ -200,12 +201,12 @@
 		return
 	}
 	w.mu.Lock()
-	late := w.beats.Take(s, time.Now())
+	late, deaf := w.beats.Take(s, time.Now()), w.deaf
 	w.mu.Unlock()
 	var held clusterstate.Server
 	listed := false
 	w.replica.Read(func(state *clusterstate.State) { held, listed = state.Servers[id] })
-	if phase, _ := w.replica.Phase(); Settled(s, late, held, listed, phase == statesync.InTouch) {
+	if phase, _ := w.replica.Phase(); Settled(s, late, held, listed, phase == statesync.InTouch && !deaf) {
 		w.say(rw, r, clusterstate.Outcome{Status: clusterstate.Done}, nil, w.forward())
 		return
 	}
@@ -293,16 +294,26 @@
 			return
 		case <-time.After(w.set.Heartbeat / 3):
 		}
-		w.mu.Lock()
-		heard := w.beats.Heard()
-		w.mu.Unlock()
-		if len(heard) == 0 {
-			continue
-		}
-		call, done := context.WithTimeout(ctx, readWithin)
-		if _, err := peerrpc.Call[[]string, bool](call, w.store, "ConfigStore.Heard", &heard); err != nil {
-			w.log.Debug("not passed on", "err", err)
-		}
-		done()
+		w.passOn(ctx)
 	}
 }
+
+// passOn tells it once. While it can't be told nothing is acknowledged at once: nobody else would know that the servers live, and they would be
+// taken out. They go on to another machine.
+func (w *Registry) passOn(ctx context.Context) {
+	w.mu.Lock()
+	heard, deaf := w.beats.Heard(), w.deaf
+	w.mu.Unlock()
+	if len(heard) == 0 && !deaf {
+		return
+	}
+	call, done := context.WithTimeout(ctx, readWithin)
+	defer done()
+	_, err := peerrpc.Call[[]string, bool](call, w.store, "ConfigStore.Heard", &heard)
+	if err != nil {
+		w.log.Debug("not passed on", "err", err)
+	}
+	w.mu.Lock()
+	w.deaf = err != nil
+	w.mu.Unlock()
+}
