--- a/internal/cdn/bootconfig/bootconfig.go
+++ b/internal/cdn/bootconfig/bootconfig.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -43,6 +44,7 @@
 	Named                                 *Seeds        // those that the file names by now; nil: Seeds
 	Heartbeat                             time.Duration // in which servers tell of themselves
 	Bounds                                Bounds
+	Platform                              Platform
 	Metrics                               string // PORT/PATH where figures are told; empty: nowhere. From the command line
 }
 
@@ -66,12 +68,29 @@
 // Bounds are the figures of the rules, as the operators gave them.
 type Bounds struct {
 	Contact, Drain, Grace, Edition, Purge, StaleSlack time.Duration
+	Revoke                                            time.Duration // after a key's removal is acknowledged no machine runs requests with it; 0: no such bound
 	CeilingWindow                                     time.Duration
 	CeilingExcess                                     float64
 	RetryRatio, RetrySlack                            float64
 	Tolerate                                          int // machines that count whose loss at once must be borne
 }
 
+// Platform is the operators' platform, which is called for the duties that it names.
+type Platform struct {
+	Address      string   // IP:port; empty: there is none
+	Duties       []string // calls that fall to one machine at a time
+	DutyPerS     float64  // such calls a second that it takes from all machines together
+	ReportWindow time.Duration
+	UsageDelay   time.Duration // after a window's end its report is due
+	Lease        time.Duration // within which two holders of a duty must not act by turns
+}
+
+// UsageDuty is the duty to report the tenants' requests.
+const UsageDuty = "usage"
+
+// ReportsUsage tells whether the tenants' requests are to be reported to the platform.
+func (p Platform) ReportsUsage() bool { return p.Address != "" && slices.Contains(p.Duties, UsageDuty) }
+
 // Read reads and checks a settings file.
 func Read(path string) (Settings, error) {
 	text, err := os.ReadFile(path)
@@ -125,9 +144,30 @@
 			RetryRatio:    r.number("tariff.timetable.retry_ratio", 0.2), RetrySlack: r.number("tariff.timetable.retry_slack", 30),
 			Tolerate: r.whole("tariff.tolerate.machines", 1)},
 	}
+	if r.truth("tariff.timetable.revocation_global") {
+		s.Bounds.Revoke = r.span("tariff.timetable.revoke", usualRevoke)
+	}
+	s.Platform = r.platform()
 	return s, r.faults.Err()
 }
 
+const (
+	usualRevoke       = 5 * time.Second
+	usualDutyPerS     = 10
+	usualReportWindow = 5 * time.Second
+	usualUsageDelay   = 10 * time.Second
+	usualLease        = 3 * time.Second
+)
+
+// platform reads how the platform is called.
+func (r *reader) platform() Platform {
+	return Platform{Address: r.address("yard.yard_api.address"), Duties: list(r.k.String("yard.yard_api.duties")),
+		DutyPerS:     r.number("yard.yard_api.duty_per_s", usualDutyPerS),
+		ReportWindow: max(r.span("tariff.timetable.report_window", usualReportWindow), time.Second),
+		UsageDelay:   r.span("tariff.timetable.usage_delay", usualUsageDelay),
+		Lease:        r.span("tariff.timetable.lease", usualLease)}
+}
+
 // reader takes values out and collects the faults.
 type reader struct {
 	k      *koanf.Koanf
--- a/internal/cdn/clusterstate/clusterstate.go
+++ b/internal/cdn/clusterstate/clusterstate.go
@@ -81,6 +81,7 @@
 	Duty       Duty
 	Purges     uint64                        // how many there were
 	Parts      map[string]map[string]float64 // of services' rates, by service and node; nil where nothing was cut
+	Usage      UsageLedger
 }
 
 const (
@@ -117,6 +118,9 @@
 	Appoint string   `json:"appoint,omitempty"` // who takes the duty
 	Cut     *Cut     `json:"cut,omitempty"`     // of a service's rate
 
+	FixUsage   *UsageReport `json:"fix_usage,omitempty"`   // under Epoch: the counts of the next window, which change no more
+	UsageTaken int64        `json:"usage_taken,omitempty"` // under Epoch: the platform has taken this window's report
+
 	Taken *Manifest `json:"-"` // of a configuration that was taken, as it was read; not in the log
 }
 
--- a/internal/cdn/clusterstate/manifest.go
+++ b/internal/cdn/clusterstate/manifest.go
@@ -47,6 +47,7 @@
 	Name, Host, Prefix, Kind string
 	Timeout, Target, Shelf   time.Duration
 	Priority, Tries          int
+	Unsealed                 bool    // its requests need no key
 	Split                    []Share // one with all the weight, if it is not split
 }
 
@@ -71,6 +72,7 @@
 	Version, Base Version
 	Routes        []Route
 	Services      []Service
+	Tenants       []Tenant
 	Limits        Limits
 }
 
--- a/internal/cdn/clusterstate/news.go
+++ b/internal/cdn/clusterstate/news.go
@@ -28,7 +28,10 @@
 	Changes []Change
 	Core    []string // where the core machines are
 	Fresh   bool     // the one who answers follows a leader that has a majority
-	Index   uint64   // what the one who answers holds
+	// Proven: with this answer the asker holds all that had been acknowledged AgeMS before the answer was given. Neighbours hand the proof on.
+	Proven bool
+	AgeMS  int64
+	Index  uint64 // what the one who answers holds
 }
 
 // History is a state together with its last changes, for those who ask what is new.
--- a/internal/cdn/statesync/statesync.go
+++ b/internal/cdn/statesync/statesync.go
@@ -54,6 +54,7 @@
 	core    []string
 	phase   Phase
 	heard   time.Time // when news, or the word that there is none, last came from a fresh core machine; of the question's begin
+	proof   time.Time // see Proof
 	changed chan struct{}
 	whole   bool // the next question is for all of the state
 }
@@ -87,6 +88,14 @@
 	return s.phase, s.heard
 }
 
+// Proof is a moment of this process's steady clock: all that had been acknowledged by then is in the copy. The zero time: nothing is proven.
+// Whoever reads the copy after Proof holds at least as much.
+func (s *Replica) Proof() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.proof
+}
+
 // become is the one place where the phase changes. The caller holds the lock.
 func (s *Replica) become(p Phase) {
 	if s.phase != p {
--- a/internal/cdn/upstream/headers.go
+++ b/internal/cdn/upstream/headers.go
@@ -15,6 +15,8 @@
 	HeaderLoad     = "Load"
 	HeaderLabels   = "Labels"
 	HeaderServerID = "Server-Id"
+	HeaderKey      = "Key"    // a client's, never shown to a server
+	HeaderSender   = "Sender" // the tenant that holds the client's key, as servers are told
 )
 
 // StatusKey is where a reply's header holds the server's status: no header has such a name.
--- a/internal/cdn/upstream/order.go
+++ b/internal/cdn/upstream/order.go
@@ -18,6 +18,9 @@
 	Stamped  bool              // a success without stamp is none
 	Keep     bool              // its answer becomes a copy: what was sent is finished though its caller has left
 	Caller   *departure.Caller // whom it is for
+	// Permit is asked right before an attempt connects, and again before its last byte leaves: it names the tenant that the request runs for,
+	// empty for none, or says why it must not run. nil: nobody need be asked.
+	Permit func() (sender string, err error)
 
 	mu   sync.Mutex
 	last *exchange.Reply  // the last answer of a server that ran it and failed
