Meter of tenants' requests by report window, and its way to the holder

Cause: no request of a tenant is counted (duty left undone). The proxy's part (edge/usage.go) is not joined yet.

--- /dev/null
+++ b/internal/cdn/usage/meter_test.go
@@ -0,0 +1,76 @@
+package usage
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const testWindow = 5 * time.Second
+
+func at(seconds float64) time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// A request is counted once, in the window of its first send that may have run; what servers turn away is taken out.
+func TestRequestsAreCountedOnce(t *testing.T) {
+	type step struct {
+		begun  float64 // 0: turned away
+		tenant string
+	}
+	cases := []struct {
+		name  string
+		steps []step
+		want  map[int64]Counts
+	}{
+		{"runs", []step{{1, "a"}}, map[int64]Counts{200: {"a": 1}}},
+		{"turned away", []step{{1, "a"}, {}}, map[int64]Counts{}},
+		{"turned away, then runs in the next window", []step{{1, "a"}, {}, {6, "a"}}, map[int64]Counts{201: {"a": 1}}},
+		{"a second copy", []step{{1, "a"}, {6, "a"}}, map[int64]Counts{200: {"a": 1}}},
+		{"a second copy that is turned away", []step{{1, "a"}, {6, "a"}, {}}, map[int64]Counts{200: {"a": 1}}},
+		{"its key is passed on between two attempts", []step{{1, "a"}, {}, {2, "b"}}, map[int64]Counts{200: {"b": 1}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := Request{Meter: NewMeter("edge-1", "life", testWindow)}
+			for _, s := range c.steps {
+				if s.begun == 0 {
+					r.TurnedAway()
+				} else {
+					r.Begun(s.tenant, at(s.begun))
+				}
+			}
+			assert.DeepEqual(t, r.Meter.Report(at(20)).Windows, c.want)
+		})
+	}
+}
+
+// A report is cumulative over what is not fixed, and says which windows change no more; fixed ones take nothing.
+func TestReport(t *testing.T) {
+	m := NewMeter("edge-1", "life", testWindow)
+	m.Count("a", at(1))
+	first := m.Report(at(5.5))
+	assert.Equal(t, first.Final, int64(199), "a window settles for a second after its end")
+	m.Count("a", at(6))
+	second := m.Report(at(6.1))
+	assert.Equal(t, second.Final, int64(200))
+	assert.DeepEqual(t, second.Windows, map[int64]Counts{200: {"a": 1}, 201: {"a": 1}})
+	assert.Assert(t, second.Sequence > first.Sequence)
+	m.Fixed(200)
+	m.Count("a", at(1))
+	m.Withdraw("a", 200)
+	assert.DeepEqual(t, m.Report(at(12)).Windows, map[int64]Counts{201: {"a": 1}})
+}
+
+// Windows that are never fixed are let go, the oldest first.
+func TestMeterIsBounded(t *testing.T) {
+	m := NewMeter("edge-1", "life", testWindow)
+	for k := range mostWindows + 3 {
+		m.Count("a", at(float64(k)*testWindow.Seconds()))
+	}
+	windows := m.Report(at(0)).Windows
+	assert.Equal(t, len(windows), mostWindows)
+	_, oldest := windows[200]
+	assert.Assert(t, !oldest)
+}
