Configurations carry tenants and their keys, and routes that need none

Cause: the reader of configurations passed over parcels of kind `senders` and a route's `unsealed`, so nothing after it could know whose key a request carries, and a configuration in which two tenants share a key was acknowledged. Ruled out: reading them at the edge alone (the log would take invalid ones). Change: both are read, by the incremental reader as well; a key of two tenants, an empty key, and a tenant without a name that a header can carry are invalid; the same key twice at one tenant is taken. Before: TestWhatIsTaken "200 != 400: a key of two tenants", TestTenantsOfKeys "m.Tenants: nil". After: both pass, and TestReaderReadsAsAWhole with three further forms (its agreement held before too, as neither way read tenants).

--- a/internal/cdn/clusterstate/clusterstate_test.go
+++ b/internal/cdn/clusterstate/clusterstate_test.go
@@ -1,6 +1,7 @@
 package clusterstate
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -17,6 +18,12 @@
 	fine    = `"domain":"a.example","path_prefix":"/x/","mail_class":"shelved","timeout":"1500ms","target":"120ms","carrier":"shop","tries":2,"shelf":"20s"`
 )
 
+func sender(name string, keys ...string) string {
+	quoted, _ := json.Marshal(keys)
+	label, _ := json.Marshal(name)
+	return fmt.Sprintf(`{"parcel_kind":"senders","label":{"name":%s},"manifest":{"stamps":%s,"precedence":2}}`, label, quoted)
+}
+
 func manifest(edition, base string, parcels ...string) []byte {
 	return fmt.Appendf(nil, `{"edition":%s,"based_on":%s,"parcels":[%s]}`, edition, base, strings.Join(parcels, ","))
 }
@@ -50,7 +57,13 @@
 		{"odd kind", manifest(`"r12"`, `"r9"`, route("a", strings.Replace(fine, "shelved", "parcel", 1)), carrier), Invalid, "mail_class"},
 		{"an edition that is not above", manifest(`"r9"`, `"r9"`, carrier), Invalid, "not above r9"},
 		{"no version", manifest(`"twelve"`, `"r9"`, carrier), Invalid, "no version"},
-		{"ten minutes are allowed, as are parcels of an unknown kind", manifest(`"r12"`, `"r9"`,
+		{"a key of two tenants", manifest(`"r12"`, `"r9"`, sender("wax", "k-1", "k-2"), sender("ink", "k-3", "k-1")), Invalid, "sender ink: stamps: a key of wax"},
+		{"an empty key", manifest(`"r12"`, `"r9"`, sender("wax", "k-1", "")), Invalid, "sender wax: stamps: an empty key"},
+		{"a tenant without a name", manifest(`"r12"`, `"r9"`, sender("", "k-1")), Invalid, "name"},
+		{"a tenant whose name ends a header", manifest(`"r12"`, `"r9"`, sender("wax\r\nx: y", "k-1")), Invalid, "name"},
+		{"keys that are no list", manifest(`"r12"`, `"r9"`, strings.Replace(sender("wax", "k-1"), `["k-1"]`, `"k-1"`, 1)), Invalid, "stamps"},
+		{"a key twice at one tenant", manifest(`"r11"`, `"r9"`, sender("wax", "k-1", "k-1"), sender("ink", "k-2"), sender("new")), Done, ""},
+		{"ten minutes are allowed, as are parcels of an unknown kind", manifest(`"r12"`, `"r11"`,
 			route("a", strings.Replace(fine, "1500ms", "600s", 1)), carrier, `{"parcel_kind":"stamps","label":{},"manifest":{"x":1}}`), Done, ""},
 	}
 	s := New()
@@ -142,6 +155,25 @@
 	}
 }
 
+// The tenant of a key, and whether a route's requests need one: without tenants none does.
+func TestTenantsOfKeys(t *testing.T) {
+	open := strings.Replace(fine, `"/x/"`, `"/y/","unsealed":true`, 1)
+	m, err := ParseManifest(manifest(`"r5"`, `0`, route("a", fine), route("b", open), carrier, sender("wax", "k-1", "k-2"), sender("ink", "k-3")))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, m.Tenants, []Tenant{{Name: "wax", Priority: 2, Keys: []string{"k-1", "k-2"}}, {Name: "ink", Priority: 2, Keys: []string{"k-3"}}})
+	assert.Assert(t, m.Keyed(&m.Routes[0]) && !m.Keyed(&m.Routes[1]))
+	keys := NewKeyTable(m)
+	for key, want := range map[string]string{"k-1": "wax", "k-2": "wax", "k-3": "ink", "k-4": "", "": "", "wax": ""} {
+		got := ""
+		if tenant := keys.Find(key); tenant != nil {
+			got = tenant.Name
+		}
+		assert.Equal(t, got, want, key)
+	}
+	m.Tenants = nil
+	assert.Assert(t, !m.Keyed(&m.Routes[0]))
+}
+
 func FuzzManifest(f *testing.F) {
 	f.Add(manifest(`"r5"`, `0`, route("a", fine), carrier))
 	f.Add([]byte(`{"edition":1,"parcels":[{"parcel_kind":"routes","manifest":null}]}`))
--- a/internal/cdn/clusterstate/manifest.go
+++ b/internal/cdn/clusterstate/manifest.go
@@ -102,8 +102,13 @@
 			Carrier string  `json:"carrier"`
 			Share   float64 `json:"share"`
 		} `json:"split_among"`
-		Tries int      `json:"tries"`
-		Shelf wireText `json:"shelf"`
+		Tries    int      `json:"tries"`
+		Shelf    wireText `json:"shelf"`
+		Unsealed bool     `json:"unsealed"`
+	}
+	wireSender struct {
+		Stamps     []string `json:"stamps"`
+		Precedence int      `json:"precedence"`
 	}
 	wireCarrier struct {
 		HealthPath string  `json:"health_path"`
@@ -208,6 +213,8 @@
 		return m.addRoute(p)
 	case "carriers":
 		return m.addService(p)
+	case "senders":
+		return m.addTenant(p)
 	case "allowances":
 		return m.setLimits(p)
 	}
@@ -220,7 +227,7 @@
 		return err
 	}
 	r := Route{Name: p.Label.Name, Host: strings.ToLower(w.Domain), Prefix: w.Prefix, Kind: w.Kind, Priority: w.Precedence,
-		Tries: max(w.Tries, 1)}
+		Tries: max(w.Tries, 1), Unsealed: w.Unsealed}
 	var err error
 	if r.Timeout, err = w.Timeout.span("timeout"); err != nil {
 		return err
@@ -311,7 +318,7 @@
 		}
 		places[place] = r.Name
 	}
-	return nil
+	return checkTenants(m.Tenants)
 }
 
 // Table finds the route of a request. It is made once for each configuration and not changed.
--- a/internal/cdn/clusterstate/reader.go
+++ b/internal/cdn/clusterstate/reader.go
@@ -26,6 +26,7 @@
 	parcel  wireParcel // of a kind that is neither of those below
 	route   *Route
 	service *Service
+	tenant  *Tenant
 }
 
 // read reads and checks a configuration, and returns its digest as well.
@@ -101,6 +102,9 @@
 	if len(one.Services) > 0 {
 		p.service = &one.Services[0]
 	}
+	if len(one.Tenants) > 0 {
+		p.tenant = &one.Tenants[0]
+	}
 	return p, true
 }
 
@@ -111,6 +115,8 @@
 		m.Routes = append(m.Routes, *p.route)
 	case p.service != nil:
 		m.Services = append(m.Services, *p.service)
+	case p.tenant != nil:
+		m.Tenants = append(m.Tenants, *p.tenant)
 	default:
 		return m.takeParcel(p.parcel)
 	}
--- a/internal/cdn/clusterstate/reader_test.go
+++ b/internal/cdn/clusterstate/reader_test.go
@@ -28,6 +28,9 @@
 		strings.Replace(usual, `"parcels":[`, `"parcels":[],"parcels":[`, 1),
 		strings.Replace(usual, `"parcels":[`, `"parcels":[{"x":1},`, 1),
 		strings.Replace(usual, "},{", "}{", 1), strings.Replace(usual, "},{", "},,{", 1), usual[:len(usual)-1], usual + "]", usual[:len(usual)/2], "", "{}", "[]",
+		strings.Replace(usual, `]}`, `,`+sender("wax", "k-1", "k-2")+`,`+sender("ink", "k-3")+`]}`, -1),
+		strings.Replace(usual, `{"parcel_kind":"carriers"`, sender("wax", "k-1")+`,`+sender("ink", "k-1")+`,{"parcel_kind":"carriers"`, 1),
+		strings.Replace(usual, `"tries":2`, `"unsealed":true`, 1),
 		strings.Replace(usual, "/p4/", "/p5/", 1) + " ", strings.Replace(usual, "huvo11a", "nobody", 1),
 	}
 	var r reader
