An attempt asks for whom it may run, before it connects and before its last byte

Cause: Order.Permit was declared and asked by nobody: a server was told whatever the client called itself, and what had waited was sent without a further look. Ruled out: one look when the order is made (it may wait in a queue, for room or between attempts). Change: the sender asks right before it connects, and again right before the last byte may leave; the head carries the tenant's name in place of the client's own `Sender` and `Key`. What is refused, or has moved to another tenant between the two, ends as never run, with the cause on the order (Denied); SurelyNotRun tells a request that no server has begun, also where one has turned it away.

--- a/internal/cdn/upstream/conn.go
+++ b/internal/cdn/upstream/conn.go
@@ -56,17 +56,23 @@
 
 var errStopped = errors.New("stopped before it was sent")
 
-// write writes the request. Its order is asked before the last byte may leave. Of what may run once that byte follows a moment later, so that
+// write writes the request, in the name of a sender if there is one. Its order is asked before the last byte may leave. Of what may run once that byte follows a moment later, so that
 // a connection that the server has dropped shows while the request surely has not run. Of what is finished though its caller leaves, the watch
 // for that ends with the last byte.
-func (c *conn) write(a *exchange.Attempt, o *Order, watch func() bool) (sending, error) {
+func (c *conn) write(a *exchange.Attempt, o *Order, sender string, watch func() bool) (sending, error) {
 	head := make([]byte, 0, 512)
 	head = fmt.Appendf(head, "%s %s HTTP/1.1\r\n", a.Method, a.Target)
 	for name, values := range a.Header {
+		if sender != "" && (name == HeaderKey || name == HeaderSender) { // the client's own
+			continue
+		}
 		for _, v := range values {
 			head = append(append(append(append(head, name...), ": "...), v...), "\r\n"...)
 		}
 	}
+	if sender != "" {
+		head = fmt.Appendf(head, "%s: %s\r\n", HeaderSender, sender)
+	}
 	left := max(time.Until(a.Due).Milliseconds(), 1)
 	if o.ID != "" {
 		head = fmt.Appendf(head, "%s: %s\r\n", HeaderID, o.ID)
@@ -87,6 +93,9 @@
 		}
 		all = all[len(all)-1:]
 	}
+	if err := o.confirm(sender); err != nil {
+		return notBegun, fmt.Errorf("%w: %w", errStopped, err)
+	}
 	if o.policy() == departure.Finish && !watch() || !o.begin(a.Due) {
 		return notBegun, errStopped
 	}
--- a/internal/cdn/upstream/leave_test.go
+++ b/internal/cdn/upstream/leave_test.go
@@ -16,8 +16,13 @@
 
 // attemptAt makes one attempt of an order at a server, without decisions.
 func attemptAt(ctx context.Context, s *Sender, o *Order, address string) exchange.Reply {
+	return attemptWith(ctx, s, o, address, http.Header{"Host": {"a"}})
+}
+
+// attemptWith is attemptAt with a head.
+func attemptWith(ctx context.Context, s *Sender, o *Order, address string, head http.Header) exchange.Reply {
 	due := time.Now().Add(3 * time.Second)
-	x := exchange.New(exchange.Request{ID: o.ID, Method: "POST", Target: "/x", Header: http.Header{"Host": {"a"}}, Body: []byte("hello")})
+	x := exchange.New(exchange.Request{ID: o.ID, Method: "POST", Target: "/x", Header: head, Body: []byte("hello")})
 	x.Due = due
 	ctx, done := context.WithDeadline(ctx, due)
 	defer done()
--- a/internal/cdn/upstream/order.go
+++ b/internal/cdn/upstream/order.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -25,6 +26,8 @@
 	mu   sync.Mutex
 	last *exchange.Reply  // the last answer of a server that ran it and failed
 	sent int              // times that it went to a server: it may have run there
+	not  int              // of them, those that a server said not to have run
+	deny error            // why it was not sent last time; nil once it was sent again
 	by   balance.ServerID // who answered
 	took time.Duration    // from its sending to its answer, whole
 }
@@ -57,6 +60,56 @@
 	return o.sent > 0
 }
 
+// SurelyNotRun tells whether no server has begun the request: it went to none, or to such alone as have said so.
+func (o *Order) SurelyNotRun() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.sent == o.not
+}
+
+// notRun notes that a server has said not to have run what it was sent.
+func (o *Order) notRun() {
+	o.mu.Lock()
+	o.not++
+	o.mu.Unlock()
+}
+
+// Denied is why the last attempt was not let go to a server; nil if it was.
+func (o *Order) Denied() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.deny
+}
+
+// ErrSenderChanged is why an attempt is not sent whose key has moved to another tenant since its head was written.
+var ErrSenderChanged = errors.New("the key has moved to another tenant")
+
+// permit asks for whom the request may run now, and notes why it must not.
+func (o *Order) permit() (sender string, err error) {
+	if o.Permit == nil {
+		return "", nil
+	}
+	sender, err = o.Permit()
+	o.denied(err)
+	return sender, err
+}
+
+// confirm asks once more, before the last byte may leave of what was written for a sender.
+func (o *Order) confirm(sender string) error {
+	now, err := o.permit()
+	if err == nil && now != sender {
+		err = ErrSenderChanged
+		o.denied(err)
+	}
+	return err
+}
+
+func (o *Order) denied(err error) {
+	o.mu.Lock()
+	o.deny = err
+	o.mu.Unlock()
+}
+
 // Sent is how often it went to a server.
 func (o *Order) Sent() int {
 	o.mu.Lock()
--- a/internal/cdn/upstream/upstream.go
+++ b/internal/cdn/upstream/upstream.go
@@ -123,6 +123,10 @@
 	if o.Caller.Left() {
 		return unsent(a, departure.ErrLeft)
 	}
+	sender, err := o.permit()
+	if err != nil {
+		return unsent(a, err)
+	}
 	c, err := s.connect(ctx, a, o.OnceOnly, o.ID == "")
 	if err != nil {
 		if cause := Withdrawal(ctx); cause != nil { // no fault of the server's
@@ -141,7 +145,7 @@
 	}
 	c.SetDeadline(a.Due)
 	watch := context.AfterFunc(ctx, func() { c.Close() })
-	sent, err := c.write(a, o, watch)
+	sent, err := c.write(a, o, sender, watch)
 	if sent != notBegun {
 		defer o.Caller.End(o.policy())
 	}
@@ -228,6 +232,9 @@
 // judge is the one place where it is decided what an answer means.
 func (s *Sender) judge(a *exchange.Attempt, o *Order, got response) exchange.Reply {
 	notRun := got.header.Get(HeaderNotRun) != ""
+	if notRun || got.status == http.StatusMisdirectedRequest {
+		o.notRun()
+	}
 	r := exchange.Reply{Result: balance.OK, Header: got.header, Body: got.body}
 	got.header[StatusKey] = []string{strconv.Itoa(got.status)}
 	switch {
