--- a/internal/cdn/edge/fetches.go
+++ b/internal/cdn/edge/fetches.go
@@ -13,6 +13,8 @@
 	got    Fetched
 	caller *departure.Caller // all who wait, taken together
 
+	clientKey string // of the one who began it: servers are shown his tenant
+
 	abandoned bool // it ended after the last who waited had left; set before done is closed
 
 	// Under the lock of all fetches:
--- /dev/null
+++ b/internal/cdn/edge/keys.go
@@ -0,0 +1,112 @@
+package edge
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"cedarmast/internal/cdn/upstream"
+)
+
+// This file is what becomes of clients' keys: who may ask at all, and for which tenant a request runs.
+
+var (
+	errKeyGone   = errors.New("no tenant holds the key")
+	errNotProven = errors.New("it is not proven that the key is still held")
+)
+
+// Denial is why a request does not run for its client's key, as one router tells it to another.
+type Denial int
+
+// The denials.
+const (
+	notDenied Denial = iota
+	keyGone          // no tenant holds the key
+	notProven        // the router can't prove whether one does
+)
+
+// denialOf is the denial that an order's error stands for. An error without a denial of its own says no more than that it has not run.
+func denialOf(err error) Denial {
+	switch {
+	case err == nil:
+		return notDenied
+	case errors.Is(err, errKeyGone):
+		return keyGone
+	}
+	return notProven
+}
+
+// denied is the answer to a question whose client's key was refused.
+func denied(err error) Fetched {
+	return Fetched{Refuse: comeAgain.Milliseconds(), Denied: denialOf(err)}
+}
+
+// deny answers a request that has not run for its key.
+func (q *request) deny(why Denial) {
+	if why == keyGone {
+		q.final(http.StatusUnauthorized, nil, nil)
+		return
+	}
+	q.refuse(comeAgain)
+}
+
+// admit looks at a client's key by the plan, before anything else is done for the request. It is false once that is answered. Where there are
+// tenants, servers are shown neither the key nor what the client calls itself.
+func (e *Edge) admit(q *request) bool {
+	if values := q.Header[upstream.HeaderKey]; len(values) == 1 {
+		q.clientKey = values[0]
+	}
+	if q.plan.keys == nil {
+		return true
+	}
+	delete(q.Header, upstream.HeaderKey)
+	delete(q.Header, upstream.HeaderSender)
+	if !q.plan.Keyed(q.route) {
+		q.clientKey = ""
+		return true
+	}
+	if q.plan.keys.Find(q.clientKey) == nil {
+		q.deny(denialOf(e.unknownKey()))
+		return false
+	}
+	return true
+}
+
+// unknownKey is why a request with a key that the plan in force lacks does not run: the key may be newer than what this router holds.
+func (e *Edge) unknownKey() error {
+	if e.current() {
+		return errKeyGone
+	}
+	return errNotProven
+}
+
+// permit returns what an order asks right before an attempt: the tenant's name by the plan that is in force then, not by that of the arrival.
+func (e *Edge) permit(route, clientKey string) func() (sender string, err error) {
+	return func() (string, error) {
+		if !e.plan.Load().asks(route, clientKey) {
+			return "", nil
+		}
+		if err := e.mayRun(time.Now()); err != nil { // before the look: the plan that is looked at then lacks no removal that the proof covers
+			return "", err
+		}
+		p := e.plan.Load()
+		if !p.asks(route, clientKey) {
+			return "", nil
+		}
+		if t := p.keys.Find(clientKey); t != nil {
+			return t.Name, nil
+		}
+		return "", e.unknownKey()
+	}
+}
+
+// asks tells whether requests on a route need a key. One of a route that is gone meanwhile runs for the key that it came with.
+func (p *plan) asks(route, clientKey string) bool {
+	if p.keys == nil {
+		return false
+	}
+	if r := p.routes[route]; r != nil {
+		return p.Keyed(r)
+	}
+	return clientKey != ""
+}
--- a/internal/cdn/edge/objects.go
+++ b/internal/cdn/edge/objects.go
@@ -53,12 +53,15 @@
 		if route == nil {
 			continue
 		}
-		e.start(Fetch{Key: due.Key, Target: due.Key.Target(), Route: route.Name, ID: due.By}, due.Copy, refreshTime, false)
+		if _, err := e.permit(route.Name, due.By.ClientKey)(); err != nil {
+			continue
+		}
+		e.start(Fetch{Key: due.Key, Target: due.Key.Target(), Route: route.Name, ID: due.By.ID, ClientKey: due.By.ClientKey}, due.Copy, refreshTime, false)
 	}
 }
 
 // held returns this router's copy, if it is good. With wanted false it does not count as wanted by that.
-func (e *Edge) held(k objectcache.Key, by string, wanted bool) (*objectcache.Copy, objectcache.Grade) {
+func (e *Edge) held(k objectcache.Key, by objectcache.Asker, wanted bool) (*objectcache.Copy, objectcache.Grade) {
 	x, grade := e.cache.Peek(k, time.Now(), e.slack())
 	if wanted {
 		x, grade = e.cache.Get(k, time.Now(), e.slack(), by)
@@ -71,7 +74,7 @@
 
 // obtain brings an object: the copy, or what a server says.
 func (e *Edge) obtain(ctx context.Context, q Fetch) Fetched {
-	x, grade := e.held(q.Key, q.ID, !q.Own)
+	x, grade := e.held(q.Key, q.asker(), !q.Own)
 	if q.AgeMS > 0 && grade != objectcache.NotThere && time.Since(x.At) > time.Duration(q.AgeMS)*time.Millisecond {
 		grade = objectcache.Stale // the asker has as good a one
 	}
@@ -94,6 +97,9 @@
 		if w.abandoned && got.Refuse > 0 { // it came to nothing because those who had begun it left: this one still waits
 			continue
 		}
+		if got.Denied != notDenied && w.clientKey != q.ClientKey { // the key of the one who had begun it was refused: this one has his own
+			continue
+		}
 		if got.Whole && q.ETag != "" && q.ETag == first(got.Header, "Etag") {
 			return Fetched{Status: http.StatusOK, Whole: true, Same: true, AgeMS: got.AgeMS, Index: got.Index}
 		}
@@ -154,7 +160,7 @@
 		e.fetches.mu.Unlock()
 		return w
 	}
-	w := &fetch{done: make(chan struct{}), caller: e.callers.Open(e.life, departure.Waiters, q.Route)}
+	w := &fetch{done: make(chan struct{}), clientKey: q.ClientKey, caller: e.callers.Open(e.life, departure.Waiters, q.Route)}
 	w.join(waits)
 	e.fetches.all[at] = w
 	e.fetches.mu.Unlock()
@@ -189,6 +195,10 @@
 			return got
 		}
 	}
+	permit := e.permit(q.Route, q.ClientKey)
+	if _, err := permit(); err != nil {
+		return denied(err)
+	}
 	sv.rate.want()
 	low := p.low(route, sv)
 	for late := time.Now().Add(min(patience/3, rateWait)); !sv.rate.take(low); {
@@ -204,7 +214,7 @@
 	if old != nil && old.ETag != "" {
 		header["If-None-Match"] = []string{old.ETag}
 	}
-	order := &upstream.Order{ID: q.ID, Stamped: true, Keep: route.Shelf > 0, Caller: caller}
+	order := &upstream.Order{ID: q.ID, Stamped: true, Keep: route.Shelf > 0, Caller: caller, Permit: permit}
 	index, begun := e.replica.Index(), time.Now()
 	a := e.ask(sv, route.Name, order, exchange.Request{Class: p.class(route), Arrived: begun, TimeLeft: min(patience, route.Timeout),
 		Method: http.MethodGet, Target: q.Target, Header: header})
@@ -212,18 +222,21 @@
 		if last := order.Failure(); last != nil {
 			return Fetched{Status: int(atoi(first(last.Header, upstream.StatusKey))), Header: without(last.Header, upstream.StatusKey), Body: last.Body}
 		}
+		if err := order.Denied(); err != nil {
+			return denied(err)
+		}
 		return Fetched{Refuse: max(a.RetryAfter, comeAgain).Milliseconds()}
 	}
 	status := int(atoi(first(a.Header, upstream.StatusKey)))
 	head := without(a.Header, upstream.StatusKey)
 	switch {
 	case status == http.StatusNotModified && old != nil:
-		x := *old
-		x.At, x.Index, x.Shelf = begun, index, route.Shelf
-		e.cache.Put(q.Key, &x)
-		return fetchedFrom(&x)
+		x := old.Renewed(begun, index, route.Shelf)
+		x.For = q.asker()
+		e.cache.Put(q.Key, x)
+		return fetchedFrom(x)
 	case status == http.StatusOK && first(head, upstream.HeaderStamp) != "":
-		x := e.store(q.Key, route, without(head, upstream.HeaderLoad), a.Body, begun, index)
+		x := e.store(q, route, without(head, upstream.HeaderLoad), a.Body, begun, index)
 		return fetchedFrom(x)
 	}
 	return Fetched{Status: status, Header: head, Body: a.Body}
@@ -248,19 +261,19 @@
 	}
 	got := unpack(a.Header, a.Body)
 	if !got.Whole {
-		return got, true
+		return got, got.Denied != notProven // there; this router may know more
 	}
 	at := begun.Add(-time.Duration(got.AgeMS) * time.Millisecond)
 	if got.Same {
 		if old == nil || old.ETag != q.ETag {
 			return Fetched{}, false
 		}
-		same := *old
-		same.At, same.Index, same.Shelf = at, got.Index, route.Shelf
-		e.cache.Put(q.Key, &same)
-		return fetchedFrom(&same), true
+		same := old.Renewed(at, got.Index, route.Shelf)
+		same.For = q.asker()
+		e.cache.Put(q.Key, same)
+		return fetchedFrom(same), true
 	}
-	e.store(q.Key, route, got.Header, got.Body, at, got.Index)
+	e.store(q, route, got.Header, got.Body, at, got.Index)
 	return got, true
 }
 
@@ -273,22 +286,21 @@
 		if old == nil {
 			return Fetched{Refuse: comeAgain.Milliseconds()}
 		}
-		same := *old
-		x = &same
+		x = old.Renewed(old.At, old.Index, old.Shelf)
 	}
 	x.Lent, x.Shelf, x.Index, x.At = true, route.Shelf, got.Index, begun.Add(-time.Duration(got.AgeMS)*time.Millisecond)
-	if now, grade := e.cache.Get(k, begun, 0, ""); route.Shelf > 0 && (grade == objectcache.NotThere || now.Lent) {
+	if now, grade := e.cache.Get(k, begun, 0, objectcache.Asker{}); route.Shelf > 0 && (grade == objectcache.NotThere || now.Lent) {
 		e.cache.Put(k, x)
 	}
 	return fetchedFrom(x)
 }
 
 // store keeps an object, if the route lets copies be kept.
-func (e *Edge) store(k objectcache.Key, route *clusterstate.Route, head http.Header, body []byte, at time.Time, index uint64) *objectcache.Copy {
-	x := &objectcache.Copy{Header: head, Body: body, ETag: first(head, "Etag"), Shelf: route.Shelf, At: at, Index: index,
+func (e *Edge) store(q Fetch, route *clusterstate.Route, head http.Header, body []byte, at time.Time, index uint64) *objectcache.Copy {
+	x := &objectcache.Copy{Header: head, Body: body, ETag: first(head, "Etag"), Shelf: route.Shelf, At: at, Index: index, For: q.asker(),
 		Labels: strings.Fields(strings.Join(head[upstream.HeaderLabels], " "))}
 	if route.Shelf > 0 {
-		e.cache.Put(k, x)
+		e.cache.Put(q.Key, x)
 	}
 	return x
 }
--- a/internal/cdn/edge/pieces.go
+++ b/internal/cdn/edge/pieces.go
@@ -27,7 +27,7 @@
 
 // holds returns the copy's body, if it is still this one.
 func (e *Edge) holds(k objectcache.Key, etag string, total int) []byte {
-	x, grade := e.cache.Get(k, time.Now(), e.slack(), "")
+	x, grade := e.cache.Get(k, time.Now(), e.slack(), objectcache.Asker{})
 	if grade == objectcache.NotThere || etag == "" || x.ETag != etag || len(x.Body) != total {
 		return nil
 	}
--- a/internal/cdn/edge/plan.go
+++ b/internal/cdn/edge/plan.go
@@ -21,6 +21,7 @@
 	classes  classNames                     // names of the decisions' classes of all routes
 	ranks    map[string]int                 // the highest of each service's routes, which is the least number
 	services map[string]*service
+	keys     *clusterstate.KeyTable // nil without tenants
 }
 
 // service is the decisions about one service's servers, and its share of the origin's rate.
@@ -105,6 +106,9 @@
 		p.routes[m.Routes[i].Name] = &m.Routes[i]
 		p.classes.of(&m.Routes[i])
 	}
+	if len(m.Tenants) > 0 {
+		p.keys = clusterstate.NewKeyTable(m)
+	}
 	p.ranks = ranks(m)
 	for _, def := range m.Services {
 		sv := e.services[def.Name]
--- a/internal/cdn/edge/plan_test.go
+++ b/internal/cdn/edge/plan_test.go
@@ -264,12 +264,12 @@
 
 // What one cache router asks another comes back as it was asked, through the exchange that carries it.
 func TestQuestionsAndAnswersSurviveTheWay(t *testing.T) {
-	q := Fetch{Target: "/x?y", ID: "try", Route: "r", Index: 7, AgeMS: 5000, ETag: `"1"`}
+	q := Fetch{Target: "/x?y", ID: "try", Route: "r", Index: 7, AgeMS: 5000, ETag: `"1"`, ClientKey: "k-1"}
 	q.Key.Service, q.Key.Host, q.Key.Path, q.Key.Query = "s", "h", "/x", "y"
 	var got Fetch
 	assert.NilError(t, decodeAsk(exchange.New(exchange.Request{Header: encodeAsk(q)}), &got))
 	assert.DeepEqual(t, got, q)
-	for _, a := range []Fetched{{Status: 200, Whole: true, AgeMS: 3, Index: 9}, {Status: 200, Whole: true, Same: true, AgeMS: 1}, {Refuse: 120}, {Status: 404}} {
+	for _, a := range []Fetched{{Status: 200, Whole: true, AgeMS: 3, Index: 9}, {Status: 200, Whole: true, Same: true, AgeMS: 1}, {Refuse: 120}, {Status: 404}, denied(errKeyGone), denied(errNotProven)} {
 		back := unpack(a.pack(), nil)
 		back.Header = nil
 		assert.DeepEqual(t, back, a)
--- a/internal/cdn/edge/serve.go
+++ b/internal/cdn/edge/serve.go
@@ -42,6 +42,8 @@
 	plan    *plan
 	caller  *departure.Caller // the client, while something is done for it
 
+	clientKey string // the client's; empty on a route that needs none
+
 	answered bool // its answer has begun
 }
 
@@ -64,6 +66,9 @@
 		q.final(http.StatusNotFound, nil, nil)
 		return
 	}
+	if !e.admit(q) {
+		return
+	}
 	q.left = min(q.left, q.route.Timeout)
 	if q.route.Kind == clusterstate.Shelved && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		io.Copy(io.Discard, http.MaxBytesReader(q.w, r.Body, usualBody)) // it says nothing of an object; behind it a leave would not be seen
@@ -127,6 +132,11 @@
 		q.refuse(comeAgain)
 		return
 	}
+	permit := e.permit(q.route.Name, q.clientKey)
+	if _, err := permit(); err != nil { // at once, and not after it has waited for a server
+		q.deny(denialOf(err))
+		return
+	}
 	sv.rate.want()
 	low := q.plan.low(q.route, sv)
 	if !sv.rate.take(low) {
@@ -135,11 +145,14 @@
 	}
 	header := upstream.EndToEnd(q.Header.Clone())
 	header["Host"] = []string{q.Host}
-	order := &upstream.Order{ID: q.id, OnceOnly: q.route.Kind == clusterstate.OnceOnly, Caller: q.caller}
+	order := &upstream.Order{ID: q.id, OnceOnly: q.route.Kind == clusterstate.OnceOnly, Caller: q.caller, Permit: permit}
 	a := e.ask(sv, q.route.Name, order, exchange.Request{ID: q.id, Class: q.plan.class(q.route), Arrived: q.arrived, TimeLeft: q.left,
 		Write: q.route.Kind == clusterstate.OnceOnly, Method: q.Method, Target: target(q.Request), Header: header, Body: body})
+	denied := order.Denied()
 	switch failure := order.Failure(); {
 	case q.caller.Left(): // nobody is there to take an answer
+	case denied != nil && order.SurelyNotRun():
+		q.deny(denialOf(denied))
 	case a.Kind == exchange.Served:
 		q.pass(int(atoi(first(a.Header, upstream.StatusKey))), a.Header, a.Body)
 	case failure != nil: // a server's own word about it
@@ -164,7 +177,7 @@
 
 // serveObject answers from this router's copy. Nothing is done for the client of one that is fresh, so that no account of it is kept.
 func (e *Edge) serveObject(q *request, k objectcache.Key) {
-	own, grade := e.held(k, q.id, true)
+	own, grade := e.held(k, objectcache.Asker{ID: q.id, ClientKey: q.clientKey}, true)
 	if grade == objectcache.Fresh {
 		q.deliver(fetchedFrom(own))
 		return
@@ -175,7 +188,7 @@
 
 // serveShelved answers from the copy of the cache router that the table names, or of the servers.
 func (e *Edge) serveShelved(q *request, k objectcache.Key, own *objectcache.Copy) {
-	ask := Fetch{Key: k, Target: k.Target(), ID: q.id, Route: q.route.Name, Index: e.replica.Index()}
+	ask := Fetch{Key: k, Target: k.Target(), ID: q.id, ClientKey: q.clientKey, Route: q.route.Name, Index: e.replica.Index()}
 	if own != nil && own.Lent && e.vouched() {
 		ask.ETag = own.ETag
 	}
@@ -195,8 +208,10 @@
 		if got.Whole {
 			got = e.borrow(k, q.route, got, own, begun)
 		}
-		q.deliver(got)
-		return
+		if got.Denied != notProven { // there; this router may know more
+			q.deliver(got)
+			return
+		}
 	}
 	ask.ETag = ""
 	rest := q.left - time.Since(q.arrived)
@@ -207,12 +222,14 @@
 	ask.LeftMS = rest.Milliseconds()
 	ctx, done := context.WithTimeout(q.caller.Context(), rest) // a fetch that another one has begun may take longer
 	defer done()
-	q.deliver(e.obtain(ctx, ask)) // no cache router answers: this one asks the servers itself
+	q.deliver(e.obtain(ctx, ask)) // no cache router answers, or may: this one asks the servers itself
 }
 
 // deliver answers with an object, whole or the range that was asked for, or with what a server said instead.
 func (q *request) deliver(g Fetched) {
 	switch {
+	case g.Denied != notDenied:
+		q.deny(g.Denied)
 	case g.Refuse > 0:
 		q.refuse(time.Duration(g.Refuse) * time.Millisecond)
 	case !g.Whole:
--- a/internal/cdn/edge/serve_test.go
+++ b/internal/cdn/edge/serve_test.go
@@ -29,11 +29,16 @@
 	address string
 	mu      sync.Mutex
 	asked   []string
+	shown   []identity
 	version int
 	wait    chan struct{} // if set, an answer waits for a word
 	status  int
+	notRun  int // so many requests are turned away, without being run
 }
 
+// identity is for whom a server is told that it runs a request, and what else it is shown of the client.
+type identity struct{ id, tenant, clientKey string }
+
 func newOrigin(t testing.TB) *origin {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -49,6 +54,7 @@
 	body, _ := io.ReadAll(r.Body)
 	o.mu.Lock()
 	o.asked = append(o.asked, fmt.Sprintf("%s %s %s %s", r.Method, r.Host, r.RequestURI, body))
+	o.shown = append(o.shown, identity{r.Header.Get(upstream.HeaderID), r.Header.Get("Sender"), r.Header.Get("Key")})
 	version, wait, status := o.version, o.wait, o.status
 	o.mu.Unlock()
 	if wait != nil {
@@ -57,6 +63,11 @@
 	if id := r.Header.Get(upstream.HeaderID); id != "" {
 		w.Header().Set(upstream.HeaderID, id)
 	}
+	if o.turnsAway() {
+		w.Header().Set(upstream.HeaderNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	tag := fmt.Sprintf(`"%d"`, version)
 	w.Header().Set("Etag", tag)
 	w.Header().Set(upstream.HeaderStamp, "stamp")
@@ -75,6 +86,22 @@
 	defer o.mu.Unlock()
 	return append([]string(nil), o.asked...)
 }
+
+// turnsAway tells whether one more request is to be turned away.
+func (o *origin) turnsAway() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.notRun--
+	return o.notRun >= 0
+}
+
+// identities are those that the server was shown, in order.
+func (o *origin) identities() []identity {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]identity(nil), o.shown...)
+}
+
 func (o *origin) set(f func()) { o.mu.Lock(); defer o.mu.Unlock(); f() }
 
 // lone is an edge without a core: the test hands it its news.
--- a/internal/cdn/edge/tier.go
+++ b/internal/cdn/edge/tier.go
@@ -109,18 +109,19 @@
 
 // Fetch is one cache router's question to another.
 type Fetch struct {
-	Key    objectcache.Key
-	Target string // as in the request line
-	ID     string // the client's Try-Id
-	LeftMS int64
-	Route  string
-	Index  uint64 // the asker's history: the one who is asked must hold as much
-	Own    bool   // asked of itself: whoever wanted the object has been counted, and a refresh does not make its copy wanted
-	Home   bool   // who is asked is the key's shield: on a miss it goes to the servers
-	AgeMS  int64  // of a copy, at most; 0: any that may be handed on
-	ETag   string // of the asker's copy: the body is not needed if it is still this one
-	Ticket peerrpc.Ticket
-	Most   int // bytes of a body that come with the answer, the rest is asked for; 0: all
+	Key       objectcache.Key
+	Target    string // as in the request line
+	ID        string // the client's Try-Id
+	ClientKey string // goes with ID: the machine that sends to a server names the tenant that holds it there and then
+	LeftMS    int64
+	Route     string
+	Index     uint64 // the asker's history: the one who is asked must hold as much
+	Own       bool   // asked of itself: whoever wanted the object has been counted, and a refresh does not make its copy wanted
+	Home      bool   // who is asked is the key's shield: on a miss it goes to the servers
+	AgeMS     int64  // of a copy, at most; 0: any that may be handed on
+	ETag      string // of the asker's copy: the body is not needed if it is still this one
+	Ticket    peerrpc.Ticket
+	Most      int // bytes of a body that come with the answer, the rest is asked for; 0: all
 }
 
 // Fetched is its answer.
@@ -133,9 +134,13 @@
 	Same   bool   // the object that the asker has: there is no body
 	AgeMS  int64  // with Whole: since a server was asked
 	Index  uint64 // and the history as it was
+	Denied Denial // not had, for the key of the one who asked
 	Refuse int64  // not had: come again after so many milliseconds; 0: it was had
 }
 
+// asker is the client's request that the question is asked for.
+func (q Fetch) asker() objectcache.Asker { return objectcache.Asker{ID: q.ID, ClientKey: q.ClientKey} }
+
 // ask submits a question on behalf of a caller and waits for the answer.
 func (h *cacheTier) ask(x *exchange.Exchange, caller *departure.Caller) exchange.Answer {
 	h.callers.Store(x, caller)
@@ -191,26 +196,29 @@
 
 // The question travels through the exchange in its header, which nobody between reads.
 const (
-	askKey   = ":ask"
-	wholeKey = ":whole"
-	laterKey = ":later"
-	sameKey  = ":same"
-	ageKey   = ":age"
-	indexKey = ":index"
+	askKey    = ":ask"
+	wholeKey  = ":whole"
+	laterKey  = ":later"
+	sameKey   = ":same"
+	ageKey    = ":age"
+	indexKey  = ":index"
+	deniedKey = ":denied"
 )
 
+const askParts = 11 // of a question
+
 func encodeAsk(q Fetch) http.Header {
 	return http.Header{askKey: {q.Key.Service, q.Key.Host, q.Key.Path, q.Key.Query, q.Target, q.ID, q.Route, itoa(int64(q.Index)),
-		itoa(q.AgeMS), q.ETag}}
+		itoa(q.AgeMS), q.ETag, q.ClientKey}}
 }
 
 func decodeAsk(x *exchange.Exchange, q *Fetch) error {
 	v := x.Header[askKey]
-	if len(v) != 10 {
+	if len(v) != askParts {
 		return Error.New("cache tier: a question of %d parts", len(v))
 	}
 	*q = Fetch{Key: objectcache.Key{Service: v[0], Host: v[1], Path: v[2], Query: v[3]}, Target: v[4], ID: v[5], Route: v[6],
-		Index: uint64(atoi(v[7])), AgeMS: atoi(v[8]), ETag: v[9]}
+		Index: uint64(atoi(v[7])), AgeMS: atoi(v[8]), ETag: v[9], ClientKey: v[10]}
 	return nil
 }
 
@@ -229,13 +237,17 @@
 	if g.Refuse > 0 {
 		h[laterKey] = []string{itoa(g.Refuse)}
 	}
+	if g.Denied != notDenied {
+		h[deniedKey] = []string{itoa(int64(g.Denied))}
+	}
 	return h
 }
 
 func unpack(h http.Header, body []byte) Fetched {
 	g := Fetched{Status: int(atoi(first(h, upstream.StatusKey))), Body: body, Whole: first(h, wholeKey) != "", Refuse: atoi(first(h, laterKey)),
-		Same: first(h, sameKey) != "", AgeMS: atoi(first(h, ageKey)), Index: uint64(atoi(first(h, indexKey)))}
-	for _, name := range [...]string{upstream.StatusKey, wholeKey, laterKey, sameKey, ageKey, indexKey} {
+		Same: first(h, sameKey) != "", AgeMS: atoi(first(h, ageKey)), Index: uint64(atoi(first(h, indexKey))),
+		Denied: Denial(atoi(first(h, deniedKey)))}
+	for _, name := range [...]string{upstream.StatusKey, wholeKey, laterKey, sameKey, ageKey, indexKey, deniedKey} {
 		delete(h, name)
 	}
 	g.Header = h
--- a/internal/cdn/objectcache/objectcache.go
+++ b/internal/cdn/objectcache/objectcache.go
@@ -46,8 +46,21 @@
 	Index  uint64        // of the common history as the server was asked
 	Lent   bool          // by the cache router that the key belongs to: that one asks the servers in time, not this one
 
-	by     string // the last request that it answered, which no server has seen; the cache's
-	wanted int    // times that it is yet to be asked about before it ends; the cache's
+	For Asker // whom it was fetched for
+
+	by     Asker // the last request that it answered, without its id once a server has seen that; the cache's
+	wanted int   // times that it is yet to be asked about before it ends; the cache's
+}
+
+// Asker is a client's request for an object. Its id and its key belong together: a server is shown the one with the tenant of the other.
+type Asker struct {
+	ID        string // the client's Try-Id
+	ClientKey string // empty on a route that needs none
+}
+
+// Renewed is the copy as a server has confirmed it.
+func (x *Copy) Renewed(at time.Time, index uint64, shelf time.Duration) *Copy {
+	return &Copy{Header: x.Header, Body: x.Body, ETag: x.ETag, Labels: x.Labels, Shelf: shelf, At: at, Index: index, Lent: x.Lent, For: x.For}
 }
 
 // wantedFor is how often a copy is asked about before its end after it was wanted last: twice covers what is wanted once in
@@ -115,13 +128,16 @@
 }
 
 // Get returns the copy of a key and its grade. Slack is how long past its shelf time it may still be handed on while the
-// server is being asked. By is the id of the client's request that is to be answered with it.
-func (c *Cache) Get(k Key, now time.Time, slack time.Duration, by string) (*Copy, Grade) {
+// server is being asked. By is the client's request that is to be answered with it; without an id it stands for none.
+func (c *Cache) Get(k Key, now time.Time, slack time.Duration, by Asker) (*Copy, Grade) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	x, grade := c.look(k, now, slack)
 	if grade == Fresh || grade == Ageing {
-		x.wanted, x.by = wantedFor, by
+		x.wanted = wantedFor
+		if by.ID != "" {
+			x.by = by
+		}
 	}
 	return x, grade
 }
@@ -180,7 +196,7 @@
 type Ripe struct {
 	Key
 	*Copy
-	By string // a request that it has answered and that no server has seen; empty if there is none
+	By Asker // a request that it has answered; without an id if a server may have seen that
 }
 
 // Due returns copies that it is time to ask about, each once, and passes over those that nobody has wanted lately.
@@ -191,7 +207,7 @@
 		d := heap.Pop(&c.dues).(due)
 		if x, ok := c.lru.Peek(d.Key); ok && x == d.Copy && x.wanted > 0 {
 			all = append(all, Ripe{d.Key, x, x.by})
-			x.by = ""
+			x.by.ID = ""
 		}
 	}
 	return all
@@ -205,6 +221,7 @@
 		c.Counts.Late++
 		return false
 	}
+	x.by = Asker{ClientKey: x.For.ClientKey}
 	size := x.size()
 	if size > c.most/4 {
 		return false
@@ -215,6 +232,9 @@
 		}
 		c.remove(k, old)
 		x.wanted = max(old.wanted-1, 0)
+		if old.by.ID != "" && old.by.ID != x.For.ID { // answered meanwhile, and not by a server
+			x.by = old.by
+		}
 	} else {
 		x.wanted = wantedFor
 	}
--- a/internal/cdn/objectcache/objectcache_test.go
+++ b/internal/cdn/objectcache/objectcache_test.go
@@ -21,10 +21,10 @@
 	c := New(1 << 20)
 	c.Put(key, object(1, t0))
 	for after, want := range map[time.Duration]Grade{0: Fresh, 14 * time.Second: Fresh, 15 * time.Second: Ageing, 21 * time.Second: Ageing, 22 * time.Second: Stale} {
-		_, got := c.Get(key, t0.Add(after), 1500*time.Millisecond, "")
+		_, got := c.Get(key, t0.Add(after), 1500*time.Millisecond, Asker{})
 		assert.Equal(t, got, want, after.String())
 	}
-	_, got := c.Get(Key{}, t0, 0, "")
+	_, got := c.Get(Key{}, t0, 0, Asker{})
 	assert.Equal(t, got, NotThere)
 }
 
@@ -52,7 +52,7 @@
 			if when != "stored" {
 				cache.Put(key, object(index, t0))
 			}
-			_, grade := cache.Get(key, t0, 0, "")
+			_, grade := cache.Get(key, t0, 0, Asker{})
 			assert.Equal(t, grade == NotThere, c.ends && index < 7, "%s, %s", c.name, when)
 		}
 	}
@@ -67,7 +67,7 @@
 	assert.Assert(t, !c.Put(key, object(50, t0)))
 	assert.Assert(t, c.Put(key, object(200, t0)))
 	c.Forget(9000)
-	_, grade := c.Get(key, t0, 0, "")
+	_, grade := c.Get(key, t0, 0, Asker{})
 	assert.Equal(t, grade, NotThere)
 	assert.Assert(t, !c.Put(key, object(8999, t0)))
 }
@@ -88,25 +88,56 @@
 func TestDue(t *testing.T) {
 	c := New(1 << 20)
 	c.Put(key, object(1, t0))
-	c.Get(key, t0.Add(time.Second), 0, "try-1")
+	c.Get(key, t0.Add(time.Second), 0, Asker{"try-1", "key-1"})
+	c.Get(key, t0.Add(time.Second), 0, Asker{}) // for no client: it takes nobody's place
 	assert.Equal(t, len(c.Due(t0.Add(14*time.Second), 9)), 0)
 	at := t0
-	for turn, by := range []string{"try-1", ""} {
+	for turn, by := range []Asker{{"try-1", "key-1"}, {"", "key-1"}} { // the id goes to a server once, and the key stays with it
 		at = at.Add(15 * time.Second)
 		all := c.Due(at, 9)
 		assert.Equal(t, len(all), 1, "turn %d", turn)
 		assert.Equal(t, all[0].By, by)
 		assert.Equal(t, len(c.Due(at, 9)), 0, "once each")
-		again := *all[0].Copy
-		again.At = at
-		c.Put(key, &again)
+		again := all[0].Copy.Renewed(at, 1, 20*time.Second)
+		again.For = by
+		c.Put(key, again)
 	}
 	assert.Equal(t, len(c.Due(at.Add(15*time.Second), 9)), 0)
 	lent := object(1, at)
 	lent.Lent = true
 	c.Put(Key{Path: "lent"}, lent)
-	c.Get(Key{Path: "lent"}, at, 0, "try-2")
+	c.Get(Key{Path: "lent"}, at, 0, Asker{ID: "try-2"})
 	assert.Equal(t, len(c.Due(at.Add(time.Hour), 9)), 0, "its owner sees to it")
+	fetched := object(1, at)
+	fetched.For = Asker{"try-3", "key-3"}
+	c.Put(Key{Path: "new"}, fetched)
+	assert.Equal(t, c.Due(at.Add(15*time.Second), 9)[0].By, Asker{ClientKey: "key-3"}, "nobody has wanted it but the one it was fetched for")
 	older := object(1, t0)
 	assert.Assert(t, !c.Put(key, older), "an older answer that comes late replaces nothing")
 }
+
+// An id goes to a server once, whoever has it sent: as a refresh, or as the fetch of the one who wanted the copy himself.
+func TestAnIDIsSentOnce(t *testing.T) {
+	cases := []struct {
+		name       string
+		wants      Asker // while the copy is asked about for try-1
+		fetchedFor Asker // whom the next copy is fetched for
+		want       Asker // for whom that one is asked about
+	}{
+		{"nobody wants it meanwhile", Asker{}, Asker{"try-1", "key-1"}, Asker{"", "key-1"}},
+		{"somebody does", Asker{"try-2", "key-2"}, Asker{"try-1", "key-1"}, Asker{"try-2", "key-2"}},
+		{"the one it is fetched for then", Asker{"try-2", "key-2"}, Asker{"try-2", "key-2"}, Asker{"", "key-2"}},
+		{"another one fetches it first", Asker{}, Asker{"try-3", "key-3"}, Asker{"", "key-3"}},
+	}
+	for _, c := range cases {
+		cache := New(1 << 20)
+		cache.Put(key, object(1, t0))
+		cache.Get(key, t0, 0, Asker{"try-1", "key-1"})
+		assert.Equal(t, cache.Due(t0.Add(15*time.Second), 9)[0].By, Asker{"try-1", "key-1"})
+		cache.Get(key, t0.Add(16*time.Second), 0, c.wants)
+		next := object(1, t0.Add(16*time.Second))
+		next.For = c.fetchedFor
+		cache.Put(key, next)
+		assert.Equal(t, cache.Due(t0.Add(31*time.Second), 9)[0].By, c.want, c.name)
+	}
+}
