A tenant's rank goes before its route's, where tenants differ in it

Cause: the decisions' classes and the reserve of an origin's rate ranked requests by their route alone; `precedence` of a tenant was not looked at. Ruled out: a reserve for each tenant (it sharpens what is kept back). Change: a rank is the tenant's priority below the highest one, times the number of route priorities, plus the route's; classes and the rate's low ones go by it. Where all tenants rank alike, or there are none, ranks are as they were; the reserve's size is. Requests of a route that needs no key rank with the highest tenant's.

Before: with the tenant's term taken out TestRanksOfTenants prints 0, 2, 0, 2 for 0, 2, 3, 5. After: it passes, and the package with the race detector.

--- a/internal/cdn/edge/classes.go
+++ b/internal/cdn/edge/classes.go
@@ -23,8 +23,8 @@
 	kind          string
 }
 
-func classKeyOf(r *clusterstate.Route) classKey {
-	key := classKey{aim: r.Target, deadline: r.Timeout, rank: max(r.Priority, 0), kind: r.Kind}
+func classKeyOf(r *clusterstate.Route, rank int) classKey {
+	key := classKey{aim: r.Target, deadline: r.Timeout, rank: rank, kind: r.Kind}
 	if key.aim <= 0 {
 		key.aim = key.deadline / 2
 	}
@@ -50,8 +50,7 @@
 // classNames makes the names of classes, each once.
 type classNames map[classKey]string
 
-func (n classNames) of(r *clusterstate.Route) string {
-	key := classKeyOf(r)
+func (n classNames) of(key classKey) string {
 	name, known := n[key]
 	if !known {
 		name = key.String()
--- a/internal/cdn/edge/configure_bench_test.go
+++ b/internal/cdn/edge/configure_bench_test.go
@@ -13,8 +13,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// manyRoutes is a configuration of so many routes of two services, the first with a time of its own.
-func manyRoutes(b *testing.B, routes, firstTimeoutMS int) *clusterstate.Manifest {
+// manyRoutes is a configuration of so many routes of two services, the first with a time of its own, and of so many tenants of two keys each.
+func manyRoutes(b *testing.B, routes, tenants, firstTimeoutMS int) *clusterstate.Manifest {
 	b.Helper()
 	var text strings.Builder
 	text.WriteString(`{"edition":"r1","based_on":"0","parcels":[`)
@@ -27,17 +27,20 @@
 		fmt.Fprintf(&text, `{"parcel_kind":"routes","label":{"name":"r-%d"},"manifest":{"domain":"host%d.example","path_prefix":"/p%d/","mail_class":"%s","timeout":"%dms",`+
 			`"target":"%dms","precedence":2,"carrier":"s-%d","tries":2,"shelf":"20s"}},`, i, i%7, i, kinds[i%3], timeout, 120+10*(i%3), i%2)
 	}
+	for i := range tenants {
+		text.WriteString(tenant(fmt.Sprint("t-", i), i%3, fmt.Sprint("k-", i), fmt.Sprint("l-", i)))
+	}
 	text.WriteString(`{"parcel_kind":"carriers","label":{"name":"s-0"},"manifest":{"line_cap":130,"rate_per_s":380}},{"parcel_kind":"carriers","label":{"name":"s-1"},"manifest":{"line_cap":130}}]}`)
 	m, err := clusterstate.ParseManifest([]byte(text.String()))
 	assert.NilError(b, err)
 	return m
 }
 
-// What a change of one route costs an edge beside the reading of the configuration, by how many routes there are, until the decisions have it.
+// What a change of one route costs an edge beside the reading of the configuration, by how many routes and tenants there are, until the decisions have it.
 // `go test -run XXX -bench ConfigurationInForce ./internal/cdn/edge`
 func BenchmarkConfigurationInForce(b *testing.B) {
-	for _, routes := range []int{14, 300, 1400, 5000} {
-		b.Run(fmt.Sprint(routes), func(b *testing.B) {
+	for _, size := range []struct{ routes, tenants int }{{14, 0}, {300, 0}, {1400, 0}, {5000, 0}, {14, 87}, {1400, 87}, {1400, 2000}} {
+		b.Run(fmt.Sprintf("%d/%d tenants", size.routes, size.tenants), func(b *testing.B) {
 			life, end := context.WithCancel(b.Context())
 			defer end()
 			f := &Edge{log: hclog.NewNullLogger(), replica: statesync.New(), changes: make(chan func(), 4096), life: life}
@@ -49,7 +52,7 @@
 				id := fmt.Sprint("i-", i)
 				s.Servers[id] = clusterstate.Server{ID: id, Service: fmt.Sprint("s-", i%2), Address: "127.0.0.1:9", Slots: 4, State: clusterstate.Open}
 			}
-			versions := [2]*clusterstate.Manifest{manyRoutes(b, routes, 1500), manyRoutes(b, routes, 1501)}
+			versions := [2]*clusterstate.Manifest{manyRoutes(b, size.routes, size.tenants, 1500), manyRoutes(b, size.routes, size.tenants, 1501)}
 			version := clusterstate.Version(1)
 			for b.Loop() {
 				version++
--- a/internal/cdn/edge/keys.go
+++ b/internal/cdn/edge/keys.go
@@ -3,12 +3,14 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
+	"cedarmast/internal/cdn/clusterstate"
 	"cedarmast/internal/cdn/upstream"
 )
 
-// This file is what becomes of clients' keys: who may ask at all, and for which tenant a request runs.
+// This file is what becomes of clients' keys: who may ask at all, for which tenant a request runs, and by which rank.
 
 var (
 	errKeyGone   = errors.New("no tenant holds the key")
@@ -65,11 +67,10 @@
 		q.clientKey = ""
 		return true
 	}
-	if q.plan.keys.Find(q.clientKey) == nil {
+	if q.tenant = q.plan.keys.Find(q.clientKey); q.tenant == nil {
 		q.deny(denialOf(e.unknownKey()))
-		return false
 	}
-	return true
+	return q.tenant != nil
 }
 
 // unknownKey is why a request with a key that the plan in force lacks does not run: the key may be newer than what this router holds.
@@ -100,6 +101,30 @@
 	}
 }
 
+// tenantTable finds and ranks a plan's tenants. The zero value is that of a configuration without any.
+type tenantTable struct {
+	keys           *clusterstate.KeyTable // nil without tenants
+	onePerPriority []*clusterstate.Tenant // one of each priority, the highest first
+	routeRanks     int                    // how many priorities the routes have
+}
+
+func tenantTableOf(m *clusterstate.Manifest) (h tenantTable) {
+	if len(m.Tenants) == 0 {
+		return h
+	}
+	h.keys, h.routeRanks = clusterstate.NewKeyTable(m), 1
+	for i := range m.Tenants {
+		h.onePerPriority = append(h.onePerPriority, &m.Tenants[i])
+	}
+	byPriority := func(a, b *clusterstate.Tenant) int { return a.Priority - b.Priority }
+	slices.SortStableFunc(h.onePerPriority, byPriority)
+	h.onePerPriority = slices.CompactFunc(h.onePerPriority, func(a, b *clusterstate.Tenant) bool { return byPriority(a, b) == 0 })
+	for i := range m.Routes {
+		h.routeRanks = max(h.routeRanks, m.Routes[i].Priority+1)
+	}
+	return h
+}
+
 // asks tells whether requests on a route need a key. One of a route that is gone meanwhile runs for the key that it came with.
 func (p *plan) asks(route, clientKey string) bool {
 	if p.keys == nil {
@@ -110,3 +135,28 @@
 	}
 	return clientKey != ""
 }
+
+// tenant is who holds a key on a route; nil if nobody does or the route asks for none.
+func (p *plan) tenant(r *clusterstate.Route, clientKey string) *clusterstate.Tenant {
+	if p.keys == nil || r.Unsealed {
+		return nil
+	}
+	return p.keys.Find(clientKey)
+}
+
+// rank orders requests, 0 the highest: by their tenant's priority, then by their route's. Without a tenant they rank with the highest.
+func (p *plan) rank(r *clusterstate.Route, t *clusterstate.Tenant) int {
+	rank := max(r.Priority, 0)
+	if t != nil {
+		rank += (t.Priority - p.onePerPriority[0].Priority) * p.routeRanks
+	}
+	return rank
+}
+
+// eachPriority is one tenant of each priority whose requests may come on a route; a lone nil where none is asked for.
+func (p *plan) eachPriority(r *clusterstate.Route) []*clusterstate.Tenant {
+	if p.keys == nil || r.Unsealed {
+		return []*clusterstate.Tenant{nil}
+	}
+	return p.onePerPriority
+}
--- a/internal/cdn/edge/keys_test.go
+++ b/internal/cdn/edge/keys_test.go
@@ -265,3 +265,40 @@
 	assert.Equal(t, f.fetches.count(), 0, "asked about for a key that is gone")
 	assert.Equal(t, len(o.seen()), 4)
 }
+
+// A tenant's rank goes before the route's; where all tenants rank alike, or there are none, the routes' ranks are as they were.
+func TestRanksOfTenants(t *testing.T) {
+	shop := []clusterstate.Share{{Service: "shop", Weight: 1}}
+	high, low := clusterstate.Route{Name: "h", Priority: 0, Split: shop}, clusterstate.Route{Name: "l", Priority: 2, Split: shop}
+	open := clusterstate.Route{Name: "o", Priority: 1, Split: shop, Unsealed: true}
+	cases := []struct {
+		name    string
+		tenants []clusterstate.Tenant
+		want    []int // high and low route of the first tenant, then of the second
+		classes int
+	}{
+		{"none", nil, []int{0, 2}, 3},
+		{"alike", []clusterstate.Tenant{{Name: "wax", Priority: 4}, {Name: "ink", Priority: 4}}, []int{0, 2, 0, 2}, 3},
+		{"one below the other", []clusterstate.Tenant{{Name: "wax", Priority: 1}, {Name: "ink", Priority: 2}}, []int{0, 2, 3, 5}, 5},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := &clusterstate.Manifest{Routes: []clusterstate.Route{high, low, open}, Tenants: c.tenants}
+			p := &plan{Manifest: m, tenantTable: tenantTableOf(m), ranks: ranks(m)}
+			of := []*clusterstate.Tenant{nil}
+			if len(c.tenants) > 0 {
+				of = []*clusterstate.Tenant{&m.Tenants[0], &m.Tenants[1]}
+			}
+			var got []int
+			for _, tenant := range of {
+				got = append(got, p.rank(&m.Routes[0], tenant), p.rank(&m.Routes[1], tenant))
+			}
+			assert.DeepEqual(t, got, c.want)
+			assert.Equal(t, p.rank(&m.Routes[2], nil), 1)
+			sv := &service{name: "shop"}
+			assert.Assert(t, !p.low(&m.Routes[0], of[0], sv) && p.low(&m.Routes[1], of[0], sv))
+			assert.Equal(t, p.low(&m.Routes[0], of[len(of)-1], sv), c.want[len(c.want)-2] > 0)
+			assert.Equal(t, len((&Edge{}).settings(clusterstate.New(), p, "shop").Classes), c.classes)
+		})
+	}
+}
--- a/internal/cdn/edge/objects.go
+++ b/internal/cdn/edge/objects.go
@@ -199,8 +199,9 @@
 	if _, err := permit(); err != nil {
 		return denied(err)
 	}
+	tenant := p.tenant(route, q.ClientKey)
 	sv.rate.want()
-	low := p.low(route, sv)
+	low := p.low(route, tenant, sv)
 	for late := time.Now().Add(min(patience/3, rateWait)); !sv.rate.take(low); {
 		wait := sv.rate.wait(low)
 		if time.Now().Add(wait).After(late) {
@@ -216,7 +217,7 @@
 	}
 	order := &upstream.Order{ID: q.ID, Stamped: true, Keep: route.Shelf > 0, Caller: caller, Permit: permit}
 	index, begun := e.replica.Index(), time.Now()
-	a := e.ask(sv, route.Name, order, exchange.Request{Class: p.class(route), Arrived: begun, TimeLeft: min(patience, route.Timeout),
+	a := e.ask(sv, route.Name, order, exchange.Request{Class: p.class(route, tenant), Arrived: begun, TimeLeft: min(patience, route.Timeout),
 		Method: http.MethodGet, Target: q.Target, Header: header})
 	if a.Kind != exchange.Served {
 		if last := order.Failure(); last != nil {
--- a/internal/cdn/edge/plan.go
+++ b/internal/cdn/edge/plan.go
@@ -21,7 +21,7 @@
 	classes  classNames                     // names of the decisions' classes of all routes
 	ranks    map[string]int                 // the highest of each service's routes, which is the least number
 	services map[string]*service
-	keys     *clusterstate.KeyTable // nil without tenants
+	tenantTable
 }
 
 // service is the decisions about one service's servers, and its share of the origin's rate.
@@ -101,13 +101,12 @@
 			return
 		}
 	}
-	p := &plan{Manifest: m, table: clusterstate.NewTable(m), services: map[string]*service{}, classes: classNames{}, routes: make(map[string]*clusterstate.Route, len(m.Routes))}
+	p := &plan{Manifest: m, table: clusterstate.NewTable(m), tenantTable: tenantTableOf(m), services: map[string]*service{}, classes: classNames{}, routes: make(map[string]*clusterstate.Route, len(m.Routes))}
 	for i := range m.Routes {
 		p.routes[m.Routes[i].Name] = &m.Routes[i]
-		p.classes.of(&m.Routes[i])
-	}
-	if len(m.Tenants) > 0 {
-		p.keys = clusterstate.NewKeyTable(m)
+		for _, t := range p.eachPriority(&m.Routes[i]) {
+			p.classes.of(classKeyOf(&m.Routes[i], p.rank(&m.Routes[i], t)))
+		}
 	}
 	p.ranks = ranks(m)
 	for _, def := range m.Services {
@@ -141,24 +140,28 @@
 	e.log.Info("configuration in force", "version", m.Version, "routes", len(m.Routes), "index", s.Index)
 }
 
-// ranks are the highest ranks among each service's routes.
+// ranks are the highest ranks among each service's routes, which are those of the highest tenants' requests on them.
 func ranks(m *clusterstate.Manifest) map[string]int {
 	all := map[string]int{}
 	for _, r := range m.Routes {
 		for _, s := range r.Split {
 			if best, ok := all[s.Service]; s.Weight > 0 && (!ok || r.Priority < best) {
-				all[s.Service] = r.Priority
+				all[s.Service] = max(r.Priority, 0)
 			}
 		}
 	}
 	return all
 }
 
-// class is the name of a route's class.
-func (p *plan) class(r *clusterstate.Route) string { return p.classes[classKeyOf(r)] }
+// class is the name of the class of a tenant's requests on a route.
+func (p *plan) class(r *clusterstate.Route, t *clusterstate.Tenant) string {
+	return p.classes[classKeyOf(r, p.rank(r, t))]
+}
 
-// low tells whether a route ranks below another one of the service.
-func (p *plan) low(r *clusterstate.Route, sv *service) bool { return r.Priority > p.ranks[sv.name] }
+// low tells whether a tenant's requests on a route rank below others of the service.
+func (p *plan) low(r *clusterstate.Route, t *clusterstate.Tenant, sv *service) bool {
+	return p.rank(r, t) > p.ranks[sv.name]
+}
 
 // idleFor is how long a connection is kept that nobody uses: less where a server takes fewer of them than there are routers.
 func idleFor(services []clusterstate.Service, routers int) time.Duration {
@@ -219,9 +222,11 @@
 		if !slices.ContainsFunc(r.Split, func(x clusterstate.Share) bool { return x.Service == name && x.Weight > 0 }) {
 			continue
 		}
-		if key := classKeyOf(r); !known[key] {
-			known[key] = true
-			set.Classes = append(set.Classes, key.class())
+		for _, t := range p.eachPriority(r) {
+			if key := classKeyOf(r, p.rank(r, t)); !known[key] {
+				known[key] = true
+				set.Classes = append(set.Classes, key.class())
+			}
 		}
 		if set.MaxAttempts == 0 || r.Tries < set.MaxAttempts {
 			set.MaxAttempts = r.Tries
--- a/internal/cdn/edge/plan_test.go
+++ b/internal/cdn/edge/plan_test.go
@@ -98,7 +98,7 @@
 		{Name: "seat", Priority: 0, Split: []clusterstate.Share{{Service: "desk", Weight: 1}}},
 	}}
 	p, vault, desk := &plan{Manifest: m, ranks: ranks(m)}, &service{name: "vault"}, &service{name: "desk"}
-	assert.Assert(t, p.low(&m.Routes[0], vault) && !p.low(&m.Routes[1], vault) && !p.low(&m.Routes[3], desk))
+	assert.Assert(t, p.low(&m.Routes[0], nil, vault) && !p.low(&m.Routes[1], nil, vault) && !p.low(&m.Routes[3], nil, desk))
 
 	var r rate
 	r.set(100, bootconfig.Bounds{CeilingWindow: 5 * time.Second, CeilingExcess: 1.1})
--- a/internal/cdn/edge/serve.go
+++ b/internal/cdn/edge/serve.go
@@ -42,7 +42,8 @@
 	plan    *plan
 	caller  *departure.Caller // the client, while something is done for it
 
-	clientKey string // the client's; empty on a route that needs none
+	clientKey string               // the client's; empty on a route that needs none
+	tenant    *clusterstate.Tenant // who holds it by the plan; nil where none is asked for
 
 	answered bool // its answer has begun
 }
@@ -138,7 +139,7 @@
 		return
 	}
 	sv.rate.want()
-	low := q.plan.low(q.route, sv)
+	low := q.plan.low(q.route, q.tenant, sv)
 	if !sv.rate.take(low) {
 		q.refuse(sv.rate.wait(low))
 		return
@@ -146,7 +147,7 @@
 	header := upstream.EndToEnd(q.Header.Clone())
 	header["Host"] = []string{q.Host}
 	order := &upstream.Order{ID: q.id, OnceOnly: q.route.Kind == clusterstate.OnceOnly, Caller: q.caller, Permit: permit}
-	a := e.ask(sv, q.route.Name, order, exchange.Request{ID: q.id, Class: q.plan.class(q.route), Arrived: q.arrived, TimeLeft: q.left,
+	a := e.ask(sv, q.route.Name, order, exchange.Request{ID: q.id, Class: q.plan.class(q.route, q.tenant), Arrived: q.arrived, TimeLeft: q.left,
 		Write: q.route.Kind == clusterstate.OnceOnly, Method: q.Method, Target: target(q.Request), Header: header, Body: body})
 	denied := order.Denied()
 	switch failure := order.Failure(); {
