The proxy counts tenants' requests and tells the holder of the duty

Cause: a duty left undone: no window's usage was reported. Ruled out: counting at an answer's end on routes that servers run (a window would wait for the longest request). Change: upstream.Account hears of attempts that may have begun and of those that did not; a report each second, by way of neighbours where the holder is not reached.

--- a/internal/cdn/edge/edge.go
+++ b/internal/cdn/edge/edge.go
@@ -24,7 +24,9 @@
 	"cedarmast/internal/cdn/peerrpc"
 	"cedarmast/internal/cdn/peersampling"
 	"cedarmast/internal/cdn/statesync"
+	"cedarmast/internal/cdn/truetime"
 	"cedarmast/internal/cdn/upstream"
+	"cedarmast/internal/cdn/usage"
 	"cedarmast/internal/exchange"
 
 	"github.com/hashicorp/go-hclog"
@@ -78,6 +80,9 @@
 	services map[string]*service
 	started  map[string]balance.Time
 
+	meter *usage.Meter    // of the tenants' requests; nil where none are reported
+	truth *truetime.Clock // the time of day, for report windows
+
 	fetches fetches
 	lent    calls // by others, in hand
 	life    context.Context
@@ -105,6 +110,9 @@
 	e.replica.Set, e.replica.Peers, e.replica.Log = set, e.peers, log.Named("statesync")
 	e.replica.Router = clusterstate.Router{Node: set.Node, Zone: set.Zone, Address: own, Weight: weight(set), Inner: !clients}
 	e.replica.Took, e.replica.Neighbours = e.took, e.view.Neighbours
+	if e.truth != nil {
+		e.replica.Heard = func(_ string, wall, _, answered time.Time) { e.truth.Hear(coreClock, wall, answered) }
+	}
 
 	inner, err := net.Listen("tcp", own)
 	if err != nil {
@@ -123,6 +131,9 @@
 	e.running.Go(func() { e.sweep(life) })
 	e.running.Go(func() { e.mingle(life) })
 	e.running.Go(func() { e.tell(life) })
+	if e.meter != nil {
+		e.running.Go(func() { e.reportUsage(life) })
+	}
 	e.running.Go(func() { e.showOnSignal(life) })
 	go e.replica.Run(life)
 	go peerrpc.Serve(inner, "Edge", func(s *peerrpc.Session) any { return &peerCalls{e, s} })
@@ -137,6 +148,7 @@
 	begun := time.Now()
 	if front != nil {
 		front.end(begun)
+		e.reportLast()
 	} else {
 		e.lent.end(lastMoment(begun, set.Bounds.Grace))
 	}
@@ -254,6 +266,9 @@
 	e.services, e.started = map[string]*service{}, map[string]balance.Time{}
 	e.bodies = exchange.NewBudget(int64(e.set.MemoryMB<<20) / bodiesPart)
 	e.fetches.all = map[level]*fetch{}
+	if e.set.Platform.ReportsUsage() {
+		e.meter, e.truth = usage.NewMeter(e.set.Node, newLife(), e.set.Platform.ReportWindow), truetime.New(time.Now(), false)
+	}
 	e.sender = upstream.NewSender(max(e.set.FileHandles/2-fdsReserved, 64), &e.counts)
 	e.zoneShields = newCacheTier(e, true, true)
 	e.zoneCaches, e.shields = newCacheTier(e, false, true), newCacheTier(e, true, false)
--- a/internal/cdn/edge/serve.go
+++ b/internal/cdn/edge/serve.go
@@ -45,7 +45,8 @@
 	clientKey string               // the client's; empty on a route that needs none
 	tenant    *clusterstate.Tenant // who holds it by the plan; nil where none is asked for
 
-	answered bool // its answer has begun
+	answered bool             // its answer has begun
+	onAnswer func(status int) // hears of the answer once it is out; may be nil
 }
 
 func (e *Edge) serve(w http.ResponseWriter, r *http.Request) {
@@ -146,7 +147,7 @@
 	}
 	header := upstream.EndToEnd(q.Header.Clone())
 	header["Host"] = []string{q.Host}
-	order := &upstream.Order{ID: q.id, OnceOnly: q.route.Kind == clusterstate.OnceOnly, Caller: q.caller, Permit: permit}
+	order := &upstream.Order{ID: q.id, OnceOnly: q.route.Kind == clusterstate.OnceOnly, Caller: q.caller, Permit: permit, Account: e.usageAccount(q.tenant)}
 	a := e.ask(sv, q.route.Name, order, exchange.Request{ID: q.id, Class: q.plan.class(q.route, q.tenant), Arrived: q.arrived, TimeLeft: q.left,
 		Write: q.route.Kind == clusterstate.OnceOnly, Method: q.Method, Target: target(q.Request), Header: header, Body: body})
 	denied := order.Denied()
@@ -178,6 +179,7 @@
 
 // serveObject answers from this router's copy. Nothing is done for the client of one that is fresh, so that no account of it is kept.
 func (e *Edge) serveObject(q *request, k objectcache.Key) {
+	q.onAnswer = e.answerCounter(q.tenant)
 	own, grade := e.held(k, objectcache.Asker{ID: q.id, ClientKey: q.clientKey}, true)
 	if grade == objectcache.Fresh {
 		q.deliver(fetchedFrom(own))
@@ -318,4 +320,7 @@
 	if q.Method != http.MethodHead && len(body) > 0 {
 		q.link.write(q.Context(), q.w.Write, body)
 	}
+	if q.onAnswer != nil {
+		q.onAnswer(status)
+	}
 }
--- a/internal/cdn/edge/usage.go
+++ b/internal/cdn/edge/usage.go
@@ -10,17 +10,20 @@
 	"cedarmast/internal/cdn/bootconfig"
 	"cedarmast/internal/cdn/clusterstate"
 	"cedarmast/internal/cdn/peerrpc"
+	"cedarmast/internal/cdn/upstream"
 	"cedarmast/internal/cdn/usage"
 )
 
 // This file counts the tenants' requests and brings the counts to the holder of the duty.
 
 const (
-	reportEvery    = time.Second
-	reportWithin   = 400 * time.Millisecond // for the holder's answer, and as long again by way of a neighbour
-	reportRelays   = 2                      // neighbours that are asked to pass a report on
-	lifeBytes      = 6
-	lastReportTime = 300 * time.Millisecond // at an end in order
+	reportEvery  = time.Second
+	reportWithin = 400 * time.Millisecond // for the holder's answer, and as long again by way of a neighbour
+	reportRelays = 2                      // neighbours that are asked to pass a report on
+	lifeBytes    = 6
+	lastReport   = 300 * time.Millisecond // for the report at an end in order
+	coreClock    = "core"                 // whichever core machine answers tells the time of all of them
+
 )
 
 // newLife draws what tells this process from those that the machine ran before.
@@ -30,19 +33,26 @@
 	return hex.EncodeToString(lot[:])
 }
 
-// usageOf is the account of a request that servers run; nil where nothing is reported.
-func (e *Edge) usageOf(tenant string) *usage.Request {
-	if e.meter == nil || tenant == "" {
+// trueTime is the time of day, whatever this machine's own clock shows.
+func (e *Edge) trueTime() time.Time { return e.truth.Now(time.Now()) }
+
+// usageAccount is the account of a tenant's request that servers run; nil where nothing is reported.
+func (e *Edge) usageAccount(tenant *clusterstate.Tenant) upstream.Account {
+	if e.meter == nil || tenant == nil {
 		return nil
 	}
-	return &usage.Request{Meter: e.meter}
+	return usage.NewRequest(e.meter, e.trueTime)
 }
 
-// countAnswer counts a request on a shelved route, which has been answered.
-func (e *Edge) countAnswer(tenant string, status int) {
-	success := status >= http.StatusOK && status < http.StatusMultipleChoices || status == http.StatusNotModified
-	if e.meter != nil && tenant != "" && success {
-		e.meter.Count(tenant, e.truth.Now())
+// answerCounter counts a tenant's request on a shelved route by its answer, if that is a success; nil where nothing is reported.
+func (e *Edge) answerCounter(tenant *clusterstate.Tenant) func(status int) {
+	if e.meter == nil || tenant == nil {
+		return nil
+	}
+	return func(status int) {
+		if status >= http.StatusOK && status < http.StatusMultipleChoices || status == http.StatusNotModified {
+			e.meter.Count(tenant.Name, e.trueTime())
+		}
 	}
 }
 
@@ -60,12 +70,22 @@
 	}
 }
 
+// reportLast tells the holder what was counted since the last report, as the process ends.
+func (e *Edge) reportLast() {
+	if e.meter == nil {
+		return
+	}
+	ctx, done := context.WithTimeout(context.Background(), lastReport)
+	defer done()
+	e.reportOnce(ctx)
+}
+
 // reportOnce tells the holder what is not fixed in the log, by way of neighbours if it is not reached.
 func (e *Edge) reportOnce(ctx context.Context) {
 	var fixed int64
 	e.replica.Read(func(s *clusterstate.State) { fixed = s.Usage.Fixed })
 	e.meter.Fixed(fixed)
-	report := e.meter.Report(e.truth.Now())
+	report := e.meter.Report(e.trueTime())
 	if e.tellHolder(ctx, &report) == nil {
 		return
 	}
--- a/internal/cdn/upstream/conn.go
+++ b/internal/cdn/upstream/conn.go
@@ -96,7 +96,7 @@
 	if err := o.confirm(sender); err != nil {
 		return notBegun, fmt.Errorf("%w: %w", errStopped, err)
 	}
-	if o.policy() == departure.Finish && !watch() || !o.begin(a.Due) {
+	if o.policy() == departure.Finish && !watch() || !o.begin(sender, a.Due) {
 		return notBegun, errStopped
 	}
 	_, err := c.Conn.Write(all)
@@ -104,6 +104,7 @@
 	case err == nil:
 		return written, nil
 	case o.OnceOnly && errors.Is(err, syscall.EPIPE): // the one byte was not taken
+		o.neverBegun()
 		return untaken, err
 	}
 	return begun, err
--- a/internal/cdn/upstream/order.go
+++ b/internal/cdn/upstream/order.go
@@ -22,6 +22,8 @@
 	// Permit is asked right before an attempt connects, and again before its last byte leaves: it names the tenant that the request runs for,
 	// empty for none, or says why it must not run. nil: nobody need be asked.
 	Permit func() (sender string, err error)
+	// Account hears of what servers may have begun for a sender; nil: nobody counts it.
+	Account Account
 
 	mu   sync.Mutex
 	last *exchange.Reply  // the last answer of a server that ran it and failed
@@ -32,6 +34,12 @@
 	took time.Duration    // from its sending to its answer, whole
 }
 
+// Account counts a request for what is reported of its tenant.
+type Account interface {
+	Begun(sender string) // an attempt leaves for a server, which may begin it
+	NotRun()             // a server has surely not begun an attempt that left
+}
+
 // Server is who gave the answer that was taken, or the last one.
 func (o *Order) Server() string {
 	o.mu.Lock()
@@ -72,6 +80,7 @@
 	o.mu.Lock()
 	o.not++
 	o.mu.Unlock()
+	o.neverBegun()
 }
 
 // Denied is why the last attempt was not let go to a server; nil if it was.
@@ -125,13 +134,23 @@
 	return departure.BreakOff
 }
 
+// neverBegun takes an attempt that left out of the account again.
+func (o *Order) neverBegun() {
+	if o.Account != nil {
+		o.Account.NotRun()
+	}
+}
+
 // begin is called before a request's last byte may leave. It is false if the caller has left: then that byte must not.
-func (o *Order) begin(due time.Time) bool {
+func (o *Order) begin(sender string, due time.Time) bool {
 	if !o.Caller.Begin(o.policy(), due) {
 		return false
 	}
 	o.mu.Lock()
 	o.sent++
 	o.mu.Unlock()
+	if o.Account != nil {
+		o.Account.Begun(sender)
+	}
 	return true
 }
--- a/internal/cdn/usage/meter.go
+++ b/internal/cdn/usage/meter.go
@@ -29,7 +29,8 @@
 	return &Meter{node: node, life: life, window: window, windows: map[int64]Counts{}}
 }
 
-// Count adds a request of a tenant to the window of a moment, and returns that window. One that is fixed already takes no more.
+// Count adds a request of a tenant to the window of a moment, and returns that window. One that is fixed already takes no more. Requests
+// without a tenant are not counted.
 func (m *Meter) Count(tenant string, at time.Time) (round int64) {
 	round = RoundOf(at, m.window)
 	m.mu.Lock()
@@ -49,7 +50,7 @@
 
 // add changes a count. The caller holds the lock.
 func (m *Meter) add(tenant string, round, by int64) {
-	if round <= m.fixed {
+	if round <= m.fixed || tenant == "" {
 		return
 	}
 	counts := m.windows[round]
@@ -99,10 +100,11 @@
 	return r
 }
 
-// Request is the account of one request of a tenant that servers run: it is counted in the window in which it first left for a server that may
-// have begun it, and taken out again when every server that it went to says that it did not run it. Its zero value with a Meter is ready.
+// Request is the account of one request that servers run for a tenant: it is counted in the window in which it first left for a server that may
+// have begun it, and taken out again when no server that it went to has begun it.
 type Request struct {
-	Meter *Meter
+	meter *Meter
+	now   func() time.Time // true time
 
 	mu     sync.Mutex
 	tenant string
@@ -110,21 +112,24 @@
 	open   int // attempts that a server may have begun
 }
 
+// NewRequest returns the account of a request that is not counted yet.
+func NewRequest(m *Meter, now func() time.Time) *Request { return &Request{meter: m, now: now} }
+
 // Begun notes that the request leaves for a server.
-func (r *Request) Begun(tenant string, at time.Time) {
+func (r *Request) Begun(tenant string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.open++; r.open == 1 {
 		r.tenant = tenant
-		r.round = r.Meter.Count(tenant, at)
+		r.round = r.meter.Count(tenant, r.now())
 	}
 }
 
-// TurnedAway notes that a server that it went to did not run it.
-func (r *Request) TurnedAway() {
+// NotRun notes that a server that it went to did not begin it.
+func (r *Request) NotRun() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.open--; r.open == 0 {
-		r.Meter.Withdraw(r.tenant, r.round)
+		r.meter.Withdraw(r.tenant, r.round)
 	}
 }
--- a/internal/cdn/usage/meter_test.go
+++ b/internal/cdn/usage/meter_test.go
@@ -33,15 +33,18 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			r := Request{Meter: NewMeter("edge-1", "life", testWindow)}
+			now := time.Time{}
+			m := NewMeter("edge-1", "life", testWindow)
+			r := NewRequest(m, func() time.Time { return now })
 			for _, s := range c.steps {
 				if s.begun == 0 {
-					r.TurnedAway()
+					r.NotRun()
 				} else {
-					r.Begun(s.tenant, at(s.begun))
+					now = at(s.begun)
+					r.Begun(s.tenant)
 				}
 			}
-			assert.DeepEqual(t, r.Meter.Report(at(20)).Windows, c.want)
+			assert.DeepEqual(t, m.Report(at(20)).Windows, c.want)
 		})
 	}
 }
