Counts of a report window are fixed once in the log, and noted when the platform has them

Cause: a holder of the duty that repeats a report after an unknown fate, or that follows another holder, has heard other counts; the platform would take both. Ruled out: counts kept by the holder (the next one would send others). Before: the commands did nothing.

--- a/internal/cdn/clusterstate/clusterstate.go
+++ b/internal/cdn/clusterstate/clusterstate.go
@@ -101,6 +101,7 @@
 	c := *s
 	c.Servers, c.Routers = maps.Clone(s.Servers), maps.Clone(s.Routers)
 	c.Taken, c.Left, c.Roster = slices.Clone(s.Taken), slices.Clone(s.Left), slices.Clone(s.Roster)
+	c.Usage.Pending = slices.Clone(s.Usage.Pending)
 	return &c
 }
 
@@ -111,7 +112,7 @@
 	Server  *Server  `json:"server,omitempty"`
 	Leave   string   `json:"leave,omitempty"` // a server that has left in order
 	Lost    string   `json:"lost,omitempty"`  // a server that has fallen silent
-	Epoch   uint64   `json:"epoch,omitempty"` // with Lost, Absent and Cut: of the duty under which that was decided
+	Epoch   uint64   `json:"epoch,omitempty"` // with Lost, Absent, Cut and what is of usage: of the duty under which that was decided
 	Purge   *Purge   `json:"purge,omitempty"`
 	Enrol   []Router `json:"enrol,omitempty"`   // cache routers that have come, or moved
 	Absent  string   `json:"absent,omitempty"`  // a router that has fallen silent
@@ -127,6 +128,11 @@
 // Configures tells whether a command brings a configuration.
 func (c Command) Configures() bool { return c.Put != nil || c.Change != nil }
 
+// underDuty tells whether only the holder of the duty brings such a command, under its epoch.
+func (c Command) underDuty() bool {
+	return c.Lost != "" || c.Absent != "" || c.Cut != nil || c.FixUsage != nil || c.UsageTaken > 0
+}
+
 // Kind names what a command changes, for figures and logs.
 func (c Command) Kind() string {
 	switch {
@@ -150,6 +156,10 @@
 		return "appoint"
 	case c.Cut != nil:
 		return "cut"
+	case c.FixUsage != nil:
+		return "fix usage"
+	case c.UsageTaken > 0:
+		return "usage taken"
 	}
 	return "none"
 }
@@ -204,10 +214,14 @@
 		return s.server(*c.Server)
 	case c.Leave != "":
 		s.leave(c.Leave)
-	case c.Epoch < s.Duty.Epoch && (c.Lost != "" || c.Absent != "" || c.Cut != nil):
+	case c.Epoch < s.Duty.Epoch && c.underDuty():
 		return Outcome{Status: Stale, Text: "the duty has gone to another machine"}
 	case c.Cut != nil:
 		return s.cut(c.Cut)
+	case c.FixUsage != nil:
+		return s.fixUsage(*c.FixUsage)
+	case c.UsageTaken > 0:
+		s.usageTaken(c.UsageTaken)
 	case c.Lost != "":
 		if s.Servers[c.Lost].State == Closing { // it has said that it goes: a late call does not open it again
 			s.leave(c.Lost)
--- /dev/null
+++ b/internal/cdn/clusterstate/usage_test.go
@@ -0,0 +1,77 @@
+package clusterstate
+
+import (
+	"bytes"
+	"encoding/gob"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func fix(epoch uint64, round int64, counts map[string]int64) Command {
+	return Command{Epoch: epoch, FixUsage: &UsageReport{Round: round, Counts: counts}}
+}
+
+// The counts of a window are fixed once, under the duty's newest epoch, whoever holds it; a snapshot and a copy by changes say the same.
+func TestUsageIsFixedOnce(t *testing.T) {
+	cases := []struct {
+		name    string
+		command Command
+		status  int
+		fixed   int64
+		pending []UsageReport
+	}{
+		{"the holder", Command{Appoint: "10.0.0.1"}, Done, 0, nil},
+		{"the first window", fix(1, 70, map[string]int64{"a": 4}), Done, 70, []UsageReport{{70, map[string]int64{"a": 4}}}},
+		{"the same window, another count", fix(1, 70, map[string]int64{"a": 5}), Done, 70, []UsageReport{{70, map[string]int64{"a": 4}}}},
+		{"another holder", Command{Appoint: "10.0.0.2"}, Done, 70, []UsageReport{{70, map[string]int64{"a": 4}}}},
+		{"the old holder", fix(1, 71, nil), Stale, 70, []UsageReport{{70, map[string]int64{"a": 4}}}},
+		{"the old holder notes what was taken", Command{Epoch: 1, UsageTaken: 70}, Stale, 70, []UsageReport{{70, map[string]int64{"a": 4}}}},
+		{"the new holder counts the old window anew", fix(4, 70, map[string]int64{"a": 9}), Done, 70, []UsageReport{{70, map[string]int64{"a": 4}}}},
+		{"an empty window", fix(4, 71, map[string]int64{}), Done, 71, []UsageReport{{70, map[string]int64{"a": 4}}, {71, nil}}},
+		{"an older window", fix(4, 69, nil), Stale, 71, []UsageReport{{70, map[string]int64{"a": 4}}, {71, nil}}},
+		{"taken", Command{Epoch: 4, UsageTaken: 70}, Done, 71, []UsageReport{{71, nil}}},
+		{"taken, once more", Command{Epoch: 4, UsageTaken: 70}, Done, 71, []UsageReport{{71, nil}}},
+		{"none is left", Command{Epoch: 4, UsageTaken: 71}, Done, 71, nil},
+	}
+	h, follower := NewHistory(New()), NewHistory(New())
+	for i, c := range cases {
+		before := h.State.Clone()
+		_, out, err := h.Apply(uint64(i+1), c.command.Encode())
+		assert.NilError(t, err)
+		assert.Equal(t, out.Status, c.status, "%s: %s", c.name, out.Text)
+		assert.Equal(t, h.State.Usage.Fixed, c.fixed, c.name)
+		assert.DeepEqual(t, h.State.Usage.Pending, c.pending)
+		assert.Assert(t, before.Index < h.State.Index)
+		for _, change := range h.Since(follower.State.Index).Changes {
+			follower.Apply(change.Index, change.Data)
+		}
+		if follower.State.Index == 0 {
+			follower = NewHistory(h.State.Clone())
+		}
+		assert.DeepEqual(t, follower.State.Usage, h.State.Usage)
+		var snapshot bytes.Buffer
+		restored := New()
+		assert.NilError(t, gob.NewEncoder(&snapshot).Encode(h.State))
+		assert.NilError(t, gob.NewDecoder(&snapshot).Decode(restored))
+		assert.DeepEqual(t, restored.Usage, h.State.Usage)
+	}
+}
+
+// What waits for the platform is bounded, and a kept copy does not change.
+func TestPendingUsageIsBounded(t *testing.T) {
+	s := New()
+	for round := int64(1); round <= MostPendingUsage; round++ {
+		s.Apply(uint64(round), fix(0, round, nil))
+	}
+	kept := s.Clone()
+	s.Apply(MostPendingUsage+1, fix(0, MostPendingUsage+1, nil))
+	assert.Equal(t, len(s.Usage.Pending), MostPendingUsage)
+	assert.Equal(t, s.Usage.Pending[0].Round, int64(2))
+	assert.Equal(t, kept.Usage.Pending[0].Round, int64(1))
+	many := map[string]int64{}
+	for i := range MostUsageTenants + 1 {
+		many[string(rune(i+0x4e00))] = 1
+	}
+	assert.Equal(t, s.Apply(MostPendingUsage+2, fix(0, MostPendingUsage+2, many)).Status, Invalid)
+}
