An appointment to the duty follows the one before it by a lease

Cause: A, then B, then A within a lease would act by turns. Change: a leader counts from when it first saw the present duty, or proposed another one; MachineConfig.DutyLease, zero as before. Shown: TestAppointmentsAreALeaseApart, a table of looks; the simulation of the duty plays it with a lease of 2 s.

--- a/internal/cdn/configstore/machine.go
+++ b/internal/cdn/configstore/machine.go
@@ -58,6 +58,7 @@
 	Wrap     func(Journal) Journal   // a test's way to the disk; may be nil
 
 	Limits       consensus.Limits        // zero: the usual ones
+	DutyLease    time.Duration           // an appointment to the duty follows the one before it by this at least; 0: at once
 	RenewEntries int                     // of the log, then a snapshot begins a new journal; 0: as usual
 	Committed    func([]consensus.Entry) // hears what is taken, for a simulation; may be nil
 }
@@ -92,6 +93,25 @@
 	token    uint64
 	led      time.Time // since when this machine has led
 	looked   time.Time // when it last looked who holds the duty
+	duty     tenure    // of the present holder, as far as this leader saw it
+}
+
+// tenure is since when a leader has seen the duty with its present holder, or proposed another one.
+type tenure struct {
+	duty  clusterstate.Duty
+	since time.Time
+}
+
+// follow notes who holds the duty. What a leader saw in an earlier time as leader does not count.
+func (t *tenure) follow(d clusterstate.Duty, now time.Time) {
+	if t.since.IsZero() || t.duty != d {
+		*t = tenure{d, now}
+	}
+}
+
+// over tells whether another holder may be appointed. Where nobody has held the duty yet nobody's acts can meet another's.
+func (t *tenure) over(now time.Time, lease time.Duration) bool {
+	return t.duty.Holder == "" || now.Sub(t.since) >= lease
 }
 
 // proposal is a command in the log whose outcome somebody waits for.
@@ -422,7 +442,7 @@
 // lead does what falls to the leader: it appoints the duty's holder, the first live core machine in the order of addresses.
 func (m *Machine) lead(now time.Time) {
 	if !m.Leads() {
-		m.led = time.Time{}
+		m.led, m.duty = time.Time{}, tenure{}
 		return
 	}
 	if m.led.IsZero() {
@@ -434,9 +454,11 @@
 	}
 	m.looked = now
 	m.View.forgetAbsent(now)
+	m.duty.follow(m.View.Duty(), now)
 	holder, lives := m.dutyHolder()
-	if !lives && holder != "" && now.Sub(m.led) > liveFor/2 {
+	if !lives && holder != "" && now.Sub(m.led) > liveFor/2 && m.duty.over(now, m.DutyLease) {
 		m.node.Propose(clusterstate.Command{Appoint: holder}.Encode())
+		m.duty.since = now
 	}
 }
 
