The holder's config store collects usage; core machines compare their clocks and tell true time

Cause: windows are those of true time, and a proxy's counts must reach whoever holds the duty, also where reports are lost or repeated. Ruled out: telling others an estimate that was shifted by theirs: small errors would add up without end, so machines that take a median hear own clocks alone (ConfigStore.Clock), and the rest hear the median with the news (News.WallMS, Replica.Heard). A copy asks one core machine for long, so it never hears three. Change: usage.Collector, ConfigStore.Usage and UsageSums, package truetime, status of the duty's windows. An answer of sums waits for two seconds after a process's start, until proxies have reported to it.

--- a/internal/cdn/clusterstate/news.go
+++ b/internal/cdn/clusterstate/news.go
@@ -32,6 +32,7 @@
 	Proven bool
 	AgeMS  int64
 	Index  uint64 // what the one who answers holds
+	WallMS int64  // true time at the answer, as far as the one who answers knows, in milliseconds since the start of 1970; 0: not told
 }
 
 // History is a state together with its last changes, for those who ask what is new.
--- a/internal/cdn/configstore/presence.go
+++ b/internal/cdn/configstore/presence.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/usage"
 )
 
 // This file is who was heard, here and at the other core machines: cache routers by their questions, servers by their beats.
@@ -16,6 +17,7 @@
 	enrolTogether = 150 * time.Millisecond // newcomers of so long are one change of every table
 	serverMark    = "server "              // before a server's id, where cache routers stand beside
 	mostAttended  = 1 << 17
+	usageHeardFor = 2 * time.Second // before that a process that has just started has not heard all proxies' reports
 )
 
 // ServerKey is a server's name beside those of cache routers.
@@ -30,6 +32,8 @@
 	told      time.Time             // when the leader was last told who asked here
 	looked    time.Time             // when the lists of who was heard were last looked through
 	needs     map[string]needed     // by cache router, while this machine holds the duty
+	usage     *usage.Collector      // of what proxies have counted, while this machine holds the duty
+	usageFrom time.Time             // when usage was first told or asked for here
 }
 
 // needed is what a cache router would ask of the servers, and when it said so.
@@ -40,7 +44,7 @@
 
 func newPresence() presence {
 	return presence{attended: map[string]time.Time{}, present: map[string]time.Time{}, enrolled: map[string]time.Time{},
-		needs: map[string]needed{}}
+		needs: map[string]needed{}, usage: usage.NewCollector()}
 }
 
 // seenHere is who has asked this machine for news, for the leader, at times.
@@ -170,6 +174,37 @@
 	return all
 }
 
+// noteUsage keeps what a proxy has counted, for the machine that holds the duty.
+func (v *View) noteUsage(r *usage.Report, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.presence.usageBegins(now)
+	return v.presence.usage.Take(*r, v.history.State.Usage.Fixed)
+}
+
+// usageSums tells what proxies have counted in windows that are not fixed yet. It is an error until they have had the time to report here.
+func (v *View) usageSums(now time.Time) ([]usage.Sum, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.presence.usageBegins(now)
+	if now.Sub(v.presence.usageFrom) < usageHeardFor {
+		return nil, errUsageUnheard
+	}
+	var proxies []string
+	for node, r := range v.history.State.Routers {
+		if !r.Inner {
+			proxies = append(proxies, node)
+		}
+	}
+	return v.presence.usage.Sums(v.history.State.Usage.Fixed, proxies), nil
+}
+
+func (p *presence) usageBegins(now time.Time) {
+	if p.usageFrom.IsZero() {
+		p.usageFrom = now
+	}
+}
+
 // silentFor is for how long each of the names has been silent, in milliseconds; nobody is told to be silent for longer than
 // this leader has led. It says nothing where this machine does not lead.
 func (v *View) silentFor(names []string, now time.Time) (ages []int64, leads bool, leader string) {
--- a/internal/cdn/configstore/service.go
+++ b/internal/cdn/configstore/service.go
@@ -9,11 +9,15 @@
 	"cedarmast/internal/cdn/consensus"
 	"cedarmast/internal/cdn/departure"
 	"cedarmast/internal/cdn/peerrpc"
+	"cedarmast/internal/cdn/usage"
 )
 
 // errNoLeader is the cause where no leader that has a majority could be asked.
 var errNoLeader = errors.New("no leader that has a majority")
 
+// errUsageUnheard is the cause where proxies have not had the time to report what they counted.
+var errUsageUnheard = errors.New("proxies have not reported their usage yet")
+
 // service is what other processes may call. Its methods have net/rpc's form.
 type service struct {
 	*Store
@@ -161,6 +165,7 @@
 	}
 	*n = s.view.Since(a.Have, time.Now())
 	n.Fresh = n.Fresh || a.Barrier // a majority was heard after the question came
+	n.WallMS = s.clock.Now(time.Now()).UnixMilli()
 	return nil
 }
 
@@ -189,6 +194,24 @@
 	return nil
 }
 
+// Usage notes what a proxy has counted, for the machine that holds the duty.
+func (s *service) Usage(r *usage.Report, ok *bool) error {
+	*ok = s.view.noteUsage(r, time.Now())
+	return nil
+}
+
+// UsageSums tells what proxies have counted in windows that are not fixed yet.
+func (s *service) UsageSums(_ *bool, sums *[]usage.Sum) (err error) {
+	*sums, err = s.view.usageSums(time.Now())
+	return err
+}
+
+// Clock tells what this process's own clock shows, in milliseconds since the start of 1970, not shifted by what it heard of others.
+func (s *service) Clock(_ *bool, wallMS *int64) error {
+	*wallMS = s.clock.Own(time.Now()).UnixMilli()
+	return nil
+}
+
 // Silent tells for how long those named have been silent, in milliseconds, by way of the leader.
 func (s *service) Silent(q *Silence, ages *[]int64) error {
 	here, leads, leader := s.view.silentFor(q.Names, time.Now())
--- a/internal/cdn/configstore/store.go
+++ b/internal/cdn/configstore/store.go
@@ -18,6 +18,7 @@
 	"cedarmast/internal/cdn/metrics"
 	"cedarmast/internal/cdn/peerrpc"
 	"cedarmast/internal/cdn/raftlog"
+	"cedarmast/internal/cdn/truetime"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/zeebo/errs"
@@ -43,6 +44,7 @@
 	peers   *peerrpc.Peers
 	machine *Machine // the loop's
 	view    *View
+	clock   *truetime.Clock
 	callers *departure.Ledger // registries and other config stores whose calls can be given up
 
 	acknowledgements *acknowledgements
@@ -77,7 +79,7 @@
 	s := &Store{set: set, log: log, peers: peerrpc.NewPeers(), in: make(chan []consensus.Message, 256),
 		proposals: make(chan asked[Reply], 1024), barriers: make(chan asked[Barrier], 256), quit: make(chan struct{}),
 		done: make(chan struct{}), senders: map[string]chan consensus.Message{}, callers: departure.NewLedger(),
-		acknowledgements: newAcknowledgements(log)}
+		clock: truetime.New(time.Now(), true), acknowledgements: newAcknowledgements(log)}
 	s.callers.LogBreaches(log)
 	s.peers.DialPatience = dialPatience
 	if err := s.open(ctx, wrap); err != nil || s.machine == nil {
@@ -91,6 +93,9 @@
 	log.Info("started", "id", s.machine.Self().ID, "address", s.machine.Address, "voters", len(s.machine.Membership().Voters)) // the machine is the loop's from here on
 	go peerrpc.Serve(listener, "ConfigStore", func(session *peerrpc.Session) any { return &service{s, session} })
 	go s.loop()
+	if set.Platform.ReportsUsage() {
+		go s.compareClocks(ctx)
+	}
 	metrics.Serve(ctx, set, log, s.callers, s.acknowledgements.seconds)
 	select {
 	case <-ctx.Done():
@@ -135,6 +140,9 @@
 	c := MachineConfig{IP: s.set.IP, Address: s.set.Inner(s.set.IP, bootconfig.ConfigStorePort), FirstStart: s.set.FirstStart,
 		Contacts: s.contacts(), Tolerate: s.set.Bounds.Tolerate, Timing: consensus.Usual, Seed: drawSeed(), Log: s.log, Send: s.send,
 		Identity: drawIdentity, Clock: time.Now, Wrap: wrap}
+	if s.set.Platform.ReportsUsage() {
+		c.DutyLease = s.set.Platform.Lease
+	}
 	for _, seed := range s.set.Seeds {
 		ip := bootconfig.HostOf(seed)
 		c.Founders = append(c.Founders, consensus.Member{ID: ip, Addr: s.set.Inner(ip, bootconfig.ConfigStorePort)})
--- a/internal/cdn/configstore/view.go
+++ b/internal/cdn/configstore/view.go
@@ -40,7 +40,9 @@
 	Journal             int64 // bytes
 	Version             string
 	Servers, Routers    int
-	Duty                clusterstate.Duty
+	Duty                clusterstate.Duty // its epoch is the fence of calls to the platform
+	UsageFixed          int64             // the newest report window whose counts are fixed
+	UsageBacklog        int               // windows that are fixed and not known to be taken by the platform
 	Fresh, DiskFails    bool
 	Syncs               uint64
 }
@@ -200,5 +202,6 @@
 	s, state := v.position.status, v.history.State
 	s.Leader, s.Fresh, s.Members, s.Index, s.Syncs = v.position.leader, v.current(now), v.position.core, state.Index, v.syncs
 	s.Version, s.Servers, s.Routers, s.Duty = state.Version.String(), len(state.Servers), len(state.Routers), state.Duty
+	s.UsageFixed, s.UsageBacklog = state.Usage.Fixed, len(state.Usage.Pending)
 	return s
 }
--- a/internal/cdn/statesync/statesync.go
+++ b/internal/cdn/statesync/statesync.go
@@ -46,6 +46,8 @@
 	Prefer string              // the address that is asked first, if any
 	// Took hears of each change in order, under the copy's lock; whole means that all is new. It must not wait.
 	Took func(s *clusterstate.State, c clusterstate.Command, index uint64, whole bool)
+	// Heard is told what time it is for a core machine that answered a question, begun and answered at these moments; may be nil.
+	Heard func(source string, wall, begun, answered time.Time)
 	// Neighbours are addresses that may be asked when no core machine answers; may be nil.
 	Neighbours func() []string
 
@@ -166,6 +168,7 @@
 		at := order[0]
 		n, begun, err := s.ask(ctx, at, first, patience<<min(failed, mostTries))
 		if err == nil {
+			s.hear(at, n, begun, time.Now())
 			s.Take(n, begun)
 		}
 		if err == nil && n.Fresh {
@@ -203,6 +206,15 @@
 	return n, begun, err
 }
 
+// answerTime is how much longer than it may be held an answer takes at most whose time of day is heeded.
+const answerTime = 100 * time.Millisecond
+
+func (s *Replica) hear(source string, n clusterstate.News, begun, answered time.Time) {
+	if s.Heard != nil && n.WallMS > 0 && answered.Sub(begun) < hold+answerTime {
+		s.Heard(source, time.UnixMilli(n.WallMS), begun, answered)
+	}
+}
+
 func (s *Replica) mustHaveAll() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.whole }
 
 func (s *Replica) askNeighbours(ctx context.Context) {
