The registry reports usage to the platform; a stand-in platform judges it

Change: registry/usage.go carries out the reporter's steps; registry/platform.go calls the platform on a connection of its own, so that the look at the lease stands between the connection and the one write. localnet has a platform that is slow, busy, silent or breaks off, and notes breaches.

--- a/internal/cdn/localnet/localnet.go
+++ b/internal/cdn/localnet/localnet.go
@@ -36,6 +36,7 @@
 	Program func(name string) []string
 	Out     io.Writer // of all processes' logs; nil: none
 	Metrics bool      // proxies tell their figures; see Figures
+	Reports bool      // the tenants' usage falls due at a stand-in platform
 }
 
 // The ports are alike on all machines, as on the operators'.
@@ -65,6 +66,7 @@
 type Network struct {
 	Shape
 	Machines []*Machine
+	Platform *Platform // nil without Reports
 	client   http.Client
 	started  time.Time
 	logMu    sync.Mutex // of Out
@@ -90,6 +92,9 @@
 		}
 		n.Machines = append(n.Machines, m)
 	}
+	if err := n.startPlatform(); err != nil {
+		return nil, err
+	}
 	for _, m := range n.Machines {
 		if err := n.Up(m); err != nil {
 			n.Stop()
@@ -134,6 +139,9 @@
 		line("network.zones."+z, "here")
 	}
 	line("yard.heartbeat", beatEvery.String())
+	if n.Reports {
+		n.platformSettings(line)
+	}
 	return b.String()
 }
 
@@ -208,6 +216,9 @@
 	for _, m := range n.Machines {
 		n.Signal(m, syscall.SIGKILL)
 	}
+	if n.Platform != nil {
+		n.Platform.Stop()
+	}
 }
 
 // Control calls the first core machine that answers, as the operator would, until the context ends.
--- /dev/null
+++ b/internal/cdn/registry/platform_test.go
@@ -0,0 +1,68 @@
+package registry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/localnet"
+	"cedarmast/internal/cdn/usage"
+
+	"gotest.tools/v3/assert"
+)
+
+// A report is the same bytes each time, and an object of tallies where nothing was counted.
+func TestUsageOnTheWire(t *testing.T) {
+	cases := []struct {
+		report clusterstate.UsageReport
+		want   string
+	}{
+		{clusterstate.UsageReport{Round: 353445120, Counts: map[string]int64{"puhu251": 412, "huka270": 1}}, `{"round":353445120,"tallies":{"huka270":1,"puhu251":412}}`},
+		{clusterstate.UsageReport{Round: 7}, `{"round":7,"tallies":{}}`},
+	}
+	for _, c := range cases {
+		assert.Equal(t, string(encodeUsage(c.report)), c.want)
+	}
+}
+
+// Each way in which a call can end, and that nothing leaves when the look right before the write forbids it.
+func TestCallsOfThePlatform(t *testing.T) {
+	platform := localnet.NewPlatform(time.Second)
+	address, err := platform.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	defer platform.Stop()
+	cases := []struct {
+		name    string
+		mood    localnet.PlatformMood
+		fence   uint64
+		allowed bool
+		want    usage.CallOutcome
+	}{
+		{"forbidden", localnet.Answering, 9, false, usage.NotSent},
+		{"taken", localnet.Answering, 5, true, usage.Accepted},
+		{"the same again", localnet.Answering, 5, true, usage.Accepted},
+		{"busy", localnet.Busy, 5, true, usage.Busy},
+		{"failing", localnet.Failing, 5, true, usage.Failed},
+		{"taken, and the connection broken off", localnet.Resetting, 6, true, usage.Unanswered},
+		{"a lower fence", localnet.Answering, 5, true, usage.Refused},
+		{"taken, and no word", localnet.Silent, 6, true, usage.Unanswered},
+	}
+	client := platformClient{address: address, holder: "core-1", within: 150 * time.Millisecond}
+	for _, c := range cases {
+		platform.Behave(c.mood, 0)
+		step := usage.Step{Kind: usage.Send, Fence: c.fence, Report: clusterstate.UsageReport{Round: 7, Counts: map[string]int64{"a": 1}}}
+		answer := client.report(t.Context(), step, func() bool { return c.allowed })
+		assert.Equal(t, answer.outcome, c.want, "%s: %v", c.name, answer.err)
+	}
+	assert.Equal(t, platform.Answered(http.StatusOK), 2)
+	assert.Equal(t, len(platform.Breaches()), 0, "%v", platform.Breaches())
+	client.address = "127.0.0.1:1"
+	assert.Equal(t, client.report(t.Context(), usage.Step{}, func() bool { return true }).outcome, usage.NotSent)
+}
+
+func TestRetryAfter(t *testing.T) {
+	for text, want := range map[string]time.Duration{"": 0, "2": 2 * time.Second, "0.3": 300 * time.Millisecond, "-1": 0, "soon": 0, "NaN": 0, "1e9": 0} {
+		assert.Equal(t, retryAfter(text), want, text)
+	}
+}
--- a/internal/cdn/registry/registry.go
+++ b/internal/cdn/registry/registry.go
@@ -1,6 +1,7 @@
 // Package registry is the registry's process: on a core machine it takes the calls of servers and of the operator, brings what
 // they change into the log by way of the machine's config store, and answers only when a majority of disks has it. The one that
-// holds the duty also takes out servers and cache routers that have fallen silent, and cuts the rates of services.
+// holds the duty also takes out servers and cache routers that have fallen silent, cuts the rates of services, and reports the tenants' usage
+// to the platform.
 package registry
 
 import (
@@ -25,6 +26,7 @@
 	"cedarmast/internal/cdn/statesync"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
 )
 
@@ -72,10 +74,17 @@
 	}
 	server := &http.Server{Handler: w.accounted(w.calls()), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second,
 		ErrorLog: log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
-	go w.replica.Run(ctx)
 	go w.duties(ctx)
 	go w.pass(ctx)
-	metrics.Serve(ctx, set, log, w.callers)
+	figures := []prometheus.Collector{w.callers}
+	if set.Platform.ReportsUsage() {
+		duty := newUsageDuty(w)
+		w.replica.Heard = duty.hear
+		figures = append(figures, duty.calls, duty.backlog)
+		go duty.run(ctx)
+	}
+	go w.replica.Run(ctx)
+	metrics.Serve(ctx, set, log, figures...)
 	go server.Serve(halfclose.Listen(listener))
 	log.Info("started", "address", set.Control)
 	<-ctx.Done()
