The simulation plays the duty to report usage, with three convictions

Change: proxies that count, each host's reporter and collector, a platform that goes down, stays silent or refuses, under the seed's faults.

--- a/internal/cdn/simulation/checks.go
+++ b/internal/cdn/simulation/checks.go
@@ -54,7 +54,9 @@
 			w.checks.committed[e.Index] = is
 			if e.Index == w.checks.last+1 {
 				w.checks.last = e.Index
-				w.checks.model.take(e)
+				if w.checks.model.take(e) {
+					w.appoint(e.Index)
+				}
 				if w.client.onTaken != nil && (bytes.HasPrefix(e.Data, []byte(`{"put"`)) || bytes.HasPrefix(e.Data, []byte(`{"change"`))) {
 					w.client.onTaken(h)
 				}
@@ -71,8 +73,8 @@
 	}
 }
 
-// take is what a command means for the servers, by the pages alone.
-func (m *model) take(e consensus.Entry) {
+// take is what a command means for the servers, by the pages alone. It tells whether the entry appoints a holder of the duty.
+func (m *model) take(e consensus.Entry) (appoints bool) {
 	c, err := clusterstate.Decode(e.Data)
 	switch {
 	case err != nil || len(e.Data) == 0:
@@ -88,6 +90,7 @@
 		delete(m.servers, c.Lost)
 		m.gone[c.Lost] = m.gone[c.Lost] || m.closing[c.Lost]
 	}
+	return err == nil && c.Appoint != ""
 }
 
 // checkTurn is what holds after every step of a machine.
--- a/internal/cdn/simulation/clients.go
+++ b/internal/cdn/simulation/clients.go
@@ -227,6 +227,12 @@
 		func(b configstore.Barrier) bool { return b.OK }, func(b configstore.Barrier) { reply(b.Index, b.OK) })
 }
 
+// barrierAt is barrier for a question of the machine's own registry.
+func (w *world) barrierAt(h *host, reply func(index uint64, ok bool)) {
+	askAt(w, h, w.now.Add(patience), func(m *configstore.Machine, done func(configstore.Barrier)) { m.AskBarrier(done) },
+		func(b configstore.Barrier) bool { return b.OK }, func(b configstore.Barrier) { reply(b.Index, b.OK) })
+}
+
 // ask brings a question to the leader from the machine that was called, as its process does: configstore.Question decides each step. A process
 // that has ended or is stopped says nothing.
 func ask[T any](w *world, h *host, until time.Time, question func(*configstore.Machine, func(T)), good func(T) bool, reply func(T)) {
--- a/internal/cdn/simulation/host.go
+++ b/internal/cdn/simulation/host.go
@@ -34,6 +34,7 @@
 
 	machine     *configstore.Machine
 	beats       *registry.Beats // of the registry beside it
+	reporting   *reporting      // its part in the duty, if that is played
 	incarnation int             // of its processes
 	opening     int             // starts that are under way
 	outbox      []consensus.Message
@@ -97,11 +98,15 @@
 	h.busyUntil = h.w.now.Add(h.disk.TakeSpent() + turnTime)
 	h.w.trace("host %d starts as %s", h.index, machine.Self().ID)
 	h.tick()
+	h.beginReporting()
 }
 
 func (h *host) config() configstore.MachineConfig {
-	w, incarnation := h.w, h.incarnation
-	return configstore.MachineConfig{IP: ipOf(h.index), Address: h.address, Founders: w.founders, FirstStart: h.founder && h.wipes == 0,
+	w, incarnation, lease := h.w, h.incarnation, time.Duration(0)
+	if w.options.Reports {
+		lease = reportLease
+	}
+	return configstore.MachineConfig{DutyLease: lease, IP: ipOf(h.index), Address: h.address, Founders: w.founders, FirstStart: h.founder && h.wipes == 0,
 		Contacts: h.seeds(), Tolerate: w.tolerate, Timing: consensus.Usual,
 		Seed: w.options.Seed<<16 | uint64(h.index)<<8 | uint64(incarnation), Weak: w.options.Weak, Log: hclog.NewNullLogger(),
 		Send: func(m consensus.Message) { h.outbox = append(h.outbox, m) }, Identity: func() string { return fmt.Sprint("life-", incarnation) },
--- a/internal/cdn/simulation/world.go
+++ b/internal/cdn/simulation/world.go
@@ -33,7 +33,10 @@
 	// SettleAll is a weakness, for tests: registries acknowledge every call of a server without the log.
 	SettleAll bool
 	Machine   int // core machines; 0: as the seed draws
-	Trace     func(format string, args ...any)
+	// Reports plays the duty to report the tenants' usage as well.
+	Reports    bool
+	ReportWeak ReportWeaknesses
+	Trace      func(format string, args ...any)
 }
 
 // Result is how a run ended.
@@ -93,6 +96,7 @@
 	checks    checks
 	client    clients
 	copies    []*stateCopy
+	reports   reports
 	messages  int
 	disksLost int
 	calm      time.Time // since when nothing is wrong
@@ -155,6 +159,7 @@
 	}
 	w.beginClients()
 	w.beginCopies()
+	w.beginReports()
 	w.countLost()
 	w.after(faultsUntil, w.heal)
 	return w
@@ -204,12 +209,21 @@
 	}
 	w.calm = w.now
 	w.after(catchUp, w.checkCaughtUp)
-	w.after(calmAfter, w.end)
+	w.after(w.calmSpan(), w.end)
+}
+
+// calmSpan is how long it is calm at the end.
+func (w *world) calmSpan() time.Duration {
+	if w.options.Reports {
+		return reportCalm
+	}
+	return calmAfter
 }
 
 func (w *world) end() {
 	w.checkCaughtUp()
 	w.checkEnd()
+	w.checkReports()
 	w.queue = nil
 }
 
