An answer that does not bring all no longer brings a copy in touch

Ruled out: the machine that answers calling itself current wrongly; it was, and its answer was not all of what it held.

Change: News.Index is what the one who answers holds, also where the answer is cut (nothing read it until now). Replica.Take tells whether the copy holds as much afterwards; only then does Fresh count. After a part the same machine is asked for the rest at once, without a pause.

--- a/internal/cdn/clusterstate/news.go
+++ b/internal/cdn/clusterstate/news.go
@@ -31,7 +31,7 @@
 	// Proven: with this answer the asker holds all that had been acknowledged AgeMS before the answer was given. Neighbours hand the proof on.
 	Proven bool
 	AgeMS  int64
-	Index  uint64 // what the one who answers holds
+	Index  uint64 // what the one who answers holds; a cut answer brings less
 }
 
 // History is a state together with its last changes, for those who ask what is new.
@@ -100,7 +100,8 @@
 	return Command{Put: body}, nil
 }
 
-// Since returns what one who holds a version lacks. The state in it, if any, is a copy.
+// Since returns what one who holds a version lacks, or the first part of it: n.Index tells what all of it would bring. The state in it,
+// if any, is a copy.
 func (h *History) Since(have uint64) News {
 	n := News{Index: h.State.Index}
 	if have >= h.State.Index {
@@ -117,8 +118,5 @@
 	}
 	last := min(len(h.changes), first+mostInOneAnswer)
 	n.Changes = append([]Change(nil), h.changes[first:last]...)
-	if last < len(h.changes) {
-		n.Index = h.changes[last-1].Index
-	}
 	return n
 }
--- a/internal/cdn/simulation/copies.go
+++ b/internal/cdn/simulation/copies.go
@@ -56,8 +56,7 @@
 		}
 		done = true
 		if ok {
-			c.replica.Take(n, begun)
-			if n.Fresh {
+			if c.replica.Take(n, begun) == statesync.All && n.Fresh {
 				c.fresh = begun
 			}
 		}
--- a/internal/cdn/statesync/statesync.go
+++ b/internal/cdn/statesync/statesync.go
@@ -165,10 +165,14 @@
 		}
 		at := order[0]
 		n, begun, err := s.ask(ctx, at, first, patience<<min(failed, mostTries))
+		took := Nothing
 		if err == nil {
-			s.Take(n, begun)
+			took = s.Take(n, begun)
 		}
-		if err == nil && n.Fresh {
+		if took == Part { // the rest is there as well
+			continue
+		}
+		if took == All && n.Fresh {
 			first, failed = false, 0
 			if s.Prefer != "" && at != s.Prefer && rand.IntN(8) == 0 {
 				order = s.Core() // it may be back
@@ -220,8 +224,19 @@
 	}
 }
 
-// Take takes news on, as of a question begun at that time; older news than what is held changes nothing.
-func (s *Replica) Take(n clusterstate.News, begun time.Time) {
+// Taken is how much of what the one who answered holds is in the copy after its answer.
+type Taken int
+
+// What an answer may have brought.
+const (
+	Nothing Taken = iota // it brought nothing that can be read, and not all
+	Part                 // it brought something, and the one who answered holds more
+	All
+)
+
+// Take takes news on, as of a question begun at that time; older news than what is held changes nothing. Only news after which the copy
+// holds all that the one who answered does bring the copy in touch.
+func (s *Replica) Take(n clusterstate.News, begun time.Time) Taken {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.history.State.Index
@@ -252,7 +267,8 @@
 	if len(n.Core) > 0 {
 		s.core = n.Core
 	}
-	if n.Fresh {
+	took := s.brought(n, before)
+	if took == All && n.Fresh {
 		s.heard = begun
 		s.become(InTouch)
 	}
@@ -260,4 +276,16 @@
 		close(s.changed)
 		s.changed = make(chan struct{})
 	}
+	return took
+}
+
+// brought tells what an answer that was taken on has brought. The caller holds the lock.
+func (s *Replica) brought(n clusterstate.News, before uint64) Taken {
+	switch have := s.history.State.Index; {
+	case have >= n.Index:
+		return All
+	case have > before:
+		return Part
+	}
+	return Nothing
 }
--- a/internal/cdn/statesync/statesync_test.go
+++ b/internal/cdn/statesync/statesync_test.go
@@ -142,3 +142,39 @@
 	s.Set.Named.Set([]string{"127.0.73.5:1"})
 	until(t, "news from the new seed", func() bool { p, _ := s.Phase(); return p == InTouch && s.Index() == 3 })
 }
+
+// alone is a copy whose news are handed to it.
+func alone() *Replica {
+	s := New()
+	s.Set.Bounds.Contact, s.Log = time.Hour, hclog.NewNullLogger()
+	s.Took = func(*clusterstate.State, clusterstate.Command, uint64, bool) {}
+	return s
+}
+
+// A copy is as current as the one who answered only once it holds all that that one does: an answer has room for a part, and a change may
+// not be readable.
+func TestAnAnswerThatDoesNotBringAll(t *testing.T) {
+	c := &core{history: clusterstate.NewHistory(clusterstate.New()), fresh: true}
+	c.purges(1, 600)
+	s := alone()
+	first := clusterstate.Change{Index: 1, Data: clusterstate.Command{Purge: &clusterstate.Purge{Tag: "t"}}.Encode()}
+	s.Take(clusterstate.News{Changes: []clusterstate.Change{first}, Index: 1}, time.Now())
+	take := func() Phase {
+		var n clusterstate.News
+		assert.NilError(t, c.News(&clusterstate.Ask{Have: s.Index()}, &n))
+		s.Take(n, time.Now())
+		p, _ := s.Phase()
+		return p
+	}
+	if p := take(); p == InTouch || !s.Proof().IsZero() {
+		t.Errorf("%v with %d of 600 entries, proof %v", p, s.Index(), s.Proof())
+	}
+	assert.Equal(t, take(), InTouch)
+	assert.Equal(t, s.Index(), uint64(600))
+
+	s = alone()
+	s.Take(clusterstate.News{Fresh: true, Proven: true, Index: 2, Changes: []clusterstate.Change{first, {Index: 2, Data: []byte("{")}}}, time.Now())
+	if p, _ := s.Phase(); p == InTouch || !s.Proof().IsZero() {
+		t.Errorf("%v behind a change that can't be read, proof %v", p, s.Proof())
+	}
+}
