Copies prove how fresh they are, neighbours hand proofs on, and keyed requests go by the proof

Cause (CONFIG): nothing ended a machine's trust in its copy. One that is cut off from the core goes on by the configuration that it holds for as long as it runs, whatever keys were taken away meanwhile; and it asked neighbours only after each third failed question to a core machine, which takes about 4 s where those hang. Ruled out: a time of day in the configuration, and acknowledgements that wait for all proxies (see the design).

Change: an answer for news states how long before the question came the one who answers was surely current (consensus.Node.CurrentAt: the begin of the leader's last round that a majority answered, or a follower's confirmed stamp; after a read barrier the question's coming itself). The copy's proof is the question's begin less that age, if the copy then holds all that the one who answered does; it never goes back, and moves only after Took has put the news into force. Copies answer neighbours with the age of their own proof. Copies of objects go by the proof too, asked before the copy is looked up: a purge may take it meanwhile.

The age is by the question's coming and not by the answer's giving: a question is held for half a second, by which proofs would be older.

--- a/internal/cdn/clusterstate/news.go
+++ b/internal/cdn/clusterstate/news.go
@@ -1,6 +1,9 @@
 package clusterstate
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // Change is one command of the log as it is handed on.
 type Change struct {
@@ -28,12 +31,35 @@
 	Changes []Change
 	Core    []string // where the core machines are
 	Fresh   bool     // the one who answers follows a leader that has a majority
-	// Proven: with this answer the asker holds all that had been acknowledged AgeMS before the answer was given. Neighbours hand the proof on.
+	// Proven: whoever holds Index holds all that had been acknowledged AgeMS before the question came; less than 0: after it, for a question may
+	// be held. Neighbours hand the proof on.
 	Proven bool
 	AgeMS  int64
 	Index  uint64 // what the one who answers holds; a cut answer brings less
 }
 
+// Prove states that whoever holds Index holds all that had been acknowledged by a moment of the answerer's steady clock, as is the one at
+// which the question came. Of two proofs the younger one stays; an age is rounded up.
+func (n *News) Prove(by, came time.Time) {
+	age := came.Sub(by)
+	ms := age.Milliseconds()
+	if age > 0 && age%time.Millisecond > 0 { // a division rounds one below 0 up by itself
+		ms++
+	}
+	if !n.Proven || ms < n.AgeMS {
+		n.Proven, n.AgeMS = true, ms
+	}
+}
+
+// ProofOf is the moment of the asker's steady clock that an answer proves to one who holds Index: the age is counted from the begin of
+// the question, for it came after that. The zero time: it proves nothing.
+func (n *News) ProofOf(begun time.Time) time.Time {
+	if !n.Proven {
+		return time.Time{}
+	}
+	return begun.Add(-time.Duration(n.AgeMS) * time.Millisecond)
+}
+
 // History is a state together with its last changes, for those who ask what is new.
 type History struct {
 	State   *State
--- a/internal/cdn/configstore/configstore_test.go
+++ b/internal/cdn/configstore/configstore_test.go
@@ -220,6 +220,7 @@
 		n, err := call[clusterstate.Ask, clusterstate.News](t, p, "ConfigStore.News", clusterstate.Ask{Barrier: true, HoldMS: 2000, Router: clusterstate.Router{Node: fmt.Sprint("edge-", i), Zone: "z"}})
 		assert.NilError(t, err)
 		assert.Assert(t, n.Fresh && n.State != nil && n.State.Purges >= 1)
+		assert.Assert(t, n.Proven && n.AgeMS <= 0, "all that was acknowledged before the question came is held: %d ms", n.AgeMS)
 	}
 	until(t, "a roster of three", func() bool {
 		n, err := call[clusterstate.Ask, clusterstate.News](t, peers[2], "ConfigStore.News", clusterstate.Ask{HoldMS: 1})
@@ -297,12 +298,29 @@
 // machine is no longer current all the same. (A flag held for as long as the write did; seeds of the simulation were up to 4.6 s behind.)
 func TestFreshnessRunsOutWhileTheLoopHangs(t *testing.T) {
 	view, now := newView(clusterstate.NewHistory(clusterstate.New()), 0), time.Now()
-	view.publish(now, position{leader: "a", freshUntil: now.Add(freshFor)})
-	assert.Assert(t, view.Since(0, now.Add(freshFor-time.Millisecond)).Fresh)
-	assert.Assert(t, !view.Since(0, now.Add(freshFor+time.Millisecond)).Fresh, "the loop has said nothing since")
+	view.publish(now, position{leader: "a", currentAt: now})
+	assert.Assert(t, view.Since(0, now, now.Add(freshFor-time.Millisecond)).Fresh)
+	assert.Assert(t, !view.Since(0, now, now.Add(freshFor+time.Millisecond)).Fresh, "the loop has said nothing since")
 	assert.Assert(t, !view.Status(now.Add(freshFor+time.Millisecond)).Fresh)
 }
 
+// News state how long before their question this machine was surely current, rounded up, or after it if the question was held.
+func TestTheAgeOfNews(t *testing.T) {
+	view, now := newView(clusterstate.NewHistory(clusterstate.New()), 0), time.Now()
+	assert.Assert(t, !view.Since(0, now, now).Proven, "nobody was ever heard")
+	for _, c := range []struct {
+		current, came time.Duration
+		ms            int64
+	}{{0, 200 * time.Millisecond, 200}, {0, 200*time.Millisecond + 1, 201}, {0, 10 * time.Second, 10000}, {300 * time.Millisecond, 100 * time.Millisecond, -200},
+		{300*time.Millisecond + 1, 100 * time.Millisecond, -200}} {
+		view.publish(now, position{leader: "a", currentAt: now.Add(c.current)})
+		n := view.Since(0, now.Add(c.came), now.Add(time.Minute))
+		assert.Assert(t, n.Proven && n.AgeMS == c.ms, "%d ms, not %d", n.AgeMS, c.ms)
+		proof := n.ProofOf(now.Add(c.came))
+		assert.Assert(t, !proof.After(now.Add(c.current)) && proof.After(now.Add(c.current-time.Millisecond)))
+	}
+}
+
 // An order is measured where it was received, once, under what became of it and whether the leader had been the same for long.
 func TestAcknowledgementsAreMeasured(t *testing.T) {
 	view, now := newView(clusterstate.NewHistory(clusterstate.New()), 0), time.Now()
--- a/internal/cdn/configstore/machine.go
+++ b/internal/cdn/configstore/machine.go
@@ -407,16 +407,17 @@
 	if m.failing {
 		leader = ""
 	}
-	m.View.publish(now, position{leader: leader, leads: m.Leads() && !m.failing, since: m.led, freshUntil: m.freshUntil(),
+	m.View.publish(now, position{leader: leader, leads: m.Leads() && !m.failing, since: m.led, currentAt: m.currentAt(),
 		core: core, status: status})
 }
 
-// freshUntil is until when what this machine holds may be called current.
-func (m *Machine) freshUntil() time.Time {
+// currentAt is the moment as of which what this machine has applied is surely current; the zero time: none is known. While the disk
+// refuses, what is committed is not applied.
+func (m *Machine) currentAt() time.Time {
 	if m.failing {
 		return time.Time{}
 	}
-	return m.node.FreshUntil(freshFor)
+	return m.node.CurrentAt()
 }
 
 // lead does what falls to the leader: it appoints the duty's holder, the first live core machine in the order of addresses.
--- a/internal/cdn/configstore/service.go
+++ b/internal/cdn/configstore/service.go
@@ -141,6 +141,7 @@
 
 // News answers one who asks what is new, at once if there is any or if this machine can't tell, else when there is.
 func (s *service) News(a *clusterstate.Ask, n *clusterstate.News) error {
+	came := time.Now()
 	ctx, cancel := s.begin(0, "news", a.HoldMS)
 	defer cancel()
 	if s.view.attend(a.Router) {
@@ -159,8 +160,11 @@
 			return s.view.history.State.Index > a.Have || !s.view.current(time.Now())
 		})
 	}
-	*n = s.view.Since(a.Have, time.Now())
-	n.Fresh = n.Fresh || a.Barrier // a majority was heard after the question came
+	*n = s.view.Since(a.Have, came, time.Now())
+	if a.Barrier { // a majority was heard after the question came
+		n.Fresh = true
+		n.Prove(came, came)
+	}
 	return nil
 }
 
--- a/internal/cdn/configstore/view.go
+++ b/internal/cdn/configstore/view.go
@@ -24,12 +24,17 @@
 
 // position is where a machine stands in the agreement.
 type position struct {
-	leader     string // address
-	leads      bool
-	since      time.Time // when it began to lead
-	freshUntil time.Time
-	core       []string
-	status     Status
+	leader    string // address
+	leads     bool
+	since     time.Time // when it began to lead
+	currentAt time.Time // as of when what is applied is surely current; zero: not known
+	core      []string
+	status    Status
+}
+
+// fresh tells whether a machine that stands there may call itself current.
+func (p position) fresh(now time.Time) bool {
+	return !p.currentAt.IsZero() && now.Before(p.currentAt.Add(freshFor))
 }
 
 // Status is what a config store tells of itself.
@@ -131,7 +136,7 @@
 	case p.leader != was.leader || p.leads != was.leads || v.followed.IsZero():
 		v.followed = now
 	}
-	moved := p.leader != was.leader || p.leads != was.leads || now.Before(p.freshUntil) != now.Before(was.freshUntil)
+	moved := p.leader != was.leader || p.leads != was.leads || p.fresh(now) != was.fresh(now)
 	v.position = p
 	if moved {
 		v.wake()
@@ -181,15 +186,19 @@
 
 // current tells whether this machine follows a leader with a majority. The caller holds the lock.
 func (v *View) current(now time.Time) bool {
-	return now.Before(v.position.freshUntil)
+	return v.position.fresh(now)
 }
 
-// Since answers one who holds a version of the state.
-func (v *View) Since(have uint64, now time.Time) clusterstate.News {
+// Since answers one who holds a version of the state and whose question came at that time, and states as of when this machine was surely
+// current.
+func (v *View) Since(have uint64, came, now time.Time) clusterstate.News {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	n := v.history.Since(have)
 	n.Core, n.Fresh = v.position.core, v.current(now)
+	if at := v.position.currentAt; !at.IsZero() {
+		n.Prove(at, came)
+	}
 	return n
 }
 
--- a/internal/cdn/consensus/reads.go
+++ b/internal/cdn/consensus/reads.go
@@ -111,17 +111,20 @@
 	n.promised = promise{}
 }
 
-// FreshUntil is until when this node may call what it holds current, if that may be so old: a leader led a majority after the
-// time that the span begins with, by this node's own clock. The zero time: it may not.
-func (n *Node) FreshUntil(span time.Duration) time.Time {
+// CurrentAt is the moment, by this node's own clock, as of which what it holds is surely current: a leader led a majority after
+// it, and all that had been acknowledged by then is committed here. The zero time: no such moment is known.
+func (n *Node) CurrentAt() time.Time {
 	switch {
 	case n.role == Leader && n.leads():
-		return n.majorityAt.Add(span)
-	case n.role == Leader || n.leader == "" || n.confirmed.IsZero():
+		return n.majorityAt
+	case n.role == Leader || n.leader == "":
 		return time.Time{}
 	}
-	return n.confirmed.Add(span)
+	return n.confirmed
 }
 
 // Fresh tells whether what this node holds is no older than the span.
-func (n *Node) Fresh(span time.Duration) bool { return n.now.Before(n.FreshUntil(span)) }
+func (n *Node) Fresh(span time.Duration) bool {
+	at := n.CurrentAt()
+	return !at.IsZero() && n.now.Before(at.Add(span))
+}
--- a/internal/cdn/edge/objects.go
+++ b/internal/cdn/edge/objects.go
@@ -9,7 +9,6 @@
 	"cedarmast/internal/cdn/clusterstate"
 	"cedarmast/internal/cdn/departure"
 	"cedarmast/internal/cdn/objectcache"
-	"cedarmast/internal/cdn/statesync"
 	"cedarmast/internal/cdn/upstream"
 	"cedarmast/internal/exchange"
 )
@@ -32,10 +31,10 @@
 	return time.Duration(float64(e.set.Bounds.StaleSlack) * slackPart)
 }
 
-// vouched tells whether copies may be handed on: one that was out of touch for long may lack purges.
+// vouched tells whether copies may be handed on: all purges that had been acknowledged before the last span of contact are known. One that
+// was out of touch for longer, and whom no neighbour has told, may lack purges. It is asked before a copy is looked up; see proof.go.
 func (e *Edge) vouched() bool {
-	phase, at := e.replica.Phase()
-	return phase == statesync.InTouch || time.Since(at) < e.set.Bounds.Contact
+	return time.Since(e.replica.Proof()) < e.set.Bounds.Contact
 }
 
 // refreshDue asks the servers about copies that are wanted and about to end, while the service's rate has room to spare.
@@ -59,11 +58,12 @@
 
 // held returns this router's copy, if it is good. With wanted false it does not count as wanted by that.
 func (e *Edge) held(k objectcache.Key, by string, wanted bool) (*objectcache.Copy, objectcache.Grade) {
+	vouched := e.vouched() // before the look: a copy that a purge takes meanwhile is not vouched for by the news that brought the purge
 	x, grade := e.cache.Peek(k, time.Now(), e.slack())
 	if wanted {
 		x, grade = e.cache.Get(k, time.Now(), e.slack(), by)
 	}
-	if grade != objectcache.NotThere && !e.vouched() {
+	if grade != objectcache.NotThere && !vouched {
 		grade = objectcache.Stale
 	}
 	return x, grade
--- a/internal/cdn/edge/serve_test.go
+++ b/internal/cdn/edge/serve_test.go
@@ -86,7 +86,7 @@
 		changes: make(chan func(), 64), life: t.Context()}
 	f.init()
 	f.replica.Set, f.replica.Log = f.set, f.log
-	f.replica.Take(clusterstate.News{Fresh: true}, time.Now())
+	f.replica.Take(clusterstate.News{Fresh: true, Proven: true}, time.Now())
 	go f.zoneCaches.loop.Run(t.Context())
 	go f.shields.loop.Run(t.Context())
 	go f.zoneShields.loop.Run(t.Context())
--- a/internal/cdn/edge/tier.go
+++ b/internal/cdn/edge/tier.go
@@ -293,9 +293,9 @@
 	}
 }
 
-// News hands on what is held, for one that no core machine answers.
+// News hands on what is held and the age of its proof, for one that no core machine answers.
 func (p *peerCalls) News(a *clusterstate.Ask, n *clusterstate.News) error {
-	*n = p.edge.replica.News(*a)
+	*n = p.edge.replica.News(*a, time.Now())
 	return nil
 }
 
--- a/internal/cdn/simulation/copies.go
+++ b/internal/cdn/simulation/copies.go
@@ -18,7 +18,7 @@
 	pauseOfCopy = 40 * time.Millisecond
 )
 
-// stateCopy is the state as an edge holds it.
+// stateCopy is the state as a registry holds it.
 type stateCopy struct {
 	w       *world
 	address string
@@ -74,7 +74,7 @@
 			return
 		}
 		h.run(func() {
-			news := h.machine.View.Since(have, w.now)
+			news := h.machine.View.Since(have, w.now, w.now)
 			w.checkFresh(h, news)
 			w.carry(h.address, c.address, func() { finish(news, true) })
 		})
--- a/internal/cdn/simulation/weaknesses_test.go
+++ b/internal/cdn/simulation/weaknesses_test.go
@@ -14,7 +14,7 @@
 // names the type, and nowhere else.
 func TestWeaknessesAreForTests(t *testing.T) {
 	root := filepath.Join("..", "..", "..")
-	allowed := map[string]bool{"internal/cdn/consensus": true, "internal/cdn/configstore": true, "internal/cdn/simulation": true}
+	allowed := map[string]bool{"internal/cdn/consensus": true, "internal/cdn/configstore": true, "internal/cdn/simulation": true, "internal/cdn/statesync": true}
 	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
--- a/internal/cdn/statesync/statesync.go
+++ b/internal/cdn/statesync/statesync.go
@@ -1,6 +1,6 @@
 // Package statesync keeps a process's copy of the common state: it asks a core machine for news with the version that it has,
 // is answered when there is some, and goes on to the next one if that one is silent or can't tell. The copy never goes
-// back. When no core machine answers, neighbours hand on what they have.
+// back. It keeps a proof of its freshness; while that is old, neighbours hand on what they have, and their own proof.
 package statesync
 
 import (
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cedarmast/internal/cdn/bootconfig"
@@ -23,6 +24,11 @@
 	mostTries = 2                      // of such doublings: the own link may be full, and a new connection would wait behind it as well
 	pause     = 40 * time.Millisecond  // between failed questions; more with each in a row
 	mostPause = 300 * time.Millisecond
+
+	oldProof          = 1500 * time.Millisecond // past it neighbours are asked; longer than hold, a core machine's own age and the ways together
+	neighboursEvery   = 400 * time.Millisecond
+	neighboursAtOnce  = 2
+	neighbourPatience = 700 * time.Millisecond
 )
 
 // Phase is where the copy stands.
@@ -46,19 +52,28 @@
 	Prefer string              // the address that is asked first, if any
 	// Took hears of each change in order, under the copy's lock; whole means that all is new. It must not wait.
 	Took func(s *clusterstate.State, c clusterstate.Command, index uint64, whole bool)
-	// Neighbours are addresses that may be asked when no core machine answers; may be nil.
+	// Neighbours are addresses that may be asked while the proof is old; may be nil.
 	Neighbours func() []string
+	// Weak takes guards out, for tests alone.
+	Weak Weaknesses
 
 	mu      sync.Mutex
 	history *clusterstate.History
 	core    []string
 	phase   Phase
-	heard   time.Time // when news, or the word that there is none, last came from a fresh core machine; of the question's begin
-	proof   time.Time // see Proof
+	heard   time.Time                 // when news, or the word that there is none, last came from a fresh core machine; of the question's begin
+	proof   atomic.Pointer[time.Time] // see Proof; written under the lock, after what it proves is in force
 	changed chan struct{}
 	whole   bool // the next question is for all of the state
 }
 
+// Weaknesses take guards out of a copy, one each. They are for tests that show that a guard is needed; nothing else sets one, which a test
+// sees to.
+type Weaknesses struct {
+	DropAge         bool // a neighbour hands its proof on as if it were of the moment of the answer
+	ProveIncomplete bool // an answer that does not bring all proves all the same
+}
+
 // New returns an empty copy.
 func New() *Replica {
 	return &Replica{history: clusterstate.NewHistory(clusterstate.New()), changed: make(chan struct{})}
@@ -91,9 +106,20 @@
 // Proof is a moment of this process's steady clock: all that had been acknowledged by then is in the copy. The zero time: nothing is proven.
 // Whoever reads the copy after Proof holds at least as much.
 func (s *Replica) Proof() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.proof
+	if at := s.proof.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// ProofIsOld tells whether neighbours are to be asked for a younger proof. In calm it never is.
+func (s *Replica) ProofIsOld(now time.Time) bool { return now.Sub(s.Proof()) > oldProof }
+
+// prove moves the proof on; it never goes back. The caller holds the lock and has put into force what the proof is of.
+func (s *Replica) prove(at time.Time) {
+	if at.After(s.Proof()) {
+		s.proof.Store(&at)
+	}
 }
 
 // become is the one place where the phase changes. The caller holds the lock.
@@ -128,12 +154,20 @@
 	}
 }
 
-// News answers another process, as a core machine would; it never claims to be current.
-func (s *Replica) News(a clusterstate.Ask) clusterstate.News {
+// News answers another process whose question came at that time, as a core machine would; it never claims to be current, but states the
+// age of its own proof.
+func (s *Replica) News(a clusterstate.Ask, came time.Time) clusterstate.News {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := s.history.Since(a.Have)
 	n.Core = s.core
+	switch at := s.Proof(); {
+	case at.IsZero():
+	case s.Weak.DropAge:
+		n.Prove(came, came)
+	default:
+		n.Prove(at, came)
+	}
 	return n
 }
 
@@ -157,6 +191,14 @@
 
 // Run keeps the copy until the context ends.
 func (s *Replica) Run(ctx context.Context) {
+	var beside sync.WaitGroup
+	beside.Go(func() { s.followNeighbours(ctx) })
+	defer beside.Wait()
+	s.followCore(ctx)
+}
+
+// followCore asks core machines, one after the other.
+func (s *Replica) followCore(ctx context.Context) {
 	first, failed := true, 0
 	order := s.Core()
 	for ctx.Err() == nil {
@@ -183,9 +225,7 @@
 			s.Log.Debug("no news", "err", err)
 		}
 		order = order[1:]
-		if failed++; failed%3 == 0 && s.Neighbours != nil {
-			s.askNeighbours(ctx)
-		}
+		failed++
 		wait := min(pause*time.Duration(failed), mostPause)
 		select {
 		case <-ctx.Done():
@@ -209,19 +249,56 @@
 
 func (s *Replica) mustHaveAll() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.whole }
 
+// followNeighbours asks neighbours again and again while the proof is old, whatever becomes of the questions to core machines: those hang
+// for long when this machine is cut off.
+func (s *Replica) followNeighbours(ctx context.Context) {
+	look := time.NewTicker(neighboursEvery)
+	defer look.Stop()
+	for {
+		select {
+		case <-look.C:
+		case <-ctx.Done():
+			return
+		}
+		s.Phase() // one that has run out is told in the log
+		if s.Neighbours != nil && s.ProofIsOld(time.Now()) {
+			s.askNeighbours(ctx)
+		}
+	}
+}
+
+// askNeighbours asks some neighbours at once, and waits for all of them.
 func (s *Replica) askNeighbours(ctx context.Context) {
 	all := s.Neighbours()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	for _, at := range all[:min(len(all), 2)] {
-		call, done := context.WithTimeout(ctx, patience)
-		question := clusterstate.Ask{Have: s.Index()}
-		n, err := peerrpc.Call[clusterstate.Ask, clusterstate.News](call, s.Peers.At(at), "Edge.News", &question)
-		done()
-		if err == nil {
-			n.Fresh = false
-			s.Take(n, time.Time{})
-		}
+	var asked sync.WaitGroup
+	for _, at := range all[:min(len(all), neighboursAtOnce)] {
+		asked.Go(func() { s.askNeighbour(ctx, at) })
 	}
+	asked.Wait()
+}
+
+func (s *Replica) askNeighbour(ctx context.Context, at string) {
+	call, done := context.WithTimeout(ctx, neighbourPatience)
+	defer done()
+	question := clusterstate.Ask{Have: s.Index()}
+	begun := time.Now()
+	n, err := peerrpc.Call[clusterstate.Ask, clusterstate.News](call, s.Peers.At(at), "Edge.News", &question)
+	if err != nil {
+		s.Log.Debug("no news of a neighbour", "err", err)
+		return
+	}
+	s.TakeFromNeighbour(n, begun)
+}
+
+// TakeFromNeighbour takes a neighbour's news on. They may prove what is held, and never bring the copy in touch. Where core machines are is
+// taken from one whose proof is younger alone.
+func (s *Replica) TakeFromNeighbour(n clusterstate.News, begun time.Time) Taken {
+	n.Fresh = false
+	if !n.ProofOf(begun).After(s.Proof()) {
+		n.Core = nil
+	}
+	return s.Take(n, begun)
 }
 
 // Taken is how much of what the one who answered holds is in the copy after its answer.
@@ -235,7 +312,7 @@
 )
 
 // Take takes news on, as of a question begun at that time; older news than what is held changes nothing. Only news after which the copy
-// holds all that the one who answered does bring the copy in touch.
+// holds all that the one who answered does prove anything, or bring the copy in touch.
 func (s *Replica) Take(n clusterstate.News, begun time.Time) Taken {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -272,6 +349,9 @@
 		s.heard = begun
 		s.become(InTouch)
 	}
+	if took == All || s.Weak.ProveIncomplete {
+		s.prove(n.ProofOf(begun))
+	}
 	if s.history.State.Index != before {
 		close(s.changed)
 		s.changed = make(chan struct{})
--- a/internal/cdn/statesync/statesync_test.go
+++ b/internal/cdn/statesync/statesync_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -37,7 +38,9 @@
 		return errors.New("down")
 	}
 	*n = c.history.Since(a.Have)
-	n.Fresh = c.fresh
+	if n.Fresh = c.fresh; c.fresh {
+		n.Prove(time.Now(), time.Now())
+	}
 	return nil
 }
 
@@ -100,6 +103,7 @@
 	go s.Run(t.Context())
 	until(t, "the first news", func() bool { p, _ := s.Phase(); return p == InTouch && s.Index() == 3 })
 	a.set(func() { assert.Check(t, a.barred > 0) })
+	near.set(func() { assert.Equal(t, near.asked, 0, "a neighbour was asked for nothing") })
 
 	a.purges(4, 9)
 	until(t, "changes", func() bool { return s.Index() == 9 })
@@ -178,3 +182,77 @@
 		t.Errorf("%v behind a change that can't be read, proof %v", p, s.Proof())
 	}
 }
+
+// A proof is counted from the question's begin, less the age that the answer states; it never goes back, and what has no age proves nothing.
+func TestProof(t *testing.T) {
+	s, start := alone(), time.Now()
+	for _, c := range []struct {
+		what         string
+		news         clusterstate.News
+		begun, proof time.Duration // since the start
+	}{
+		{"the first", clusterstate.News{Proven: true, AgeMS: 300}, time.Second, 700 * time.Millisecond},
+		{"an older one", clusterstate.News{Proven: true, AgeMS: 400}, time.Second, 700 * time.Millisecond},
+		{"current, without an age", clusterstate.News{Fresh: true}, 2 * time.Second, 700 * time.Millisecond},
+		{"of a question that was held", clusterstate.News{Proven: true, AgeMS: -400}, 2 * time.Second, 2400 * time.Millisecond},
+		{"by one who holds more", clusterstate.News{Proven: true, Index: 1}, 3 * time.Second, 2400 * time.Millisecond},
+		{"a question from before a long stop", clusterstate.News{Proven: true}, 0, 2400 * time.Millisecond},
+	} {
+		s.Take(c.news, start.Add(c.begun))
+		assert.Equal(t, s.Proof().Sub(start), c.proof, c.what)
+	}
+}
+
+// neighbour is another process's copy as it may be called.
+type neighbour struct{ of *Replica }
+
+func (n neighbour) News(a *clusterstate.Ask, got *clusterstate.News) error {
+	*got = n.of.News(*a, time.Now())
+	return nil
+}
+
+// Copies that are cut off from all core machines, whose questions to these hang, prove what neighbours prove, over several of them, and are
+// not in touch by that. Once the core is gone nobody proves anything more.
+func TestProofsAreHandedOn(t *testing.T) {
+	c := &core{history: clusterstate.NewHistory(clusterstate.New()), fresh: true}
+	c.purges(1, 3)
+	serve(t, "127.0.73.6:7660", "ConfigStore", c)
+	hangs, err := net.Listen("tcp", "127.0.73.7:7660")
+	assert.NilError(t, err)
+	t.Cleanup(func() { hangs.Close() })
+	begun := time.Now()
+	var all []*Replica
+	for i, seed := range []string{"127.0.73.6:1", "127.0.73.7:1", "127.0.73.7:1"} {
+		s := alone()
+		s.Set = bootconfig.Settings{IP: "127.0.0.1", SparePort: 7660, Seeds: []string{seed}, Bounds: bootconfig.Bounds{Contact: time.Hour}}
+		s.Peers = peerrpc.NewPeers()
+		if i > 0 {
+			s.Neighbours = func() []string { return []string{fmt.Sprintf("127.0.73.%d:7661", 10+i-1)} }
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.73.%d:7661", 10+i))
+		assert.NilError(t, err)
+		t.Cleanup(func() { l.Close() })
+		go peerrpc.Serve(l, "Edge", peerrpc.Shared(neighbour{s}))
+		go s.Run(t.Context())
+		all = append(all, s)
+	}
+	last := all[2]
+	until(t, "a proof over two neighbours", func() bool { return last.Index() == 3 && last.Proof().After(begun) })
+	assert.Assert(t, time.Since(begun) < 3*time.Second, "it waited for core machines that hang")
+	phase, _ := last.Phase()
+	assert.Equal(t, phase, Empty)
+	c.purges(4, 5)
+	mark := time.Now()
+	until(t, "a later proof", func() bool { return last.Proof().After(mark) })
+	assert.Equal(t, last.Index(), uint64(5))
+	for _, s := range all[1:] {
+		proof := s.Proof()
+		assert.Assert(t, !proof.After(all[0].Proof()))
+	}
+	c.set(func() { c.down = true })
+	mark = time.Now()
+	until(t, "old proofs", func() bool { now := time.Now(); return all[0].ProofIsOld(now) && last.ProofIsOld(now) })
+	for _, s := range all {
+		assert.Assert(t, !s.Proof().After(mark))
+	}
+}
