--- a/internal/cdn/clusterstate/news.go
+++ b/internal/cdn/clusterstate/news.go
@@ -1,6 +1,9 @@
 package clusterstate
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // Change is one command of the log as it is handed on.
 type Change struct {
@@ -28,13 +31,36 @@
 	Changes []Change
 	Core    []string // where the core machines are
 	Fresh   bool     // the one who answers follows a leader that has a majority
-	// Proven: with this answer the asker holds all that had been acknowledged AgeMS before the answer was given. Neighbours hand the proof on.
+	// Proven: whoever holds Index holds all that had been acknowledged AgeMS before the question came; less than 0: after it, for a question may
+	// be held. Neighbours hand the proof on.
 	Proven bool
 	AgeMS  int64
-	Index  uint64 // what the one who answers holds
+	Index  uint64 // what the one who answers holds; a cut answer brings less
 	WallMS int64  // true time at the answer, as far as the one who answers knows, in milliseconds since the start of 1970; 0: not told
 }
 
+// Prove states that whoever holds Index holds all that had been acknowledged by a moment of the answerer's steady clock, as is the one at
+// which the question came. Of two proofs the younger one stays; an age is rounded up.
+func (n *News) Prove(by, came time.Time) {
+	age := came.Sub(by)
+	ms := age.Milliseconds()
+	if age > 0 && age%time.Millisecond > 0 { // a division rounds one below 0 up by itself
+		ms++
+	}
+	if !n.Proven || ms < n.AgeMS {
+		n.Proven, n.AgeMS = true, ms
+	}
+}
+
+// ProofOf is the moment of the asker's steady clock that an answer proves to one who holds Index: the age is counted from the begin of
+// the question, for it came after that. The zero time: it proves nothing.
+func (n *News) ProofOf(begun time.Time) time.Time {
+	if !n.Proven {
+		return time.Time{}
+	}
+	return begun.Add(-time.Duration(n.AgeMS) * time.Millisecond)
+}
+
 // History is a state together with its last changes, for those who ask what is new.
 type History struct {
 	State   *State
@@ -101,7 +127,8 @@
 	return Command{Put: body}, nil
 }
 
-// Since returns what one who holds a version lacks. The state in it, if any, is a copy.
+// Since returns what one who holds a version lacks, or the first part of it: n.Index tells what all of it would bring. The state in it,
+// if any, is a copy.
 func (h *History) Since(have uint64) News {
 	n := News{Index: h.State.Index}
 	if have >= h.State.Index {
@@ -118,8 +145,5 @@
 	}
 	last := min(len(h.changes), first+mostInOneAnswer)
 	n.Changes = append([]Change(nil), h.changes[first:last]...)
-	if last < len(h.changes) {
-		n.Index = h.changes[last-1].Index
-	}
 	return n
 }
--- a/internal/cdn/edge/keys.go
+++ b/internal/cdn/edge/keys.go
@@ -12,10 +12,8 @@
 
 // This file is what becomes of clients' keys: who may ask at all, for which tenant a request runs, and by which rank.
 
-var (
-	errKeyGone   = errors.New("no tenant holds the key")
-	errNotProven = errors.New("it is not proven that the key is still held")
-)
+// errKeyGone is the cause where a request's key is held by no tenant.
+var errKeyGone = errors.New("no tenant holds the key")
 
 // Denial is why a request does not run for its client's key, as one router tells it to another.
 type Denial int
