The test of one fetch waits until all clients have joined it

Ruled out: second copies of decisions (the fetches were counted). Change: all five wait for one fetch before the purge comes; two fetches in all are asked for, where three were let pass, and each client has the copy that was asked for before.

--- a/internal/cdn/edge/keys_test.go
+++ b/internal/cdn/edge/keys_test.go
@@ -224,7 +224,7 @@
 			o := newOrigin(t)
 			lender, toLender := lone(t, o, keyedRoutes+twoTenants)
 			if toLender(configured(2, c.lender)); c.outOfTouch {
-				lender.replica.Set.Bounds.Contact = 0
+				lender.set.Bounds.Contact = 0
 			}
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			assert.NilError(t, err)
--- a/internal/cdn/edge/serve_test.go
+++ b/internal/cdn/edge/serve_test.go
@@ -227,25 +227,26 @@
 	gate := make(chan struct{})
 	o.set(func() { o.wait = gate })
 	var wg sync.WaitGroup
-	for range 5 {
-		wg.Go(func() { // one that comes late may see the newer one
-			assert.Check(t, is.Regexp("^version [12]$", f.get(t, http.DefaultClient, url, "GET", "/s/1", "").body))
+	const clients = 5
+	for range clients {
+		wg.Go(func() {
+			assert.Check(t, is.Equal(f.get(t, http.DefaultClient, url, "GET", "/s/1", "").body, "version 1"))
 		})
 	}
-	for {
+	eventually(t, "all wait for one fetch", func() bool {
 		f.fetches.mu.Lock()
-		n := len(f.fetches.all)
-		f.fetches.mu.Unlock()
-		if n > 0 && len(o.seen()) == 1 {
-			break
+		defer f.fetches.mu.Unlock()
+		for _, w := range f.fetches.all {
+			return w.waiting == clients && len(o.seen()) == 1
 		}
-	}
+		return false
+	})
 	give(clusterstate.Command{Purge: &clusterstate.Purge{Host: "A.example", Path: "/s/1"}})
 	o.set(func() { o.version, o.wait = 2, nil })
 	close(gate)
 	wg.Wait()
 	assert.Equal(t, f.get(t, http.DefaultClient, url, "GET", "/s/1", "").body, "version 2")
-	assert.Assert(t, len(o.seen()) <= 3, "%v", o.seen())
+	assert.Equal(t, len(o.seen()), 2, "%v", o.seen())
 	give(clusterstate.Command{Purge: &clusterstate.Purge{Tag: "red"}})
 	o.set(func() { o.version = 3 })
 	assert.Equal(t, f.get(t, http.DefaultClient, url, "GET", "/s/1", "").body, "version 3")
