The simulation plays edges: proofs, neighbours, and keyed requests by them

Cause: no check held a copy's claim to know all that had been acknowledged against what had been, or a request against what was taken away; the copies in the simulation were never cut off or stopped. Ruled out: making those copies edges, for registries' calls hang on them and every seed would become another run.

Change: four edges with the processes' own code for copies (statesync.Replica), the next two of which each asks while its proof is old, and up to five troubles a seed of theirs: cuts from the core, either way or both, cuts from one another, stops. Answers bring three changes at most. After every answer: the proof does not go back, and the edge holds every entry that any machine had taken before it (more than was acknowledged). Ten keyed requests a second to each edge: none runs by a version that was replaced, to somebody's knowledge, over 5 s before it was sent. TestEdgesThatAreCutOff: up to three of four edges off the core refuse no more than at the start, all four refuse.

--- a/internal/cdn/simulation/checks.go
+++ b/internal/cdn/simulation/checks.go
@@ -29,6 +29,7 @@
 type versionAt struct {
 	index uint64
 	at    time.Time
+	empty bool // it changes no state
 }
 
 // model is the state as this package makes it of the log, apart from the code that is checked.
@@ -58,7 +59,7 @@
 				if w.client.onTaken != nil && (bytes.HasPrefix(e.Data, []byte(`{"put"`)) || bytes.HasPrefix(e.Data, []byte(`{"change"`))) {
 					w.client.onTaken(h)
 				}
-				w.checks.versions = append(w.checks.versions, versionAt{e.Index, w.now})
+				w.checks.versions = append(w.checks.versions, versionAt{e.Index, w.now, len(e.Data) == 0})
 			} else {
 				w.fail("entry %d is taken by host %d before the one behind %d", e.Index, h.index, w.checks.last)
 			}
@@ -206,6 +207,12 @@
 	for _, c := range w.copies {
 		c.replica.Read(func(s *clusterstate.State) { w.checkState(c.address, s) })
 	}
+	for _, e := range w.edges.all {
+		e.replica.Read(func(s *clusterstate.State) { w.checkState(e.address, s) })
+		if e.replica.ProofIsOld(w.now) {
+			w.fail("%s has a proof of %v ago after all was calm", e.address, w.now.Sub(e.replica.Proof()))
+		}
+	}
 }
 
 func (w *world) checkState(who string, s *clusterstate.State) {
--- a/internal/cdn/simulation/faults.go
+++ b/internal/cdn/simulation/faults.go
@@ -106,6 +106,9 @@
 
 // strike lets a fault come about.
 func (w *world) strike(f Fault) {
+	if w.strikeEdges(f) {
+		return
+	}
 	h := w.target(f)
 	if h == nil && f.Who == leaderLot {
 		h = w.hosts[f.X%len(w.hosts)]
--- a/internal/cdn/simulation/network.go
+++ b/internal/cdn/simulation/network.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"cedarmast/internal/cdn/consensus"
@@ -63,17 +64,20 @@
 func (n *network) reaches(from, to string) bool { return n.cuts[[2]string{from, to}] <= 0 }
 
 // carry brings something from one address to another, unless it is lost on its way.
-func (w *world) carry(from, to string, arrive func()) {
-	if !w.network.reaches(from, to) || w.rng.Float64() < w.network.loss {
+func (w *world) carry(from, to string, arrive func()) { w.carryBy(w.rng, from, to, arrive) }
+
+// carryBy is carry by a lot of the caller's.
+func (w *world) carryBy(rng *rand.Rand, from, to string, arrive func()) {
+	if !w.network.reaches(from, to) || rng.Float64() < w.network.loss {
 		return
 	}
 	most := w.network.jitter
-	if w.rng.IntN(lateOne) == 0 {
+	if rng.IntN(lateOne) == 0 {
 		most *= lateOne
 	}
-	w.after(w.between(leastDelay, most), arrive)
-	if w.rng.Float64() < w.network.double {
-		w.after(w.between(leastDelay, 2*w.network.jitter), arrive)
+	w.after(between(rng, leastDelay, most), arrive)
+	if rng.Float64() < w.network.double {
+		w.after(between(rng, leastDelay, 2*w.network.jitter), arrive)
 	}
 }
 
--- a/internal/cdn/simulation/world.go
+++ b/internal/cdn/simulation/world.go
@@ -1,6 +1,6 @@
 // Package simulation plays the control side of the network in one goroutine under virtual time and a seed: the agreement,
 // the journal, the common state and the core machines as they are deployed (configstore.Machine), copies of the state as
-// edges hold them, operators and servers. What lies between is the simulation's: the network, the disks, the processes'
+// registries and edges hold them, operators and servers. What lies between is the simulation's: the network, the disks, the processes'
 // ends and stops. A seed is a run; the same seed is the same run. Rules are checked after every step.
 package simulation
 
@@ -13,6 +13,7 @@
 	"cedarmast/internal/cdn/clusterstate"
 	"cedarmast/internal/cdn/configstore"
 	"cedarmast/internal/cdn/consensus"
+	"cedarmast/internal/cdn/statesync"
 )
 
 const (
@@ -32,8 +33,13 @@
 	NoSync bool // a weakness, for tests: a folder's sync does nothing
 	// SettleAll is a weakness, for tests: registries acknowledge every call of a server without the log.
 	SettleAll bool
-	Machine   int // core machines; 0: as the seed draws
-	Trace     func(format string, args ...any)
+	// Weaknesses of edges, for tests: of their copies; a proof is counted from the answer and not from the question; keyed requests run whatever
+	// is proven.
+	WeakCopies      statesync.Weaknesses
+	CountFromAnswer bool
+	RunUnproven     bool
+	Machine         int // core machines; 0: as the seed draws
+	Trace           func(format string, args ...any)
 }
 
 // Result is how a run ended.
@@ -50,6 +56,9 @@
 
 	Acknowledged []time.Duration // from an operator's first sending of an order to its acknowledgement, in the order in which they came
 	Syncs        uint64          // of all disks, by the processes that run at the end
+
+	Ran, Refused int // keyed requests that edges let run, and that they refused as unproven
+	Neighbours   int // questions of edges to neighbours
 }
 
 // event is something that happens at a time. Events of one time happen in the order in which they were made.
@@ -93,6 +102,7 @@
 	checks    checks
 	client    clients
 	copies    []*stateCopy
+	edges     edges
 	messages  int
 	disksLost int
 	calm      time.Time // since when nothing is wrong
@@ -112,7 +122,8 @@
 		w.checkHistory()
 	}
 	return Result{Seed: o.Seed, Failure: w.failure, At: w.since(), Faults: w.faults, Orders: w.client.acknowledged, Reads: w.client.answered,
-		Elapsed: w.since(), Messages: w.messages, DisksLost: w.disksLost, Acknowledged: w.client.took, Syncs: w.syncs()}
+		Elapsed: w.since(), Messages: w.messages, DisksLost: w.disksLost, Acknowledged: w.client.took, Syncs: w.syncs(),
+		Ran: w.edges.ran, Refused: w.edges.refused, Neighbours: w.edges.asked}
 }
 
 // syncs is how often the disks were synced by the processes that run.
@@ -147,7 +158,7 @@
 	w.trace("%d machines, %d may be lost at once", size, w.tolerate)
 	w.faults = o.Faults
 	if w.faults == nil {
-		w.faults = drawFaults(lots, size)
+		w.faults = append(drawFaults(lots, size), drawEdgeFaults(rand.New(rand.NewPCG(o.Seed, 0xedfa)))...)
 	}
 	for i := range w.faults {
 		f := w.faults[i]
@@ -155,6 +166,7 @@
 	}
 	w.beginClients()
 	w.beginCopies()
+	w.beginEdges()
 	w.countLost()
 	w.after(faultsUntil, w.heal)
 	return w
@@ -186,8 +198,10 @@
 }
 
 // between draws a span.
-func (w *world) between(least, most time.Duration) time.Duration {
-	return least + time.Duration(w.rng.Int64N(int64(most-least)+1))
+func (w *world) between(least, most time.Duration) time.Duration { return between(w.rng, least, most) }
+
+func between(rng *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(rng.Int64N(int64(most-least)+1))
 }
 
 // heal ends all that is wrong. What follows is calm, and everything must come right in it.
@@ -202,6 +216,9 @@
 			h.startAfter(0)
 		}
 	}
+	for _, e := range w.edges.all {
+		e.thaw()
+	}
 	w.calm = w.now
 	w.after(catchUp, w.checkCaughtUp)
 	w.after(calmAfter, w.end)
