Tests of the duty find each part that is taken out; two parts that did nothing go

Gone: emptying counts that the log never carries, and a second look at the lease that the first implies.

--- a/internal/cdn/clusterstate/usage.go
+++ b/internal/cdn/clusterstate/usage.go
@@ -38,9 +38,6 @@
 	case len(report.Counts) > MostUsageTenants:
 		return Outcome{Status: Invalid, Text: fmt.Sprintf("counts: more than %d tenants", MostUsageTenants)}
 	}
-	if len(report.Counts) == 0 {
-		report.Counts = nil // as it is after a snapshot
-	}
 	s.Usage.Fixed = report.Round
 	s.Usage.Pending = keepLast(append(slices.Clone(s.Usage.Pending), report), MostPendingUsage)
 	return Outcome{Status: Done}
--- a/internal/cdn/usage/collector_test.go
+++ b/internal/cdn/usage/collector_test.go
@@ -57,7 +57,9 @@
 		c.Take(report("p", string(rune(i+0x4e00)), 1, 1, map[int64]Counts{1: {"a": 1}}), 0)
 	}
 	assert.Equal(t, len(c.lives), mostLives)
-	c.Sums(1, []string{"p"})
+	c.Take(report("p", string(rune(0x4e00)), 2, 1, map[int64]Counts{1: {"a": 1}, 2: {"a": 1}}), 1)
+	assert.Equal(t, len(c.lives[lifeKey{"p", string(rune(0x4e00))}].windows), 1)
+	c.Sums(2, []string{"p"})
 	assert.Equal(t, len(c.lives), 1)
 	c.Sums(1, nil)
 	assert.Equal(t, len(c.lives), 0)
--- a/internal/cdn/usage/reporter.go
+++ b/internal/cdn/usage/reporter.go
@@ -207,9 +207,10 @@
 	}
 }
 
-// mayCall tells whether nobody else can act now: whoever held the duty before has stopped by then, and whoever follows has not begun.
+// mayCall tells whether nobody who follows has begun to act. Whoever held the duty before has stopped a lease after this machine learned of it:
+// sendAt waits for that.
 func (r *Reporter) mayCall(now time.Time, epoch uint64, proof time.Time) bool {
-	return epoch == r.epoch && epoch > 0 && now.Sub(r.since) >= r.timetable.Lease && !proof.IsZero() && now.Sub(proof) < r.timetable.Lease/2
+	return epoch == r.epoch && epoch > 0 && !proof.IsZero() && now.Sub(proof) < r.timetable.Lease/2
 }
 
 // MaySend is the look at the lease right before a call is written: the time between the step and the write may have been long.
--- a/internal/cdn/usage/reporter_test.go
+++ b/internal/cdn/usage/reporter_test.go
@@ -145,6 +145,8 @@
 			{at: 4 * s, view: holds(9, pending(99)), until: 7 * s},
 			{at: 5 * s, ended: sent(7, Accepted, 0), view: holds(9, pending(99)), until: 7 * s},
 			{at: 7 * s, view: holds(9, pending(99)), want: Send, round: 99},
+			{at: 7100 * ms, ended: sent(7, Accepted, 0), view: holds(9, pending(99)), until: 10100 * ms},
+			{at: 7200 * ms, ended: sent(9, Accepted, 0), view: holds(9, pending(99)), want: Note, round: 99},
 		}},
 	}
 	for _, c := range cases {
