localnet: spans of keys in settings, changes of the file, signals while a process ends

Cause: the soak is to play keys that are taken away, and restarts that overlap with SIGHUP. Machines' settings named neither `revocation_global` nor `revoke` and `contact`; whoever sent SIGTERM held the machine's lock until its processes had ended, so that no other signal could come meanwhile; nothing wrote a settings file anew. A request of a client with a key could not be sent.

A history of the operators' calls that is not linearizable is told, call by call: without it nobody can say which was wrong.

--- a/internal/cdn/localnet/localnet.go
+++ b/internal/cdn/localnet/localnet.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -36,6 +37,8 @@
 	Program func(name string) []string
 	Out     io.Writer // of all processes' logs; nil: none
 	Metrics bool      // proxies tell their figures; see Figures
+	// The spans of the operators' rules that the settings name; 0: not named.
+	Revoke, Contact time.Duration
 }
 
 // The ports are alike on all machines, as on the operators'.
@@ -47,6 +50,8 @@
 	beatEvery     = 300 * time.Millisecond
 )
 
+const settingsFile = "boot.conf"
+
 // metricsPorts are where each program tells its figures.
 var metricsPorts = map[string]int{"edge": 9464, "configstore": 9465, "registry": 9466}
 
@@ -58,7 +63,14 @@
 	first          bool
 
 	mu        sync.Mutex
-	processes map[string]*exec.Cmd
+	processes map[string]*program
+	reloads   int // of its settings file
+}
+
+// program is a process of one of the programs.
+type program struct {
+	cmd   *exec.Cmd
+	ended chan struct{} // closed once it has ended
 }
 
 // Network is a network that runs.
@@ -77,7 +89,7 @@
 	n := &Network{Shape: shape, client: http.Client{Timeout: 3 * time.Second}, started: time.Now()}
 	for i := range shape.Core + shape.Edges + shape.Stores {
 		m := &Machine{IP: fmt.Sprintf("127.0.%d.%d", shape.Net, i+1), Zone: fmt.Sprint("zone-", i%max(shape.Zones, 1)+1), Core: i < shape.Core, Store: i >= shape.Core+shape.Edges,
-			first: true, processes: map[string]*exec.Cmd{}}
+			first: true, processes: map[string]*program{}}
 		m.Name = fmt.Sprint("edge-", i-shape.Core+1)
 		if m.Core {
 			m.Name = fmt.Sprint("core-", i+1)
@@ -129,11 +141,12 @@
 		line("network.listen_on.readiness", fmt.Sprintf("%s:%d", m.IP, readinessPort))
 	}
 	line("network.spare_ports", fmt.Sprintf("%d,%d", sparePort, sparePort+15))
-	line("network.seed_nodes", strings.Join(seeds, ","))
+	line("network.seed_nodes", strings.Join(rotated(seeds, m.reloads), ","))
 	for z := range zones {
 		line("network.zones."+z, "here")
 	}
 	line("yard.heartbeat", beatEvery.String())
+	n.timetable(line)
 	return b.String()
 }
 
@@ -145,7 +158,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	file := filepath.Join(m.Dir, "boot.conf")
+	file := filepath.Join(m.Dir, settingsFile)
 	if err := replaceFile(file, []byte(n.settings(m))); err != nil {
 		return err
 	}
@@ -168,7 +181,7 @@
 		if err := cmd.Start(); err != nil {
 			return Error.Wrap(err)
 		}
-		m.processes[p] = cmd
+		m.processes[p] = started(cmd)
 	}
 	return nil
 }
@@ -182,16 +195,34 @@
 	return Error.Wrap(os.Rename(next, path))
 }
 
-// Signal sends a signal to a machine's processes; a killed one is waited for.
+// started takes a process that runs, and waits for its end.
+func started(cmd *exec.Cmd) *program {
+	p := &program{cmd: cmd, ended: make(chan struct{})}
+	go func() {
+		cmd.Wait()
+		close(p.ended)
+	}()
+	return p
+}
+
+// Signal sends a signal to a machine's processes; those that it ends are waited for. Other signals may come meanwhile.
 func (n *Network) Signal(m *Machine, s syscall.Signal) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	for p, cmd := range m.processes {
-		cmd.Process.Signal(s)
-		if s == syscall.SIGKILL || s == syscall.SIGTERM {
-			cmd.Wait()
-			delete(m.processes, p)
+	sent := maps.Clone(m.processes)
+	for _, p := range sent {
+		p.cmd.Process.Signal(s)
+	}
+	m.mu.Unlock()
+	if s != syscall.SIGKILL && s != syscall.SIGTERM {
+		return
+	}
+	for name, p := range sent {
+		<-p.ended
+		m.mu.Lock()
+		if m.processes[name] == p {
+			delete(m.processes, name)
 		}
+		m.mu.Unlock()
 	}
 }
 
@@ -262,12 +293,21 @@
 
 // Ask sends a client's request to an edge.
 func (n *Network) Ask(m *Machine, method, host, path, id string) (int, http.Header, string, error) {
+	return n.ask(m, method, host, path, http.Header{"Try-Id": {id}})
+}
+
+// AskWithKey sends a request of a client that holds a key to an edge, and returns the answer's status.
+func (n *Network) AskWithKey(m *Machine, host, path, id, key string) (int, error) {
+	status, _, _, err := n.ask(m, http.MethodGet, host, path, http.Header{"Try-Id": {id}, "Key": {key}})
+	return status, err
+}
+
+func (n *Network) ask(m *Machine, method, host, path string, header http.Header) (int, http.Header, string, error) {
 	q, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", m.IP, counterPort, path), nil)
 	if err != nil {
 		return 0, nil, "", err
 	}
-	q.Host = host
-	q.Header.Set("Try-Id", id)
+	q.Host, q.Header = host, header
 	q.Header.Set("Time-Left", "2000")
 	r, err := n.client.Do(q)
 	if err != nil {
--- a/internal/cdn/localnet/localnet_test.go
+++ b/internal/cdn/localnet/localnet_test.go
@@ -262,8 +262,8 @@
 	var mu sync.Mutex
 	var history []porcupine.Operation
 	var wg sync.WaitGroup
-	next := 1
-	end := time.Now().Add(5 * time.Second)
+	next, begun := 1, time.Now()
+	end := begun.Add(5 * time.Second)
 	for who := range 4 {
 		wg.Go(func() {
 			for k := 0; time.Now().Before(end); k++ {
@@ -320,5 +320,11 @@
 	}
 	t.Log(len(history), "calls,", taken, "configurations taken")
 	assert.Assert(t, taken >= 3)
-	assert.Equal(t, porcupine.CheckOperationsTimeout(model, history, 20*time.Second), porcupine.Ok)
+	verdict := porcupine.CheckOperationsTimeout(model, history, 20*time.Second)
+	if verdict != porcupine.Ok {
+		for _, op := range history {
+			t.Logf("client %d, %.6f s to %.6f s: %+v %+v", op.ClientId, time.Duration(op.Call-begun.UnixNano()).Seconds(), time.Duration(op.Return-begun.UnixNano()).Seconds(), op.Input, op.Output)
+		}
+	}
+	assert.Equal(t, verdict, porcupine.Ok)
 }
