soak: tenants, keys that are taken away, kept connections, operators that overlap

Change: configurations name five tenants with keys and precedence and one `unsealed` route; each takes two keys away, adds two and moves one, and is sent alone, raced on one base, behind another that is under way, or beside one that must be refused (a key of two tenants, an unknown service, cut short, a number that is not above). Clients bear live, old, refused, unknown and no keys and at times name a tenant themselves; twelve keep one connection and one key until the process is gone. Pauses of up to revoke + 1.5 s, changes of settings files at any time and around SIGTERM. checkKeys judges by the servers' books and the operators' history: UNASKED, ROUTE, CONFIG (keys past `revoke` whatever state the proxy was in; what must not be in force; what is read back; new keys at machines in touch), LOST on kept connections, DENIED. Six servers for four: with twelve clients more, four answered 40 in 100 of the waiting ones with 503. The floor on clients that leave counts those whose requests may run, as before: it was a quarter of all; clients on kept connections never leave, and keys that are refused are answered at once.

--- a/cmd/localnet/main.go
+++ b/cmd/localnet/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -31,20 +32,31 @@
 				}
 				return localnet.Show(ctx, shape, os.Stdout, !c.Bool("once"))
 			}},
-		{Name: "soak", Usage: "play real processes on this machine under troubles that overlap, with clients that leave, and check that the work for those ends",
+		{Name: "soak", Usage: "play real processes on this machine under troubles that overlap, with clients that leave or keep their connections and keys that are taken away, and check from outside that rules hold",
+			ArgsUsage: "[SEED...]",
 			Flags: []cli.Flag{&cli.Uint64Flag{Name: "seeds", Value: 10, Usage: "how many are played"}, &cli.Uint64Flag{Name: "from", Value: 1, Usage: "the first one"},
+				&cli.IntFlag{Name: "core", Value: 3, Usage: "core machines"}, &cli.IntFlag{Name: "edges", Value: 3, Usage: "edges"}, &cli.IntFlag{Name: "stores", Value: 2, Usage: "store machines"},
+				&cli.DurationFlag{Name: "revoke", Value: 2 * time.Second, Usage: "within which a key that is taken away must stop working"},
 				&cli.DurationFlag{Name: "day", Value: 10 * time.Second, Usage: "how long each lasts"}, &cli.IntFlag{Name: "at", Value: 82, Usage: "the network is at 127.0.AT.x"},
 				&cli.StringFlag{Name: "keep", Usage: "a folder where days with a breach leave their processes' logs"},
 				&cli.BoolFlag{Name: "tell", Usage: "print what happens"}, &cli.BoolFlag{Name: "logs", Usage: "print the processes' logs"}},
 			Action: func(ctx context.Context, c *cli.Command) error {
-				plan := soak.Plan{Day: c.Duration("day"), Keep: c.String("keep"), Shape: localnet.Shape{Core: 3, Edges: 3, Stores: 2, Zones: 2, Net: byte(c.Int("at"))}}
+				plan := soak.Plan{Day: c.Duration("day"), Keep: c.String("keep"), Shape: localnet.Shape{Core: c.Int("core"), Edges: c.Int("edges"), Stores: c.Int("stores"), Zones: 2,
+					Net: byte(c.Int("at")), Revoke: c.Duration("revoke"), Contact: c.Duration("revoke")}}
 				if c.Bool("tell") {
 					plan.Out = os.Stdout
 				}
 				if c.Bool("logs") {
 					plan.Shape.Out = os.Stderr
 				}
-				return soak.Sweep(ctx, plan, c.Uint64("from"), c.Uint64("seeds"), os.Stdout)
+				seeds := soak.Seeds(c.Uint64("from"), c.Uint64("seeds"))
+				if c.Args().Present() {
+					var err error
+					if seeds, err = parseSeeds(c.Args().Slice()); err != nil {
+						return err
+					}
+				}
+				return soak.Sweep(ctx, plan, seeds, os.Stdout)
 			}},
 		{Name: "simulate", Usage: "play the control side in virtual time under faults that a seed draws, and check its rules",
 			Flags: []cli.Flag{&cli.Uint64Flag{Name: "seeds", Value: 300, Usage: "how many are played"}, &cli.Uint64Flag{Name: "from", Usage: "the first one"},
@@ -65,3 +77,15 @@
 		os.Exit(1)
 	}
 }
+
+// parseSeeds reads the seeds of a command line.
+func parseSeeds(words []string) (seeds []uint64, err error) {
+	for _, word := range words {
+		seed, err := strconv.ParseUint(word, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("%q is no seed", word)
+		}
+		seeds = append(seeds, seed)
+	}
+	return seeds, nil
+}
--- a/internal/cdn/soak/book.go
+++ b/internal/cdn/soak/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -10,6 +11,7 @@
 type book struct {
 	mu       sync.Mutex
 	asks     []*ask
+	next     []*ask // sent behind another one by a client that closed early
 	runs     []*run
 	troubles map[string][]span // by machine
 	breaches []string
@@ -23,7 +25,12 @@
 	wait           time.Duration // before it leaves
 	status         int           // of its answer; 0: none. Its client's until over
 
-	unstamped bool // a success that no server gave
+	unstamped bool   // a success that no server gave
+	key       string // that it bears; empty: none
+	live      bool   // the newest configuration held it when the request was sent
+	forged    string // the tenant that it names itself; empty: none
+	kept      bool   // it came over a connection that its client keeps
+	cut       bool   // that connection closed before its whole answer
 
 	begun, end time.Time // of the client's interest; a zero end: it waits
 	hasLeft    bool
@@ -32,10 +39,22 @@
 // run is one run of a request at a server.
 type run struct {
 	path, id, server string
+	sender           string // the tenant that the server was told; empty: none
+	showsKey         bool   // the server saw a key
 	begun, end       time.Time
-	broken           bool // its connection closed before it had ended
+	outcome          runOutcome
 }
 
+// runOutcome is how a run ended.
+type runOutcome int
+
+const (
+	underWay runOutcome = iota
+	answered
+	dropped   // its connection closed before it had ended
+	brokenOff // its server closed the connection in place of the answer
+)
+
 // span is the time of a trouble; a zero end: it lasts.
 type span struct {
 	what       string
@@ -65,18 +84,27 @@
 	}
 }
 
-func (b *book) begun(path, id, server string) *run {
+// follows notes a request that a client sends behind another one, without waiting for its answer.
+func (b *book) follows(a *ask) *ask {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := &run{path: path, id: id, server: server, begun: time.Now()}
+	next := &ask{id: a.id + "-next", path: "/again/next", kind: kinds[0], edge: a.edge, key: a.key, begun: time.Now()}
+	b.next = append(b.next, next)
+	return next
+}
+
+func (b *book) begun(r *run) *run {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r.begun = time.Now()
 	b.runs = append(b.runs, r)
 	return r
 }
 
-func (b *book) ended(r *run, broken bool) {
+func (b *book) ended(r *run, outcome runOutcome) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r.end, r.broken = time.Now(), broken
+	r.end, r.outcome = time.Now(), outcome
 }
 
 // trouble notes that one begins, and returns what notes its end.
@@ -138,8 +166,13 @@
 
 // struck tells whether a machine's processes ended between two moments.
 func (b *book) struck(machine string, from, to time.Time) bool {
+	return b.troubled(machine, from, to, kill, restart)
+}
+
+// troubled tells whether a machine had one of some troubles between two moments.
+func (b *book) troubled(machine string, from, to time.Time, kinds ...string) bool {
 	for _, s := range b.troubles[machine] {
-		if s.what != pause && s.begun.Before(to) && (s.end.IsZero() || s.end.After(from)) {
+		if slices.Contains(kinds, s.what) && s.begun.Before(to) && (s.end.IsZero() || s.end.After(from)) {
 			return true
 		}
 	}
--- a/internal/cdn/soak/clients.go
+++ b/internal/cdn/soak/clients.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -18,10 +19,12 @@
 	once               bool // it may run once
 	copies             bool // what was begun may be finished
 	only               bool // its route is in every other configuration alone
+	open               bool // its route asks for no key
 }
 
 var kinds = []kind{
 	{name: "again", class: "resendable", shelf: "0ms", method: "GET"},
+	{name: "open", class: "resendable", shelf: "0ms", method: "GET", open: true},
 	{name: "comes", class: "resendable", shelf: "0ms", method: "GET", only: true},
 	{name: "once", class: "once_only", shelf: "0ms", method: "POST", once: true},
 	{name: "gathered", class: "shelved", shelf: "0ms", method: "GET", shared: 1 << 20},
@@ -66,7 +69,11 @@
 		edges := d.net.EdgeMachines()
 		edge := edges[rng.IntN(len(edges))]
 		a := &ask{id: fmt.Sprintf("%d-%d-%d", d.Seed, n, turn), path: path, kind: k, edge: edge.Name, manner: manner(rng.IntN(int(manners))),
-			wait: 5*time.Millisecond + time.Duration(rng.Int64N(int64(mostWait)))}
+			wait: 5*time.Millisecond + time.Duration(rng.Int64N(int64(mostWait))), key: d.drawKey(rng)}
+		a.live = d.operators.history.newest().keys[a.key] != ""
+		if rng.Float64() < forgedPart {
+			a.forged = forgedSender
+		}
 		d.ask(ctx, a, edge.Client())
 		sleep(ctx, time.Duration(rng.Int64N(int64(50*time.Millisecond))))
 	}
@@ -83,12 +90,7 @@
 	defer c.Close()
 	d.book.asked(a)
 	defer d.book.over(a)
-	body := 0
-	if a.kind.once {
-		body = 4000
-	}
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: shop.example\r\nTry-Id: %s\r\nTime-Left: %d\r\nContent-Length: %d\r\n\r\n", a.kind.method, a.path, a.id, timeLeft.Milliseconds(), body)
-	whole := append([]byte(head), make([]byte, body)...)
+	whole, body := a.request(), a.bodyLength()
 	if a.manner == leavesMidway && body > 0 {
 		c.Write(whole[:len(whole)-body/2])
 		sleep(ctx, a.wait)
@@ -99,7 +101,8 @@
 	}
 	switch a.manner {
 	case closesEarly:
-		fmt.Fprintf(c, "GET /again/next HTTP/1.1\r\nHost: shop.example\r\nTry-Id: %s-next\r\nTime-Left: 1000\r\n\r\n", a.id)
+		next := d.book.follows(a)
+		c.Write(next.request())
 	case halfCloses:
 		c.CloseWrite()
 	}
@@ -127,7 +130,37 @@
 		}
 		if resp.StatusCode >= 200 {
 			resp.Body.Close()
-			return resp.StatusCode, resp.StatusCode == http.StatusOK && resp.Header.Get("Postmark") == ""
+			return resp.StatusCode, isUnstamped(resp)
 		}
 	}
 }
+
+// isUnstamped tells whether an answer is a success that no server gave.
+func isUnstamped(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusOK && resp.Header.Get("Postmark") == ""
+}
+
+// onceBody is the length of the bodies of requests that may run once.
+const onceBody = 4000
+
+func (a *ask) bodyLength() int {
+	if a.kind.once {
+		return onceBody
+	}
+	return 0
+}
+
+// request writes the request out.
+func (a *ask) request() []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: shop.example\r\nTry-Id: %s\r\nTime-Left: %d\r\n", a.kind.method, a.path, a.id, timeLeft.Milliseconds())
+	if a.key != "" {
+		fmt.Fprintf(&b, "Key: %s\r\n", a.key)
+	}
+	if a.forged != "" {
+		fmt.Fprintf(&b, "Sender: %s\r\n", a.forged)
+	}
+	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", a.bodyLength())
+	b.Write(make([]byte, a.bodyLength()))
+	return b.Bytes()
+}
--- a/internal/cdn/soak/judge.go
+++ b/internal/cdn/soak/judge.go
@@ -36,8 +36,10 @@
 	if err := sleep(ctx, restTime); err != nil {
 		return Report{}, err
 	}
+	d.operators.current(ctx) // the newest configuration, once all is calm
 	d.checkRuns()
 	d.checkAnswers()
+	d.checkKeys()
 	d.checkFigures(ctx)
 	d.checkService(ctx)
 	b := d.book
@@ -48,6 +50,11 @@
 		if a.hasLeft {
 			r.Left++
 		}
+		if a.kept {
+			r.Kept++
+		} else if !a.live && !a.kind.open {
+			r.Keyless++
+		}
 	}
 	return r, nil
 }
@@ -106,7 +113,7 @@
 			if r.begun.After(bound) {
 				breach("%s begins %s after its client has left", r.path, after(r.begun))
 			}
-			if r.broken && r.end.Before(r.begun.Add(timeLeft/2)) && !b.struck(machine, r.begun, r.end.Add(dueSlack)) && i.left > 0 {
+			if r.outcome == dropped && r.end.Before(r.begun.Add(timeLeft/2)) && !b.struck(machine, r.begun, r.end.Add(dueSlack)) && i.left > 0 {
 				breach("%s is broken off %s after its client has left", r.path, after(r.end))
 			}
 		case r.begun.After(bound):
@@ -134,7 +141,7 @@
 	}
 	for _, r := range d.book.runs {
 		if r.path == path {
-			all = append(all, fmt.Sprintf("%s ran it for %q from %s to %s, broken off %v", r.server, r.id, at(r.begun), at(r.end), r.broken))
+			all = append(all, fmt.Sprintf("%s ran it for %q from %s to %s, broken off %v", r.server, r.id, at(r.begun), at(r.end), r.outcome == dropped))
 		}
 	}
 	return strings.Join(all, "; ")
--- a/internal/cdn/soak/servers.go
+++ b/internal/cdn/soak/servers.go
@@ -62,10 +62,10 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return // it never came whole
 	}
-	run := s.day.book.begun(r.URL.Path, id, s.id)
+	run := s.day.book.begun(&run{path: r.URL.Path, id: id, server: s.id, sender: r.Header.Get("Sender"), showsKey: r.Header.Get("Key") != ""})
 	if s.silent.Load() {
 		<-r.Context().Done()
-		s.day.book.ended(run, true)
+		s.day.book.ended(run, dropped)
 		return
 	}
 	w := s.draw()
@@ -73,14 +73,15 @@
 	defer late.Stop()
 	select {
 	case <-late.C:
-		s.day.book.ended(run, false)
+		if w.lost {
+			s.day.book.ended(run, brokenOff)
+			panic(http.ErrAbortHandler)
+		}
+		s.day.book.ended(run, answered)
 	case <-r.Context().Done():
-		s.day.book.ended(run, true)
+		s.day.book.ended(run, dropped)
 		return
 	}
-	if w.lost {
-		panic(http.ErrAbortHandler)
-	}
 	rw.Header().Set("Postmark", s.id+"."+id)
 	rw.Header().Set("Etag", fmt.Sprintf("%q", r.URL.Path))
 	rw.WriteHeader(w.status)
--- a/internal/cdn/soak/service.go
+++ b/internal/cdn/soak/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -61,10 +62,11 @@
 	call, done := context.WithTimeout(ctx, probeWithin)
 	defer done()
 	t.others = map[string]int{}
+	key := pickKey(d.operators.history.newest().keys, rand.New(rand.NewPCG(d.Seed, 5)))
 	start := time.Now()
 	for n := 0; t.served < probes && call.Err() == nil; n++ {
 		begun := time.Now()
-		status, _, _, err := d.net.Ask(m, "GET", "shop.example", fmt.Sprintf("/again/probe-%s-%d", m.Name, n), fmt.Sprintf("probe-%s-%d-%d", m.Name, d.Seed, n))
+		status, err := d.net.AskWithKey(m, "shop.example", fmt.Sprintf("/again/probe-%s-%d", m.Name, n), fmt.Sprintf("probe-%s-%d-%d", m.Name, d.Seed, n), key)
 		t.slowest = max(t.slowest, time.Since(begun))
 		switch {
 		case err == nil && status == 200:
--- a/internal/cdn/soak/soak.go
+++ b/internal/cdn/soak/soak.go
@@ -11,7 +11,6 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"cedarmast/internal/cdn/localnet"
@@ -23,13 +22,21 @@
 var Error = errs.Class("soak")
 
 const (
-	service       = "desk"
-	readyWithin   = 20 * time.Second
-	restTime      = 5 * time.Second // after the day, for all that was under way
-	serverCount   = 4
-	clientCount   = 40
-	configEvery   = 900 * time.Millisecond
-	configPatient = 4 * time.Second
+	service     = "desk"
+	readyWithin = 20 * time.Second
+	restTime    = 5 * time.Second // after the day, for all that was under way
+)
+
+// How many clients and servers a day has: as many as a small network needs, more on a large one.
+const (
+	leastServers  = 6
+	edgesAServer  = 8
+	leastClients  = 40
+	clientsAnEdge = 4 // that open a connection for each request
+	leastKept     = 12
+	keptAnEdge    = 2 // that keep theirs
+	usualRevoke   = 2 * time.Second
+	usualContact  = 2 * time.Second
 )
 
 // Plan says what is played.
@@ -44,31 +51,38 @@
 // Report is what a day came to.
 type Report struct {
 	Requests, Left, Runs int
+	Kept                 int // of the requests: over connections that their clients keep
+	Keyless              int // of the others: with no key, or one that may be refused at once
 	Troubles             int
 	Breaches             []string
 	Acknowledgements     acknowledgements
 }
 
 func (r Report) String() string {
-	return fmt.Sprintf("%d requests, %d of their clients left, %d runs at servers, %d troubles, %d breaches", r.Requests, r.Left, r.Runs, r.Troubles, len(r.Breaches))
+	return fmt.Sprintf("%d requests, %d of them over kept connections, %d of their clients left, %d runs at servers, %d troubles, %d breaches told", r.Requests, r.Kept, r.Left, r.Runs, r.Troubles, len(r.Breaches))
 }
 
 // day is one day as it is played.
 type day struct {
 	Plan
-	net     *localnet.Network
-	book    *book
-	servers []*server
-	start   time.Time
-	calm    atomic.Bool // servers work as they should
-	acks    acknowledgements
-	told    sync.Mutex // of Out
+	net       *localnet.Network
+	book      *book
+	servers   []*server
+	start     time.Time
+	calm      atomic.Bool // servers work as they should
+	acks      acknowledgements
+	operators *operators
+	told      sync.Mutex // of Out
 }
 
 // Play plays a day and ends by itself. An error says that it could not be played.
 func Play(ctx context.Context, p Plan) (Report, error) {
 	p.Shape.Metrics = true
+	if p.Shape.Revoke == 0 {
+		p.Shape.Revoke, p.Shape.Contact = usualRevoke, usualContact
+	}
 	d := &day{Plan: p, book: newBook(), acks: newAcknowledgements()}
+	d.operators = newOperators(d)
 	var err error
 	if d.net, err = localnet.Start(p.Shape); err != nil {
 		return Report{}, err
@@ -82,13 +96,17 @@
 	ends, stop := context.WithTimeout(ctx, p.Day)
 	defer stop()
 	var all sync.WaitGroup
-	for n := range clientCount {
+	for n := range max(leastClients, clientsAnEdge*p.Shape.Edges) {
 		all.Go(func() { d.client(ends, n) })
 	}
+	for n := range max(leastKept, keptAnEdge*p.Shape.Edges) {
+		all.Go(func() { d.keep(ends, n) })
+	}
 	for _, t := range troubles {
 		all.Go(func() { d.strike(ends, t) })
 	}
-	all.Go(func() { d.configure(ends) })
+	all.Go(func() { d.operators.configure(ends) })
+	all.Go(func() { d.operators.ask(ends) })
 	all.Go(func() { d.silence(ends) })
 	all.Wait()
 	d.calm.Store(true)
@@ -97,7 +115,7 @@
 
 // prepare starts the servers, gives the first configuration and waits until all proxies are ready.
 func (d *day) prepare(ctx context.Context) error {
-	for i := range serverCount {
+	for i := range max(leastServers, d.Shape.Edges/edgesAServer) {
 		s := &server{id: fmt.Sprint("i-", i+1), day: d, rng: rand.New(rand.NewPCG(d.Seed, uint64(100+i)))}
 		told, err := d.net.ServeWith(s.id, service, byte(200+i), s)
 		if err != nil {
@@ -108,8 +126,8 @@
 	}
 	call, done := context.WithTimeout(ctx, readyWithin)
 	defer done()
-	if status, text, err := d.net.Control(call, "PUT", "/manifest", manifest(1, 0)); err != nil || status != 200 {
-		return Error.New("configuration: %d %s %v", status, text, err)
+	if err := d.operators.first(call); err != nil {
+		return err
 	}
 	for _, m := range d.net.EdgeMachines() {
 		for !d.net.Ready(m) {
@@ -121,19 +139,6 @@
 	return sleep(call, time.Second) // until servers and cache routers are known everywhere
 }
 
-// configure changes the configuration again and again; every other one lacks a route that is asked for.
-func (d *day) configure(ctx context.Context) {
-	base := 1
-	for edition := 2; sleep(ctx, configEvery) == nil; edition++ {
-		call, done := context.WithTimeout(ctx, configPatient)
-		status, _, err := d.net.Control(call, "PUT", "/manifest", manifest(edition, base))
-		done()
-		if err == nil && status == 200 {
-			base = edition
-		}
-	}
-}
-
 // silence has one server fall silent for good, in the day's second quarter: it beats no more and answers nothing, and its connections stay open.
 func (d *day) silence(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(d.Seed, 2))
@@ -146,24 +151,6 @@
 	s.told.Mute()
 }
 
-// manifest is a configuration of the routes that clients ask for; the odd editions have one more.
-func manifest(edition, base int) []byte {
-	based := `"0"`
-	if base > 0 {
-		based = fmt.Sprintf(`"r%d"`, base)
-	}
-	routes := ""
-	for _, k := range kinds {
-		if k.only && edition%2 == 0 {
-			continue
-		}
-		routes += fmt.Sprintf(`{"parcel_kind":"routes","label":{"name":"r-%[1]s"},"manifest":{"domain":"shop.example","path_prefix":"/%[1]s/","mail_class":"%[2]s",`+
-			`"timeout":"4000ms","target":"500ms","precedence":1,"carrier":"%[3]s","tries":3,"shelf":"%[4]s"}},`, k.name, k.class, service, k.shelf)
-	}
-	return fmt.Appendf(nil, `{"edition":"r%d","based_on":%s,"parcels":[%s{"parcel_kind":"carriers","label":{"name":"%s"},"manifest":{"health_path":"/health","line_cap":130,"rate_per_s":400}}]}`,
-		edition, based, routes, service)
-}
-
 // sleep waits for a span or the context's end.
 func sleep(ctx context.Context, span time.Duration) error {
 	select {
@@ -182,55 +169,3 @@
 	defer d.told.Unlock()
 	fmt.Fprintf(d.Out, "%7.3f  %s\n", time.Since(d.start).Seconds(), fmt.Sprintf(format, args...))
 }
-
-// trouble is one thing that goes wrong with a machine.
-type trouble struct {
-	what      string
-	machine   *localnet.Machine
-	at, lasts time.Duration
-}
-
-// The troubles of processes. Those of servers are drawn by each request.
-const (
-	kill    = "kill"    // and start again after a while
-	pause   = "pause"   // as a machine that is cut off: nothing is lost, and nothing is heard
-	restart = "restart" // as planned
-)
-
-// draw draws troubles so that at most times two or three overlap, each on a machine of its own.
-func draw(rng *rand.Rand, length time.Duration, n *localnet.Network) []trouble {
-	var all []trouble
-	for _, m := range n.Machines {
-		for at := time.Duration(rng.Int64N(int64(length / 2))); at < length; {
-			t := trouble{machine: m, at: at, lasts: 300*time.Millisecond + time.Duration(rng.Int64N(int64(time.Second)))}
-			t.what = []string{kill, pause, restart}[rng.IntN(3)]
-			all = append(all, t)
-			at += t.lasts + 2*time.Second + time.Duration(rng.Int64N(int64(4*time.Second)))
-		}
-	}
-	return all
-}
-
-func (d *day) strike(ctx context.Context, t trouble) {
-	if sleep(ctx, t.at) != nil {
-		return
-	}
-	d.say("%s: %s for %s", t.machine.Name, t.what, t.lasts.Round(time.Millisecond))
-	over := d.book.trouble(t.machine.Name, t.what)
-	defer over()
-	switch t.what {
-	case kill:
-		d.net.Signal(t.machine, syscall.SIGKILL)
-		sleep(ctx, t.lasts)
-	case restart:
-		d.net.Signal(t.machine, syscall.SIGTERM)
-	case pause:
-		d.net.Signal(t.machine, syscall.SIGSTOP)
-		sleep(ctx, t.lasts)
-		d.net.Signal(t.machine, syscall.SIGCONT)
-		return
-	}
-	if err := d.net.Up(t.machine); err != nil {
-		d.book.breach("%s does not start: %v", t.machine.Name, err)
-	}
-}
--- a/internal/cdn/soak/soak_test.go
+++ b/internal/cdn/soak/soak_test.go
@@ -21,7 +21,7 @@
 }
 
 // The short form of the soak: one day of real processes under overlapping troubles, on which no rule of package departure is broken and no work
-// goes on for clients that have left. `localnet soak` plays many seeds.
+// goes on for clients that have left, and no server runs what a client's key does not allow. `localnet soak` plays many seeds.
 func TestAShortDay(t *testing.T) {
 	shape := localnet.Shape{Core: 3, Edges: 3, Stores: 2, Zones: 2, Net: 81, Dir: t.TempDir(), Program: programs.Line}
 	r, err := Play(t.Context(), Plan{Seed: 1, Day: 5 * time.Second, Shape: shape, Out: t.Output()})
@@ -31,5 +31,5 @@
 		t.Error(breach)
 	}
 	assert.Assert(t, r.Acknowledgements.settled[math.Inf(1)]+r.Acknowledgements.unsettled[math.Inf(1)] > 0, "no acknowledgement was measured")
-	assert.Assert(t, r.Left > r.Requests/4 && r.Runs > r.Requests/4, "too little was played")
+	assert.Assert(t, r.Left > (r.Requests-r.Kept-r.Keyless)/4 && r.Runs > r.Requests/4 && r.Kept > r.Requests/10, "too little was played")
 }
--- a/internal/cdn/soak/sweep.go
+++ b/internal/cdn/soak/sweep.go
@@ -9,17 +9,32 @@
 )
 
 // mostTold is how many breaches of a day are printed.
-const mostTold = 12
+const mostTold = 24
+
+// Seeds are a number of seeds in a row.
+func Seeds(from, count uint64) []uint64 {
+	var all []uint64
+	for seed := from; seed < from+count; seed++ {
+		all = append(all, seed)
+	}
+	return all
+}
 
 // Sweep plays seeds one after the other with the programs that stand beside this one, and fails if one of them has a breach.
-func Sweep(ctx context.Context, plan Plan, from, seeds uint64, out io.Writer) error {
+func Sweep(ctx context.Context, plan Plan, seeds []uint64, out io.Writer) error {
+	if err := fits(plan.Shape); err != nil {
+		return err
+	}
 	self, err := os.Executable()
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	plan.Shape.Program = func(name string) []string { return []string{filepath.Join(filepath.Dir(self), name), "run"} }
 	broken, acks := 0, newAcknowledgements()
-	for seed := from; seed < from+seeds && ctx.Err() == nil; seed++ {
+	for _, seed := range seeds {
+		if ctx.Err() != nil {
+			break
+		}
 		r, err := sweepOne(ctx, plan, seed)
 		if err != nil {
 			return err
@@ -35,7 +50,7 @@
 	}
 	fmt.Fprintln(out, acks)
 	if broken > 0 {
-		return Error.New("%d of %d seeds have breaches", broken, seeds)
+		return Error.New("%d of %d seeds have breaches", broken, len(seeds))
 	}
 	return Error.Wrap(ctx.Err())
 }
