localnet: each network claims its addresses, so that two never share them

Cause: the networks of tests had fixed addresses (127.0.71.x and so on). Two runs of one test, from two folders of this machine, met there: TestOperatorsCallsAreLinearizable was "Illegal" twice in 23 runs. The second one's history shows it: versions 912 to 931 are read back and serve as bases which this test never sent (it had sent 2 to 21), between two of its own; a localnet.test of another folder was running at that moment. The first one's history was not kept; that it was the same is a guess.

Ruled out: two acknowledgements on one base, reads that go back, reads of what was superseded, refusals of what was in force: none in that history.

Change: a network listens at a port of 127.0.Net.255 as long as it stands; Net 0 takes the first free one from 100 on, and one that is taken is refused with a clear error. The tests of localnet and soak, `localnet up` and `localnet soak` without --at name none.

--- a/cmd/localnet/main.go
+++ b/cmd/localnet/main.go
@@ -26,7 +26,7 @@
 			Flags: []cli.Flag{&cli.IntFlag{Name: "core", Value: 3, Usage: "core machines"}, &cli.IntFlag{Name: "edges", Value: 2, Usage: "edges"},
 				&cli.BoolFlag{Name: "once", Usage: "end after the show"}, &cli.BoolFlag{Name: "logs", Usage: "print the processes' logs"}},
 			Action: func(ctx context.Context, c *cli.Command) error {
-				shape := localnet.Shape{Core: c.Int("core"), Edges: c.Int("edges"), Zones: 2, Net: 70}
+				shape := localnet.Shape{Core: c.Int("core"), Edges: c.Int("edges"), Zones: 2}
 				if c.Bool("logs") {
 					shape.Out = os.Stderr
 				}
@@ -37,7 +37,7 @@
 			Flags: []cli.Flag{&cli.Uint64Flag{Name: "seeds", Value: 10, Usage: "how many are played"}, &cli.Uint64Flag{Name: "from", Value: 1, Usage: "the first one"},
 				&cli.IntFlag{Name: "core", Value: 3, Usage: "core machines"}, &cli.IntFlag{Name: "edges", Value: 3, Usage: "edges"}, &cli.IntFlag{Name: "stores", Value: 2, Usage: "store machines"},
 				&cli.DurationFlag{Name: "revoke", Value: 2 * time.Second, Usage: "within which a key that is taken away must stop working"},
-				&cli.DurationFlag{Name: "day", Value: 10 * time.Second, Usage: "how long each lasts"}, &cli.IntFlag{Name: "at", Value: 82, Usage: "the network is at 127.0.AT.x"},
+				&cli.DurationFlag{Name: "day", Value: 10 * time.Second, Usage: "how long each lasts"}, &cli.IntFlag{Name: "at", Usage: "the network is at 127.0.AT.x; wherever is free if left out"},
 				&cli.StringFlag{Name: "keep", Usage: "a folder where days with a breach leave their processes' logs"},
 				&cli.BoolFlag{Name: "tell", Usage: "print what happens"}, &cli.BoolFlag{Name: "logs", Usage: "print the processes' logs"}},
 			Action: func(ctx context.Context, c *cli.Command) error {
--- /dev/null
+++ b/internal/cdn/localnet/claim_test.go
@@ -0,0 +1,29 @@
+package localnet
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Networks that run beside one another never share addresses: two runs of one test did, from two folders, and the operators of one read what those
+// of the other had sent.
+func TestNetworksHaveTheirOwnAddresses(t *testing.T) {
+	program := func(string) []string { return []string{"sleep", "60"} }
+	start := func(at byte) (*Network, error) {
+		return Start(Shape{Core: 1, Net: at, Dir: t.TempDir(), Program: program})
+	}
+	one, err := start(0)
+	assert.NilError(t, err)
+	other, err := start(0)
+	assert.NilError(t, err)
+	assert.Assert(t, one.Net != other.Net)
+	assert.Assert(t, one.Machines[0].IP != other.Machines[0].IP)
+	_, err = start(one.Net)
+	assert.ErrorContains(t, err, "no addresses are free")
+	one.Stop()
+	again, err := start(one.Net)
+	assert.NilError(t, err)
+	again.Stop()
+	other.Stop()
+}
--- a/internal/cdn/localnet/localnet.go
+++ b/internal/cdn/localnet/localnet.go
@@ -32,7 +32,7 @@
 	Stores      int // cache routers without clients, on links that are far wider than the edges'; 0: links are alike
 	Zones       int // over which machines are dealt out in turn
 	Dir         string
-	Net         byte // the network is at 127.0.Net.x, so that several fit on one machine
+	Net         byte // the network is at 127.0.Net.x, so that several fit on one machine; 0: wherever is free
 	// Program returns the command line of a program; it is run with CEDARMAST_CONFIG set.
 	Program func(name string) []string
 	Out     io.Writer // of all processes' logs; nil: none
@@ -77,6 +77,7 @@
 type Network struct {
 	Shape
 	Machines []*Machine
+	claimed  io.Closer // its addresses
 	client   http.Client
 	started  time.Time
 	logMu    sync.Mutex // of Out
@@ -86,7 +87,12 @@
 
 // Start writes the settings and starts all processes.
 func Start(shape Shape) (*Network, error) {
-	n := &Network{Shape: shape, client: http.Client{Timeout: 3 * time.Second}, started: time.Now()}
+	at, claimed, err := claim(shape.Net)
+	if err != nil {
+		return nil, err
+	}
+	shape.Net = at
+	n := &Network{Shape: shape, claimed: claimed, client: http.Client{Timeout: 3 * time.Second}, started: time.Now()}
 	for i := range shape.Core + shape.Edges + shape.Stores {
 		m := &Machine{IP: fmt.Sprintf("127.0.%d.%d", shape.Net, i+1), Zone: fmt.Sprint("zone-", i%max(shape.Zones, 1)+1), Core: i < shape.Core, Store: i >= shape.Core+shape.Edges,
 			first: true, processes: map[string]*program{}}
@@ -98,6 +104,7 @@
 		}
 		m.Dir = filepath.Join(shape.Dir, m.Name)
 		if err := os.MkdirAll(m.Dir, 0o755); err != nil {
+			n.Stop()
 			return nil, Error.Wrap(err)
 		}
 		n.Machines = append(n.Machines, m)
@@ -239,6 +246,7 @@
 	for _, m := range n.Machines {
 		n.Signal(m, syscall.SIGKILL)
 	}
+	n.claimed.Close()
 }
 
 // Control calls the first core machine that answers, as the operator would, until the context ends.
--- a/internal/cdn/localnet/localnet_test.go
+++ b/internal/cdn/localnet/localnet_test.go
@@ -26,9 +26,9 @@
 	os.Exit(m.Run())
 }
 
-func start(t *testing.T, core, edges int, at byte) *Network {
+func start(t *testing.T, core, edges int) *Network {
 	t.Helper()
-	return Shape{Core: core, Edges: edges, Zones: 2, Net: at}.start(t)
+	return Shape{Core: core, Edges: edges, Zones: 2}.start(t)
 }
 
 func (s Shape) start(t *testing.T) *Network {
@@ -96,7 +96,7 @@
 // A day of the whole path: servers become known, a configuration comes into force, objects are served and purged, a server drains;
 // then the leader is killed, a disk is lost, and all of the core at once, and nothing that was acknowledged is gone.
 func TestADay(t *testing.T) {
-	n := start(t, 4, 3, 71)
+	n := start(t, 4, 3)
 	one, err := n.Serve("i-1", "shop", 200)
 	assert.NilError(t, err)
 	two, err := n.Serve("i-2", "shop", 201)
@@ -182,7 +182,7 @@
 // Store machines go and come while clients ask for objects: each edge has its objects by way of those that are left, then without any, and the
 // holder of the duty takes the dead out of the roster. A purge holds all the while.
 func TestStoreMachinesGoAndCome(t *testing.T) {
-	n := Shape{Core: 3, Edges: 3, Stores: 2, Zones: 2, Net: 76}.start(t)
+	n := Shape{Core: 3, Edges: 3, Stores: 2, Zones: 2}.start(t)
 	shop, err := n.Serve("i-1", "shop", 200)
 	assert.NilError(t, err)
 	assert.Equal(t, n.order(t, "PUT", "/manifest", Manifest(3, 0, "shop")), 200)
@@ -230,7 +230,7 @@
 // Core machines are frozen, one after the other, while operators race: the history of their calls is that of one register that
 // is compared and set.
 func TestOperatorsCallsAreLinearizable(t *testing.T) {
-	n := start(t, 3, 0, 72)
+	n := start(t, 3, 0)
 	assert.Equal(t, n.order(t, "PUT", "/manifest", Manifest(1, 0, "shop")), 200)
 	type call struct {
 		put            bool
--- a/internal/cdn/localnet/reload_test.go
+++ b/internal/cdn/localnet/reload_test.go
@@ -18,7 +18,7 @@
 // Settings change and signals come while a machine's processes end; whoever ends them waits for that alone. Seeds are named in another order each
 // time, and a killed machine starts again.
 func TestReloadsWhileProcessesEnd(t *testing.T) {
-	shape := Shape{Core: 2, Net: 79, Dir: t.TempDir(), Program: func(string) []string { return []string{"sh", "-c", endsSlowly} }, Revoke: 2 * time.Second}
+	shape := Shape{Core: 2, Dir: t.TempDir(), Program: func(string) []string { return []string{"sh", "-c", endsSlowly} }, Revoke: 2 * time.Second}
 	n, err := Start(shape)
 	assert.NilError(t, err)
 	t.Cleanup(n.Stop)
--- a/internal/cdn/soak/soak_test.go
+++ b/internal/cdn/soak/soak_test.go
@@ -23,7 +23,7 @@
 // The short form of the soak: one day of real processes under overlapping troubles, on which no rule of package departure is broken and no work
 // goes on for clients that have left, and no server runs what a client's key does not allow. `localnet soak` plays many seeds.
 func TestAShortDay(t *testing.T) {
-	shape := localnet.Shape{Core: 3, Edges: 3, Stores: 2, Zones: 2, Net: 81, Dir: t.TempDir(), Program: programs.Line}
+	shape := localnet.Shape{Core: 3, Edges: 3, Stores: 2, Zones: 2, Dir: t.TempDir(), Program: programs.Line}
 	r, err := Play(t.Context(), Plan{Seed: 1, Day: 5 * time.Second, Shape: shape, Out: t.Output()})
 	assert.NilError(t, err)
 	t.Log(r)
