rig: a client tells the time that it has left, and asks nothing once that is over

Cause: harness.TestComingBack blamed routers on a busy machine. A client's time ran from the moment at which its try was due, but the request told all of it as left whenever it went out. Traced beside six busy processes (load 16 on eight cores; "half cold", sent at 6.27 s, right after restarts): the client's goroutine came 83 ms late, its connection after 111 ms; the router was told 1,625 ms, had 1,514, and the client left 50 ms past its time with nothing. Another one's connection took 175 ms of the 125 ms that it had: what no router had seen was held against the router, and so was the answer to it, as the client asked after it had left.

Ruled out: the 50 ms of slack, and the routers' reckoning of a client's time, are not touched.

Change: X-Time-Left is what is left as the request is written. A client whose time is over before it has sent anything sends nothing; the try is unheard, as where nobody takes the connection, and is no loss. Equally strict: a try that was sent is judged as before, by the same moments; a connection that took a second or more, as where a router takes none, is a loss as before; on a machine that keeps up the time told differs by the microseconds that a connection takes. TestTimeLeft, TestLeftBeforeSent, a row of ledger.TestRules.

--- a/internal/kit/ledger/ledger.go
+++ b/internal/kit/ledger/ledger.go
@@ -293,7 +293,7 @@
 	l.answers[o]++
 	a := &l.asks[t.ask]
 	c := &l.set.Classes[a.Class]
-	late := at > t.begun+t.patience+slack
+	late := at > t.begun+t.patience+slack && o != Unheard // nobody took it: nobody is late with it
 	switch {
 	case o == Served && !t.made[body]:
 		l.Counts.Wrong++
--- a/internal/kit/ledger/ledger_test.go
+++ b/internal/kit/ledger/ledger_test.go
@@ -50,10 +50,11 @@
 			l.Made("a", "v", false)
 			l.Answered("a", Served, "v", 100*ms)
 		}, [5]int{1}},
-		"no answer":                            {func(l *Ledger) { try(l, 0, "a", 0); l.Answered("a", Nothing, "", 1050*ms) }, [5]int{1}},
-		"no answer, for its router was killed": {func(l *Ledger) { try(l, 0, "a", 0); l.RouterEnded(0, true); l.Answered("a", Broken, "", 1050*ms) }, [5]int{}},
-		"no answer at an end in order":         {func(l *Ledger) { try(l, 0, "a", 0); l.RouterEnded(0, false); l.Answered("a", Broken, "", 1050*ms) }, [5]int{1}},
-		"late":                                 {func(l *Ledger) { try(l, 0, "a", 0); l.Made("a", "v", true); l.Answered("a", Served, "v", 1100*ms) }, [5]int{1}},
+		"no answer":                              {func(l *Ledger) { try(l, 0, "a", 0); l.Answered("a", Nothing, "", 1050*ms) }, [5]int{1}},
+		"no answer, for its router was killed":   {func(l *Ledger) { try(l, 0, "a", 0); l.RouterEnded(0, true); l.Answered("a", Broken, "", 1050*ms) }, [5]int{}},
+		"no answer at an end in order":           {func(l *Ledger) { try(l, 0, "a", 0); l.RouterEnded(0, false); l.Answered("a", Broken, "", 1050*ms) }, [5]int{1}},
+		"late":                                   {func(l *Ledger) { try(l, 0, "a", 0); l.Made("a", "v", true); l.Answered("a", Served, "v", 1100*ms) }, [5]int{1}},
+		"nobody took it, and that is known late": {func(l *Ledger) { try(l, 0, "a", 0); l.Answered("a", Unheard, "", 1100*ms) }, [5]int{}},
 		"answered twice": {func(l *Ledger) {
 			try(l, 0, "a", 0)
 			l.Answered("a", Refused, "", 10*ms)
--- a/internal/kit/model/asks.go
+++ b/internal/kit/model/asks.go
@@ -224,7 +224,7 @@
 	Token    string // the idempotency key, the same for all tries
 	Router   int
 	Begun    Time
-	Patience time.Duration // the time left that it tells
+	Patience time.Duration // how long its client waits
 	Left     bool          // its client has closed the connection: whatever comes is not seen
 
 	over bool
--- a/internal/kit/model/world.go
+++ b/internal/kit/model/world.go
@@ -11,7 +11,7 @@
 // Host does what the model asks for, on sockets or in virtual time. It calls back on the goroutine that runs the queue.
 type Host interface {
 	Send(t *Try)                              // a client sends a try to its router; World.Answered follows, once
-	Leave(t *Try)                             // its client closes the connection
+	Leave(t *Try) (sent bool)                 // its client closes the connection; if it has sent nothing yet, World.Answered follows
 	Down(n *Node)                             // a node's process has died: connections are reset, new ones refused
 	Up(n *Node)                               // it runs again
 	Silence(n *Node, router int, on bool)     // towards one router
@@ -203,8 +203,9 @@
 	w.After(t.Patience+answerSlack, func() {
 		if !t.over {
 			t.Left = true
-			w.host.Leave(t)
-			w.ended(t, ledger.Nothing, 0, "", w.Now())
+			if w.host.Leave(t) {
+				w.ended(t, ledger.Nothing, 0, "", w.Now())
+			}
 		}
 	})
 	w.host.Send(t)
--- /dev/null
+++ b/internal/kit/rig/clients_test.go
@@ -0,0 +1,90 @@
+package rig
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"cedarmast/internal/kit/ledger"
+	"cedarmast/internal/kit/model"
+	"cedarmast/internal/kit/scenario"
+)
+
+// TestTimeLeft guards against a client that tells a router more time than it has: where the machine was busy its request went out up to 111 ms after
+// its time had begun, told all of it, and the router's answer in time by that was held against the router.
+func TestTimeLeft(t *testing.T) {
+	set, err := scenario.Parse("time left", []byte(`
+name = "time left"
+base = "calm"
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newClients(&Rig{set: set})
+	try := &model.Try{Ask: &model.Ask{}, Begun: 6 * time.Second, Patience: 1625 * time.Millisecond}
+	for at, want := range map[time.Duration]string{
+		0:                       "1625m",
+		111 * time.Millisecond:  "1514m",
+		1624 * time.Millisecond: "1m",
+		2 * time.Second:         "1m",
+	} {
+		if text := c.request(try, try.Begun+at); !strings.Contains(text, "\r\nX-Time-Left: "+want+"\r\n") {
+			t.Errorf("sent after %v it does not tell %s: %q", at, want, text)
+		}
+	}
+}
+
+// TestLeftBeforeSent guards against a client that asks after it has left: where the machine was busy its connection took 175 ms of the 125 ms that
+// it had, and a request that no router had seen by then was held against the router, as was the answer to it.
+func TestLeftBeforeSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	read := make(chan int, 4)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			text, _ := io.ReadAll(conn)
+			read <- len(text)
+			conn.Close()
+		}
+	}()
+	c := newClients(testRig(t))
+	for name, v := range map[string]struct {
+		progress progress
+		want     ledger.Outcome
+	}{
+		"nothing was sent":    {progress{}, ledger.Unheard},
+		"it was sent once":    {progress{sent: true}, ledger.Nothing},
+		"its connection came": {progress{sent: true, conn: &conn{Conn: closed{}}}, ledger.Nothing},
+	} {
+		try := &model.Try{Ask: &model.Ask{}, Patience: time.Second}
+		c.out[try] = &v.progress
+		if sent := c.leave(try); sent != v.progress.sent {
+			t.Errorf("%s: leave says %v", name, sent)
+		}
+		if a := c.try(try, listener.Addr().String()); a.Outcome != v.want {
+			t.Errorf("%s: it ends with %v, want %v", name, a.Outcome, v.want)
+		}
+		if n := <-read; n > 0 {
+			t.Errorf("%s: %d bytes were sent after the client had left", name, n)
+		}
+	}
+	try := &model.Try{Ask: &model.Ask{}}
+	c.out[try] = &progress{}
+	if a := c.notSent(try, dialAgain); a.Outcome != ledger.Nothing {
+		t.Errorf("a connection that nobody took for %v: %v", dialAgain, a.Outcome)
+	}
+}
+
+// closed is a connection that only closes.
+type closed struct{ net.Conn }
+
+func (closed) Close() error { return nil }
--- a/internal/kit/rig/rig.go
+++ b/internal/kit/rig/rig.go
@@ -415,8 +415,8 @@
 
 // The model asks for these.
 
-func (r *Rig) Send(t *model.Try)  { r.clients.send(t) }
-func (r *Rig) Leave(t *model.Try) { r.clients.leave(t) }
+func (r *Rig) Send(t *model.Try)              { r.clients.send(t) }
+func (r *Rig) Leave(t *model.Try) (sent bool) { return r.clients.leave(t) }
 
 func (r *Rig) Down(n *model.Node) {
 	for _, p := range r.nodes[n.N] {
--- a/internal/kit/virtual/virtual.go
+++ b/internal/kit/virtual/virtual.go
@@ -417,9 +417,10 @@
 }
 
 // Leave tells a router that a client has gone.
-func (h *host) Leave(t *model.Try) {
+func (h *host) Leave(t *model.Try) (sent bool) {
 	r := h.routers[t.Router]
 	r.awake(func() { r.leave(t) })
+	return true
 }
 
 func (r *router) leave(t *model.Try) {
