--- a/internal/cdn/localnet/localnet.go
+++ b/internal/cdn/localnet/localnet.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -31,12 +32,14 @@
 	Stores      int // cache routers without clients, on links that are far wider than the edges'; 0: links are alike
 	Zones       int // over which machines are dealt out in turn
 	Dir         string
-	Net         byte // the network is at 127.0.Net.x, so that several fit on one machine
+	Net         byte // the network is at 127.0.Net.x, so that several fit on one machine; 0: wherever is free
 	// Program returns the command line of a program; it is run with CEDARMAST_CONFIG set.
 	Program func(name string) []string
 	Out     io.Writer // of all processes' logs; nil: none
 	Metrics bool      // proxies tell their figures; see Figures
 	Reports bool      // the tenants' usage falls due at a stand-in platform
+	// The spans of the operators' rules that the settings name; 0: not named.
+	Revoke, Contact time.Duration
 }
 
 // The ports are alike on all machines, as on the operators'.
@@ -48,6 +51,8 @@
 	beatEvery     = 300 * time.Millisecond
 )
 
+const settingsFile = "boot.conf"
+
 // metricsPorts are where each program tells its figures.
 var metricsPorts = map[string]int{"edge": 9464, "configstore": 9465, "registry": 9466}
 
@@ -59,7 +64,14 @@
 	first          bool
 
 	mu        sync.Mutex
-	processes map[string]*exec.Cmd
+	processes map[string]*program
+	reloads   int // of its settings file
+}
+
+// program is a process of one of the programs.
+type program struct {
+	cmd   *exec.Cmd
+	ended chan struct{} // closed once it has ended
 }
 
 // Network is a network that runs.
@@ -67,6 +79,7 @@
 	Shape
 	Machines []*Machine
 	Platform *Platform // nil without Reports
+	claimed  io.Closer // its addresses
 	client   http.Client
 	started  time.Time
 	logMu    sync.Mutex // of Out
@@ -76,10 +89,15 @@
 
 // Start writes the settings and starts all processes.
 func Start(shape Shape) (*Network, error) {
-	n := &Network{Shape: shape, client: http.Client{Timeout: 3 * time.Second}, started: time.Now()}
+	at, claimed, err := claim(shape.Net)
+	if err != nil {
+		return nil, err
+	}
+	shape.Net = at
+	n := &Network{Shape: shape, claimed: claimed, client: http.Client{Timeout: 3 * time.Second}, started: time.Now()}
 	for i := range shape.Core + shape.Edges + shape.Stores {
 		m := &Machine{IP: fmt.Sprintf("127.0.%d.%d", shape.Net, i+1), Zone: fmt.Sprint("zone-", i%max(shape.Zones, 1)+1), Core: i < shape.Core, Store: i >= shape.Core+shape.Edges,
-			first: true, processes: map[string]*exec.Cmd{}}
+			first: true, processes: map[string]*program{}}
 		m.Name = fmt.Sprint("edge-", i-shape.Core+1)
 		if m.Core {
 			m.Name = fmt.Sprint("core-", i+1)
@@ -88,6 +106,7 @@
 		}
 		m.Dir = filepath.Join(shape.Dir, m.Name)
 		if err := os.MkdirAll(m.Dir, 0o755); err != nil {
+			n.Stop()
 			return nil, Error.Wrap(err)
 		}
 		n.Machines = append(n.Machines, m)
@@ -134,7 +153,7 @@
 		line("network.listen_on.readiness", fmt.Sprintf("%s:%d", m.IP, readinessPort))
 	}
 	line("network.spare_ports", fmt.Sprintf("%d,%d", sparePort, sparePort+15))
-	line("network.seed_nodes", strings.Join(seeds, ","))
+	line("network.seed_nodes", strings.Join(rotated(seeds, m.reloads), ","))
 	for z := range zones {
 		line("network.zones."+z, "here")
 	}
@@ -142,6 +161,7 @@
 	if n.Reports {
 		n.platformSettings(line)
 	}
+	n.timetable(line)
 	return b.String()
 }
 
@@ -153,7 +173,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	file := filepath.Join(m.Dir, "boot.conf")
+	file := filepath.Join(m.Dir, settingsFile)
 	if err := replaceFile(file, []byte(n.settings(m))); err != nil {
 		return err
 	}
@@ -176,7 +196,7 @@
 		if err := cmd.Start(); err != nil {
 			return Error.Wrap(err)
 		}
-		m.processes[p] = cmd
+		m.processes[p] = started(cmd)
 	}
 	return nil
 }
@@ -190,16 +210,34 @@
 	return Error.Wrap(os.Rename(next, path))
 }
 
-// Signal sends a signal to a machine's processes; a killed one is waited for.
+// started takes a process that runs, and waits for its end.
+func started(cmd *exec.Cmd) *program {
+	p := &program{cmd: cmd, ended: make(chan struct{})}
+	go func() {
+		cmd.Wait()
+		close(p.ended)
+	}()
+	return p
+}
+
+// Signal sends a signal to a machine's processes; those that it ends are waited for. Other signals may come meanwhile.
 func (n *Network) Signal(m *Machine, s syscall.Signal) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	for p, cmd := range m.processes {
-		cmd.Process.Signal(s)
-		if s == syscall.SIGKILL || s == syscall.SIGTERM {
-			cmd.Wait()
-			delete(m.processes, p)
+	sent := maps.Clone(m.processes)
+	for _, p := range sent {
+		p.cmd.Process.Signal(s)
+	}
+	m.mu.Unlock()
+	if s != syscall.SIGKILL && s != syscall.SIGTERM {
+		return
+	}
+	for name, p := range sent {
+		<-p.ended
+		m.mu.Lock()
+		if m.processes[name] == p {
+			delete(m.processes, name)
 		}
+		m.mu.Unlock()
 	}
 }
 
@@ -219,6 +257,7 @@
 	if n.Platform != nil {
 		n.Platform.Stop()
 	}
+	n.claimed.Close()
 }
 
 // Control calls the first core machine that answers, as the operator would, until the context ends.
@@ -273,12 +312,21 @@
 
 // Ask sends a client's request to an edge.
 func (n *Network) Ask(m *Machine, method, host, path, id string) (int, http.Header, string, error) {
+	return n.ask(m, method, host, path, http.Header{"Try-Id": {id}})
+}
+
+// AskWithKey sends a request of a client that holds a key to an edge, and returns the answer's status.
+func (n *Network) AskWithKey(m *Machine, host, path, id, key string) (int, error) {
+	status, _, _, err := n.ask(m, http.MethodGet, host, path, http.Header{"Try-Id": {id}, "Key": {key}})
+	return status, err
+}
+
+func (n *Network) ask(m *Machine, method, host, path string, header http.Header) (int, http.Header, string, error) {
 	q, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", m.IP, counterPort, path), nil)
 	if err != nil {
 		return 0, nil, "", err
 	}
-	q.Host = host
-	q.Header.Set("Try-Id", id)
+	q.Host, q.Header = host, header
 	q.Header.Set("Time-Left", "2000")
 	r, err := n.client.Do(q)
 	if err != nil {
