Processor time of each process and server lists told, among the figures

Change: process_cpu_seconds_total and its neighbours at every role (the client library's process collector), cedarmast_server_lists_total at edges. Nothing is counted that costs more than an addition.

--- a/internal/cdn/edge/edge.go
+++ b/internal/cdn/edge/edge.go
@@ -60,6 +60,7 @@
 	bodies      *exchange.Budget // of long requests
 	clock       exchange.Clock
 	counts      exchange.Counters
+	lists       atomic.Int64      // of servers, that the decisions of services were told
 	callers     *departure.Ledger // who waits for answers, and who has left
 	link        *link             // the machine's, to clients and others
 	from        *link             // and from others
--- a/internal/cdn/edge/figures.go
+++ b/internal/cdn/edge/figures.go
@@ -24,6 +24,7 @@
 		counter("requests_total", "Requests that clients have sent.", &e.counts.Requests),
 		counter("attempts_total", "Attempts that were decided on.", &e.counts.Attempts),
 		counter("dials_total", "Connections to servers that were opened.", &e.counts.Dials),
+		counter("server_lists_total", "Server lists that the decisions of services were told.", &e.lists),
 		counter("panics_total", "Panics that were survived.", &e.counts.Panics),
 	}
 }
--- a/internal/cdn/edge/plan.go
+++ b/internal/cdn/edge/plan.go
@@ -269,6 +269,7 @@
 			l.Addresses[entry.Server] = x.Address
 		}
 		sv.here.Store(here)
+		e.lists.Add(1)
 		e.later(func() {
 			for _, to := range sv.loops() {
 				to.Listed(l)
--- a/internal/cdn/metrics/metrics.go
+++ b/internal/cdn/metrics/metrics.go
@@ -14,6 +14,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
+	promcollectors "github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/zeebo/errs"
 )
@@ -42,7 +43,7 @@
 	return Place{Port: n, Path: "/" + path}, nil
 }
 
-// Serve tells the collectors' figures at the settings' place until the context ends. Without a place it does nothing. A place that
+// Serve tells the collectors' figures, and the process's own of processor time and memory, at the settings' place until the context ends. Without a place it does nothing. A place that
 // can't be listened at is logged, and the process goes on: figures are not worth an outage.
 func Serve(ctx context.Context, set bootconfig.Settings, log hclog.Logger, collectors ...prometheus.Collector) {
 	if set.Metrics == "" {
@@ -60,6 +61,7 @@
 	}
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors...)
+	registry.MustRegister(promcollectors.NewProcessCollector(promcollectors.ProcessCollectorOpts{})) // processor seconds, memory, descriptors
 	mux := http.NewServeMux()
 	mux.Handle(place.Path, promhttp.HandlerFor(registry, promhttp.HandlerOpts{DisableCompression: true}))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerWithin, IdleTimeout: idleFor,
