Servers that change within 0.1 s are told to an edge's decisions as one list

Ruled out: telling only what changed, which costs the decisions the same pass. TestServersThatLeaveTogether holds 28 closing servers to one list.

--- a/internal/cdn/edge/edge.go
+++ b/internal/cdn/edge/edge.go
@@ -78,6 +78,9 @@
 	// Under the replica's lock:
 	services map[string]*service
 	started  map[string]balance.Time
+	relisted map[string]bool // services whose decisions have not heard of the last changes of their servers
+
+	listPause time.Duration // listTogether; 0: each change is told by itself
 
 	fetches fetches
 	lent    calls // by others, in hand
@@ -99,7 +102,7 @@
 	defer end()
 	e := &Edge{set: set, log: log, peers: peerrpc.NewPeers(), replica: statesync.New(),
 		cache: objectcache.New(int64(set.MemoryMB<<20) / cachePart), clock: exchange.NewClock(), changes: make(chan func(), 4096),
-		life: life}
+		life: life, listPause: listTogether}
 	e.init()
 	own := set.Inner(set.IP, bootconfig.EdgePort)
 	e.view = peersampling.New(own, viewMost, mrand.Uint64())
@@ -252,7 +255,7 @@
 		e.log = hclog.NewNullLogger()
 	}
 	e.decisions = slog.New(decisionLog{log: e.log.Named("decisions")})
-	e.services, e.started = map[string]*service{}, map[string]balance.Time{}
+	e.services, e.started, e.relisted = map[string]*service{}, map[string]balance.Time{}, map[string]bool{}
 	e.bodies = exchange.NewBudget(int64(e.set.MemoryMB<<20) / bodiesPart)
 	e.fetches.all = map[level]*fetch{}
 	e.sender = upstream.NewSender(max(e.set.FileHandles/2-fdsReserved, 64), &e.counts)
--- a/internal/cdn/edge/fleet_test.go
+++ b/internal/cdn/edge/fleet_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"runtime"
 	"testing"
+	"time"
 
 	"cedarmast/balance"
 	"cedarmast/internal/cdn/clusterstate"
@@ -107,6 +108,23 @@
 	assert.Assert(t, each < mostPerKilo*fleetServers/1000, "%d bytes a change", each)
 }
 
+// Servers that leave together are one list.
+func TestServersThatLeaveTogether(t *testing.T) {
+	f, s := largeFleet(t)
+	f.listPause = time.Hour // the test tells when it is over
+	told := f.lists.Load()
+	for i := range 28 {
+		sv := fleetServer(2 + i)
+		sv.Beat, sv.State = 1, clusterstate.Closing
+		f.give(t, s, clusterstate.Command{Server: &sv})
+	}
+	assert.Equal(t, f.lists.Load(), told)
+	f.tellServers(s)
+	assert.Equal(t, f.lists.Load(), told+1)
+	f.tellServers(s)
+	assert.Equal(t, f.lists.Load(), told+1, "nothing has changed since")
+}
+
 // A server is drawn as often as its weight says, and one that has gone is not.
 func TestWeightedDraw(t *testing.T) {
 	d := newWeightedDraw()
--- a/internal/cdn/edge/plan.go
+++ b/internal/cdn/edge/plan.go
@@ -64,13 +64,14 @@
 	if whole || c.Configures() {
 		e.configure(s, c.Taken)
 	}
-	if whole || c.Server != nil || c.Leave != "" || c.Lost != "" {
-		name := ""
-		if c.Server != nil {
-			name = c.Server.Service
-		}
-		e.retune(s) // before the list: a new server's limit hangs on how many slots there are
-		e.list(s, name)
+	switch {
+	case whole:
+		e.relisted[everyService] = true
+		e.tellServers(s)
+	case c.Server != nil:
+		e.serversChanged(s, c.Server.Service)
+	case c.Leave != "" || c.Lost != "":
+		e.serversChanged(s, everyService)
 	}
 	if whole || c.Enrol != nil || c.Absent != "" {
 		e.zoneCaches.follow(s)
@@ -133,7 +134,7 @@
 			time.AfterFunc(time.Minute, sv.end)
 		}
 	}
-	e.list(s, "")
+	e.list(s, everyService)
 	e.retune(s)
 	e.log.Info("configuration in force", "version", m.Version, "routes", len(m.Routes), "index", s.Index)
 }
@@ -247,10 +248,43 @@
 	return set
 }
 
-// list tells the decisions which servers a service has; of all services if none is named.
+// everyService stands for all services where one is named.
+const everyService = ""
+
+// listTogether is how long a change of a server waits for others: a list is told whole, and what it costs goes by how many servers there
+// are. Where tens of servers leave at once each would else cost a list of its own.
+const listTogether = 100 * time.Millisecond
+
+// serversChanged has the decisions told that a service's servers have changed, with all that change within listPause.
+func (e *Edge) serversChanged(s *clusterstate.State, name string) {
+	first := len(e.relisted) == 0
+	e.relisted[name] = true
+	switch {
+	case e.listPause == 0:
+		e.tellServers(s)
+	case first:
+		time.AfterFunc(e.listPause, func() { e.replica.Read(e.tellServers) })
+	}
+}
+
+// tellServers tells the decisions of the services whose servers have changed since it last did. A new server's limit hangs on how many slots
+// there are, so that the settings come first.
+func (e *Edge) tellServers(s *clusterstate.State) {
+	e.retune(s)
+	if e.relisted[everyService] {
+		e.list(s, everyService)
+	} else {
+		for name := range e.relisted {
+			e.list(s, name)
+		}
+	}
+	clear(e.relisted)
+}
+
+// list tells the decisions which servers a service has, or which all services have.
 func (e *Edge) list(s *clusterstate.State, name string) {
 	for each, sv := range e.services {
-		if name != "" && each != name {
+		if name != everyService && each != name {
 			continue
 		}
 		here := false
