--- a/internal/cdn/edge/configure_bench_test.go
+++ b/internal/cdn/edge/configure_bench_test.go
@@ -14,7 +14,7 @@
 )
 
 // manyRoutes is a configuration of so many routes of two services, the first with a time of its own, and of so many tenants of two keys each.
-func manyRoutes(b *testing.B, routes, tenants, firstTimeoutMS int) *clusterstate.Manifest {
+func manyRoutes(b testing.TB, routes, tenants, firstTimeoutMS int) *clusterstate.Manifest {
 	b.Helper()
 	var text strings.Builder
 	text.WriteString(`{"edition":"r1","based_on":"0","parcels":[`)
--- a/internal/cdn/simulation/host.go
+++ b/internal/cdn/simulation/host.go
@@ -18,7 +18,7 @@
 	leaveWithin  = 2 * time.Second
 	tailEntries  = 24
 	renewEntries = 60
-	pieceBytes   = 700
+	pieceBytes   = 1000
 )
 
 // host is one core machine: its disk, and the process on it, if one runs.
