soak: a read on a proxy's own account may name the tenant whose client wanted the object

Cause: checkKeys took each run without a client's id and with a tenant for UNASKED.

Change: such a read of an object is let pass in nobody's name, or in that of a tenant whose client had asked for this very object before, with a key that the tenant held.

--- a/internal/cdn/soak/keychecks.go
+++ b/internal/cdn/soak/keychecks.go
@@ -104,7 +104,7 @@
 		}
 		a := e.asks[r.id]
 		if a == nil {
-			if !isShelved(r.path) || r.sender != "" { // objects may be read on the proxies' own account, in nobody's name
+			if !e.ownRead(r) {
 				f.add(unasked, "%s runs %s for the id %q, which no client sent, in the name of %q", r.server, r.path, r.id, r.sender)
 			}
 			continue
@@ -136,6 +136,21 @@
 	}
 }
 
+// ownRead tells whether a run for an id that no client sent may be a proxy's read of an object on its own account: in nobody's name, or in that of
+// a tenant whose client had asked for the object.
+func (e *evidence) ownRead(r *run) bool {
+	if !isShelved(r.path) || r.sender == "" {
+		return isShelved(r.path)
+	}
+	return slices.ContainsFunc(e.book.asks, func(a *ask) bool {
+		if a.path != r.path || !a.begun.Before(r.begun) {
+			return false
+		}
+		holders, _ := e.holders(a.key, r.begun)
+		return holders[r.sender]
+	})
+}
+
 // holders are the tenants that hold a key in configurations that were sent before a moment and may be in force; held tells whether any
 // configuration that was sent before names the key.
 func (e *evidence) holders(key string, before time.Time) (tenants map[string]bool, held bool) {
