The soak's floor on leaving clients counts those whose request was not refused at once

Change: what is answered 401 or 503 before its client means to leave is counted by itself and not held against the floor; the floor itself stays.

--- a/internal/cdn/soak/clients.go
+++ b/internal/cdn/soak/clients.go
@@ -106,10 +106,11 @@
 	case halfCloses:
 		c.CloseWrite()
 	}
-	if a.manner != stays && a.manner != halfCloses {
+	if a.meansToLeave() {
 		c.SetReadDeadline(time.Now().Add(a.wait))
-		if _, err := bufio.NewReader(c).Peek(1); err == nil {
-			return // answered before it meant to leave
+		if status, _ := finalStatus(bufio.NewReader(c)); status != 0 { // answered before it meant to leave
+			a.status = status
+			return
 		}
 		if a.manner == resets {
 			c.SetLinger(0)
--- a/internal/cdn/soak/soak.go
+++ b/internal/cdn/soak/soak.go
@@ -53,6 +53,7 @@
 	Requests, Left, Runs int
 	Kept                 int // of the requests: over connections that their clients keep
 	Keyless              int // of the others: with no key, or one that may be refused at once
+	Refused              int // of the rest: refused before their clients meant to leave, so that no work began that they could leave
 	Troubles             int
 	Breaches             []string
 	Acknowledgements     acknowledgements
