--- a/internal/cdn/upstream/review_test.go
+++ b/internal/cdn/upstream/review_test.go
@@ -22,7 +22,9 @@
 		head   string
 		not    int
 	}{{200, stamp, 0}, {503, "Not-Delivered: 1\r\n", 1}, {421, "", 1}, {500, "", 0}} {
-		address := server(t, func(_ int, r *http.Request, _ string) string { return text(c.status, r.Header.Get(HeaderID), c.head, "x") })
+		address := server(t, func(_ int, r *http.Request, _ string) string {
+			return text(c.status, r.Header.Get(HeaderID), c.head, "x")
+		})
 		account := &counted{}
 		o := &Order{ID: "try-1", Account: account, Permit: func() (string, error) { return "wax", nil }}
 		attemptWith(t.Context(), NewSender(8, &exchange.Counters{}), o, address, http.Header{"Host": {"a"}})
