What clients ask for is what the platform is told, with real processes

Cause: no test had a proxy's counts go all the way (review). Change: localnet.TestUsageOfClients: two tenants, two proxies, one restarted as planned meanwhile; the sum over all windows must be what was served.

--- a/internal/cdn/localnet/usage_test.go
+++ b/internal/cdn/localnet/usage_test.go
@@ -73,3 +73,56 @@
 		return l != nil && n.status(l).Duty.Epoch > holder.Epoch
 	})
 }
+
+// keyedManifest is a configuration of two tenants with a key each.
+func keyedManifest() []byte {
+	const tenants = `{"parcel_kind":"senders","label":{"name":"ink"},"manifest":{"stamps":["k-ink"],"precedence":0}},` +
+		`{"parcel_kind":"senders","label":{"name":"wax"},"manifest":{"stamps":["k-wax"],"precedence":1}},{"parcel_kind":"carriers"`
+	return []byte(strings.Replace(string(Manifest(1, 0, "shop")), `{"parcel_kind":"carriers"`, tenants, 1))
+}
+
+// What clients ask for at two proxies, one of which is restarted as planned meanwhile, is what the platform is told of each tenant: no more, no less.
+func TestUsageOfClients(t *testing.T) {
+	n := Shape{Core: 3, Edges: 2, Zones: 2, Net: 78, Reports: true}.start(t)
+	_, err := n.Serve("i-1", "shop", 200)
+	assert.NilError(t, err)
+	status, text, err := n.Control(t.Context(), http.MethodPut, "/manifest", keyedManifest())
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK, "%s", text)
+	served := map[string]int64{}
+	ask := func(m *Machine, path, tenant string) bool {
+		status, err := n.AskWithKey(m, "shop.example", path, fmt.Sprint("try-", time.Now().UnixNano()), "k-"+tenant)
+		if err == nil && status == http.StatusOK {
+			served[tenant]++
+		}
+		return err == nil && status == http.StatusOK
+	}
+	for _, m := range n.EdgeMachines() {
+		until(t, 20*time.Second, "served", func() bool { return ask(m, "/resendable/1", "ink") })
+	}
+	for i := range 40 {
+		m := n.EdgeMachines()[i%2]
+		ask(m, fmt.Sprint("/resendable/", i), "wax")
+		ask(m, "/shelved/1", "ink")
+		if i == 20 {
+			n.Signal(m, syscall.SIGTERM)
+			assert.NilError(t, n.Up(m))
+			until(t, 20*time.Second, "it is back", func() bool { return ask(m, "/resendable/2", "wax") })
+		}
+	}
+	status, err = n.AskWithKey(n.EdgeMachines()[0], "shop.example", "/resendable/1", "try-unknown", "k-none")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusUnauthorized)
+	told := func() map[string]int64 {
+		sum := map[string]int64{}
+		for _, counts := range n.Platform.Windows() {
+			for tenant, count := range counts {
+				sum[tenant] += count
+			}
+		}
+		return sum
+	}
+	until(t, 30*time.Second, "all is told", func() bool { return told()["wax"] >= served["wax"] && told()["ink"] >= served["ink"] })
+	assert.DeepEqual(t, told(), served)
+	assert.Equal(t, len(n.Platform.Breaches()), 0, strings.Join(n.Platform.Breaches(), "\n"))
+}
