Windows wait longer for proxies that stand still

Change: three fifths of usage_delay, which leaves a next holder its time. Cases of TestReporter move with it, one second's meaning is the same.

--- a/internal/cdn/usage/reporter.go
+++ b/internal/cdn/usage/reporter.go
@@ -20,8 +20,9 @@
 	usualPerS     = 10.0             // calls a second, where the settings name none
 )
 
-// latestFix is when a window is fixed though not every proxy has spoken: so much of the span after its end in which its report falls due.
-func latestFix(delay time.Duration) time.Duration { return delay * 2 / 5 }
+// latestFix is when a window is fixed though not every proxy has spoken: so much of the span after its end in which its report falls due: a proxy that stands still for
+// some seconds is counted, and a next holder still has the time that it waits for.
+func latestFix(delay time.Duration) time.Duration { return delay * 3 / 5 }
 
 // Timetable is what the settings say of the duty.
 type Timetable struct {
