--- a/internal/cdn/localnet/usage_test.go
+++ b/internal/cdn/localnet/usage_test.go
@@ -74,13 +74,24 @@
 	})
 }
 
-// keyedManifest is a configuration of two tenants with a key each.
-func keyedManifest() []byte {
-	const tenants = `{"parcel_kind":"senders","label":{"name":"ink"},"manifest":{"stamps":["k-ink"],"precedence":0}},` +
-		`{"parcel_kind":"senders","label":{"name":"wax"},"manifest":{"stamps":["k-wax"],"precedence":1}},{"parcel_kind":"carriers"`
-	return []byte(strings.Replace(string(Manifest(1, 0, "shop")), `{"parcel_kind":"carriers"`, tenants, 1))
+// The tenants of configurations in tests, with a key each.
+const (
+	tenantInk = `{"parcel_kind":"senders","label":{"name":"ink"},"manifest":{"stamps":["k-ink"],"precedence":0}},`
+	tenantWax = `{"parcel_kind":"senders","label":{"name":"wax"},"manifest":{"stamps":["k-wax"],"precedence":1}},`
+)
+
+// manifestOf is a configuration with tenants.
+func manifestOf(edition, base int, tenants string) []byte {
+	const carriers = `{"parcel_kind":"carriers"`
+	return []byte(strings.Replace(string(Manifest(edition, base, "shop")), carriers, tenants+carriers, 1))
 }
 
+// keyedManifest is the first configuration, of two tenants.
+func keyedManifest() []byte { return manifestOf(1, 0, tenantInk+tenantWax) }
+
+// withoutWax takes the key of one tenant away.
+func withoutWax(edition, base int) []byte { return manifestOf(edition, base, tenantInk) }
+
 // What clients ask for at two proxies, one of which is restarted as planned meanwhile, is what the platform is told of each tenant: no more, no less.
 func TestUsageOfClients(t *testing.T) {
 	n := Shape{Core: 3, Edges: 2, Zones: 2, Net: 78, Reports: true}.start(t)
