--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -91,12 +91,27 @@
 // recovery is the bound of that name.
 const recovery = 15 * time.Second
 
-// playTornConfiguration sends a configuration in which a line break has come into a number, so that it is no JSON text. Then the day's
-// closing fault kills all processes, and they come back. Without trouble the number is whole; the closing fault is the same.
+// playTornConfiguration sends a configuration in which a line break has come into a number, so that it is no JSON text. Right after
+// its acknowledgement the day's closing fault kills all processes, and they come back. Without trouble the number is whole; the closing fault is the same.
 func playTornConfiguration(d *deployment, trouble bool) (bool, error) {
 	if _, err := d.begin(manifest("r1", "0", "130", usualRoutes("20s")), 110*time.Millisecond); err != nil {
 		return false, err
 	}
+	served := func(what string) (good, total int) {
+		for i := range 30 {
+			for _, m := range d.edges() {
+				total++
+				if d.request(m, "GET", fmt.Sprint([]string{"/lohu930/", "/pufi791/"}[i%2], what, i), "", 2*time.Second).status == 200 {
+					good++
+				}
+			}
+		}
+		d.record.note("SEEN: %s: %d of %d requests are served", what, good, total)
+		return good, total
+	}
+	if good, total := served("before"); good*4 < total {
+		return false, fmt.Errorf("too little is served before the closing fault")
+	}
 	number := "130"
 	if trouble {
 		number = "13\n0"
@@ -122,26 +137,11 @@
 			broken = true
 		}
 	}
-	served := func(what string) (good, total int) {
-		for i := range 30 {
-			for _, m := range d.edges() {
-				total++
-				if d.request(m, "GET", fmt.Sprint([]string{"/lohu930/", "/pufi791/"}[i%2], what, i), "", 2*time.Second).status == 200 {
-					good++
-				}
-			}
-		}
-		d.record.note("SEEN: %s: %d of %d requests are served", what, good, total)
-		return good, total
-	}
-	if good, total := served("before"); good*4 < total {
-		return false, fmt.Errorf("too little is served before the closing fault")
-	}
-	d.record.note("closing fault kill_all: all processes of all machines get SIGKILL and come back after 1.2 s")
+	d.record.note("closing fault kill_all: all processes of all machines get SIGKILL and come back after 0.6 s")
 	for _, m := range d.all {
 		d.kill(m)
 	}
-	time.Sleep(1200 * time.Millisecond)
+	time.Sleep(600 * time.Millisecond)
 	for _, m := range d.all {
 		if err := d.startMachine(m); err != nil {
 			return false, err
