No process ends or stalls by its log's reader, a neighbour or a moment's trouble

Metrics wait for their port in the background. The soft memory limit holds for all programs.

Ruled out: a supervisor, and ending more quickly, for both hide ends.

--- a/cmd/configstore/main.go
+++ b/cmd/configstore/main.go
@@ -7,5 +7,5 @@
 )
 
 func main() {
-	process.Main(process.Program{Name: "configstore", Usage: "store of configuration of the delivery network", Run: configstore.Run})
+	process.Main(process.Program{Name: "configstore", Usage: "store of configuration of the delivery network", Check: configstore.CheckSettings, Run: configstore.Run})
 }
--- a/cmd/edge/main.go
+++ b/cmd/edge/main.go
@@ -7,5 +7,5 @@
 )
 
 func main() {
-	process.Main(process.Program{Name: "edge", Usage: "proxy of the delivery network", Run: edge.Run})
+	process.Main(process.Program{Name: "edge", Usage: "proxy of the delivery network", Check: edge.CheckSettings, Run: edge.Run})
 }
--- a/cmd/registry/main.go
+++ b/cmd/registry/main.go
@@ -7,5 +7,5 @@
 )
 
 func main() {
-	process.Main(process.Program{Name: "registry", Usage: "registry of the delivery network", Run: registry.Run})
+	process.Main(process.Program{Name: "registry", Usage: "registry of the delivery network", Check: registry.CheckSettings, Run: registry.Run})
 }
--- a/internal/cdn/bootconfig/bootconfig.go
+++ b/internal/cdn/bootconfig/bootconfig.go
@@ -147,7 +147,7 @@
 			CeilingWindow: r.duration("tariff.timetable.ceiling_window", 5*time.Second),
 			CeilingExcess: r.number("tariff.timetable.ceiling_excess", 1.1),
 			RetryRatio:    r.number("tariff.timetable.retry_ratio", 0.2), RetrySlack: r.number("tariff.timetable.retry_slack", 30),
-			TolerateFailures: r.positiveInt("tariff.tolerate.machines", 1)},
+			TolerateFailures: r.nonNegativeInt("tariff.tolerate.machines", 1)},
 	}
 	if r.boolean("tariff.timetable.revocation_global") {
 		s.Limits.RevokeTimeout = r.duration("tariff.timetable.revoke", defaultRevoke)
@@ -268,6 +268,14 @@
 	return n
 }
 
+// nonNegativeInt reads an optional integer that is not negative.
+func (r *reader) nonNegativeInt(key string, defaultValue int) int {
+	if r.k.String(key) == "0" {
+		return 0
+	}
+	return r.positiveInt(key, defaultValue)
+}
+
 // number reads an optional number that is not negative.
 func (r *reader) number(key string, defaultValue float64) float64 {
 	v := r.k.String(key)
--- a/internal/cdn/configstore/store.go
+++ b/internal/cdn/configstore/store.go
@@ -9,8 +9,8 @@
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
-	"net"
 	"slices"
+	"syscall"
 	"time"
 
 	"cedarmast/internal/cdn/bootconfig"
@@ -19,6 +19,7 @@
 	"cedarmast/internal/cdn/metrics"
 	"cedarmast/internal/cdn/peerrpc"
 	"cedarmast/internal/cdn/raftlog"
+	"cedarmast/internal/cdn/startup"
 	"cedarmast/internal/cdn/truetime"
 
 	"github.com/hashicorp/go-hclog"
@@ -36,6 +37,7 @@
 	maxLeaveTimeout    = 2 * time.Second // from SIGTERM until the machine is out of the membership
 	leaveGraceDivisor  = 3               // leaving may take at most 1/3 of the grace period
 	minLeaveTimeout    = 300 * time.Millisecond
+	hungLoopTimeout    = 500 * time.Millisecond // past the leave timeout, after which a loop that waits for the disk is left behind
 )
 
 // Store is the config store process. Run creates and runs it.
@@ -68,6 +70,14 @@
 	reply func(T)
 }
 
+// CheckSettings returns an error if the settings lack what a config store needs.
+func CheckSettings(settings bootconfig.Settings) error {
+	if settings.DataDir == "" {
+		return Error.New("self.data_dir: missing: the consensus log needs a directory")
+	}
+	return nil
+}
+
 // Run opens the log on disk, serves RPCs and takes part in consensus until the context is done. It then leaves the membership.
 func Run(ctx context.Context, settings bootconfig.Settings, log hclog.Logger) error {
 	return run(ctx, settings, log, nil)
@@ -75,8 +85,8 @@
 
 // run is Run with an optional wrapper around the journal, for tests.
 func run(ctx context.Context, settings bootconfig.Settings, log hclog.Logger, wrap func(Journal) Journal) error {
-	if settings.DataDir == "" {
-		return Error.New("self.data_dir: missing: the consensus log needs a directory")
+	if err := CheckSettings(settings); err != nil {
+		return err
 	}
 	s := &Store{settings: settings, log: log, peers: peerrpc.NewPeers(), inbox: make(chan []consensus.Message, 256),
 		proposals: make(chan loopRequest[Reply], 1024), barriers: make(chan loopRequest[Barrier], 256), quit: make(chan struct{}),
@@ -84,17 +94,19 @@
 		clock: truetime.New(time.Now(), true), acknowledgements: newAcknowledgements(log)}
 	s.callers.LogViolations(log)
 	s.peers.DialPatience = dialTimeout
-	if err := s.open(ctx, wrap); err != nil || s.machine == nil {
+	address, err := startup.Listen(ctx, settings.InternalAddress(settings.IP, bootconfig.ConfigStorePort), log)
+	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", settings.InternalAddress(settings.IP, bootconfig.ConfigStorePort))
-	if err != nil {
-		s.machine.Close()
-		return Error.Wrap(err)
+	listener := &gate{Listener: address}
+	defer listener.Close()
+	go peerrpc.Serve(listener, "ConfigStore", func(session *peerrpc.Session) any { return &service{s, session} })
+	if err := s.open(ctx, wrap); err != nil {
+		return err
 	}
+	listener.open()
 	// Last use of the machine outside the loop goroutine until the loop has ended.
 	log.Info("started", "id", s.machine.Self().ID, "address", s.machine.Address, "voters", len(s.machine.Membership().Voters))
-	go peerrpc.Serve(listener, "ConfigStore", func(session *peerrpc.Session) any { return &service{s, session} })
 	go s.loop()
 	if settings.Platform.ReportsUsage() {
 		go s.compareClocks(ctx)
@@ -103,10 +115,14 @@
 	select {
 	case <-ctx.Done():
 		close(s.quit)
-		<-s.done
+		select {
+		case <-s.done:
+		case <-time.After(s.leaveTimeout() + hungLoopTimeout):
+			log.Warn("shut down while a write to the disk hangs")
+			return nil
+		}
 	case <-s.done:
 	}
-	listener.Close()
 	s.machine.Close()
 	if s.loopErr == nil {
 		log.Info("shut down cleanly")
@@ -114,30 +130,26 @@
 	return s.loopErr
 }
 
-// open reads the log from disk and creates the machine. It retries while the disk is full or slow; if the context ends
-// first, the machine stays nil.
+// open reads the log from disk and creates the machine. It retries while the disk refuses.
 func (s *Store) open(ctx context.Context, wrap func(Journal) Journal) error {
-	files, err := raftlog.OpenDirectory(s.settings.DataDir)
-	if err != nil {
-		return err
-	}
 	config := s.machineConfig(wrap)
-	for {
-		s.machine, err = OpenMachine(config, files, time.Now())
-		if err == nil {
-			s.view = s.machine.View
-			return nil
-		}
-		if !errors.Is(err, ErrDiskUnavailable) {
-			return err
+	step := startup.Step{Name: "open the log in " + s.settings.DataDir, Interval: diskRetryInterval, IsFinal: isFinalOpenError, Do: func() error {
+		files, err := raftlog.OpenDirectory(s.settings.DataDir)
+		if err != nil {
+			return errors.Join(ErrDiskUnavailable, err)
 		}
-		s.log.Error("cannot write to the data directory, retrying", "err", err)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(diskRetryInterval):
+		if s.machine, err = OpenMachine(config, files, time.Now()); err == nil {
+			s.view = s.machine.View
 		}
-	}
+		return err
+	}}
+	return step.Run(ctx, s.log)
+}
+
+// isFinalOpenError reports whether waiting can't help: what is on the disk can't be read by this version, or the data directory is no
+// directory.
+func isFinalOpenError(err error) bool {
+	return !errors.Is(err, ErrDiskUnavailable) || errors.Is(err, syscall.ENOTDIR)
 }
 
 // machineConfig returns the configuration of the machine according to the settings.
--- a/internal/cdn/edge/edge.go
+++ b/internal/cdn/edge/edge.go
@@ -9,7 +9,6 @@
 	mrand "math/rand/v2"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -23,6 +22,7 @@
 	"cedarmast/internal/cdn/objectcache"
 	"cedarmast/internal/cdn/peerrpc"
 	"cedarmast/internal/cdn/peersampling"
+	"cedarmast/internal/cdn/startup"
 	"cedarmast/internal/cdn/statesync"
 	"cedarmast/internal/cdn/truetime"
 	"cedarmast/internal/cdn/upstream"
@@ -47,7 +47,6 @@
 	maxViewPeers          = 10                      // neighbours in the partial view
 	peerSamplingInterval  = 3 * time.Second
 	mbpsPerCore           = 800 // estimate of what a core can carry, small bodies included; used only for weights
-	memoryLimitFraction   = 0.8 // soft memory limit of the Go runtime, as a fraction of the memory
 )
 
 // Edge is the proxy process. Run starts it.
@@ -93,16 +92,28 @@
 	tasks        sync.WaitGroup
 }
 
-// Run serves until the context ends, then shuts down gracefully within the grace period.
-func Run(ctx context.Context, config bootconfig.Settings, log hclog.Logger) error {
-	clients := slices.Contains(config.Serves, "counter") || config.ClientAddress != ""
+// CheckSettings returns an error if the settings lack what a proxy needs.
+func CheckSettings(config bootconfig.Settings) error {
 	switch {
-	case clients && config.ClientAddress == "":
+	case servesClients(config) && config.ClientAddress == "":
 		return Error.New("network.listen_on.counter: missing")
-	case clients && config.ReadinessAddress == "":
+	case servesClients(config) && config.ReadinessAddress == "":
 		return Error.New("network.listen_on.readiness: missing")
 	}
-	debug.SetMemoryLimit(int64(float64(config.MemoryMB<<20) * memoryLimitFraction))
+	return nil
+}
+
+// servesClients reports whether a machine accepts clients' requests.
+func servesClients(config bootconfig.Settings) bool {
+	return slices.Contains(config.Serves, "counter") || config.ClientAddress != ""
+}
+
+// Run serves until the context ends, then shuts down gracefully within the grace period.
+func Run(ctx context.Context, config bootconfig.Settings, log hclog.Logger) error {
+	if err := CheckSettings(config); err != nil {
+		return err
+	}
+	clients := servesClients(config)
 	lifetime, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	e := &Edge{config: config, log: log, peers: peerrpc.NewPeers(), replica: statesync.New(),
@@ -119,13 +130,13 @@
 		e.replica.Heard = func(_ string, wall, _, answered time.Time) { e.wallClock.SetReading(coreClockSource, wall, answered) }
 	}
 
-	peerListener, err := net.Listen("tcp", ownAddress)
+	peerListener, err := startup.Listen(ctx, ownAddress, log)
 	if err != nil {
-		return Error.Wrap(err)
+		return err
 	}
 	var front *clientFrontend
 	if clients {
-		if front, err = e.openFrontend(); err != nil {
+		if front, err = e.openFrontend(ctx); err != nil {
 			return err
 		}
 	}
@@ -176,14 +187,14 @@
 }
 
 // openFrontend opens the listeners of clients and readiness probes.
-func (e *Edge) openFrontend() (*clientFrontend, error) {
-	readiness, err := net.Listen("tcp", e.config.ReadinessAddress)
+func (e *Edge) openFrontend(ctx context.Context) (*clientFrontend, error) {
+	readiness, err := startup.Listen(ctx, e.config.ReadinessAddress, e.log)
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, err
 	}
-	clients, err := net.Listen("tcp", e.config.ClientAddress)
+	clients, err := startup.Listen(ctx, e.config.ClientAddress, e.log)
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, err
 	}
 	return &clientFrontend{edge: e, readiness: readiness, clients: clients}, nil
 }
--- a/internal/cdn/metrics/metrics.go
+++ b/internal/cdn/metrics/metrics.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cedarmast/internal/cdn/bootconfig"
+	"cedarmast/internal/cdn/startup"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
@@ -43,7 +44,7 @@
 }
 
 // Serve serves the collectors' metrics, and those of the process's CPU time and memory, at the endpoint in the settings until the context
-// ends. Without an endpoint it does nothing. If it can't listen, it only logs the error: missing metrics are not worth an outage.
+// ends. Without an endpoint it does nothing. It listens in the background: missing metrics are not worth an outage.
 func Serve(ctx context.Context, settings bootconfig.Settings, log hclog.Logger, collectors ...prometheus.Collector) {
 	if settings.MetricsEndpoint == "" {
 		return
@@ -53,11 +54,6 @@
 		log.Error("metrics are not served", "err", err)
 		return
 	}
-	listener, err := net.Listen("tcp", net.JoinHostPort(settings.IP, strconv.Itoa(endpoint.Port)))
-	if err != nil {
-		log.Error("metrics are not served", "err", err)
-		return
-	}
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors...)
 	registry.MustRegister(promcollectors.NewProcessCollector(promcollectors.ProcessCollectorOpts{})) // CPU, memory, descriptors
@@ -66,5 +62,12 @@
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
 	context.AfterFunc(ctx, func() { server.Close() })
-	go server.Serve(listener)
+	go func() {
+		listener, err := startup.Listen(ctx, net.JoinHostPort(settings.IP, strconv.Itoa(endpoint.Port)), log)
+		if err != nil {
+			log.Error("metrics are not served", "err", err)
+			return
+		}
+		server.Serve(listener)
+	}()
 }
--- a/internal/cdn/process/process.go
+++ b/internal/cdn/process/process.go
@@ -3,16 +3,20 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	stdlog "log"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"cedarmast/internal/build"
 	"cedarmast/internal/cdn/bootconfig"
-	"cedarmast/internal/cdn/hangup"
+	"cedarmast/internal/cdn/logwriter"
 	"cedarmast/internal/cdn/metrics"
+	_ "cedarmast/internal/cdn/signals" // takes signals over from the start of the process on
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v3"
@@ -21,24 +25,64 @@
 // Program is one of the network's programs.
 type Program struct {
 	Name, Usage string
-	Run         func(ctx context.Context, set bootconfig.Settings, log hclog.Logger) error
+	// Check returns an error if settings that are valid as such lack what the program needs; nil: nothing more is checked.
+	Check func(settings bootconfig.Settings) error
+	Run   func(ctx context.Context, settings bootconfig.Settings, log hclog.Logger) error
 }
 
-const settingsPollInterval = 5 * time.Second
+// Exit statuses of a process.
+const (
+	statusFailure  = 1
+	statusSettings = 2 // the settings are missing or invalid
+)
+
+const (
+	memoryLimitFraction = 0.8                    // soft memory limit of the Go runtime, as a fraction of the process's memory
+	flushTimeout        = 250 * time.Millisecond // at the end of a process, for the last lines of its log
+)
+
+// exitError is an error with the exit status that it ends the process with.
+type exitError struct {
+	status int
+	err    error
+}
+
+func (e exitError) Error() string { return e.err.Error() }
 
-// Main parses the command line and runs the program. The exit status is 2 if the settings are missing or invalid, 1 for other errors.
+func (e exitError) Unwrap() error { return e.err }
+
+// Main parses the command line, runs the program and ends the process. The last line of its log says why it ends.
 func Main(p Program) {
+	output := logwriter.New(os.Stderr)
+	stdlog.SetOutput(output) // package net/rpc and HTTP servers without a log of their own use it
+	err := p.command(output).Run(context.Background(), os.Args)
+	status := 0
+	if err != nil {
+		status = statusFailure
+		var exit exitError
+		if errors.As(err, &exit) {
+			status = exit.status
+		}
+		fmt.Fprintf(output, "%s: ended with status %d: %v\n", p.Name, status, err)
+	}
+	output.Flush(flushTimeout)
+	os.Exit(status)
+}
+
+// command returns the program's command line. Its log and errors go to output.
+func (p Program) command(output *logwriter.Writer) *cli.Command {
 	settings := &cli.StringFlag{Name: "settings", Usage: "path of the settings file", Sources: cli.EnvVars(bootconfig.EnvSettingsPath)}
 	logLevel := &cli.StringFlag{Name: "log", Usage: "minimum log level: trace, debug, info, warn, error", Value: "info"}
 	metricsFlag := &cli.StringFlag{Name: "metrics", Usage: "PORT/PATH at which the process serves its metrics; not served if left out",
 		Validator: func(text string) error { _, err := metrics.ParseEndpoint(text); return err }}
-	root := &cli.Command{Name: p.Name, Usage: p.Usage, Flags: []cli.Flag{settings, logLevel}, Commands: []*cli.Command{
+	return &cli.Command{Name: p.Name, Usage: p.Usage, Flags: []cli.Flag{settings, logLevel}, ErrWriter: output, Commands: []*cli.Command{
 		{Name: "run", Usage: "serve until SIGTERM", Flags: []cli.Flag{metricsFlag}, Action: func(ctx context.Context, c *cli.Command) error {
-			return p.run(ctx, c.String("settings"), c.String("log"), c.String("metrics"))
+			log := hclog.New(&hclog.LoggerOptions{Name: p.Name, Level: hclog.LevelFromString(c.String("log")), Output: output, DisableTime: true})
+			return p.run(ctx, c.String("settings"), c.String("metrics"), log)
 		}},
 		{Name: "check", Usage: "check a settings file and exit", Action: func(_ context.Context, c *cli.Command) error {
-			if _, err := bootconfig.Read(c.String("settings")); err != nil {
-				return cli.Exit(err.Error(), 2)
+			if _, err := p.readSettings(c.String("settings")); err != nil {
+				return exitError{statusSettings, err}
 			}
 			fmt.Println("good")
 			return nil
@@ -48,52 +92,25 @@
 			return nil
 		}},
 	}}
-	if err := root.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, p.Name+":", err)
-		os.Exit(1)
-	}
 }
 
-// run reads the settings and runs the program until it ends or SIGTERM or SIGINT arrives.
-func (p Program) run(ctx context.Context, path, level, metricsEndpoint string) error {
-	if path == "" {
-		return cli.Exit("no settings file: set "+bootconfig.EnvSettingsPath+" or --settings", 2)
-	}
-	settings, err := bootconfig.Read(path)
-	if err != nil {
-		return cli.Exit(err.Error(), 2)
-	}
-	log := hclog.New(&hclog.LoggerOptions{Name: p.Name, Level: hclog.LevelFromString(level), Output: os.Stderr, DisableTime: true})
+// run waits for the settings and runs the program until it ends or SIGTERM or SIGINT arrives.
+func (p Program) run(ctx context.Context, path, metricsEndpoint string, log hclog.Logger) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	settings.CurrentSeeds, settings.MetricsEndpoint = new(bootconfig.Seeds), metricsEndpoint
-	go watchSettings(ctx, path, settings, log)
-	if err := p.Run(ctx, settings, log); err != nil {
-		log.Error("ended", "err", err)
-		return cli.Exit(err.Error(), 1)
+	if path == "" {
+		return exitError{statusSettings, errors.New("no settings file: set " + bootconfig.EnvSettingsPath + " or --settings")}
 	}
-	return nil
-}
-
-// watchSettings rereads the settings file on SIGHUP and periodically. Changed seeds take effect at once; other settings only at the
-// next start. A file that is unreadable or invalid is ignored.
-func watchSettings(ctx context.Context, path string, settings bootconfig.Settings, log hclog.Logger) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangup.Signals:
-		case <-time.After(settingsPollInterval):
-		}
-		updated, err := bootconfig.Read(path)
-		if err != nil {
-			log.Warn("ignoring invalid settings file", "err", err)
-			continue
-		}
-		if fmt.Sprint(updated.Seeds) != fmt.Sprint(settings.Seeds) {
-			log.Info("seeds changed", "seeds", updated.Seeds)
-			settings.Seeds = updated.Seeds
-			settings.CurrentSeeds.Set(updated.Seeds)
-		}
+	settings, err := p.waitForSettings(ctx, path, log)
+	if err == nil {
+		settings.CurrentSeeds, settings.MetricsEndpoint = new(bootconfig.Seeds), metricsEndpoint
+		debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * memoryLimitFraction))
+		go p.watchSettings(ctx, path, settings, log)
+		err = p.Run(ctx, settings, log)
+	}
+	if err != nil && ctx.Err() != nil && errors.Is(err, ctx.Err()) {
+		log.Info("shut down before the start was complete")
+		return nil
 	}
+	return err
 }
--- a/internal/cdn/programs/programs.go
+++ b/internal/cdn/programs/programs.go
@@ -15,8 +15,8 @@
 
 // RunIfRequested runs the program that the environment names, and returns false if it names none.
 func RunIfRequested() bool {
-	byName := map[string]process.Program{"configstore": {Name: "configstore", Run: configstore.Run},
-		"registry": {Name: "registry", Run: registry.Run}, "edge": {Name: "edge", Run: edge.Run}}
+	byName := map[string]process.Program{"configstore": {Name: "configstore", Check: configstore.CheckSettings, Run: configstore.Run},
+		"registry": {Name: "registry", Check: registry.CheckSettings, Run: registry.Run}, "edge": {Name: "edge", Check: edge.CheckSettings, Run: edge.Run}}
 	p, ok := byName[os.Getenv(programVariable)]
 	if !ok {
 		return false
--- a/internal/cdn/raftlog/disk_test.go
+++ b/internal/cdn/raftlog/disk_test.go
@@ -87,3 +87,41 @@
 		j.Close()
 	}
 }
+
+// A corrupt generation stays the newest one until the older ones are gone, wherever the process ends while it is set aside. It was renamed
+// first: a start after an end in between took the older generation for the state of the disk, with votes and entries missing.
+func TestEndWhileCorruptFileIsSetAside(t *testing.T) {
+	for operations := range 16 {
+		for seed := range uint64(8) {
+			disk := simulation.NewDisk(seed)
+			j := newJournalOn(t, disk)
+			older, err := disk.Read("log-00000001")
+			assert.NilError(t, err)
+			assert.NilError(t, j.Renew(consensus.HardState{Term: 7}, consensus.Snapshot{}, nil))
+			assert.NilError(t, j.Save(nil, nil, []consensus.Entry{command(1)}))
+			assert.NilError(t, j.Save(nil, nil, []consensus.Entry{command(2)}))
+			newest, err := disk.Read("log-00000002")
+			assert.NilError(t, err)
+			newest[40] ^= 0x55
+			replaceOn(t, disk, "log-00000001", older) // its removal was not durable
+			replaceOn(t, disk, "log-00000002", newest)
+			disk.PowerLossAfter = operations
+			raftlog.Open(disk)
+			disk.LosePower()
+			_, held, _, err := raftlog.Open(disk)
+			assert.NilError(t, err)
+			assert.Equal(t, held.ID, "", "the older generation is read after %d operations, seed %d", operations, seed)
+		}
+	}
+}
+
+// replaceOn replaces a file durably.
+func replaceOn(t *testing.T, disk *simulation.Disk, name string, data []byte) {
+	t.Helper()
+	file, err := disk.Create(name)
+	assert.NilError(t, err)
+	_, err = file.Write(data)
+	assert.NilError(t, err)
+	assert.NilError(t, file.Sync())
+	assert.NilError(t, disk.Sync())
+}
--- a/internal/cdn/raftlog/raftlog.go
+++ b/internal/cdn/raftlog/raftlog.go
@@ -28,6 +28,9 @@
 // ErrBroken is the cause of a failed save after which the journal must be renewed: how much of the batch is on disk is unknown.
 var ErrBroken = errors.New("journal file is no longer writable")
 
+// ErrFormat is the cause of a journal that was written completely but can't be read by this version.
+var ErrFormat = errors.New("not readable by this version")
+
 const (
 	filePrefix      = "log-"
 	corruptPrefix   = "spoilt-"
@@ -84,7 +87,7 @@
 	}
 	for _, name := range names {
 		if strings.HasPrefix(name, oldFormatPrefix) {
-			return nil, Error.New("%s: written in the format used before the first release, which is not read any more", name)
+			return nil, Error.New("%s: written in the format used before the first release, which is not read any more: %w", name, ErrFormat)
 		}
 		if number, ok := strings.CutPrefix(name, filePrefix); ok {
 			if n, err := strconv.Atoi(number); err == nil {
@@ -118,7 +121,7 @@
 	sealed := false
 	for i, batch := range c.batches {
 		if err := held.replay(batch, &sealed); err != nil { // the checksum is valid, so the batch was written like this
-			return held, incomplete, Error.New("%s: batch %d: %w", fileName(generation), i+1, err)
+			return held, incomplete, Error.New("%s: batch %d: %w: %w", fileName(generation), i+1, ErrFormat, err)
 		}
 	}
 	if !sealed {
@@ -127,8 +130,9 @@
 	return held, complete, nil
 }
 
-// setAside renames the newest of the given generations, which is corrupt, so that it can be inspected. It removes the generation
-// set aside before, so that at most one is kept, and the older generations, whose contents are outdated.
+// setAside renames the newest of the given generations, which is corrupt, so that it can be inspected. Before that it removes the older
+// generations, whose contents are outdated: if the process ends in between, the next start still finds the corrupt one to be the newest.
+// It also removes the generation set aside before, so that at most one is kept.
 func (j *Journal) setAside(generations []int) error {
 	names, err := j.files.List()
 	if err != nil {
@@ -141,23 +145,31 @@
 			}
 		}
 	}
-	newest := fileName(generations[len(generations)-1])
-	if err := j.files.Rename(newest, corruptPrefix+newest); err != nil {
-		return err
-	}
 	for _, old := range generations[:len(generations)-1] {
 		if err := j.files.Remove(fileName(old)); err != nil {
 			return err
 		}
 	}
+	if err := j.files.Sync(); err != nil {
+		return err
+	}
+	newest := fileName(generations[len(generations)-1])
+	if err := j.files.Rename(newest, corruptPrefix+newest); err != nil {
+		return err
+	}
 	return j.files.Sync()
 }
 
-// Begin sets the ID of the disk and writes a new generation with the given state. It must be called once after Open, before the
-// first Save.
+// Begin sets the ID of the disk and writes a new generation with the given state. It must be called after Open, before the first Save. A
+// second call replaces the ID and the state; if it fails, the ID is the former one.
 func (j *Journal) Begin(held DiskState) error {
+	previous := j.diskID
 	j.diskID = held.ID
-	return j.Renew(held.Hard, held.Snapshot, held.Entries)
+	if err := j.Renew(held.Hard, held.Snapshot, held.Entries); err != nil {
+		j.diskID = previous
+		return err
+	}
+	return nil
 }
 
 // Save writes a batch with one sync. After an error nothing in the batch counts as saved, and the journal must be renewed.
--- a/internal/cdn/registry/registry.go
+++ b/internal/cdn/registry/registry.go
@@ -24,6 +24,7 @@
 	"cedarmast/internal/cdn/httproute"
 	"cedarmast/internal/cdn/metrics"
 	"cedarmast/internal/cdn/peerrpc"
+	"cedarmast/internal/cdn/startup"
 	"cedarmast/internal/cdn/statesync"
 
 	"github.com/hashicorp/go-hclog"
@@ -58,11 +59,19 @@
 	storeUnreachable bool // the last report of heard servers to the config store failed
 }
 
-// Run serves the HTTP API and runs the background tasks until ctx is cancelled.
-func Run(ctx context.Context, settings bootconfig.Settings, log hclog.Logger) error {
+// CheckSettings returns an error if the settings lack what a registry needs.
+func CheckSettings(settings bootconfig.Settings) error {
 	if settings.ControlAddress == "" {
 		return Error.New("network.listen_on.control_dock: missing: the registry needs an address for its HTTP API")
 	}
+	return nil
+}
+
+// Run serves the HTTP API and runs the background tasks until ctx is cancelled.
+func Run(ctx context.Context, settings bootconfig.Settings, log hclog.Logger) error {
+	if err := CheckSettings(settings); err != nil {
+		return err
+	}
 	reg := &Registry{settings: settings, log: log, peers: peerrpc.NewPeers(), heartbeats: NewHeartbeats(), replica: statesync.New(),
 		callers: cancellation.NewTracker()}
 	reg.callers.LogViolations(log)
@@ -70,9 +79,9 @@
 	reg.store = reg.peers.At(localStore)
 	reg.replica.Set, reg.replica.Peers, reg.replica.Log, reg.replica.Prefer = settings, reg.peers, log.Named("statesync"), localStore
 	reg.replica.Took = func(*clusterstate.State, clusterstate.Command, uint64, bool) {}
-	listener, err := net.Listen("tcp", settings.ControlAddress)
+	listener, err := startup.Listen(ctx, settings.ControlAddress, log)
 	if err != nil {
-		return Error.Wrap(err)
+		return err
 	}
 	server := &http.Server{Handler: reg.trackCallers(reg.routes()), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second,
 		ErrorLog: log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
