Founders killed at the first start found the core when they come back

Cause: a machine with an empty disk and first_start=false counts as one that has lost its disk and waits for a leader; killed before the first sync of two of three founders, nobody was left to vote.

Change: a machine without a membership takes its place among the founders once all of them have told within the last second that they hold no entry, 2 s after its start, if nothing has shown that a core exists; with a term above theirs. The simulation draws kills, losses of power, ends between two disk operations and SIGTERM from the first moment on, alone and in series, and first_start is true for one process life only.

Ruled out: trusting first_start or an empty disk alone; TestFoundingWithoutAskingLosesEntries shows the committed entry that is lost.

--- a/internal/cdn/configstore/machine.go
+++ b/internal/cdn/configstore/machine.go
@@ -25,8 +25,8 @@
 	livenessWindow       = 2 * time.Second         // a core machine heard from within this time may hold the duty
 )
 
-// ErrDiskUnavailable is returned if the disk rejects writes while a machine is opened. Opening it may succeed later.
-var ErrDiskUnavailable = errors.New("the disk rejects writes")
+// ErrDiskUnavailable is returned if the disk refuses reads or writes while a machine is opened. Opening it may succeed later.
+var ErrDiskUnavailable = errors.New("the disk refuses")
 
 // DisabledSafeguards disables single safeguards, in addition to those of package consensus. Tests use it to show that a safeguard
 // is needed and that the simulation detects its absence. Nothing else may set a field; a test enforces this.
@@ -98,6 +98,7 @@
 	pending       map[uint64]pendingProposal // by log index
 	barriers      map[uint64]func(Barrier)   // by token
 	lastToken     uint64                     // of the last barrier
+	foundRetryAt  time.Time                  // earliest time to retry to found the core after a failed write
 	leaderSince   time.Time                  // when this machine became leader; zero if it is not
 	dutyCheckedAt time.Time                  // when the leader last checked who holds the duty
 	dutyTenure    tenure                     // of the present holder, as observed by this leader
@@ -147,9 +148,12 @@
 // errors are final.
 func OpenMachine(config MachineConfig, files raftlog.Directory, now time.Time) (*Machine, error) {
 	opened, held, corruptedFile, err := raftlog.Open(files)
-	if err != nil {
+	if errors.Is(err, raftlog.ErrFormat) {
 		return nil, err
 	}
+	if err != nil {
+		return nil, errors.Join(ErrDiskUnavailable, err)
+	}
 	if corruptedFile != "" {
 		config.Log.Error("disk corrupted: synced data cannot be read; the file was set aside and its data counts as lost", "file", corruptedFile)
 	}
@@ -172,13 +176,18 @@
 		m.journal.Close()
 		return nil, errors.Join(ErrDiskUnavailable, err)
 	}
-	m.node = consensus.New(consensus.Config{Self: consensus.Member{ID: held.ID, Addr: config.Address}, Timing: config.Timing,
-		Tolerate: config.Tolerate, Seed: config.Seed, Contacts: config.Contacts, Weak: config.Weak.Consensus, Limits: config.Limits,
-		Hard: held.Hard, Snapshot: held.Snapshot, Entries: held.Entries}, now)
 	m.View = newView(history, held.Snapshot.Index)
+	m.startNode(held, now)
+	return m, nil
+}
+
+// startNode creates the consensus node from the state on disk.
+func (m *Machine) startNode(held raftlog.DiskState, now time.Time) {
+	m.node = consensus.New(consensus.Config{Self: consensus.Member{ID: held.ID, Addr: m.Address}, Timing: m.Timing, Tolerate: m.Tolerate,
+		Seed: m.Seed, Contacts: m.Contacts, Founders: m.Founders, Weak: m.Weak.Consensus, Limits: m.Limits,
+		Hard: held.Hard, Snapshot: held.Snapshot, Entries: held.Entries}, now)
 	m.node.SeenHere = func() []string { return m.View.recentlySeen(m.node.Role() == consensus.Leader) }
 	m.node.Attended = m.View.noteSeenElsewhere
-	return m, nil
 }
 
 // assignIdentity assigns an identity to an empty disk. At the first start of the whole system a founder gets its IP, by which the
@@ -269,7 +278,10 @@
 func (m *Machine) PendingCount() int { return len(m.pending) + len(m.barriers) }
 
 // SetContacts replaces the addresses of other machines that may know a leader.
-func (m *Machine) SetContacts(addrs []string) { m.node.SetContacts(addrs) }
+func (m *Machine) SetContacts(addrs []string) {
+	m.Contacts = addrs
+	m.node.SetContacts(addrs)
+}
 
 // Leave makes the machine leave the membership, for good or for a while. The process may end once LeaveDone returns true.
 func (m *Machine) Leave() {
@@ -353,6 +365,7 @@
 		m.node.Tick(now)
 		m.runLeaderTasks(now)
 		m.node.Flush()
+		m.foundCore(now)
 	}
 	if err := m.processReady(now); err != nil {
 		return err
--- a/internal/cdn/configstore/service.go
+++ b/internal/cdn/configstore/service.go
@@ -155,6 +155,7 @@
 	received := time.Now()
 	ctx, cancel := s.beginCall(0, "news", a.HoldMS)
 	defer cancel()
+	s.view.NoteStateOf(a.Have)
 	if s.view.noteRouter(a.Router) {
 		time.AfterFunc(enrolBatchDelay, s.proposeNewRouters)
 	}
--- a/internal/cdn/configstore/view.go
+++ b/internal/cdn/configstore/view.go
@@ -21,6 +21,7 @@
 	applied         uint64    // index of the last log entry that the state contains
 	syncs           uint64    // writes to disk so far
 	presence        presence
+	newerStateSeen  bool // another process holds a state that is newer than this one
 }
 
 // position is the role of a machine in consensus and what it knows of the others.
@@ -216,6 +217,20 @@
 	return n
 }
 
+// NoteStateOf records that another process holds the state up to an index.
+func (v *View) NoteStateOf(index uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.newerStateSeen = v.newerStateSeen || index > v.history.State.Index
+}
+
+// knowsOfNewerState reports whether another process has shown that it holds a newer state.
+func (v *View) knowsOfNewerState() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.newerStateSeen
+}
+
 // Status returns the status of this machine.
 func (v *View) Status(now time.Time) Status {
 	v.mu.Lock()
--- a/internal/cdn/consensus/membership.go
+++ b/internal/cdn/consensus/membership.go
@@ -192,6 +192,7 @@
 // onJoin handles a Join. The leader adds the sender to its peers and contacts it. Other nodes forward the message once, since
 // the sender may know only the seed addresses, and the leader need not be one of them.
 func (n *Node) onJoin(m Message) {
+	n.observeFounding(m)
 	if n.role != Leader && !m.Join.Relayed && n.leaderAddr != "" && n.leader != m.From {
 		m.Join, m.ToAddr = &Join{LastIndex: m.Join.LastIndex, Relayed: true}, n.leaderAddr
 		n.messages = append(n.messages, m)
--- a/internal/cdn/consensus/messages.go
+++ b/internal/cdn/consensus/messages.go
@@ -121,6 +121,10 @@
 type Join struct {
 	LastIndex uint64
 	Relayed   bool // forwarded by a node that is not the leader
+	// Founders is set by a node that has never held an entry and knows of no core: the members of its membership, if Founded, or those that
+	// its settings name.
+	Founders []Member
+	Founded  bool // the sender has a membership
 }
 
 // TakeOver is sent by a leader that steps down: the receiver starts an election at once.
--- a/internal/cdn/consensus/model_test.go
+++ b/internal/cdn/consensus/model_test.go
@@ -81,6 +81,7 @@
 	c := *n
 	// The random number generator is shared: it only affects deadlines, which the model does not use.
 	c.entries, c.messages, c.reads = slices.Clone(n.entries), slices.Clone(n.messages), slices.Clone(n.reads)
+	c.foundingReports = maps.Clone(n.foundingReports)
 	c.votes, c.voteTimestamps, c.retiredIDs = maps.Clone(n.votes), maps.Clone(n.voteTimestamps), maps.Clone(n.retiredIDs)
 	c.pendingRounds, c.barriers = slices.Clone(n.pendingRounds), slices.Clone(n.barriers)
 	if n.incomingSnapshot != nil {
--- a/internal/cdn/consensus/node.go
+++ b/internal/cdn/consensus/node.go
@@ -53,6 +53,7 @@
 	ReplaceBySmallerSet bool // a replaced member is removed before its successor is added
 	CountJoiningEarly   bool // a joining machine counts as holding everything that was sent to it
 	ReadWithoutRound    bool // a read barrier completes without a heartbeat round
+	FoundWithoutAsking  bool // an empty disk takes its place among the founders at once, whatever the others hold
 }
 
 // Limits bounds the log kept in memory and the size of messages.
@@ -91,6 +92,7 @@
 	Tolerate int // number of machines that may be lost at once
 	Seed     uint64
 	Contacts []string // addresses of other machines, which may know the leader
+	Founders []Member // of the core, as far as this machine's settings tell; used only if it holds no log
 	Weak     DisabledSafeguards
 	Limits   Limits // the zero value means the default limits
 
@@ -137,6 +139,9 @@
 	leaving          bool
 	leaveDone        bool
 	nextLeaveAt      time.Time // when the next Leave is sent
+	founders         []Member
+	foundingReports  map[string]foundingReport // of the other founders, by address
+	coreExists       bool                      // another process has shown that there is a core that holds entries
 
 	peers               map[string]*progress
 	retiredIDs          map[string]bool // member IDs that were replaced in this term by a new ID of the same machine
@@ -175,7 +180,7 @@
 	n := &Node{self: c.Self, timing: c.Timing, tolerate: c.Tolerate, faults: c.Weak, limits: c.Limits,
 		rng: rand.New(rand.NewPCG(c.Seed, 0x9e3779b97f4a7c15)), startedAt: now, now: now,
 		hard: c.Hard, log: newLog(c.Snapshot, c.Entries), commitIndex: c.Snapshot.Index, deliveredIndex: c.Snapshot.Index,
-		contacts: c.Contacts}
+		contacts: c.Contacts, founders: c.Founders, foundingReports: map[string]foundingReport{}}
 	if n.limits == (Limits{}) {
 		n.limits = DefaultLimits
 	}
@@ -297,7 +302,7 @@
 	sendJoin := func(addr string) {
 		if addr != "" && !asked[addr] {
 			asked[addr] = true
-			n.send(Member{Addr: addr}, Message{Join: &Join{LastIndex: n.lastIndex()}})
+			n.send(Member{Addr: addr}, Message{Join: &Join{LastIndex: n.lastIndex(), Founders: n.foundersForJoin(), Founded: n.isFounded()}})
 		}
 	}
 	for _, contact := range n.contacts {
@@ -306,6 +311,11 @@
 	for _, m := range n.membership.All() {
 		sendJoin(m.Addr)
 	}
+	if !n.isFounded() {
+		for _, m := range n.founders {
+			sendJoin(m.Addr)
+		}
+	}
 }
 
 // send queues a message to another machine, under the current term unless m.Term is set.
@@ -320,6 +330,7 @@
 // Step processes a received message at the given time.
 func (n *Node) Step(now time.Time, m Message) {
 	n.now = now
+	n.observeCore(m)
 	if m.To != "" && m.To != n.self.ID { // addressed to a previous member at this address
 		return
 	}
--- a/internal/cdn/simulation/copies.go
+++ b/internal/cdn/simulation/copies.go
@@ -75,6 +75,7 @@
 			return
 		}
 		h.enqueue(func() {
+			h.machine.View.NoteStateOf(index)
 			news := h.machine.View.ChangesSince(index, w.now, w.now)
 			w.checkFreshness(h, news)
 			w.deliver(h.address, c.address, func() { finish(news, true) })
--- a/internal/cdn/simulation/disk.go
+++ b/internal/cdn/simulation/disk.go
@@ -83,6 +83,9 @@
 // PowerFailed reports whether power was lost between operations, because of PowerLossAfter.
 func (d *Disk) PowerFailed() bool { return d.powerLost }
 
+// RestorePower lets operations succeed again. Nothing is lost: the process was killed, not the machine.
+func (d *Disk) RestorePower() { d.powerLost, d.PowerLossAfter = false, 0 }
+
 // LosePower simulates a power loss. It keeps what was synced and a random part of the rest: each write, each block of a torn write and
 // each directory entry is kept or lost independently.
 func (d *Disk) LosePower() {
@@ -100,7 +103,7 @@
 		d.durable[name].losePower(d.rng, allLost)
 	}
 	d.visible, d.unsyncedEntries = maps.Clone(d.durable), nil
-	d.powerLost, d.PowerLossAfter = false, 0
+	d.RestorePower()
 }
 
 // losePower keeps a random part of the unsynced writes, or none.
--- a/internal/cdn/simulation/edges.go
+++ b/internal/cdn/simulation/edges.go
@@ -151,11 +151,13 @@
 	arrived, incarnation := h.w.now, h.incarnation
 	respond := func() {
 		if h.incarnation == incarnation {
+			h.machine.View.NoteStateOf(index)
 			news := h.machine.View.ChangesSince(index, arrived, h.w.now)
 			h.w.checkFreshness(h, news)
 			answer(news)
 		}
 	}
+	h.machine.View.NoteStateOf(index)
 	if news := h.machine.View.ChangesSince(index, arrived, h.w.now); news.Fresh && news.Index <= index {
 		h.w.after(longPollTimeout, func() { h.runWhenThawed(respond) })
 		return
--- a/internal/cdn/simulation/faults.go
+++ b/internal/cdn/simulation/faults.go
@@ -17,6 +17,7 @@
 	PowerLoss       FaultKind = "power"           // a machine loses power and what its disk had not synced
 	PowerLossAll    FaultKind = "power-all"       // all machines lose power
 	PowerLossInSave FaultKind = "power-in-save"   // a machine loses power between two disk operations
+	KillInSave      FaultKind = "kill-in-save"    // a process is killed between two disk operations
 	Freeze          FaultKind = "freeze"          // a process is stopped for a time
 	Cut             FaultKind = "cut"             // some machines and the others can't reach each other
 	CutOneWay       FaultKind = "cut-one-way"     // messages between some machines and the others are lost in one direction
@@ -85,6 +86,32 @@
 	return all
 }
 
+// The faults of the first start.
+const (
+	earlyFaultsEnd     = 500 * time.Millisecond // in which all machines start for the first time
+	maxEarlySeries     = 3                      // how often a fault of the first start may be repeated
+	maxEarlyRestart    = 700 * time.Millisecond
+	earlySeriesSpacing = time.Second
+)
+
+// earlyFaultKinds are the kinds that are drawn for the first start.
+var earlyFaultKinds = []FaultKind{Kill, KillAll, KillInSave, PowerLoss, PowerLossAll, PowerLossInSave, Terminate}
+
+// drawEarlyFaults draws the faults of the first start of the cluster: kills and losses of power from its first moment on, of single machines
+// or of all, alone or in series.
+func drawEarlyFaults(rng *rand.Rand, machines int) (all []Fault) {
+	for range rng.IntN(2 * machines) {
+		kind := earlyFaultKinds[rng.IntN(len(earlyFaultKinds))]
+		target, at := rng.IntN(machines), time.Duration(rng.Int64N(int64(earlyFaultsEnd)))
+		for range 1 + rng.IntN(maxEarlySeries) {
+			all = append(all, Fault{Kind: kind, At: at, Duration: time.Duration(rng.Int64N(int64(maxEarlyRestart))), Target: target, Param: rng.IntN(1000)})
+			at += time.Duration(rng.Int64N(int64(earlySeriesSpacing)))
+		}
+	}
+	slices.SortStableFunc(all, func(a, b Fault) int { return int(a.At - b.At) })
+	return all
+}
+
 // targetHost returns the machine that a fault is meant for; nil if there is none.
 func (w *world) targetHost(f Fault) *host {
 	if f.Target == targetLeader {
@@ -127,8 +154,8 @@
 		h.losePower(f.Duration)
 	case KillAll, PowerLossAll:
 		w.injectFaultOnAll(f, nil)
-	case PowerLossInSave:
-		h.disk.PowerLossAfter = 1 + f.Param%6
+	case PowerLossInSave, KillInSave:
+		h.disk.PowerLossAfter, h.killInSave = 1+f.Param%6, f.Kind == KillInSave
 		h.markLost(f.Duration)
 	case Freeze:
 		h.freeze(f.Duration)
--- a/internal/cdn/simulation/host.go
+++ b/internal/cdn/simulation/host.go
@@ -26,11 +26,10 @@
 	w           *world
 	index       int
 	address     string
-	founder     bool  // present at the first start of the cluster
+	firstStart  bool  // its next process is the first one, at the first start of the cluster
 	predecessor *host // removed machine that it replaces; nil once it has started
 	removed     bool  // removed for good
 	disk        *Disk
-	wipes       int // number of times its disk was wiped
 
 	machine        *configstore.Machine
 	heartbeats     *registry.Heartbeats // heartbeats that its registry has received
@@ -43,13 +42,14 @@
 	inbox          []func()  // actions queued for the loop
 	drainScheduled bool      // an iteration of the loop is scheduled
 	deferred       []func()  // actions outside the loop that arrived while the process was frozen
+	killInSave     bool      // what stops its disk is a kill, not a loss of power
 	leaving        bool      // shutting down after SIGTERM
 	lostUntil      time.Time // the machine counts as lost until then; includes time to recover
 }
 
 // addHost adds a machine and starts it after a short random delay.
 func (w *world) addHost(index int, founder bool) *host {
-	h := &host{w: w, index: index, address: addressOf(index), founder: founder, disk: NewDisk(w.options.Seed<<8 | uint64(index))}
+	h := &host{w: w, index: index, address: addressOf(index), firstStart: founder, disk: NewDisk(w.options.Seed<<8 | uint64(index))}
 	h.disk.IgnoreDirectorySync = w.options.SkipDirectorySync
 	w.hosts = append(w.hosts, h)
 	h.startAfter(w.randomDuration(0, 300*time.Millisecond))
@@ -86,7 +86,7 @@
 	machine, err := configstore.OpenMachine(h.config(), h.disk, h.w.now)
 	switch {
 	case h.disk.PowerFailed():
-		h.losePower(h.w.randomDuration(minRestartDelay, 2*time.Second))
+		h.crash()
 		return
 	case errors.Is(err, configstore.ErrDiskUnavailable):
 		h.startAfter(100 * time.Millisecond)
@@ -110,7 +110,7 @@
 	if w.options.Reports {
 		lease = reportLease
 	}
-	return configstore.MachineConfig{DutyLease: lease, IP: ipOf(h.index), Address: h.address, Founders: w.founders, FirstStart: h.founder && h.wipes == 0,
+	return configstore.MachineConfig{DutyLease: lease, IP: ipOf(h.index), Address: h.address, Founders: w.founders, FirstStart: h.firstStart,
 		Contacts: h.contacts(), Tolerate: w.maxFailures, Timing: consensus.DefaultTiming,
 		Seed: w.options.Seed<<16 | uint64(h.index)<<8 | uint64(incarnation), Weak: w.options.Weak, Log: hclog.NewNullLogger(),
 		Send: func(m consensus.Message) { h.outbox = append(h.outbox, m) }, Identity: func() string { return fmt.Sprint("life-", incarnation) },
@@ -189,7 +189,7 @@
 	}
 	h.busyUntil = h.w.now.Add(h.disk.TakeSyncTime() + stepTime)
 	if h.disk.PowerFailed() {
-		h.losePower(h.w.randomDuration(minRestartDelay, 2*time.Second))
+		h.crash()
 		return
 	}
 	outbox := h.outbox
@@ -209,13 +209,25 @@
 	}
 }
 
+// crash ends the process between two disk operations, by a loss of power or by a kill.
+func (h *host) crash() {
+	restartDelay := h.w.randomDuration(minRestartDelay, 2*time.Second)
+	if h.killInSave {
+		h.killInSave = false
+		h.disk.RestorePower()
+		h.kill(restartDelay)
+		return
+	}
+	h.losePower(restartDelay)
+}
+
 // stop ends the process.
 func (h *host) stop() {
 	if h.machine != nil {
 		h.machine.Close()
 	}
 	h.machine, h.outbox, h.inbox, h.deferred = nil, nil, nil, nil
-	h.drainScheduled, h.frozen, h.leaving = false, false, false
+	h.drainScheduled, h.frozen, h.leaving, h.firstStart = false, false, false, false
 	h.incarnation++
 }
 
@@ -240,7 +252,6 @@
 	h.stop()
 	h.disk.Wipe()
 	h.w.disksLost++
-	h.wipes++
 	h.markLost(restartDelay)
 	h.startAfter(restartDelay)
 }
--- a/internal/cdn/simulation/world.go
+++ b/internal/cdn/simulation/world.go
@@ -8,6 +8,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cedarmast/internal/cdn/clusterstate"
@@ -164,7 +165,8 @@
 	w.trace("%d machines, %d may fail at once", size, w.maxFailures)
 	w.faults = o.Faults
 	if w.faults == nil {
-		w.faults = append(drawFaults(faultRNG, size), drawEdgeFaults(rand.New(rand.NewPCG(o.Seed, 0xedfa)))...)
+		w.faults = slices.Concat(drawEarlyFaults(rand.New(rand.NewPCG(o.Seed, 0xea51)), size), drawFaults(faultRNG, size),
+			drawEdgeFaults(rand.New(rand.NewPCG(o.Seed, 0xedfa))))
 	}
 	for i := range w.faults {
 		fault := w.faults[i]
