Soak: faults from the first start's first millisecond, readers of logs, overlapping lives

Change: signals come at any moment; processes that SIGHUP ends before their first instruction (the kernel's doing: neither caught nor ignored yet) are counted apart, printed, and started again. Processes, logs and stand-in servers of localnet have files of their own.

--- a/internal/cdn/localnet/localnet.go
+++ b/internal/cdn/localnet/localnet.go
@@ -5,19 +5,13 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"maps"
-	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -41,6 +35,10 @@
 	UsageReports bool      // the tenants' usage is reported to a stand-in platform
 	// Time limits that are written to the settings; 0: left out, so that the default applies.
 	Revoke, Contact time.Duration
+	// DrawLogReader returns how the reader of the log of a process that is about to start behaves; nil: all read everything.
+	DrawLogReader func() LogReader
+	// Started is called after the first start of each machine, before the next one is started; may be nil.
+	Started func(n *Network, m *Machine)
 }
 
 // The ports are the same on all machines, as in production.
@@ -65,17 +63,10 @@
 	Dir            string
 	firstStart     bool
 
-	mu        sync.Mutex
-	processes map[string]*process
-	reloads   int // how often its settings file was rewritten by Reload
-}
-
-// process is a running process of one of the programs.
-type process struct {
-	cmd     *exec.Cmd
-	started time.Time
-	told    atomic.Bool   // it was sent a signal that ends it
-	ended   chan struct{} // closed when it has ended
+	mu           sync.Mutex
+	processes    map[string]*process
+	predecessors []*process // that still run beside their successors
+	reloads      int        // how often its settings file was rewritten by Reload
 }
 
 // Network is a running network.
@@ -90,6 +81,7 @@
 	mu          sync.Mutex
 	servers     []*Server
 	unexpected  []string // processes that ended by themselves
+	hungUpEarly int      // processes that SIGHUP ended before their program's first instruction
 }
 
 // Start reserves a subnet, writes the settings and starts all processes.
@@ -125,6 +117,9 @@
 			n.Stop()
 			return nil, err
 		}
+		if shape.Started != nil {
+			shape.Started(n, m)
+		}
 	}
 	return n, nil
 }
@@ -172,99 +167,6 @@
 	return b.String()
 }
 
-// StartMachine writes a machine's settings and starts those of its processes that are not running.
-func (n *Network) StartMachine(m *Machine) error {
-	names := []string{"edge"}
-	if m.Core {
-		names = []string{"configstore", "registry"}
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	file := filepath.Join(m.Dir, settingsFile)
-	if err := replaceFile(file, []byte(n.settingsText(m))); err != nil {
-		return err
-	}
-	m.firstStart = false
-	for _, p := range names {
-		if m.processes[p] != nil {
-			continue
-		}
-		line := n.Program(p)
-		if n.Metrics {
-			line = append(line, "--metrics", fmt.Sprintf("%d/metrics", metricsPorts[p]))
-		}
-		cmd := exec.Command(line[0], line[1:]...)
-		cmd.Env = append(os.Environ(), "CEDARMAST_CONFIG="+file)
-		if n.Out != nil {
-			out := &lineWriter{out: n.Out, mu: &n.outMu, prefix: m.Name + " ", started: n.started}
-			cmd.Stdout, cmd.Stderr = out, out
-		}
-		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		if err := cmd.Start(); err != nil {
-			return Error.Wrap(err)
-		}
-		m.processes[p] = n.watchProcess(m.Name+": "+p, cmd)
-	}
-	return nil
-}
-
-// replaceFile replaces a file atomically: a process that starts meanwhile reads either the old or the new contents.
-func replaceFile(path string, text []byte) error {
-	next := path + ".next"
-	if err := os.WriteFile(next, text, 0o644); err != nil {
-		return Error.Wrap(err)
-	}
-	return Error.Wrap(os.Rename(next, path))
-}
-
-// watchProcess returns the handle of a started process, and waits for its end in the background.
-func (n *Network) watchProcess(name string, cmd *exec.Cmd) *process {
-	p := &process{cmd: cmd, started: time.Now(), ended: make(chan struct{})}
-	go func() {
-		err := cmd.Wait()
-		if !p.told.Load() {
-			n.mu.Lock()
-			n.unexpected = append(n.unexpected, fmt.Sprintf("%s ended by itself %s after its start: %v", name, time.Since(p.started).Round(time.Millisecond), err))
-			n.mu.Unlock()
-		}
-		close(p.ended)
-	}()
-	return p
-}
-
-// UnexpectedEnds describes the processes that have ended without a signal from Signal that does so.
-func (n *Network) UnexpectedEnds() []string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return slices.Clone(n.unexpected)
-}
-
-// Signal sends a signal to a machine's processes. After SIGKILL and SIGTERM it waits until they have ended; other signals may be
-// sent meanwhile.
-func (n *Network) Signal(m *Machine, s syscall.Signal) {
-	m.mu.Lock()
-	signaled := maps.Clone(m.processes)
-	ends := s == syscall.SIGKILL || s == syscall.SIGTERM
-	for _, p := range signaled {
-		if ends || s == syscall.SIGQUIT {
-			p.told.Store(true)
-		}
-		p.cmd.Process.Signal(s)
-	}
-	m.mu.Unlock()
-	if !ends {
-		return
-	}
-	for name, p := range signaled {
-		<-p.ended
-		m.mu.Lock()
-		if m.processes[name] == p {
-			delete(m.processes, name)
-		}
-		m.mu.Unlock()
-	}
-}
-
 // WipeDisk deletes the data directory of a machine that is down.
 func (n *Network) WipeDisk(m *Machine) error { return os.RemoveAll(filepath.Join(m.Dir, "data")) }
 
@@ -362,29 +264,10 @@
 	return resp.StatusCode, resp.Header, string(body), err
 }
 
-// Server is a stand-in server: it serves versioned objects, sends heartbeats to the registry and counts the requests it ran by id.
-type Server struct {
-	ID, Service, Address, Zone string
-
-	network        *Network
-	http           *http.Server
-	mu             sync.Mutex
-	version        int
-	state          string
-	heartbeats     uint64
-	ran            map[string]int
-	stopHeartbeats context.CancelFunc
-	Acked          chan struct{} // receives a value for each acknowledged heartbeat if a receiver is waiting
-}
-
 // ReadMetrics returns the metrics of all processes of a machine in the Prometheus text format. It requires Shape.Metrics.
 func (n *Network) ReadMetrics(ctx context.Context, m *Machine) (string, error) {
-	names := []string{"edge"}
-	if m.Core {
-		names = []string{"configstore", "registry"}
-	}
 	metrics := ""
-	for _, p := range names {
+	for _, p := range m.programs() {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/metrics", m.IP, metricsPorts[p]), nil)
 		if err != nil {
 			return "", err
@@ -406,114 +289,6 @@
 // ClientAddress returns the address and port on which a machine accepts clients' requests.
 func (m *Machine) ClientAddress() string { return fmt.Sprintf("%s:%d", m.IP, clientPort) }
 
-// Serve starts a stand-in server of a service at the address 127.0.Net.host.
-func (n *Network) Serve(id, service string, host byte) (*Server, error) {
-	return n.ServeWith(id, service, host, nil)
-}
-
-// ServeWith starts a stand-in server at 127.0.Net.host whose requests the handler serves; nil: the server itself.
-func (n *Network) ServeWith(id, service string, host byte, handler http.Handler) (*Server, error) {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", n.Subnet, host))
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	s := &Server{ID: id, Service: service, Address: l.Addr().String(), Zone: "zone-1", network: n, version: 1, state: "open", ran: map[string]int{}, stopHeartbeats: stop,
-		Acked: make(chan struct{})}
-	if handler == nil {
-		handler = s
-	}
-	s.http = &http.Server{Handler: handler}
-	go s.http.Serve(l)
-	go s.sendHeartbeats(ctx)
-	n.mu.Lock()
-	n.servers = append(n.servers, s)
-	n.mu.Unlock()
-	return s, nil
-}
-
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	id := r.Header.Get("Try-Id")
-	if id != "" {
-		w.Header().Set("Try-Id", id)
-	}
-	if want := r.Header.Get("Addressee"); want != "" && want != s.ID {
-		w.Header().Set("Server-Id", s.ID)
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	s.ran[id]++
-	tag := fmt.Sprintf(`"%d"`, s.version)
-	w.Header().Set("Postmark", s.ID+"."+id)
-	w.Header().Set("Etag", tag)
-	w.Header().Set("Labels", "all")
-	if r.Header.Get("If-None-Match") == tag {
-		w.WriteHeader(http.StatusNotModified)
-		return
-	}
-	fmt.Fprintf(w, "%s %s version %d of %s\n", r.Method, r.URL.Path, s.version, s.Service)
-}
-
-// UpdateObjects replaces all objects with a newer version.
-func (s *Server) UpdateObjects() {
-	s.mu.Lock()
-	s.version++
-	s.mu.Unlock()
-}
-
-// RunCounts returns how many requests it ran in total, and the maximum for one id.
-func (s *Server) RunCounts() (total, maxPerID int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, count := range s.ran {
-		total, maxPerID = total+count, max(maxPerID, count)
-	}
-	return total, maxPerID
-}
-
-// Drain reports the state closing in all further heartbeats.
-func (s *Server) Drain() {
-	s.mu.Lock()
-	s.state = "closing"
-	s.mu.Unlock()
-}
-
-// StopHeartbeats stops its heartbeats; it still accepts requests.
-func (s *Server) StopHeartbeats() { s.stopHeartbeats() }
-
-// Stop stops its heartbeats and closes its connections, without telling the registry.
-func (s *Server) Stop() {
-	s.stopHeartbeats()
-	s.http.Close()
-}
-
-// sendHeartbeats sends the server's state through the control API every heartbeatInterval until the context ends.
-func (s *Server) sendHeartbeats(ctx context.Context) {
-	for {
-		s.mu.Lock()
-		s.heartbeats++
-		body, _ := json.Marshal(map[string]any{"id": s.ID, "carrier": s.Service, "address": s.Address, "zone": s.Zone, "edition": "v1", "berths": 8,
-			"state": s.state, "warmup": "0ms", "postmark": s.heartbeats})
-		s.mu.Unlock()
-		callCtx, cancel := context.WithTimeout(ctx, 4*time.Second)
-		status, _, err := s.network.Control(callCtx, http.MethodPut, "/servers/"+s.ID, body)
-		cancel()
-		if err == nil && status == http.StatusOK {
-			select {
-			case s.Acked <- struct{}{}:
-			default:
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(heartbeatInterval):
-		}
-	}
-}
-
 // Manifest returns a configuration of one service with a shelved, a resendable and a once_only route, and a resendable one for each
 // extra name. base is the edition that it is based on; 0: none.
 func Manifest(edition, base int, service string, extra ...string) []byte {
--- a/internal/cdn/soak/faults.go
+++ b/internal/cdn/soak/faults.go
@@ -18,6 +18,7 @@
 	repeats         int           // how often a kill, restart or reload is repeated, each soon after the one before
 	gap             time.Duration // between two of them: a process may be signaled as soon as it has started
 	killAfter       time.Duration // from SIGTERM to SIGKILL, for a restart whose shutdown is cut short; 0: it is not
+	successorAfter  time.Duration // from SIGTERM to the start of successors, beside the processes that still shut down; 0: once those have ended
 }
 
 // The kinds of faults of machines. Faults of servers are drawn per request; see stubServer.drawRun.
@@ -43,6 +44,8 @@
 	maxRepeatGap         = 400 * time.Millisecond
 	cutShortFraction     = 0.3
 	maxKillDelay         = 3 * time.Second
+	overlapFraction      = 0.4 // of the restarts, in which successors start while their predecessors still run
+	maxSuccessorDelay    = 500 * time.Millisecond
 )
 
 // drawFaults draws the faults of all machines so that two or three, each on another machine, overlap most of the time.
@@ -80,6 +83,9 @@
 	if f.kind == restart && rng.Float64() < cutShortFraction {
 		f.killAfter = 1 + time.Duration(rng.Int64N(int64(maxKillDelay)))
 	}
+	if f.kind == restart && rng.Float64() < overlapFraction {
+		f.successorAfter = 1 + time.Duration(rng.Int64N(int64(maxSuccessorDelay)))
+	}
 	return f
 }
 
@@ -106,11 +112,10 @@
 		s.net.Signal(f.machine, syscall.SIGKILL)
 		sleep(ctx, f.duration)
 	case restart:
-		s.restart(f.machine, f.killAfter)
+		s.restart(f)
 	case reload:
 		s.reload(f.machine)
 		sleep(ctx, f.duration)
-		return
 	case pause:
 		s.net.Signal(f.machine, syscall.SIGSTOP)
 		sleep(ctx, f.duration)
@@ -123,8 +128,9 @@
 }
 
 // restart shuts a machine's processes down with SIGTERM. It reloads their settings before and during the shutdown, and sends SIGTERM once
-// more. killAfter is when they are killed if they have not ended by then; 0: never.
-func (s *soakRun) restart(m *localnet.Machine, killAfter time.Duration) {
+// more. Successors may be started beside them: the last SIGTERM may reach those, which are started once more at the end.
+func (s *soakRun) restart(f fault) {
+	m := f.machine
 	var signals sync.WaitGroup
 	signals.Go(func() {
 		for range reloadsPerRestart {
@@ -135,14 +141,26 @@
 	})
 	time.Sleep(reloadInterval / 2)
 	ended := make(chan struct{})
-	if killAfter > 0 {
-		signals.Go(func() { s.cutShort(m, killAfter, ended) })
+	if f.killAfter > 0 {
+		signals.Go(func() { s.cutShort(m, f.killAfter, ended) })
+	}
+	if f.successorAfter > 0 {
+		signals.Go(func() { s.startSuccessors(m, f.successorAfter) })
 	}
 	s.net.Signal(m, syscall.SIGTERM)
 	close(ended)
 	signals.Wait()
 }
 
+// startSuccessors starts a machine's processes anew, whether their predecessors have ended or not.
+func (s *soakRun) startSuccessors(m *localnet.Machine, delay time.Duration) {
+	time.Sleep(delay)
+	s.logf("%s: successors start %s after SIGTERM", m.Name, delay.Round(time.Millisecond))
+	if err := s.net.StartSuccessors(m); err != nil {
+		s.recorder.addViolation("%s: successors do not start: %v", m.Name, err)
+	}
+}
+
 // cutShort kills a machine's processes after a delay, unless they have ended by then.
 func (s *soakRun) cutShort(m *localnet.Machine, delay time.Duration, ended <-chan struct{}) {
 	select {
@@ -155,8 +173,11 @@
 }
 
 // reload rewrites a machine's settings and signals its processes.
-func (s *soakRun) reload(m *localnet.Machine) {
-	if err := s.net.Reload(m); err != nil {
+func (s *soakRun) reload(m *localnet.Machine) { s.reloadOn(s.net, m) }
+
+// reloadOn is reload on a network that is not started completely.
+func (s *soakRun) reloadOn(n *localnet.Network, m *localnet.Machine) {
+	if err := n.Reload(m); err != nil {
 		s.recorder.addViolation("%s: can't write its settings: %v", m.Name, err)
 	}
 }
--- a/internal/cdn/soak/soak.go
+++ b/internal/cdn/soak/soak.go
@@ -58,14 +58,15 @@
 	Keyless                   int // of the others: without a key, or with one that may be refused at once
 	Refused                   int // of the rest: refused before their clients meant to leave, so that no work started for them
 	Faults                    int
+	HungUpEarly               int // processes that SIGHUP ended before their program's first instruction, and that were started again
 	Violations                []string
 	Acknowledgements          acknowledgements
 }
 
 func (r Report) String() string {
 	return fmt.Sprintf(
-		"%d requests, %d of them over keep-alive connections, %d abandoned by their clients, %d runs at servers, %d faults, %d violations reported",
-		r.Requests, r.KeepAlive, r.Abandoned, r.Runs, r.Faults, len(r.Violations))
+		"%d requests, %d of them over keep-alive connections, %d abandoned by their clients, %d runs at servers, %d faults, %d ended by SIGHUP before their first instruction, %d violations reported",
+		r.Requests, r.KeepAlive, r.Abandoned, r.Runs, r.Faults, r.HungUpEarly, len(r.Violations))
 }
 
 // soakRun is the state of one soak run.
@@ -91,8 +92,13 @@
 	}
 	s := &soakRun{Plan: p, recorder: newRecorder(), acks: newAcknowledgements(), objects: &objects{}}
 	s.operators = newOperators(s)
+	s.start = time.Now() // until the clients begin
+	first, readers := newFirstStart(ctx, s), logReaders{rng: rand.New(rand.NewPCG(p.Seed, 10))}
+	p.Shape.Started, p.Shape.DrawLogReader = first.disturb, readers.draw
 	var err error
-	if s.net, err = localnet.Start(p.Shape); err != nil {
+	s.net, err = localnet.Start(p.Shape)
+	first.tasks.Wait()
+	if err != nil {
 		return Report{}, err
 	}
 	defer s.net.Stop()
--- a/internal/cdn/soak/sweep.go
+++ b/internal/cdn/soak/sweep.go
@@ -56,7 +56,7 @@
 	return Error.Wrap(ctx.Err())
 }
 
-// runSeed runs one seed in a temporary directory. If plan.Keep is set, the log of events and of the processes stays there when the
+// runSeed runs one seed in a temporary directory. If plan.LogDir is set, the log of events and of the processes stays there when the
 // run has violations or fails.
 func runSeed(ctx context.Context, plan Plan, seed uint64) (report Report, err error) {
 	dir, err := os.MkdirTemp("", "soak")
@@ -73,6 +73,9 @@
 	if plan.LogDir == "" {
 		return Run(ctx, plan)
 	}
+	if err := os.MkdirAll(plan.LogDir, 0o755); err != nil {
+		return Report{}, Error.Wrap(err)
+	}
 	file, err := os.Create(filepath.Join(plan.LogDir, fmt.Sprintf("seed-%d.log", seed)))
 	if err != nil {
 		return Report{}, Error.Wrap(err)
