The last line of a process is one line

Cause: an error that joins several has line breaks, so that the last line of the log was the innermost cause without the program and the status (seen with a data directory that is a file). Change: line breaks become colons. Ruled out: another error type for each end.

--- a/internal/cdn/process/process.go
+++ b/internal/cdn/process/process.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -63,12 +64,17 @@
 		if errors.As(err, &exit) {
 			status = exit.status
 		}
-		fmt.Fprintf(output, "%s: ended with status %d: %v\n", p.Name, status, err)
+		fmt.Fprintln(output, p.lastLine(status, err))
 	}
 	output.Flush(flushTimeout)
 	os.Exit(status)
 }
 
+// lastLine returns the line that says why the process ends, in one line however many the error's text has.
+func (p Program) lastLine(status int, err error) string {
+	return fmt.Sprintf("%s: ended with status %d: %s", p.Name, status, strings.Join(strings.Split(err.Error(), "\n"), ": "))
+}
+
 // command returns the program's command line. Its log and errors go to output.
 func (p Program) command(output *logwriter.Writer) *cli.Command {
 	settings := &cli.StringFlag{Name: "settings", Usage: "path of the settings file", Sources: cli.EnvVars(bootconfig.EnvSettingsPath)}
--- a/internal/cdn/process/process_test.go
+++ b/internal/cdn/process/process_test.go
@@ -73,3 +73,9 @@
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 	assert.Assert(t, time.Since(started) < settingsTimeout)
 }
+
+// The last line of a process is one line, also if its error joins several.
+func TestLastLine(t *testing.T) {
+	err := errors.Join(errors.New("the disk refuses"), errors.New("open /d: not a directory"))
+	assert.Equal(t, Program{Name: "p"}.lastLine(statusFailure, err), "p: ended with status 1: the disk refuses: open /d: not a directory")
+}
