--- a/internal/cdn/configstore/configstore_test.go
+++ b/internal/cdn/configstore/configstore_test.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -136,10 +137,12 @@
 // hangingJournal is a journal whose writes block while the test holds the mutex.
 type hangingJournal struct {
 	Journal
-	mu sync.Mutex
+	mu      sync.Mutex
+	waiting atomic.Bool // a write has begun
 }
 
 func (h *hangingJournal) Save(hard *consensus.HardState, snap *consensus.Snapshot, entries []consensus.Entry) error {
+	h.waiting.Store(true)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.Journal.Save(hard, snap, entries)
--- a/internal/cdn/configstore/store.go
+++ b/internal/cdn/configstore/store.go
@@ -99,9 +99,9 @@
 		return err
 	}
 	listener := &gate{Listener: address}
-	defer listener.Close()
 	go peerrpc.Serve(listener, "ConfigStore", func(session *peerrpc.Session) any { return &service{s, session} })
 	if err := s.open(ctx, wrap); err != nil {
+		listener.Close()
 		return err
 	}
 	listener.open()
@@ -118,12 +118,14 @@
 		select {
 		case <-s.done:
 		case <-time.After(s.leaveTimeout() + hungLoopTimeout):
+			// The address stays taken until the process has ended: no successor may open the journal while the write may still succeed.
 			log.Warn("shut down while a write to the disk hangs")
 			return nil
 		}
 	case <-s.done:
 	}
 	s.machine.Close()
+	listener.Close()
 	if s.loopErr == nil {
 		log.Info("shut down cleanly")
 	}
