Cache: entries that are evicted or purged no longer stay in memory until their refresh

Cause: the queue of refreshes held each stored entry, body and all, until three quarters of its time to live had passed, also after the cache had evicted or purged it. A router that fetches more than its cache holds kept all of that as well: with a shelf of an hour everything it had fetched in 45 minutes, whatever the cache's bound. Keys were not counted, and neither were the names of remembered purges (4,096 of up to 64 KB).

Change: the queue refers to entries weakly and forgets refreshes of removed entries beyond two for each entry; keys count as part of their entries; names of purges are bounded by 4 MB; SetMaxBytes lowers the bound while the cache is in use.

objectcache.TestRemovedEntriesAreFreed: 4,000 entries of 64 KB in a cache of 4 MB; less than 8 MB are held after it.

--- a/internal/cdn/objectcache/objectcache.go
+++ b/internal/cdn/objectcache/objectcache.go
@@ -6,9 +6,11 @@
 	"container/heap"
 	"math"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
+	"weak"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
@@ -69,9 +71,9 @@
 // every two lifetimes.
 const refreshesPerUse = 2
 
-// size estimates the entry's memory in bytes.
-func (e *Entry) size() int64 {
-	n := int64(len(e.Body)) + 512
+// size estimates the memory of the entry and its key in bytes.
+func (e *Entry) size(k Key) int64 {
+	n := int64(len(e.Body)+len(k.Host)+len(k.Path)+len(k.Query)) + 512
 	for name, values := range e.Header {
 		n += int64(len(name)) + 32
 		for _, v := range values {
@@ -94,15 +96,15 @@
 
 // Cache holds entries up to a total size in bytes.
 type Cache struct {
-	maxBytes int64
-
 	mu             sync.Mutex
+	maxBytes       int64
 	lru            *simplelru.LRU[Key, *Entry]
 	bytes          int64
 	byPath         map[pathKey]map[Key]struct{}
 	byLabel        map[string]map[Key]struct{}
 	recentPurges   []purge      // the latest ones, oldest first: an object requested before a purge is not stored after it
 	refreshes      refreshQueue // refresh times of stored entries, and of some that were removed
+	purgeBytes     int          // size of those
 	forgottenIndex uint64       // purges up to this index are no longer remembered
 	Stats          Stats        // guarded by mu
 }
@@ -118,9 +120,17 @@
 	label string
 }
 
+// size returns the bytes of the purge's names.
+func (p purge) size() int { return len(p.host) + len(p.path) + len(p.label) }
+
 const (
 	maxEntries = 1 << 20
 	maxPurges  = 4096
+	// maxPurgeBytes bounds the names of the purges that are remembered.
+	maxPurgeBytes = 4 << 20
+	// The refreshes of removed entries are forgotten when there are more than minRefreshes and maxRefreshesPerEntry for each entry.
+	minRefreshes         = 1024
+	maxRefreshesPerEntry = 2
 )
 
 // New returns an empty cache for at most so many bytes.
@@ -185,11 +195,11 @@
 // refreshAge is the age from which an entry with a time to live should be revalidated.
 func refreshAge(ttl time.Duration) time.Duration { return ttl * 3 / 4 }
 
-// refresh is the time at which an entry is to be revalidated.
+// refresh is the time at which an entry is to be revalidated. It does not keep an entry in memory that has been removed from the cache.
 type refresh struct {
 	at time.Time
 	Key
-	*Entry
+	entry weak.Pointer[Entry]
 }
 
 // refreshQueue is a heap of refreshes, ordered by time.
@@ -219,7 +229,7 @@
 	defer c.mu.Unlock()
 	for len(c.refreshes) > 0 && len(candidates) < limit && !c.refreshes[0].at.After(now) {
 		next := heap.Pop(&c.refreshes).(refresh)
-		if entry, ok := c.lru.Peek(next.Key); ok && entry == next.Entry && entry.refreshesLeft > 0 {
+		if entry := c.stored(next); entry != nil && entry.refreshesLeft > 0 {
 			candidates = append(candidates, RefreshCandidate{next.Key, entry, entry.requester})
 			entry.requester.ID = ""
 		}
@@ -227,6 +237,25 @@
 	return candidates
 }
 
+// stored returns the entry of a refresh, or nil if the cache no longer holds it. The caller holds the lock.
+func (c *Cache) stored(r refresh) *Entry {
+	entry, ok := c.lru.Peek(r.Key)
+	if !ok || entry != r.entry.Value() {
+		return nil
+	}
+	return entry
+}
+
+// scheduleRefresh adds the refresh of an entry that has just been stored, and forgets those of removed entries when they are too many. The
+// caller holds the lock.
+func (c *Cache) scheduleRefresh(k Key, entry *Entry) {
+	heap.Push(&c.refreshes, refresh{entry.ValidatedAt.Add(refreshAge(entry.TTL)), k, weak.Make(entry)})
+	if len(c.refreshes) > minRefreshes+maxRefreshesPerEntry*c.lru.Len() {
+		c.refreshes = slices.DeleteFunc(c.refreshes, func(r refresh) bool { return c.stored(r) == nil })
+		heap.Init(&c.refreshes)
+	}
+}
+
 // Put stores an entry and reports whether it did. It does not if a purge of the object arrived after the server was asked, if a newer
 // entry is stored, or if the entry is larger than a quarter of the cache.
 func (c *Cache) Put(k Key, entry *Entry) bool {
@@ -237,7 +266,7 @@
 		return false
 	}
 	entry.requester = Requester{ClientKey: entry.FetchedFor.ClientKey}
-	size := entry.size()
+	size := entry.size(k)
 	if size > c.maxBytes/4 {
 		return false
 	}
@@ -256,23 +285,36 @@
 	}
 	c.lru.Add(k, entry)
 	if !entry.FromOwner {
-		heap.Push(&c.refreshes, refresh{entry.ValidatedAt.Add(refreshAge(entry.TTL)), k, entry})
+		c.scheduleRefresh(k, entry)
 	}
 	c.bytes += size
 	addToIndex(c.byPath, pathKey{k.Host, k.Path}, k)
 	for _, label := range entry.Labels {
 		addToIndex(c.byLabel, label, k)
 	}
+	c.evict()
+	c.Stats.Stored++
+	return true
+}
+
+// evict removes the entries that were not used for longest until the rest fits. The caller holds the lock.
+func (c *Cache) evict() {
 	for c.bytes > c.maxBytes {
 		k, old, ok := c.lru.GetOldest()
 		if !ok {
-			break
+			return
 		}
 		c.Stats.Evicted++
 		c.remove(k, old)
 	}
-	c.Stats.Stored++
-	return true
+}
+
+// SetMaxBytes changes the total size that entries may have.
+func (c *Cache) SetMaxBytes(maxBytes int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxBytes = maxBytes
+	c.evict()
 }
 
 // PurgedBetween reports whether a purge after the entry's log index, up to another index, matches the entry.
@@ -322,7 +364,7 @@
 // remove removes an entry from the cache and its indexes. c.mu must be held.
 func (c *Cache) remove(k Key, entry *Entry) {
 	c.lru.Remove(k)
-	c.bytes -= entry.size()
+	c.bytes -= entry.size(k)
 	removeFromIndex(c.byPath, pathKey{k.Host, k.Path}, k)
 	for _, label := range entry.Labels {
 		removeFromIndex(c.byLabel, label, k)
@@ -334,11 +376,7 @@
 	host = strings.ToLower(host)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recentPurges = append(c.recentPurges, purge{index, pathKey{host, path}, label})
-	if len(c.recentPurges) > maxPurges {
-		c.forgottenIndex = c.recentPurges[0].index
-		c.recentPurges = c.recentPurges[1:]
-	}
+	c.rememberPurge(purge{index, pathKey{host, path}, label})
 	matching := c.byLabel[label]
 	if label == "" {
 		matching = c.byPath[pathKey{host, path}]
@@ -351,6 +389,19 @@
 	}
 }
 
+// rememberPurge adds a purge to the latest ones, and forgets the oldest if they are too many. The caller holds the lock.
+func (c *Cache) rememberPurge(p purge) {
+	c.recentPurges = append(c.recentPurges, p)
+	c.purgeBytes += p.size()
+	for len(c.recentPurges) > maxPurges || c.purgeBytes > maxPurgeBytes {
+		oldest := c.recentPurges[0]
+		c.forgottenIndex = oldest.index
+		c.purgeBytes -= oldest.size()
+		c.recentPurges[0] = purge{}
+		c.recentPurges = c.recentPurges[1:]
+	}
+}
+
 // Reset removes all entries, because purges up to the given log index may have been missed.
 func (c *Cache) Reset(index uint64) {
 	c.mu.Lock()
@@ -358,7 +409,7 @@
 	c.lru.Purge()
 	clear(c.byPath)
 	clear(c.byLabel)
-	c.bytes, c.recentPurges, c.forgottenIndex, c.refreshes = 0, nil, index, nil
+	c.bytes, c.recentPurges, c.purgeBytes, c.forgottenIndex, c.refreshes = 0, nil, 0, index, nil
 }
 
 // Size returns the number of entries and their size in bytes.
--- a/internal/cdn/objectcache/objectcache_test.go
+++ b/internal/cdn/objectcache/objectcache_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -185,3 +187,51 @@
 		assert.Equal(t, cache.DueForRefresh(t0.Add(31*time.Second), 9)[0].Requester, c.want, c.name)
 	}
 }
+
+// Entries that were evicted or purged are not kept in memory until the time at which they would have been refreshed, and neither are their
+// refreshes.
+func TestRemovedEntriesAreFreed(t *testing.T) {
+	const cacheBytes, bodyBytes, entries = 4 << 20, 64 << 10, 4000
+	before := liveHeapBytes()
+	c := New(cacheBytes)
+	for i := range entries {
+		k := Key{Service: "s", Host: "a", Path: fmt.Sprint("/", i)}
+		assert.Assert(t, c.Put(k, &Entry{Body: make([]byte, bodyBytes), TTL: time.Hour, ValidatedAt: time.Now()}))
+		if i%2 == 0 {
+			c.Purge(0, k.Host, k.Path, "")
+		}
+	}
+	assert.Assert(t, len(c.refreshes) <= minRefreshes+maxRefreshesPerEntry*c.lru.Len()+1, "%d refreshes", len(c.refreshes))
+	held := liveHeapBytes() - before
+	assert.Assert(t, held < 2*cacheBytes, "%d bytes are held", held)
+	runtime.KeepAlive(c)
+}
+
+// liveHeapBytes returns the bytes of the heap that are in use after a collection.
+func liveHeapBytes() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// A cache whose maximum is lowered evicts at once, and the names of purges are bounded.
+func TestBoundsOfMemory(t *testing.T) {
+	c := New(4 << 20)
+	for i := range 30 {
+		c.Put(Key{Service: "s", Host: "a", Path: fmt.Sprint("/", i)}, &Entry{Body: make([]byte, 64<<10), TTL: time.Hour, ValidatedAt: time.Now()})
+	}
+	c.SetMaxBytes(1 << 20)
+	entries, size := c.Size()
+	assert.Assert(t, size <= 1<<20 && entries > 10, "%d entries of %d bytes", entries, size)
+	c.SetMaxBytes(0)
+	_, size = c.Size()
+	assert.Equal(t, size, int64(0))
+	long := strings.Repeat("x", 16<<10)
+	for i := range 1000 {
+		c.Purge(uint64(i+1), "a", long, "")
+	}
+	assert.Assert(t, c.purgeBytes <= maxPurgeBytes)
+	assert.Assert(t, c.forgottenIndex > 0)
+}
