Malformed calls between processes end their connection and not the process

Cause, found by calls of all methods of which a byte is changed (abuse: "calls whose bytes are changed"): package gob is not made for strangers. - A value of a type that its definition gives no kind is an error the first time, and a nil pointer the second time; net/rpc went on after the first. Two such calls end any of the three programs with status 2. Lists are refused by gob itself. - The kind of a proposal that is not UTF-8 ended a config store: the metrics panic on such a label.

Change: a panic in decoding is an error of the stream, which ends the connection, as does any other error of a message; messages with maps or lists are skipped once before they are decoded, which needs no room; the kind is one of those that exist. Ruled out as too much: another format on the wire. Beside it: senders between core machines, names in what other processes report and routes in metrics are bounded.

A panic while nobody reads the log: the runtime wrote the stacks to a full pipe and hung. Its standard error no longer waits; localnet.TestStacksWithoutReader hung for 10 s before.

Each is convicted by its test: peerrpc.TestMalformedStreams, TestAnnouncedItems, abuse.

--- a/internal/cdn/abuse/abuse_test.go
+++ b/internal/cdn/abuse/abuse_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"flag"
 	"fmt"
 	"maps"
 	"net/http"
@@ -27,16 +28,17 @@
 	os.Exit(m.Run())
 }
 
-const (
-	attackTime        = 1500 * time.Millisecond
-	attackConnections = 300 // on each machine
-	seed              = 1
+const attackConnections = 300 // on each machine
+
+var (
+	attackTime = flag.Duration("attack-time", 1500*time.Millisecond, "how long each kind of abuse lasts")
+	seed       = flag.Uint64("seed", 1, "seed of what is drawn")
 )
 
 // startNetwork starts a network of all three programs, with a configuration in force.
 func startNetwork(t *testing.T) (n *localnet.Network, targets []*localnet.Machine) {
 	t.Helper()
-	n, err := localnet.Start(localnet.Shape{Core: 3, Edges: 1, Stores: 1, Zones: 1, Dir: t.TempDir(), Program: programs.CommandLine, Metrics: true})
+	n, err := localnet.Start(localnet.Shape{Core: 3, Edges: 1, Stores: 1, Zones: 1, Dir: t.TempDir(), Program: programs.CommandLine, Metrics: true, Out: t.Output()})
 	assert.NilError(t, err)
 	t.Cleanup(n.Stop)
 	_, err = n.Serve("server-1", "shop", 200)
@@ -130,12 +132,12 @@
 
 // play plays attacks on some machines at once, and checks the memory of all processes.
 func play(t *testing.T, n *localnet.Network, targets []*localnet.Machine, attacks []Attack, connections int) {
-	ctx, stop := context.WithTimeout(t.Context(), attackTime)
+	ctx, stop := context.WithTimeout(t.Context(), *attackTime)
 	defer stop()
 	var tasks sync.WaitGroup
 	for _, m := range targets {
 		for _, attack := range attacks {
-			tasks.Go(func() { attack.Run(ctx, m, connections, seed) })
+			tasks.Go(func() { attack.Run(ctx, m, connections, *seed) })
 		}
 	}
 	tasks.Wait()
@@ -144,6 +146,7 @@
 		t.Logf("%s: %d MB", name, peaks[name]>>20)
 		assert.Check(t, peaks[name] <= localnet.MemoryMB<<20, "%s held %d MB", name, peaks[name]>>20)
 	}
+	assert.Equal(t, len(n.UnexpectedEnds()), 0, "%v", n.UnexpectedEnds())
 }
 
 // put puts a configuration, which must be acknowledged.
--- a/internal/cdn/abuse/attacks.go
+++ b/internal/cdn/abuse/attacks.go
@@ -4,14 +4,22 @@
 	"bytes"
 	"encoding/gob"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
+	"slices"
 	"strings"
 
 	"cedarmast/internal/cdn/clusterstate"
+	"cedarmast/internal/cdn/configstore"
 	"cedarmast/internal/cdn/consensus"
+	"cedarmast/internal/cdn/edge"
 	"cedarmast/internal/cdn/localnet"
+	"cedarmast/internal/cdn/objectcache"
+	"cedarmast/internal/cdn/peerrpc"
+	"cedarmast/internal/cdn/peersampling"
+	"cedarmast/internal/cdn/usage"
 )
 
 const (
@@ -25,6 +33,7 @@
 	announcedMessage = 900 << 20
 	allowedMessage   = 8 << 20
 	maxGarbageBytes  = 64 << 10
+	changedCalls     = 40 // on one connection
 )
 
 // Attacks are all kinds of abuse.
@@ -42,9 +51,42 @@
 	{"messages of 8 MB that stop before their end", peerAddresses, sendPartOfMessage(allowedMessage)},
 	{"messages with a million empty items", peerAddresses, sendEmptyItems},
 	{"calls for the whole state that nobody reads", peerAddresses, sendUnreadCalls},
+	{"calls whose bytes are changed", peerAddresses, sendChangedCalls},
+	{"requests whose bytes are changed", httpAddresses, sendChangedRequests},
 	{"garbage", allAddresses, sendGarbage},
 }
 
+// calls are arguments of the methods that processes offer each other.
+var calls = map[string]any{
+	"ConfigStore.Deliver": []consensus.Message{{From: "127.0.0.1", Addr: "127.0.0.1:1", Append: &consensus.Append{Entries: []consensus.Entry{{Index: 1, Term: 1, Data: []byte("{}")}}}},
+		{Join: &consensus.Join{}}, {Vote: &consensus.VoteRequest{}}, {Piece: &consensus.SnapshotPiece{Size: 10, Data: []byte("{}")}}},
+	"ConfigStore.Propose":   configstore.Proposal{Data: []byte(`{"purge":{"Tag":"a"}}`), Kind: "purge", WaitMS: 10, Ticket: 1},
+	"ConfigStore.Barrier":   configstore.Asked{WaitMS: 10, Ticket: 2},
+	"ConfigStore.Manifest":  configstore.Asked{WaitMS: 10, Ticket: 3},
+	"ConfigStore.News":      clusterstate.Ask{Have: 1, HoldMS: 10, Router: clusterstate.Router{Node: "a", Zone: "b", Address: "127.0.0.1:1", Weight: 1}},
+	"ConfigStore.Heard":     []string{"a", "b"},
+	"ConfigStore.Need":      clusterstate.Needs{Node: "a", Per: map[string]float64{"shop": 1}},
+	"ConfigStore.Usage":     usage.Report{Node: "a", Life: "b", Sequence: 1, Windows: map[int64]usage.Counts{1: {"t": 1}}},
+	"ConfigStore.UsageSums": true,
+	"ConfigStore.Silent":    configstore.Silence{Names: []string{"a"}},
+	"ConfigStore.Status":    true,
+	"Edge.Fetch":            edge.Fetch{Key: objectcache.Key{Service: "shop", Host: "shop.example", Path: "/shelved/1"}, Target: "/shelved/1", LeftMS: 10, Route: "r-shelved"},
+	"Edge.Piece":            edge.Piece{Key: objectcache.Key{Service: "shop", Host: "shop.example", Path: "/shelved/1"}, ETag: "a", Total: 10, N: 5},
+	"Edge.News":             clusterstate.Ask{Have: 1},
+	"Edge.Mingle":           []peersampling.Neighbour{{}},
+	"Edge.PassUsage":        usage.Report{Node: "a", Life: "b"},
+	"Peer.GiveUp":           peerrpc.CallID(1),
+	"Peer.Word":             true,
+}
+
+// requests are proper requests.
+const requests = "GET /shelved/1 HTTP/1.1\r\nHost: shop.example\r\nTry-Id: a\r\nTime-Left: 500\r\nRange: bytes=1-2\r\n\r\n" +
+	"POST /once_only/1 HTTP/1.1\r\nHost: shop.example\r\nTry-Id: b\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n" +
+	"GET /ready HTTP/1.1\r\nHost: a\r\n\r\nGET /manifest HTTP/1.1\r\nHost: a\r\n\r\nGET /metrics HTTP/1.1\r\nHost: a\r\n\r\n" +
+	"PUT /servers/x HTTP/1.1\r\nHost: a\r\nContent-Length: 116\r\n\r\n" +
+	`{"id":"x","carrier":"other","address":"127.0.0.1:1","zone":"z","berths":1,"state":"open","warmup":"0ms","postmark":1}` +
+	"POST /purge HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n" + `{"tag":"a"}`
+
 func clientAddresses(m *localnet.Machine) []string {
 	if m.Core || m.Store {
 		return nil
@@ -169,6 +211,40 @@
 	write(conn, stream.Bytes())
 }
 
+// sendChangedCalls makes calls of all methods, some of whose bytes are changed.
+func sendChangedCalls(conn net.Conn, rng *rand.Rand) {
+	var stream bytes.Buffer
+	encoder := gob.NewEncoder(&stream)
+	methods := slices.Sorted(maps.Keys(calls))
+	for number := range uint64(changedCalls) {
+		method := methods[rng.IntN(len(methods))]
+		encoder.Encode(&rpc.Request{ServiceMethod: method, Seq: number})
+		encoder.Encode(calls[method])
+		if !write(conn, changed(stream.Bytes(), rng)) {
+			return
+		}
+		stream.Reset()
+	}
+}
+
+// sendChangedRequests sends requests, some of whose bytes are changed.
+func sendChangedRequests(conn net.Conn, rng *rand.Rand) {
+	for range changedCalls {
+		if !write(conn, changed([]byte(requests), rng)) {
+			return
+		}
+	}
+}
+
+// changed returns bytes of which one is changed half of the time.
+func changed(data []byte, rng *rand.Rand) []byte {
+	out := bytes.Clone(data)
+	if rng.IntN(2) == 0 {
+		out[rng.IntN(len(out))] = byte(rng.Uint32())
+	}
+	return out
+}
+
 // sendGarbage sends random bytes.
 func sendGarbage(conn net.Conn, rng *rand.Rand) {
 	garbage := make([]byte, 1+rng.IntN(maxGarbageBytes))
--- a/internal/cdn/cancellation/tracker.go
+++ b/internal/cdn/cancellation/tracker.go
@@ -4,6 +4,7 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
@@ -11,8 +12,9 @@
 
 // maxStatsKeys is the maximum number of keys with statistics of their own. Later routes share those of otherRoutes.
 const (
-	maxStatsKeys = 256
-	otherRoutes  = "other"
+	maxStatsKeys  = 256
+	maxRouteBytes = 256
+	otherRoutes   = "other"
 )
 
 // Tracker tracks the callers of a process and counts them by kind and route. It is a prometheus.Collector that creates its metrics
@@ -164,7 +166,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.byKey) >= maxStatsKeys {
+	if len(t.byKey) >= maxStatsKeys || len(key.route) > maxRouteBytes || !utf8.ValidString(key.route) { // other processes name routes as well
 		key.route = otherRoutes
 	}
 	if stats = t.byKey[key]; stats == nil {
--- a/internal/cdn/clusterstate/clusterstate.go
+++ b/internal/cdn/clusterstate/clusterstate.go
@@ -169,6 +169,18 @@
 	return "none"
 }
 
+// kinds are the values of Command.Kind.
+var kinds = []string{"configuration", "closing", "server", "leave", "lost", "purge", "enrol", "absent", "appoint", "cut", "fix usage",
+	"usage taken", "none"}
+
+// KnownKind returns a kind that another process has named if it is one of Command.Kind, and "none" otherwise.
+func KnownKind(kind string) string {
+	if slices.Contains(kinds, kind) {
+		return kind
+	}
+	return "none"
+}
+
 // Encode returns a command as it is written to the log.
 func (c Command) Encode() []byte {
 	text, err := json.Marshal(c)
--- a/internal/cdn/configstore/presence.go
+++ b/internal/cdn/configstore/presence.go
@@ -19,6 +19,7 @@
 	serverKeyPrefix    = "server "              // prefix of server IDs in maps that also hold cache routers
 	maxTracked         = 1 << 16                // limit of seenHere when servers are added, and of demand
 	maxRouters         = 4096                   // limit of the roster: further routers are not listed
+	maxSeenBytes       = 256                    // of the name of a router or server that another machine reports
 	maxDemandItems     = 1 << 16                // services in all routers' demand
 	usageWarmup        = 2 * time.Second        // a process that started more recently may lack the reports of some proxies
 )
@@ -74,7 +75,9 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, node := range seen {
-		v.presence.seenElsewhere[node] = time.Now()
+		if len(v.presence.seenElsewhere) < maxTracked && len(node) <= maxSeenBytes {
+			v.presence.seenElsewhere[node] = time.Now()
+		}
 	}
 }
 
@@ -175,7 +178,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, id := range ids {
-		if len(v.presence.seenHere) < maxTracked {
+		if len(v.presence.seenHere) < maxTracked && clusterstate.CheckName(id) == nil {
 			v.presence.seenHere[serverKeyPrefix+id] = now
 		}
 	}
--- a/internal/cdn/configstore/service.go
+++ b/internal/cdn/configstore/service.go
@@ -87,7 +87,9 @@
 	defer cancel()
 	if !p.Forwarded { // measured once, by the config store that received it first
 		received, leaderStable := time.Now(), s.view.leaderStableFor(time.Now(), s.settings.Limits.Contact)
-		defer func() { s.acknowledgements.observe(p.Kind, *r, leaderStable, time.Since(received)) }()
+		defer func() {
+			s.acknowledgements.observe(clusterstate.KnownKind(p.Kind), *r, leaderStable, time.Since(received))
+		}()
 	}
 	_, err := s.callLeader(ctx, p.Forwarded, func() bool {
 		reply, err := callLoop(ctx, s.Store, s.proposals, p.Data)
--- a/internal/cdn/configstore/store.go
+++ b/internal/cdn/configstore/store.go
@@ -62,8 +62,8 @@
 	done      chan struct{}
 	loopErr   error // the error that ended the loop; valid once done is closed
 
-	sendQueues     map[string]chan consensus.Message // outgoing messages by address; owned by the loop goroutine
-	lastSeeds      []string                          // the seeds that were last passed to the machine
+	sendQueues     map[string]*sendQueue // outgoing messages by address; owned by the loop goroutine
+	lastSeeds      []string              // the seeds that were last passed to the machine
 	barrierBatcher barrierBatcher
 }
 
@@ -73,6 +73,17 @@
 	reservation *admission.Reservation // until the loop has taken them
 }
 
+// sendQueue holds the outgoing messages for one address.
+type sendQueue struct {
+	messages chan consensus.Message
+	usedAt   time.Time
+}
+
+const (
+	sendQueueLength = 64
+	maxSendQueues   = 64 // far more than there are core machines
+)
+
 // loopRequest is a request to the loop goroutine, which calls reply with the result.
 type loopRequest[T any] struct {
 	data  []byte
@@ -99,7 +110,7 @@
 	}
 	s := &Store{settings: settings, log: log, peers: peerrpc.NewPeers(), memory: admission.NewMemory(settings.MemoryMB, admission.ConfigStoreShares), inbox: make(chan delivery, 256),
 		proposals: make(chan loopRequest[Reply], 1024), barriers: make(chan loopRequest[Barrier], 256), quit: make(chan struct{}),
-		done: make(chan struct{}), sendQueues: map[string]chan consensus.Message{}, callers: cancellation.NewTracker(),
+		done: make(chan struct{}), sendQueues: map[string]*sendQueue{}, callers: cancellation.NewTracker(),
 		clock: truetime.New(time.Now(), true), acknowledgements: newAcknowledgements(log)}
 	s.callers.LogViolations(log)
 	s.peers.DialPatience = dialTimeout
@@ -283,22 +294,42 @@
 func (s *Store) send(m consensus.Message) {
 	queue := s.sendQueues[m.ToAddr]
 	if queue == nil {
-		queue = make(chan consensus.Message, 64)
+		if len(s.sendQueues) >= maxSendQueues {
+			s.closeOldestQueue()
+		}
+		queue = &sendQueue{messages: make(chan consensus.Message, sendQueueLength)}
 		s.sendQueues[m.ToAddr] = queue
-		go s.runSender(m.ToAddr, queue)
+		go s.runSender(m.ToAddr, queue.messages)
 	}
+	queue.usedAt = time.Now()
 	select {
-	case queue <- m:
+	case queue.messages <- m:
 	default:
 	}
 }
 
+// closeOldestQueue ends the sender that was not used for longest: its machine is gone, or was never there, for any process can name itself
+// in a message that is answered.
+func (s *Store) closeOldestQueue() {
+	oldest := ""
+	for address, queue := range s.sendQueues {
+		if oldest == "" || queue.usedAt.Before(s.sendQueues[oldest].usedAt) {
+			oldest = address
+		}
+	}
+	close(s.sendQueues[oldest].messages)
+	delete(s.sendQueues, oldest)
+}
+
 // runSender delivers the queued messages of one address in batches until the loop ends.
 func (s *Store) runSender(address string, queue <-chan consensus.Message) {
 	peer := s.peers.At(address)
 	for {
 		select {
-		case m := <-queue:
+		case m, open := <-queue:
+			if !open {
+				return
+			}
 			messages := append([]consensus.Message{m}, drainMessages(queue)...)
 			ctx, cancel := context.WithTimeout(context.Background(), deliverTimeout)
 			_, err := peerrpc.Call[[]consensus.Message, bool](ctx, peer, "ConfigStore.Deliver", &messages)
@@ -316,7 +347,10 @@
 func drainMessages(queue <-chan consensus.Message) (messages []consensus.Message) {
 	for len(messages) < cap(queue) {
 		select {
-		case m := <-queue:
+		case m, open := <-queue:
+			if !open {
+				return messages
+			}
 			messages = append(messages, m)
 		default:
 			return messages
--- a/internal/cdn/localnet/ends_test.go
+++ b/internal/cdn/localnet/ends_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -80,6 +82,25 @@
 	}
 }
 
+// A process that is told to end with its stacks, as a panic ends one, ends also if nobody reads its log and the pipe is full.
+func TestStacksWithoutReader(t *testing.T) {
+	n := Shape{Core: 1, Edges: 1, DrawLogReader: func() LogReader { return LogReader{Stalls: true} }}.startForTest(t)
+	serves(t, n) // with --log trace that fills the pipe
+	for _, m := range n.Machines {
+		m.mu.Lock()
+		processes := slices.Collect(maps.Values(m.processes))
+		m.mu.Unlock()
+		n.Signal(m, syscall.SIGQUIT)
+		for _, p := range processes {
+			select {
+			case <-p.ended:
+			case <-time.After(10 * time.Second):
+				t.Fatalf("%s hangs", p.name)
+			}
+		}
+	}
+}
+
 // Successors that are started while their predecessors run take over once those have ended, with all that was acknowledged meanwhile: the
 // config store's successor opened its predecessor's journal, began a new generation and ended.
 func TestSuccessorsWaitForPredecessors(t *testing.T) {
--- a/internal/cdn/peerrpc/frames.go
+++ b/internal/cdn/peerrpc/frames.go
@@ -21,8 +21,7 @@
 	frameBufferBytes     = 4 << 10
 	frameTimeout         = 10 * time.Second // for the next part of a message to arrive
 	maxNumberBytes       = 8
-	maxDefinitionBytes   = 16 << 10 // of the definition of a type
-	maxQueuedBytes       = 64 << 10 // of definitions that no value has followed yet
+	maxDefinitionBytes   = 16 << 10 // of the definitions of all types on a connection
 	frameGrowth          = 8        // factor by which the buffer of a message grows
 	emptyItemBytes       = 128      // an item of a list or map that takes a byte in a message may take this much once it is decoded
 	structuredExpansion  = 24       // bytes that a byte of names and numbers may take once it is decoded
@@ -58,43 +57,50 @@
 
 // frameReader passes the messages of a gob stream on to a gob.Decoder.
 type frameReader struct {
-	conn    net.Conn
-	reader  *bufio.Reader
-	queued  []byte   // definitions of types that no value has followed yet
-	pending [][]byte // what the decoder has not read of the messages that were passed on
+	conn        net.Conn
+	reader      *bufio.Reader
+	definitions []byte    // of all types that the connection has brought
+	passedOn    int       // bytes of those that were passed on to the decoder
+	message     [][]byte  // the value that was passed on last
+	pending     byteParts // what the decoder has not read yet
 }
 
-func newFrameReader(conn net.Conn) *frameReader {
-	return &frameReader{conn: conn, reader: bufio.NewReaderSize(conn, frameBufferBytes)}
-}
+// byteParts are bytes that a decoder reads. They implement io.ByteReader, so that the decoder does not buffer.
+type byteParts [][]byte
 
-// Read implements io.Reader for the decoder, which reads what Next has passed on.
-func (f *frameReader) Read(b []byte) (int, error) {
-	if len(f.pending) == 0 {
+// Read implements io.Reader.
+func (p *byteParts) Read(b []byte) (int, error) {
+	p.dropEmpty()
+	if len(*p) == 0 {
 		return 0, io.EOF
 	}
-	n := copy(b, f.pending[0])
-	f.consume(n)
+	n := copy(b, (*p)[0])
+	(*p)[0] = (*p)[0][n:]
 	return n, nil
 }
 
-// ReadByte implements io.ByteReader, so that the decoder does not buffer.
-func (f *frameReader) ReadByte() (byte, error) {
-	if len(f.pending) == 0 {
+// ReadByte implements io.ByteReader.
+func (p *byteParts) ReadByte() (byte, error) {
+	p.dropEmpty()
+	if len(*p) == 0 {
 		return 0, io.EOF
 	}
-	first := f.pending[0][0]
-	f.consume(1)
+	first := (*p)[0][0]
+	(*p)[0] = (*p)[0][1:]
 	return first, nil
 }
 
-// consume drops bytes that the decoder has read.
-func (f *frameReader) consume(n int) {
-	if f.pending[0] = f.pending[0][n:]; len(f.pending[0]) == 0 {
-		f.pending = f.pending[1:]
+// dropEmpty drops the parts that have been read.
+func (p *byteParts) dropEmpty() {
+	for len(*p) > 0 && len((*p)[0]) == 0 {
+		*p = (*p)[1:]
 	}
 }
 
+func newFrameReader(conn net.Conn) *frameReader {
+	return &frameReader{conn: conn, reader: bufio.NewReaderSize(conn, frameBufferBytes)}
+}
+
 // Next reads messages up to the next value and returns that one's length. It charges the value to the reservation. If there is no room for
 // it, it is read and dropped, and the error is admission.ErrNoRoom: the stream goes on behind it. Other errors end the stream.
 func (f *frameReader) Next(limits messageLimits, reservation *admission.Reservation) (int, error) {
@@ -110,23 +116,23 @@
 		switch {
 		case err != nil:
 			return 0, err
-		case isDefinition && (length > maxDefinitionBytes || len(f.queued) > maxQueuedBytes), length == 0, length > uint64(limits.maxBytes):
+		case isDefinition && uint64(len(f.definitions))+length > maxDefinitionBytes, length == 0, length > uint64(limits.maxBytes):
 			return 0, errMessageTooLong
 		}
 		if !isDefinition {
 			return f.passOn(prefix, int64(length), limits, reservation)
 		}
-		if err := f.queueDefinition(prefix, int(length)); err != nil {
+		if err := f.readDefinition(prefix, int(length)); err != nil {
 			return 0, err
 		}
 	}
 }
 
-// queueDefinition reads the definition of a type. It is passed on with the next value.
-func (f *frameReader) queueDefinition(prefix []byte, length int) error {
-	start := len(f.queued) + len(prefix)
-	f.queued = append(append(f.queued, prefix...), make([]byte, length)...)
-	return f.readFull(f.queued[start:])
+// readDefinition reads the definition of a type. It is passed on with the next value.
+func (f *frameReader) readDefinition(prefix []byte, length int) error {
+	start := len(f.definitions) + len(prefix)
+	f.definitions = append(append(f.definitions, prefix...), make([]byte, length)...)
+	return f.readFull(f.definitions[start:])
 }
 
 // readFull fills a buffer, within frameTimeout.
@@ -145,8 +151,9 @@
 	if err != nil {
 		return 0, err
 	}
-	f.pending = [][]byte{append(f.queued, prefix...), data}
-	f.queued = nil
+	f.message = [][]byte{prefix, data}
+	f.pending = byteParts{f.definitions[f.passedOn:], prefix, data}
+	f.passedOn = len(f.definitions)
 	return int(length), nil
 }
 
--- a/internal/cdn/peerrpc/limits_test.go
+++ b/internal/cdn/peerrpc/limits_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/rpc"
+	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -29,6 +31,14 @@
 // Names is an RPC method.
 func (echo) Names(names *[]string, count *int) error { *count = len(*names); return nil }
 
+// Counts is an RPC method.
+func (echo) Counts(counts *map[string]int, sum *int) error {
+	for _, count := range *counts {
+		*sum += count
+	}
+	return nil
+}
+
 // listenEcho serves the echo service and returns its address.
 func listenEcho(t *testing.T, options Options) string {
 	t.Helper()
@@ -93,12 +103,52 @@
 	awaitReleased(t, options.Memory.Messages)
 }
 
+// A message that announces far more items of a map or a list than it has is refused before room is made for them.
+func TestAnnouncedItems(t *testing.T) {
+	for method, arguments := range map[string]any{"Echo.Counts": map[string]int{"a": 1}, "Echo.Names": []string{"a"}} {
+		address := listenEcho(t, testOptions())
+		var stream bytes.Buffer
+		encoder := gob.NewEncoder(&stream)
+		encoder.Encode(&rpc.Request{ServiceMethod: method, Seq: 1})
+		encoder.Encode(arguments)
+		whole := stream.Bytes()
+		message := bytes.LastIndex(whole, []byte{0, 1, 1, 'a'}) // no struct, one item, a text of one byte
+		length, hugeCount := message-3, []byte{0xfc, 0x20, 0, 0, 0}
+		changed := slices.Concat(whole[:message+1], hugeCount, whole[message+2:])
+		changed[length] += byte(len(hugeCount) - 1)
+		before := allocatedBytes()
+		conn, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		conn.SetDeadline(time.Now().Add(10 * time.Second))
+		_, err = conn.Write(changed)
+		assert.NilError(t, err)
+		answer, _ := io.ReadAll(conn)
+		assert.Assert(t, bytes.Contains(answer, []byte("EOF")) || bytes.Contains(answer, []byte("exceeds input")), "%s: %q", method, answer)
+		assert.Assert(t, allocatedBytes()-before < 4<<20, "%s: %d bytes were allocated", method, allocatedBytes()-before)
+		conn.Close()
+	}
+}
+
+// allocatedBytes returns how many bytes have been allocated since the start of the process.
+func allocatedBytes() uint64 {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.TotalAlloc
+}
+
 // Messages that are too long, and what is no message, end their connection. What was only announced is never charged.
 func TestMalformedStreams(t *testing.T) {
 	options := testOptions()
 	address := listenEcho(t, options)
-	var header bytes.Buffer
+	var header, unknown bytes.Buffer
 	gob.NewEncoder(&header).Encode(&rpc.Request{ServiceMethod: "Echo.Bulk", Seq: 1})
+	encoder := gob.NewEncoder(&unknown)
+	encoder.Encode(&rpc.Request{ServiceMethod: "Echo.Unknown", Seq: 1})
+	end := unknown.Len()
+	encoder.Encode(&rpc.Request{ServiceMethod: "Echo.Unknown", Seq: 2})
+	unknownAgain := bytes.Clone(unknown.Bytes()[end:])
+	unknown.Truncate(end)
+	typeWithoutKind := []byte{3, 0xff, 0x8b, 0, 4, 0xff, 0x8c, 0, 1} // at the second value package gob panics
 	for name, stream := range map[string][]byte{
 		"a header of 900 MB":       {0xfc, 0x38, 0x40, 0, 0, 2},
 		"a body of 900 MB":         append(header.Bytes(), 0xfc, 0x38, 0x40, 0, 0, 2),
@@ -109,6 +159,7 @@
 		"bytes that are no gob":    []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"),
 		"a header that is no gob":  {3, 2, 0xff, 0xff, 0, 0, 0},
 		"a value before its type":  {4, 0xfe, 0x01, 0x00, 0},
+		"a type without a kind":    slices.Concat(unknown.Bytes(), typeWithoutKind, unknownAgain, typeWithoutKind[4:]),
 		"a length that is cut off": {0xfc, 0x38},
 	} {
 		conn, err := net.Dial("tcp", address)
--- a/internal/cdn/peerrpc/peerrpc.go
+++ b/internal/cdn/peerrpc/peerrpc.go
@@ -218,7 +218,7 @@
 	}
 	p.dialTimedOutAt = time.Time{}
 	conn := &countingConn{Conn: c, peer: p}
-	p.conn = &peerConn{client: rpc.NewClient(conn), conn: conn}
+	p.conn = &peerConn{client: newClient(conn), conn: conn}
 	return p.conn, nil
 }
 
--- a/internal/cdn/peerrpc/server.go
+++ b/internal/cdn/peerrpc/server.go
@@ -96,6 +96,7 @@
 	onEnd    func() // called when no further call can be read
 	frames   *frameReader
 	decoder  *gob.Decoder
+	checker  streamChecker
 	replies  replyStream            // used by one goroutine at a time
 	retained *admission.Reservation // of the message that the decoder keeps; used by the reading goroutine alone
 	reading  *serverCall            // whose arguments are read next; used by the reading goroutine alone
@@ -116,7 +117,7 @@
 func newServerCodec(conn net.Conn, options Options, session *Session, onEnd func()) *serverCodec {
 	c := &serverCodec{conn: conn, options: options, session: session, onEnd: onEnd, frames: newFrameReader(conn),
 		replies: replyStream{defined: map[uint64]bool{}}, calls: map[uint64]*serverCall{}, retained: options.Memory.Messages.Reserve()}
-	c.decoder = gob.NewDecoder(c.frames)
+	c.decoder = gob.NewDecoder(&c.frames.pending)
 	return c
 }
 
@@ -147,7 +148,7 @@
 		return err
 	}
 	c.retained.Release()
-	return c.decoder.Decode(request)
+	return decode(c.decoder, request)
 }
 
 // ReadRequestBody implements rpc.ServerCodec. An error is the reply to this call, and the next one is read.
@@ -160,8 +161,8 @@
 		}
 		return err
 	}
-	if err := c.decoder.Decode(arguments); err != nil {
-		return err
+	if c.failed = c.decodeArguments(arguments); c.failed != nil {
+		return c.failed
 	}
 	c.retained.Release()
 	c.retained = reservation.Split(int64(length))
@@ -177,6 +178,17 @@
 	return reservation.Grow(callBytes)
 }
 
+// decodeArguments decodes the message that was read last.
+func (c *serverCodec) decodeArguments(arguments any) error {
+	if mustCheck(arguments) {
+		if err := c.checker.check(c.frames.definitions, c.frames.message); err != nil {
+			return err
+		}
+	}
+	c.frames.message = nil
+	return decode(c.decoder, arguments)
+}
+
 // limits returns the bounds of the arguments of the call that is read.
 func (c *serverCodec) limits() messageLimits {
 	if maxBytes, bulk := c.options.MaxBulkBytes[c.method]; bulk {
--- a/internal/cdn/process/process.go
+++ b/internal/cdn/process/process.go
@@ -54,7 +54,7 @@
 
 // Main parses the command line, runs the program and ends the process. The last line of its log says why it ends.
 func Main(p Program) {
-	output := logwriter.New(os.Stderr)
+	output := logwriter.New(logOutput())
 	stdlog.SetOutput(output) // package net/rpc and HTTP servers without a log of their own use it
 	err := p.command(output).Run(context.Background(), os.Args)
 	status := 0
