Soak: strangers abuse all ports, and no process may hold more than its memory

Cause: neither soak nor tests ever looked at memory, and all that they sent was proper; 521 to 619 MB of 256 went unseen. Change: one machine after the other is abused (heads, bodies and messages that go on or stop, answers that nobody reads, garbage) beside clients, faults and changes; what would be understood as another process's word is left to package abuse alone.

--- a/internal/cdn/abuse/abuse.go
+++ b/internal/cdn/abuse/abuse.go
@@ -25,6 +25,9 @@
 	Addresses func(m *localnet.Machine) []string
 	// Send sends on one connection until it fails, or there is no more to send. The connection is held open afterwards.
 	Send func(conn net.Conn, rng *rand.Rand)
+	// SpeaksAsPeer means that some of what is sent is understood as another process's, server's or operator's, and changes what the network
+	// holds.
+	SpeaksAsPeer bool
 }
 
 // Run plays an attack on a machine from so many connections at once, until the context ends. Connections that the process closes are
--- a/internal/cdn/abuse/attacks.go
+++ b/internal/cdn/abuse/attacks.go
@@ -38,22 +38,22 @@
 
 // Attacks are all kinds of abuse.
 var Attacks = []Attack{
-	{"heads with long lines", httpAddresses, sendLongLines},
-	{"heads with short lines", httpAddresses, sendShortLines},
-	{"bodies of 256 KB that stop before their end", clientAddresses, sendShortBody},
-	{"bodies in chunks that go on", clientAddresses, sendEndlessBody("POST /resendable/1", "shop.example")},
-	{"requests whose answers nobody reads", clientAddresses, sendUnread("GET /resendable/1", "shop.example")},
-	{"configurations in chunks that go on", controlAddresses, sendEndlessBody("PUT /manifest", "control")},
-	{"configurations that stop before their end", controlAddresses, sendPartOfManifest},
-	{"reads of the configuration that nobody reads", controlAddresses, sendUnread("GET /manifest", "control")},
-	{"metrics that nobody reads", metricsAddresses, sendUnread("GET /metrics", "metrics")},
-	{"messages of 900 MB", peerAddresses, sendPartOfMessage(announcedMessage)},
-	{"messages of 8 MB that stop before their end", peerAddresses, sendPartOfMessage(allowedMessage)},
-	{"messages with a million empty items", peerAddresses, sendEmptyItems},
-	{"calls for the whole state that nobody reads", peerAddresses, sendUnreadCalls},
-	{"calls whose bytes are changed", peerAddresses, sendChangedCalls},
-	{"requests whose bytes are changed", httpAddresses, sendChangedRequests},
-	{"garbage", allAddresses, sendGarbage},
+	{Name: "heads with long lines", Addresses: httpAddresses, Send: sendLongLines},
+	{Name: "heads with short lines", Addresses: httpAddresses, Send: sendShortLines},
+	{Name: "bodies of 256 KB that stop before their end", Addresses: clientAddresses, Send: sendShortBody},
+	{Name: "bodies in chunks that go on", Addresses: clientAddresses, Send: sendEndlessBody("POST /resendable/1", "shop.example")},
+	{Name: "requests whose answers nobody reads", Addresses: clientAddresses, Send: sendUnread("GET /resendable/1", "shop.example")},
+	{Name: "configurations in chunks that go on", Addresses: controlAddresses, Send: sendEndlessBody("PUT /manifest", "control")},
+	{Name: "configurations that stop before their end", Addresses: controlAddresses, Send: sendPartOfManifest},
+	{Name: "reads of the configuration that nobody reads", Addresses: controlAddresses, Send: sendUnread("GET /manifest", "control")},
+	{Name: "metrics that nobody reads", Addresses: metricsAddresses, Send: sendUnread("GET /metrics", "metrics")},
+	{Name: "messages of 900 MB", Addresses: peerAddresses, Send: sendPartOfMessage(announcedMessage)},
+	{Name: "messages of 8 MB that stop before their end", Addresses: peerAddresses, Send: sendPartOfMessage(allowedMessage)},
+	{Name: "messages with a million empty items", Addresses: peerAddresses, Send: sendEmptyItems, SpeaksAsPeer: true},
+	{Name: "calls for the whole state that nobody reads", Addresses: peerAddresses, Send: sendUnreadCalls},
+	{Name: "calls whose bytes are changed", Addresses: peerAddresses, Send: sendChangedCalls, SpeaksAsPeer: true},
+	{Name: "requests whose bytes are changed", Addresses: httpAddresses, Send: sendChangedRequests, SpeaksAsPeer: true},
+	{Name: "garbage", Addresses: allAddresses, Send: sendGarbage},
 }
 
 // calls are arguments of the methods that processes offer each other.
--- a/internal/cdn/soak/checks.go
+++ b/internal/cdn/soak/checks.go
@@ -53,6 +53,7 @@
 	s.checkKeys()
 	s.checkServing(ctx)
 	s.checkEnds()
+	s.checkMemory()
 	rec := s.recorder
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
--- a/internal/cdn/soak/soak.go
+++ b/internal/cdn/soak/soak.go
@@ -123,6 +123,7 @@
 	tasks.Go(func() { s.operators.runReads(dayCtx) })
 	tasks.Go(func() { s.runReplacements(dayCtx) })
 	tasks.Go(func() { s.hangServer(dayCtx) })
+	tasks.Go(func() { s.runAbuse(dayCtx) })
 	tasks.Wait()
 	s.faultsOver.Store(true)
 	return s.evaluate(ctx, len(faults))
