Tests of budgets: replies, answers of servers, commands, and the cache that makes room

Each fails without its bound: a reply without room is an error of its call alone and frees what it reserved, also when its method fails; a response without room fails its attempt; commands that would add more to the state than it may hold are refused whoever proposes them; the cache shrinks by what callers hold beyond a twelfth of the memory.

--- a/internal/cdn/clusterstate/admission_test.go
+++ b/internal/cdn/clusterstate/admission_test.go
@@ -242,3 +242,42 @@
 	assert.Equal(t, string(text), string(want))
 	return restarted
 }
+
+// Commands that would add more to the state than it may hold are refused, whoever proposes them; what is in the state already is not.
+func TestCommandsAreBounded(t *testing.T) {
+	long := strings.Repeat("x", maxNameBytes+1)
+	server := Server{ID: "i-1", Service: "shop", Address: "10.0.0.1:80", State: ServerOpen}
+	h := NewHistory(New())
+	h.State.Servers["i-1"] = server
+	change := func(edit func(*Server)) Command {
+		s := server
+		edit(&s)
+		return Command{Server: &s}
+	}
+	var many []Router
+	for i := range 2*maxRouters + 1 {
+		many = append(many, Router{Node: fmt.Sprint("r-", i)})
+	}
+	cases := []struct {
+		name    string
+		command Command
+		refused bool
+	}{
+		{"a heartbeat of a listed server", Command{Server: &server}, false},
+		{"a server too many", change(func(s *Server) { s.ID = "i-2" }), true},
+		{"a long zone", change(func(s *Server) { s.Zone = long }), true},
+		{"a long edition", change(func(s *Server) { s.Edition = long }), true},
+		{"a long carrier", change(func(s *Server) { s.Service = long }), true},
+		{"a long name that leaves", Command{Leave: long}, true},
+		{"a long name that is lost", Command{Lost: long}, true},
+		{"a router", Command{Enrol: []Router{{Node: "r"}}}, false},
+		{"a router without a name", Command{Enrol: []Router{{}}}, true},
+		{"a router with a long address", Command{Enrol: []Router{{Node: "r", Address: long}}}, true},
+		{"routers too many", Command{Enrol: many}, true},
+		{"a purge", Command{Purge: &Purge{Tag: "a"}}, false},
+	}
+	for _, c := range cases {
+		assert.Equal(t, h.CheckProposal(c.command, 1) != nil, c.refused, c.name)
+	}
+	assert.NilError(t, h.CheckProposal(change(func(s *Server) { s.ID = "i-2" }), 0))
+}
--- a/internal/cdn/clusterstate/news.go
+++ b/internal/cdn/clusterstate/news.go
@@ -171,12 +171,15 @@
 	return first == 0 && (len(h.changes) == 0 || have == 0 || h.changes[0].Index != have+1)
 }
 
-// WholeBytes returns about how many bytes the whole state takes, if Since would return that; otherwise 0.
-func (h *History) WholeBytes(have uint64) int64 {
+// transferCopies is how often a whole state is held while it is sent: as a clone, encoded, and on its way.
+const transferCopies = 3
+
+// TransferBytes returns about how many bytes it takes to send the whole state, if Since would return that; otherwise 0.
+func (h *History) TransferBytes(have uint64) int64 {
 	if have >= h.State.Index || !h.lacksChangesSince(h.firstAfter(have), have) {
 		return 0
 	}
-	return h.State.SizeBytes()
+	return transferCopies * h.State.SizeBytes()
 }
 
 // Since returns the changes after the index have, or the first part of them; Index in the result is where all of them lead. If the changes
--- a/internal/cdn/configstore/service.go
+++ b/internal/cdn/configstore/service.go
@@ -18,9 +18,6 @@
 // errUsageIncomplete is returned while the proxies have not had enough time to report their counts to this process.
 var errUsageIncomplete = errors.New("proxies have not reported their usage yet")
 
-// wholeStateCopies is how often a whole state is held while it is sent: as a clone, encoded, and on its way.
-const wholeStateCopies = 3
-
 // service is the RPC service "ConfigStore" of one connection. Its exported methods have the signature that net/rpc requires.
 type service struct {
 	*Store
@@ -185,10 +182,8 @@
 			return s.view.history.State.Index > a.Have || !s.view.isCurrent(time.Now())
 		})
 	}
-	if whole := s.view.wholeBytes(a.Have); whole > 0 {
-		if err := s.session.ReserveReply(n, wholeStateCopies*whole); err != nil { // of many at once some ask again, or another machine
-			return err
-		}
+	if err := s.session.ReserveReply(n, s.view.transferBytes(a.Have)); err != nil { // of many at once some ask again, or another machine
+		return err
 	}
 	*n = s.view.ChangesSince(a.Have, received, time.Now())
 	if a.Barrier { // the barrier heard from a majority after the request arrived
--- a/internal/cdn/configstore/view.go
+++ b/internal/cdn/configstore/view.go
@@ -217,11 +217,11 @@
 	return n
 }
 
-// wholeBytes returns about how many bytes the whole state takes, if ChangesSince would return that; otherwise 0.
-func (v *View) wholeBytes(have uint64) int64 {
+// transferBytes returns about how many bytes it takes to send the whole state, if ChangesSince would return that; otherwise 0.
+func (v *View) transferBytes(have uint64) int64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.history.WholeBytes(have)
+	return v.history.TransferBytes(have)
 }
 
 // NoteStateOf records that another process holds the state up to an index.
--- a/internal/cdn/edge/cachetier.go
+++ b/internal/cdn/edge/cachetier.go
@@ -36,13 +36,11 @@
 }
 
 const (
-	copyClass    = "copy"
-	tierDeadline = 30 * time.Second
-	tierTarget   = 4 * time.Second       // far longer than a call takes: a slow origin must not look like a slow cache router
-	tierReserve  = 60 * time.Millisecond // of a request's time, kept back for asking the servers directly
-	// wholeStateCopies is how often a whole state is held while it is sent: as a clone, encoded, and on its way.
-	wholeStateCopies = 3
-	maxCatchUpWait   = 150 * time.Millisecond // for a state change that the caller has seen already, such as a purge
+	copyClass      = "copy"
+	tierDeadline   = 30 * time.Second
+	tierTarget     = 4 * time.Second        // far longer than a call takes: a slow origin must not look like a slow cache router
+	tierReserve    = 60 * time.Millisecond  // of a request's time, kept back for asking the servers directly
+	maxCatchUpWait = 150 * time.Millisecond // for a state change that the caller has seen already, such as a purge
 )
 
 // newCacheTier returns a tier that sends to shields if toShield is set, else to cache routers. With zoneFirst it prefers the own zone.
@@ -334,10 +332,8 @@
 
 // News returns state changes and the age of this replica's proof to a router that no core machine answers.
 func (p *peerHandler) News(a *clusterstate.Ask, n *clusterstate.News) error {
-	if whole := p.edge.replica.WholeBytes(a.Have); whole > 0 {
-		if err := p.session.ReserveReply(n, wholeStateCopies*whole); err != nil {
-			return err
-		}
+	if err := p.session.ReserveReply(n, p.edge.replica.TransferBytes(a.Have)); err != nil {
+		return err
 	}
 	*n = p.edge.replica.News(*a, time.Now())
 	return nil
--- a/internal/cdn/edge/capacity_test.go
+++ b/internal/cdn/edge/capacity_test.go
@@ -8,6 +8,8 @@
 
 	"cedarmast/balance"
 	"cedarmast/internal/cdn/objectcache"
+
+	"gotest.tools/v3/assert"
 )
 
 // BenchmarkRoster measures rebuilding the interval table while a fleet of cache routers joins in ten batches, and ten of them leave and
@@ -60,3 +62,17 @@
 		})
 	}
 }
+
+// The cache makes room for what callers make the router hold, as soon as that is more than a little, and takes its part back afterwards.
+func TestCacheMakesRoom(t *testing.T) {
+	e, _ := newTestEdge(t, newOrigin(t), threeRoutesJSON)
+	memory := int64(e.config.MemoryMB << 20)
+	assert.Equal(t, e.cacheBytes(), memory/cacheMemoryDivisor)
+	held := e.memory.Bodies.Reserve()
+	assert.NilError(t, held.Grow(memory/sharedMemoryDivisor))
+	assert.Equal(t, e.cacheBytes(), memory/cacheMemoryDivisor)
+	assert.NilError(t, held.Grow(memory/20))
+	assert.Equal(t, e.cacheBytes(), memory/cacheMemoryDivisor-memory/20)
+	held.Release()
+	assert.Equal(t, e.cacheBytes(), memory/cacheMemoryDivisor)
+}
--- a/internal/cdn/peerrpc/limits_test.go
+++ b/internal/cdn/peerrpc/limits_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/gob"
+	"errors"
 	"io"
 	"net"
 	"net/rpc"
@@ -175,3 +177,63 @@
 	}
 	awaitReleased(t, options.Memory.Messages)
 }
+
+// LongReply is a reply that may be long.
+type LongReply struct{ Text []byte }
+
+// ReplyBytes implements Sized.
+func (r *LongReply) ReplyBytes() int64 { return int64(len(r.Text)) }
+
+// maker makes long replies, which it reserves before.
+type maker struct{ session *Session }
+
+// Make is an RPC method.
+func (m maker) Make(bytes *int64, reply *LongReply) error {
+	if err := m.session.ReserveReply(reply, *bytes); err != nil {
+		return err
+	}
+	reply.Text = make([]byte, *bytes)
+	return nil
+}
+
+// MakeUnreserved is an RPC method.
+func (m maker) MakeUnreserved(bytes *int64, reply *LongReply) error {
+	reply.Text = make([]byte, *bytes)
+	return nil
+}
+
+// Fail is an RPC method that fails after it has reserved its reply.
+func (m maker) Fail(bytes *int64, reply *LongReply) error {
+	m.session.ReserveReply(reply, *bytes)
+	return errors.New("failed")
+}
+
+// A reply is charged until it has been written: before it is made if its method reserves it, else before it is encoded. One without room
+// is an error of its call alone.
+func TestRepliesShareBudget(t *testing.T) {
+	options := Options{Memory: admission.NewMemory(1, admission.Shares{Messages: 0.5, Replies: 0.5})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	go Serve(l, "Maker", options, func(s *Session) any { return maker{s} })
+	p := NewPeer(l.Addr().String())
+	ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
+	defer stop()
+	for _, method := range []string{"Maker.Make", "Maker.MakeUnreserved"} {
+		for bytes, fits := range map[int64]bool{1000: true, 200 << 10: true, 600 << 10: false} {
+			got, err := Call[int64, LongReply](ctx, p, method, &bytes)
+			if !fits {
+				assert.ErrorContains(t, err, admission.ErrNoRoom.Error())
+				continue
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, int64(len(got.Text)), bytes)
+		}
+	}
+	bytes := int64(1000)
+	_, err = Call[int64, LongReply](ctx, p, "Maker.Fail", &bytes)
+	assert.ErrorContains(t, err, "failed")
+	p.Close()
+	awaitReleased(t, options.Memory.Replies)
+	awaitReleased(t, options.Memory.Messages)
+}
--- a/internal/cdn/peerrpc/server.go
+++ b/internal/cdn/peerrpc/server.go
@@ -21,7 +21,6 @@
 	replyTimeout          = 15 * time.Second // for a reply to be taken, beside the time for its bytes
 	slowestPeer           = 64 << 10         // bytes per second
 	peerServiceName       = "Peer"
-	acceptRetryInterval   = 10 * time.Millisecond
 )
 
 // errTooManyCalls is the error of calls beyond maxCallsPerConnection.
@@ -53,8 +52,7 @@
 			return nil
 		}
 		if err != nil {
-			time.Sleep(acceptRetryInterval) // for lack of file descriptors; they become free when connections close
-			continue
+			return Error.Wrap(err) // listeners of package startup retry what passes
 		}
 		go serveConn(c, name, options, service)
 	}
--- a/internal/cdn/statesync/statesync.go
+++ b/internal/cdn/statesync/statesync.go
@@ -180,11 +180,11 @@
 	return reply
 }
 
-// WholeBytes returns about how many bytes the whole state takes, if News would return that; otherwise 0.
-func (r *Replica) WholeBytes(have uint64) int64 {
+// TransferBytes returns about how many bytes it takes to send the whole state, if News would return that; otherwise 0.
+func (r *Replica) TransferBytes(have uint64) int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.history.WholeBytes(have)
+	return r.history.TransferBytes(have)
 }
 
 // CoreAddresses returns the addresses of the core machines in random order, the preferred one first.
--- a/internal/cdn/upstream/upstream_test.go
+++ b/internal/cdn/upstream/upstream_test.go
@@ -316,3 +316,18 @@
 
 // testAnswers returns a budget that is larger than the responses of a test.
 func testAnswers() *admission.Budget { return admission.NewBudget(256<<20, nil) }
+
+// The body of a response is charged until the request is answered. One that has no room fails its attempt.
+func TestResponsesShareBudget(t *testing.T) {
+	long := strings.Repeat("x", 200<<10)
+	for budgetBytes, served := range map[int64]bool{1 << 20: true, 100 << 10: false} {
+		address := fakeServer(t, func(int, *http.Request, string) string { return rawResponse(200, "ID", stampHeader, long) })
+		s, l := newLoop(t, address, balance.Safe)
+		s.Answers = admission.NewBudget(budgetBytes, nil)
+		answer := sendRequest(t, s, l, &OriginRequest{ID: "ID"})
+		assert.Equal(t, answer.Kind == exchange.Served && string(answer.Body) == long, served)
+		for deadline := time.Now().Add(5 * time.Second); s.Answers.Used() > 0; {
+			assert.Assert(t, time.Now().Before(deadline), "%d bytes are still charged", s.Answers.Used())
+		}
+	}
+}
