--- a/internal/cdn/admission/http.go
+++ b/internal/cdn/admission/http.go
@@ -13,7 +13,7 @@
 	minIdleMessages        = 5 * time.Second        // processes that are connected ask for news far more often
 	writeTimeout           = 30 * time.Second       // for an answer, beside the time for its bytes
 	slowestReader          = 64 << 10               // bytes per second
-	pressedWriteTimeout    = time.Second            // for an answer that has no room beside others that nobody reads
+	pressedWriteTimeout    = 5 * time.Second        // for an answer that has no room beside others that nobody reads
 )
 
 // refusal is the answer to a request whose connection or head has no room.
