A body in chunks that is cut short is an error, of servers and of clients

Cause: admission.ReadAll took io.ErrUnexpectedEOF for the end of a body, as the reading of clients' bodies in chunks did before: io.ReadFull returns it for a part that the body's end leaves unfilled, and net/http for a body that is cut short. Since the budgets for answers came, the answers of servers are read with it too, so that an answer in chunks whose server crashed was passed on as complete. Change: parts are filled by a loop that returns the reader's own error. Two rows of admission.TestBodiesAreChargedToBudget fail without it.

--- a/internal/cdn/admission/body.go
+++ b/internal/cdn/admission/body.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"errors"
 	"io"
 	"sync"
 )
@@ -64,11 +63,11 @@
 			return nil, err
 		}
 		part := make([]byte, size)
-		n, err := io.ReadFull(reader, part)
+		n, err := fill(reader, part)
 		total += n
 		parts = append(parts, part[:n])
 		switch {
-		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		case err == io.EOF:
 			return joinParts(parts, total), nil
 		case err != nil:
 			return nil, err
@@ -76,6 +75,17 @@
 	}
 }
 
+// fill reads until a part is full or the reader fails, and returns the reader's own error: io.EOF is the end of a body, and
+// io.ErrUnexpectedEOF, which io.ReadFull would return for both, is one that was cut short.
+func fill(reader io.Reader, part []byte) (n int, err error) {
+	for n < len(part) && err == nil {
+		var read int
+		read, err = reader.Read(part[n:])
+		n += read
+	}
+	return n, err
+}
+
 // joining is held while the parts of a body are joined, which takes their bytes once more: one body at a time.
 var joining sync.Mutex
 
--- a/internal/cdn/admission/body_test.go
+++ b/internal/cdn/admission/body_test.go
@@ -33,6 +33,8 @@
 		{"empty, in chunks", 0, -1, nil, firstPartBytes, nil},
 		{"long, in chunks", 3<<20 + 7, -1, nil, firstPartBytes*5 + 12*maxPartBytes, nil},
 		{"too long, in chunks", 5 << 20, -1, nil, firstPartBytes*5 + 15*maxPartBytes, ErrNoRoom},
+		{"cut short, in chunks", 100, -1, io.ErrUnexpectedEOF, firstPartBytes, io.ErrUnexpectedEOF},
+		{"cut short at the end of a part", firstPartBytes, -1, io.ErrUnexpectedEOF, firstPartBytes * 5, io.ErrUnexpectedEOF},
 		{"broken, in chunks", 1 << 20, -1, broken, firstPartBytes*5 + 4*maxPartBytes, broken},
 	}
 	for _, c := range cases {
