--- a/internal/cdn/upstream/upstream_test.go
+++ b/internal/cdn/upstream/upstream_test.go
@@ -158,6 +158,8 @@
 		{"half a response, then closed", halfResponse + thenClose, "0 fine", "2 ", 2, 1},
 		{"half a response, then reset", halfResponse + thenReset, "0 fine", "2 ", 2, 1},
 		{stalled, halfResponse, "0 fine", "2 ", 2, 1},
+		{"in chunks", "HTTP/1.1 200 X\r\nTry-Id: ID\r\n" + stampHeader + "Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n", "0 fine", "0 fine", 1, 1},
+		{"half of the chunks, then closed", "HTTP/1.1 200 X\r\nTry-Id: ID\r\n" + stampHeader + "Transfer-Encoding: chunked\r\n\r\n4\r\nfi" + thenClose, "0 fine", "2 ", 2, 1},
 		{"without a length, then closed", "HTTP/1.1 200 X\r\nTry-Id: ID\r\n" + stampHeader + "\r\nfine" + thenClose, "0 fine", "0 fine", 1, 1},
 		{"without a length, then reset", "HTTP/1.1 200 X\r\nTry-Id: ID\r\n" + stampHeader + "\r\nfi" + thenReset, "0 fine", "2 ", 2, 1},
 		{"malformed response", "nonsense\r\n\r\n", "0 fine", "2 ", 2, 1},
