Of the memory for servers' answers each service and each server may hold a share

Callers saw: 503 for two fifths and more of a sound service's answers of 1 MB, while another service's servers send bodies that never end (without a length, in chunks, in one chunk).

Cause: the budget of answers was one for all services. A body was given up only when nothing was left for anybody, and each request to the faulty service filled it anew. Class: one bound for all, none for each. An answer without room also counted as its server's failure, whoever held the memory.

Change: admission.Partition, dynamic thresholds as for queues that share a switch's buffer: a server may hold at most what is left of the budget, a service twice that; alone half and two thirds of it. An answer over its share is given up and counts as its server's failure (resendable: tried elsewhere; once_only: 502), unless others hold more than twice as much: then it is this process that has no room, and the server is not blamed.

--- a/internal/cdn/abuse/servers_test.go
+++ b/internal/cdn/abuse/servers_test.go
@@ -26,6 +26,8 @@
 	endlessTime    = 1500 * time.Millisecond
 	runawayFactor  = 4 // times what a process may hold: it is ended, for the machine's sake
 	watchInterval  = 20 * time.Millisecond
+
+	mostFaultyRequests = 24 // that two proxies send, in endlessTime, to a server that never answers in order
 )
 
 // servicesManifest returns a configuration with three services, each under a host of its own.
@@ -137,6 +139,37 @@
 	}
 }
 
+// One server of three whose answers do not end: callers of its service are served by the others, and the server itself gets few requests.
+func TestEndlessServerAmongSoundOnes(t *testing.T) {
+	n := startWideNetwork(t)
+	put(t, n, servicesManifest(2))
+	faulty := &EndlessServer{}
+	faulty.SetAnswer(EndlessAnswers[0])
+	serve(t, n, "faulty", 210, faulty)
+	serve(t, n, "faulty", 211, &soundServer{length: 100})
+	serve(t, n, "faulty", 212, &soundServer{length: 100})
+	awaitServices(t, n, map[string]int{"faulty": 100})
+	for _, answer := range EndlessAnswers {
+		if strings.HasPrefix(answer.Name, "a whole answer") { // that one is taken, and what follows is not
+			continue
+		}
+		t.Run(answer.Name, func(t *testing.T) {
+			faulty.SetAnswer(answer)
+			before := faulty.Requests()
+			ctx, stop := context.WithTimeout(t.Context(), endlessTime)
+			defer stop()
+			var tasks sync.WaitGroup
+			var calls outcomes
+			calls.callers(ctx, &tasks, n, shortCallers, "faulty.example", "/resendable/"+strings.ReplaceAll(answer.Name, " ", "-"), 100)
+			tasks.Wait()
+			sent := faulty.Requests() - before
+			t.Logf("%d served, %d not; %d sent to the faulty server", calls.served.Load(), calls.failed.Load(), sent)
+			assert.Check(t, calls.served.Load() > 0 && calls.failed.Load() == 0)
+			assert.Check(t, sent <= mostFaultyRequests)
+		})
+	}
+}
+
 // endRunaways kills the processes of machines of which one holds far more than it may, until the context ends.
 func endRunaways(ctx context.Context, n *localnet.Network) {
 	ticker := time.NewTicker(watchInterval)
--- a/internal/cdn/admission/budget.go
+++ b/internal/cdn/admission/budget.go
@@ -11,6 +11,9 @@
 // ErrNoRoom is the error of what is refused because its budget is used up.
 var ErrNoRoom = errors.New("no memory for this now")
 
+// ErrOverShare is the error of what is refused because its owner holds more than its share of a budget; see Partition.
+var ErrOverShare = errors.New("its owner holds too much of the memory for this")
+
 // Budget is a number of bytes that may be held at once. It is safe for concurrent use.
 type Budget struct {
 	limit   int64
--- a/internal/cdn/edge/objects.go
+++ b/internal/cdn/edge/objects.go
@@ -253,6 +253,7 @@
 
 // sendToService submits a request to a service's load balancer and waits for the answer.
 func (e *Edge) sendToService(svc *service, route string, originRequest *upstream.OriginRequest, r exchange.Request) exchange.Answer {
+	originRequest.Service = svc.name
 	x := exchange.New(r)
 	e.sender.Register(x, originRequest)
 	defer e.sender.Unregister(x)
--- a/internal/cdn/upstream/origin_request.go
+++ b/internal/cdn/upstream/origin_request.go
@@ -16,6 +16,7 @@
 	// ID is the client's request id (Try-Id). It tells the response from a late one to another request. Servers repeat an id only if
 	// the client sent one, so a request without an id uses a connection of its own.
 	ID        string
+	Service   string               // that the request is sent to
 	OnceOnly  bool                 // the request must not run twice
 	Cacheable bool                 // the response may be cached: an attempt that was sent is finished even if its caller is cancelled
 	Caller    *cancellation.Caller // who waits for the response; nil if nobody can cancel
@@ -32,12 +33,12 @@
 	denyErr     error                             // why the last attempt was not permitted; nil if it was
 	server      balance.ServerID                  // the server that responded last
 	latency     time.Duration                     // from sending to the complete response
-	held        []*admission.Reservation // of responses
+	held        []*admission.PartitionReservation // of responses
 	released    bool                              // the request has been answered: nothing is held for it any more
 }
 
 // hold keeps what a response is charged until the request is answered.
-func (o *OriginRequest) hold(reservation *admission.Reservation) {
+func (o *OriginRequest) hold(reservation *admission.PartitionReservation) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.released {
--- a/internal/cdn/upstream/refused.go
+++ b/internal/cdn/upstream/refused.go
@@ -22,6 +22,7 @@
 	{boundedhttp.ErrMalformedHead, "head_malformed"},
 	{boundedhttp.ErrInterimResponses, "interim_responses"},
 	{boundedhttp.ErrBodyTooLong, "body_too_long"},
+	{admission.ErrOverShare, "over_share"},
 	{admission.ErrNoRoom, "no_room"},
 }
 
--- a/internal/cdn/upstream/upstream.go
+++ b/internal/cdn/upstream/upstream.go
@@ -45,16 +45,17 @@
 type Sender struct {
 	Pool     *exchange.Pool
 	Counters *exchange.Counters
-	Answers  *admission.Budget // bounds the responses to requests in progress
+	Answers  *admission.Partition // bounds the responses to requests in progress, by service and server
 	Refused  refusedResponses
 
 	mu       sync.Mutex
 	requests map[*exchange.Exchange]*OriginRequest
 }
 
-// NewSender returns a sender with its own pool of at most so many connections. What is kept of responses is charged to a budget.
+// NewSender returns a sender with its own pool of at most so many connections. What is kept of responses is charged to a budget, of which
+// each service and each server may hold a share.
 func NewSender(maxConns int, counters *exchange.Counters, answers *admission.Budget) *Sender {
-	return &Sender{Pool: exchange.NewPool(maxConns, IdleTimeout, counters), Counters: counters, Answers: answers,
+	return &Sender{Pool: exchange.NewPool(maxConns, IdleTimeout, counters), Counters: counters, Answers: admission.NewPartition(answers),
 		requests: map[*exchange.Exchange]*OriginRequest{}}
 }
 
@@ -167,7 +168,7 @@
 	var resp response
 	reusable := false
 	if err == nil {
-		reservation := s.Answers.Reserve()
+		reservation := s.Answers.Reserve(o.Service, string(a.Server))
 		resp, reusable, err = c.readResponse(a, o.ID, reservation)
 		o.hold(reservation)
 	}
@@ -237,6 +238,8 @@
 	var timeout net.Error
 	result := balance.Malformed
 	switch {
+	case errors.Is(err, admission.ErrNoRoom): // others hold the memory: not the server's fault
+		result = balance.Cancelled
 	case errors.As(err, &timeout) && timeout.Timeout(), ctx.Err() != nil:
 		result = balance.TimedOut
 		s.Pool.CloseIfSilent(a.Server, start)
--- a/internal/cdn/upstream/upstream_test.go
+++ b/internal/cdn/upstream/upstream_test.go
@@ -380,7 +380,7 @@
 	for budgetBytes, served := range map[int64]bool{1 << 20: true, 100 << 10: false} {
 		address := fakeServer(t, func(int, *http.Request, string) string { return rawResponse(200, "ID", stampHeader, long) })
 		s, l := newLoop(t, address, balance.Safe)
-		s.Answers = admission.NewBudget(budgetBytes, nil)
+		s.Answers = admission.NewPartition(admission.NewBudget(budgetBytes, nil))
 		answer := sendRequest(t, s, l, &OriginRequest{ID: "ID"})
 		assert.Equal(t, answer.Kind == exchange.Served && string(answer.Body) == long, served)
 		for deadline := time.Now().Add(5 * time.Second); s.Answers.Used() > 0; {
