Replies of other processes are bounded, charged and checked before they are decoded

Callers would see: a process that another one in trouble sends bytes or an announced length takes up to a gigabyte for them.

Class: a library that is not made for strangers.

A reply without room fails its call alone; the connection goes on. Slow links get time by length. A proxy whose call fails so asks the servers itself, as when a peer is gone.

--- a/internal/cdn/configstore/store.go
+++ b/internal/cdn/configstore/store.go
@@ -114,7 +114,7 @@
 		done: make(chan struct{}), sendQueues: map[string]*sendQueue{}, callers: cancellation.NewTracker(),
 		clock: truetime.New(time.Now(), true), acknowledgements: newAcknowledgements(log)}
 	s.callers.LogViolations(log)
-	s.peers.DialPatience = dialTimeout
+	s.peers.DialPatience, s.peers.Replies = dialTimeout, s.memory.Received
 	address, err := startup.Listen(ctx, settings.InternalAddress(settings.IP, bootconfig.ConfigStorePort), log)
 	if err != nil {
 		return err
--- a/internal/cdn/edge/cachetier.go
+++ b/internal/cdn/edge/cachetier.go
@@ -144,6 +144,9 @@
 	Refuse int64  // milliseconds after which to retry if the object was not fetched; 0: it was
 }
 
+// IsBodyReply implements peerrpc.BodyReply: the bytes are mostly those of the object.
+func (*Fetched) IsBodyReply() {}
+
 // validatedAt returns when a server was asked for a whole object, given the time now at which the response arrived.
 func (g Fetched) validatedAt(now time.Time) time.Time {
 	return now.Add(-time.Duration(g.AgeMS) * time.Millisecond)
--- a/internal/cdn/edge/edge.go
+++ b/internal/cdn/edge/edge.go
@@ -116,6 +116,7 @@
 		cache: objectcache.New(int64(config.MemoryMB<<20) / cacheMemoryDivisor), clock: exchange.NewClock(), changes: make(chan func(), 4096),
 		lifetime: lifetime, listDelay: listDebounce}
 	e.init()
+	e.peers.Replies = e.memory.Received
 	ownAddress := config.InternalAddress(config.IP, bootconfig.EdgePort)
 	e.peerView = peersampling.New(ownAddress, maxViewPeers, mrand.Uint64())
 	e.replica.Set, e.replica.Peers, e.replica.Log = config, e.peers, log.Named("statesync")
--- a/internal/cdn/peerrpc/frames.go
+++ b/internal/cdn/peerrpc/frames.go
@@ -35,8 +35,12 @@
 // messageLimits bound one kind of message.
 type messageLimits struct {
 	maxBytes int64
+	// maxDropped is the length up to which a message over maxBytes is read and dropped; a longer one ends the stream. 0: maxBytes.
+	maxDropped int64
 	// bulk messages consist of few long texts. What they are charged follows their empty items; others are charged for items throughout.
 	bulk bool
+	// anyBytes means that zero bytes in a bulk message are no sign of empty items.
+	anyBytes bool
 }
 
 // chargeLength returns what bytes of a message are charged before they are read.
@@ -49,7 +53,7 @@
 
 // chargeItems returns what bytes of a message are charged beside their length.
 func (l messageLimits) chargeItems(data []byte) int64 {
-	if l.bulk {
+	if l.bulk && !l.anyBytes {
 		return emptyItemBytes * int64(bytes.Count(data, []byte{0}))
 	}
 	return 0
@@ -57,12 +61,14 @@
 
 // frameReader passes the messages of a gob stream on to a gob.Decoder.
 type frameReader struct {
-	conn        net.Conn
-	reader      *bufio.Reader
-	definitions []byte    // of all types that the connection has brought
-	passedOn    int       // bytes of those that were passed on to the decoder
-	message     [][]byte  // the value that was passed on last
-	pending     byteParts // what the decoder has not read yet
+	conn   net.Conn
+	reader *bufio.Reader
+	// slowestSender is the rate, in bytes per second, for which a long message is given more than frameTimeout; 0: none is.
+	slowestSender int64
+	definitions   []byte    // of all types that the connection has brought
+	passedOn      int       // bytes of those that were passed on to the decoder
+	message       [][]byte  // the value that was passed on last
+	pending       byteParts // what the decoder has not read yet
 }
 
 // byteParts are bytes that a decoder reads. They implement io.ByteReader, so that the decoder does not buffer.
@@ -116,8 +122,10 @@
 		switch {
 		case err != nil:
 			return 0, err
-		case isDefinition && uint64(len(f.definitions))+length > maxDefinitionBytes, length == 0, length > uint64(limits.maxBytes):
+		case isDefinition && uint64(len(f.definitions))+length > maxDefinitionBytes, length == 0, length > uint64(max(limits.maxBytes, limits.maxDropped)):
 			return 0, errMessageTooLong
+		case !isDefinition && length > uint64(limits.maxBytes):
+			return 0, f.drop(int64(length))
 		}
 		if !isDefinition {
 			return f.passOn(prefix, int64(length), limits, reservation)
@@ -138,13 +146,21 @@
 // readFull fills a buffer, within frameTimeout.
 func (f *frameReader) readFull(buffer []byte) error {
 	if f.reader.Buffered() < len(buffer) {
-		f.conn.SetReadDeadline(time.Now().Add(frameTimeout))
+		f.conn.SetReadDeadline(time.Now().Add(f.timeout(int64(len(buffer)))))
 		defer f.conn.SetReadDeadline(time.Time{})
 	}
 	_, err := io.ReadFull(f.reader, buffer)
 	return err
 }
 
+// timeout returns the time for so many bytes of a message to arrive.
+func (f *frameReader) timeout(bytes int64) time.Duration {
+	if f.slowestSender == 0 {
+		return frameTimeout
+	}
+	return frameTimeout + time.Duration(bytes)*time.Second/time.Duration(f.slowestSender)
+}
+
 // passOn reads a value and passes it on to the decoder, with the definitions before it.
 func (f *frameReader) passOn(prefix []byte, length int64, limits messageLimits, reservation *admission.Reservation) (int, error) {
 	data, err := f.readValue(length, limits, reservation)
@@ -182,7 +198,7 @@
 
 // drop reads the rest of a message that has no room, and returns ErrNoRoom.
 func (f *frameReader) drop(rest int64) error {
-	f.conn.SetReadDeadline(time.Now().Add(frameTimeout))
+	f.conn.SetReadDeadline(time.Now().Add(f.timeout(rest)))
 	defer f.conn.SetReadDeadline(time.Time{})
 	if _, err := io.CopyN(io.Discard, f.reader, rest); err != nil {
 		return err
--- a/internal/cdn/peerrpc/peerrpc.go
+++ b/internal/cdn/peerrpc/peerrpc.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"cedarmast/internal/cdn/admission"
+
 	"github.com/zeebo/errs"
 )
 
@@ -33,7 +35,8 @@
 // Peer is another process, identified by its address. It is safe for concurrent use.
 type Peer struct {
 	Address     string
-	dialTimeout time.Duration // of one dial
+	dialTimeout time.Duration     // of one dial
+	replies     *admission.Budget // bounds the replies that are being read
 
 	bytesIn, bytesOut atomic.Int64 // bytes received and sent
 
@@ -56,7 +59,7 @@
 
 // NewPeer returns a peer. It is dialed at the first call.
 func NewPeer(address string) *Peer {
-	return &Peer{Address: address, dialTimeout: dialTimeout, dialing: make(chan struct{}, 1)}
+	return &Peer{Address: address, dialTimeout: dialTimeout, replies: admission.NewBudget(defaultReplyBytes, nil), dialing: make(chan struct{}, 1)}
 }
 
 // countingConn counts a connection's bytes for its peer.
@@ -98,13 +101,17 @@
 		defer p.addWatched(conn, -1)
 	}
 	started, reply := time.Now(), new(R)
-	call := conn.client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	pending := &pendingReply{value: reply}
+	call := conn.client.Go(method, args, pending, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		if call.Error == nil {
 			p.mu.Lock()
 			p.lastReply = time.Now()
 			p.mu.Unlock()
+			if pending.refused != nil {
+				return zero, Error.New("%s at %s: reply: %w", method, p.Address, pending.refused)
+			}
 			return *reply, nil
 		}
 		var serverErr rpc.ServerError
@@ -218,7 +225,7 @@
 	}
 	p.dialTimedOutAt = time.Time{}
 	conn := &countingConn{Conn: c, peer: p}
-	p.conn = &peerConn{client: newClient(conn), conn: conn}
+	p.conn = &peerConn{client: newClient(conn, p.replies), conn: conn}
 	return p.conn, nil
 }
 
@@ -256,7 +263,8 @@
 // Peers holds one Peer per address. Peers that have not been requested for a while are removed when the limit is
 // reached.
 type Peers struct {
-	DialPatience time.Duration // timeout of a dial; set before use, 0 for the default
+	DialPatience time.Duration     // timeout of a dial; set before use, 0 for the default
+	Replies      *admission.Budget // bounds the replies of all peers while they are read; set before use
 
 	mu  sync.Mutex
 	all map[string]*peerEntry
@@ -274,7 +282,9 @@
 )
 
 // NewPeers returns an empty set.
-func NewPeers() *Peers { return &Peers{all: map[string]*peerEntry{}} }
+func NewPeers() *Peers {
+	return &Peers{Replies: admission.NewBudget(defaultReplyBytes, nil), all: map[string]*peerEntry{}}
+}
 
 // At returns the peer at an address.
 func (s *Peers) At(address string) *Peer {
@@ -292,6 +302,7 @@
 			}
 		}
 		entry = &peerEntry{Peer: NewPeer(address)}
+		entry.replies = s.Replies
 		if s.DialPatience > 0 {
 			entry.dialTimeout = s.DialPatience
 		}
--- a/internal/cdn/registry/registry.go
+++ b/internal/cdn/registry/registry.go
@@ -76,6 +76,7 @@
 		callers: cancellation.NewTracker()}
 	reg.callers.LogViolations(log)
 	localStore := settings.InternalAddress(settings.IP, bootconfig.ConfigStorePort)
+	reg.peers.Replies = reg.memory.Received
 	reg.store = reg.peers.At(localStore)
 	reg.replica.Set, reg.replica.Peers, reg.replica.Log, reg.replica.Prefer = settings, reg.peers, log.Named("statesync"), localStore
 	reg.replica.Took = func(*clusterstate.State, clusterstate.Command, uint64, bool) {}
