Soak: servers answer without end, on each edge a client insists on its connection

One server in six now answers all requests of a while in one of the endless ways of package abuse. Large networks had no client that goes on using a connection whose end was announced, since a client's use followed its number divided by the edges; uses are spread now.

TestUnaskedUserSignal: SIGUSR1 ends no program that runs.

--- a/internal/cdn/localnet/localnet.go
+++ b/internal/cdn/localnet/localnet.go
@@ -103,7 +103,7 @@
 	servers     []*Server
 	unexpected  []string              // processes that ended by themselves
 	peakMemory  map[string]MemoryPeak // by machine and program, of the processes that were seen
-	hungUpEarly int                   // processes that SIGHUP ended before their program's first instruction
+	endedEarly  int                   // processes that a signal ended before their program's first instruction
 }
 
 // Start reserves a subnet, writes the settings and starts all processes.
--- a/internal/cdn/localnet/processes.go
+++ b/internal/cdn/localnet/processes.go
@@ -20,9 +20,9 @@
 	cmd     *exec.Cmd
 	started time.Time
 	told    atomic.Bool // it was sent a signal that ends it
-	// hungUpEarly means that it was sent SIGHUP while the kernel would still end it, before the program's first instruction.
-	hungUpEarly atomic.Bool
-	ended       chan struct{} // closed when it has ended
+	// signaledEarly holds a signal that it was sent while the kernel would still end it by that, before the program's first instruction; 0: none.
+	signaledEarly atomic.Int64
+	ended         chan struct{} // closed when it has ended
 }
 
 // hasEnded reports whether the process has ended.
@@ -141,8 +141,8 @@
 	defer n.mu.Unlock()
 	switch {
 	case p.told.Load():
-	case p.hungUpEarly.Load() && endedBy(err, syscall.SIGHUP):
-		n.hungUpEarly++
+	case endedBy(err, syscall.Signal(p.signaledEarly.Load())):
+		n.endedEarly++
 	default:
 		n.unexpected = append(n.unexpected, fmt.Sprintf("%s ended by itself %s after its start: %v", name, time.Since(p.started).Round(time.Millisecond), err))
 	}
@@ -165,11 +165,11 @@
 	return slices.Clone(n.unexpected)
 }
 
-// HungUpEarly returns how many processes SIGHUP has ended before the first instruction of their program, which no program can prevent.
-func (n *Network) HungUpEarly() int {
+// EndedEarly returns how many processes SIGHUP or SIGUSR1 has ended before the first instruction of their program, which no program can prevent.
+func (n *Network) EndedEarly() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.hungUpEarly
+	return n.endedEarly
 }
 
 // Signal sends a signal to a machine's processes. After SIGKILL and SIGTERM it waits until those that run at the moment have ended; other
@@ -183,8 +183,8 @@
 		if ends || s == syscall.SIGQUIT {
 			p.told.Store(true)
 		}
-		if s == syscall.SIGHUP && p.diesBy(s) {
-			p.hungUpEarly.Store(true)
+		if (s == syscall.SIGHUP || s == syscall.SIGUSR1) && p.diesBy(s) {
+			p.signaledEarly.Store(int64(s))
 		}
 		p.cmd.Process.Signal(s)
 	}
--- a/internal/cdn/signals/signals_test.go
+++ b/internal/cdn/signals/signals_test.go
@@ -36,6 +36,17 @@
 	}
 }
 
+// SIGUSR1 does not end a process that has not asked for it.
+func TestUnaskedUserSignal(t *testing.T) {
+	assert.NilError(t, syscall.Kill(syscall.Getpid(), syscall.SIGUSR1))
+	assert.NilError(t, syscall.Kill(syscall.Getpid(), syscall.SIGHUP)) // is delivered after it
+	select {
+	case <-Hangups:
+	case <-time.After(10 * time.Second):
+		t.Fatal("SIGHUP did not arrive")
+	}
+}
+
 // A process whose standard error has lost its reader gets an error at its next write, and is not ended by SIGPIPE.
 func TestWriteWithoutReader(t *testing.T) {
 	reader, writer, err := os.Pipe()
--- a/internal/cdn/soak/checks.go
+++ b/internal/cdn/soak/checks.go
@@ -57,7 +57,7 @@
 	rec := s.recorder
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	r := Report{Requests: len(rec.requests), Runs: len(rec.runs), Faults: faultCount, HungUpEarly: s.net.HungUpEarly(), Violations: rec.violations, Acknowledgements: s.acks}
+	r := Report{Requests: len(rec.requests), Runs: len(rec.runs), Faults: faultCount, EndlessAnswers: int(s.endlessAnswers.Load()), EndedEarly: s.net.EndedEarly(), Violations: rec.violations, Acknowledgements: s.acks}
 	for _, req := range rec.requests {
 		if req.abandoned {
 			r.Abandoned++
--- a/internal/cdn/soak/keepalive.go
+++ b/internal/cdn/soak/keepalive.go
@@ -89,7 +89,7 @@
 // runKeepAliveClient runs client number n with a keep-alive connection until the context ends.
 func (s *soakRun) runKeepAliveClient(ctx context.Context, n int) {
 	edges := s.net.EdgeMachines()
-	c := &keepAliveClient{soakRun: s, n: n, use: connectionUse(n / len(edges) % int(connectionUses)), edge: edges[n%len(edges)], rng: rand.New(rand.NewPCG(s.Seed, uint64(5000+n)))}
+	c := &keepAliveClient{soakRun: s, n: n, use: connectionUse((n + n/len(edges)) % int(connectionUses)), edge: edges[n%len(edges)], rng: rand.New(rand.NewPCG(s.Seed, uint64(5000+n)))}
 	c.key = s.liveKey(c.rng)
 	defer c.close()
 	for turn := 0; ctx.Err() == nil; turn++ {
--- a/internal/cdn/soak/servers.go
+++ b/internal/cdn/soak/servers.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"cedarmast/internal/cdn/abuse"
 	"cedarmast/internal/cdn/localnet"
 )
 
@@ -18,8 +19,9 @@
 	id      string
 	soakRun *soakRun
 
-	registered *localnet.Server // sends its heartbeats
-	hung       atomic.Bool      // once set, it accepts requests and never answers
+	registered *localnet.Server                    // sends its heartbeats
+	hung       atomic.Bool                         // once set, it accepts requests and never answers
+	endless    atomic.Pointer[abuse.EndlessAnswer] // sent in place of answers; nil: it answers properly
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -71,6 +73,10 @@
 		s.soakRun.recorder.runEnded(run, canceled)
 		return
 	}
+	if s.answerWithoutEnd(w, id) {
+		s.soakRun.recorder.runEnded(run, aborted)
+		return
+	}
 	plan := s.drawRun()
 	finished := time.NewTimer(plan.duration)
 	defer finished.Stop()
--- a/internal/cdn/soak/soak.go
+++ b/internal/cdn/soak/soak.go
@@ -58,29 +58,31 @@
 	Keyless                   int // of the others: without a key, or with one that may be refused at once
 	Refused                   int // of the rest: refused before their clients meant to leave, so that no work started for them
 	Faults                    int
-	HungUpEarly               int // processes that SIGHUP ended before their program's first instruction, and that were started again
+	EndlessAnswers            int // that servers began
+	EndedEarly                int // processes that a signal ended before their program's first instruction, and that were started again
 	Violations                []string
 	Acknowledgements          acknowledgements
 }
 
 func (r Report) String() string {
 	return fmt.Sprintf(
-		"%d requests, %d of them over keep-alive connections, %d abandoned by their clients, %d runs at servers, %d faults, %d ended by SIGHUP before their first instruction, %d violations reported",
-		r.Requests, r.KeepAlive, r.Abandoned, r.Runs, r.Faults, r.HungUpEarly, len(r.Violations))
+		"%d requests, %d of them over keep-alive connections, %d abandoned by their clients, %d runs at servers, %d of them answered without end, %d faults, %d ended by a signal before their first instruction, %d violations reported",
+		r.Requests, r.KeepAlive, r.Abandoned, r.Runs, r.EndlessAnswers, r.Faults, r.EndedEarly, len(r.Violations))
 }
 
 // soakRun is the state of one soak run.
 type soakRun struct {
 	Plan
-	net        *localnet.Network
-	recorder   *recorder
-	servers    []*stubServer
-	start      time.Time
-	faultsOver atomic.Bool // servers neither delay, fail nor drop requests any more
-	acks       acknowledgements
-	operators  *operators
-	objects    *objects
-	outMu      sync.Mutex // guards Out
+	net            *localnet.Network
+	recorder       *recorder
+	servers        []*stubServer
+	start          time.Time
+	faultsOver     atomic.Bool  // servers neither delay, fail nor drop requests any more
+	endlessAnswers atomic.Int64 // number of answers that servers began without an end
+	acks           acknowledgements
+	operators      *operators
+	objects        *objects
+	outMu          sync.Mutex // guards Out
 }
 
 // Run executes one soak run of length p.Duration and its checks. An error means that it could not be executed; violations are in
@@ -124,6 +126,9 @@
 	tasks.Go(func() { s.runReplacements(dayCtx) })
 	tasks.Go(func() { s.hangServer(dayCtx) })
 	tasks.Go(func() { s.runAbuse(dayCtx) })
+	for n := range max(len(s.servers)/serversPerEndless, 1) {
+		tasks.Go(func() { s.runEndlessAnswers(dayCtx, n) })
+	}
 	tasks.Wait()
 	s.faultsOver.Store(true)
 	return s.evaluate(ctx, len(faults))
