Found by reading once more: bodies announced by a peer, lists, and tests of the router

- A router that fetches a body by pieces made room for up to 64 MB as soon as another router announced it; the length is charged to the budget of received replies first.
- A body of unknown length over its bound was joined before it was refused, so that a list without end took the router in service twice its bound; it is refused before.

--- a/internal/boundedhttp/body.go
+++ b/internal/boundedhttp/body.go
@@ -24,11 +24,7 @@
 	case length > 0:
 		return readFull(body, length, charge)
 	}
-	content, err := readAll(io.LimitReader(body, maxBytes+1), charge)
-	if err == nil && int64(len(content)) > maxBytes {
-		return nil, ErrBodyTooLong
-	}
-	return content, err
+	return readAll(body, maxBytes, charge)
 }
 
 // readFull reads so many bytes and charges them. The buffer grows as the bytes arrive: a peer that only announces them makes the process
@@ -50,8 +46,9 @@
 	}
 }
 
-// readAll reads until the end of the reader, and charges each part before it is read.
-func readAll(reader io.Reader, charge Charge) ([]byte, error) {
+// readAll reads until the end of a body of at most so many bytes, and charges each part before it is read.
+func readAll(body io.Reader, maxBytes int64, charge Charge) ([]byte, error) {
+	reader := io.LimitReader(body, maxBytes+1)
 	var parts [][]byte
 	total := 0
 	for size := int64(firstPartBytes); ; size = min(size*partGrowth, maxPartBytes) {
@@ -63,6 +60,8 @@
 		total += n
 		parts = append(parts, part[:n])
 		switch {
+		case int64(total) > maxBytes:
+			return nil, ErrBodyTooLong
 		case err == io.EOF:
 			return joinParts(parts, total), nil
 		case err != nil:
--- a/internal/cdn/edge/link_test.go
+++ b/internal/cdn/edge/link_test.go
@@ -137,6 +137,7 @@
 		{"copy replaced midway", 90, fakePeer{body: whole, replacedAfter: 3}, errCopyChanged.Error(), 4},
 		{"shorter than reported", 90, fakePeer{body: whole, extraBytes: 100}, "received a piece of", 5},
 		{"longer than allowed", 90, fakePeer{body: whole, extraBytes: maxPeerBodyBytes}, "invalid body length of", 0},
+		{"longer than there is memory for", 90, fakePeer{body: whole, extraBytes: 60 << 20}, admission.ErrNoRoom.Error(), 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -144,7 +145,7 @@
 			assert.NilError(t, err)
 			defer l.Close()
 			go peerrpc.Serve(l, "Edge", peerrpc.Options{Memory: admission.NewMemory(256, admission.ConfigStoreShares)}, peerrpc.SharedService(&c.peer))
-			e := &Edge{inbound: newLink(c.mbps)}
+			e := &Edge{inbound: newLink(c.mbps), memory: admission.NewMemory(256, admission.ProxyShares)}
 			got, err := e.fetchFromPeer(t.Context(), peerrpc.NewPeer(l.Addr().String()), Fetch{Key: objectcache.Key{Path: "/a"}})
 			assert.Equal(t, c.peer.pieces, c.pieces)
 			if c.err != "" {
--- a/internal/cdn/edge/pieces.go
+++ b/internal/cdn/edge/pieces.go
@@ -65,6 +65,11 @@
 	if got.Total < len(got.Body) || got.Total > maxPeerBodyBytes {
 		return Fetched{}, Error.New("invalid body length of %d bytes from %s", got.Total, peer.Address)
 	}
+	reservation := e.memory.Received.Reserve()
+	defer reservation.Release()
+	if err := reservation.Grow(int64(got.Total)); err != nil {
+		return Fetched{}, Error.New("a body of %d bytes from %s: %w", got.Total, peer.Address, err)
+	}
 	body := append(make([]byte, 0, got.Total), got.Body...)
 	for etag := firstValue(got.Header, "Etag"); len(body) < got.Total; {
 		n := min(peerPieceBytes, got.Total-len(body))
