An idle connection over which a server goes on sending is closed within 0.2 s

The answer was taken before the surplus had arrived, the connection lay in the pool, and only the next request or the time for idle connections (8 s) would have closed it. No request got such bytes: a connection with unread bytes is not used (TestSurplusOnIdleConnection, good before as well).

Change: a proxy looks every 0.2 s whether its idle connections are open and without unread bytes, and closes the others, also those that the server has closed. Nothing is read.

--- a/internal/cdn/edge/edge.go
+++ b/internal/cdn/edge/edge.go
@@ -192,7 +192,7 @@
 	}
 }
 
-// runMaintenance refreshes cache entries and, less often, reweighs servers and closes idle connections, until the context ends.
+// runMaintenance refreshes cache entries and, less often, reweighs servers and closes connections that are idle or unusable, until the context ends.
 func (e *Edge) runMaintenance(ctx context.Context) {
 	ticker := time.NewTicker(refreshInterval)
 	defer ticker.Stop()
@@ -201,6 +201,9 @@
 		case now := <-ticker.C:
 			e.cache.SetMaxBytes(e.cacheBytes())
 			e.refreshDue(now)
+			if tick%2 == 0 {
+				e.sender.Pool.CloseUnusable()
+			}
 			if tick%10 == 0 {
 				e.reweighServers()
 			}
--- a/internal/cdn/upstream/conn.go
+++ b/internal/cdn/upstream/conn.go
@@ -25,8 +25,11 @@
 	idleSince time.Time // when it became idle; zero for a new connection
 }
 
-// Acquire reports whether the idle connection may be reused: it is still open and has no unread bytes. The pool calls it before reuse.
-func (c *conn) Acquire() bool { return socket.Peek(c.Conn) == socket.Idle }
+// Acquire reports whether the idle connection may be reused. The pool calls it before reuse.
+func (c *conn) Acquire() bool { return c.Usable() }
+
+// Usable implements exchange.CheckedConn: the connection is still open and has no unread bytes.
+func (c *conn) Usable() bool { return socket.Peek(c.Conn) == socket.Idle }
 
 // Close closes the connection and releases its slot in the pool. Later calls do nothing.
 func (c *conn) Close() error {
--- a/internal/cdn/upstream/upstream_test.go
+++ b/internal/cdn/upstream/upstream_test.go
@@ -294,40 +294,81 @@
 	assert.Equal(t, s.Counters.IdleConnections.Load(), int64(0))
 }
 
+// surplusServer is a server that sends one more response over its first connection once that is idle.
+type surplusServer struct {
+	address string
+	idle    chan struct{} // closed when the first connection is idle
+	sent    chan struct{} // closed when the surplus has been sent
+	ended   chan struct{} // closed when the first connection has been closed
+}
+
+// newSurplusServer starts a surplus server. It answers the request with number n, from 0, over a connection of its own.
+func newSurplusServer(t *testing.T) *surplusServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	s := &surplusServer{l.Addr().String(), make(chan struct{}), make(chan struct{}), make(chan struct{})}
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.answer(c, n)
+		}
+	}()
+	return s
+}
+
+// answer answers one request.
+func (s *surplusServer) answer(c net.Conn, n int) {
+	reader := bufio.NewReader(c)
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return
+	}
+	io.Copy(io.Discard, request.Body)
+	io.WriteString(c, rawResponse(200, request.Header.Get(HeaderRequestID), stampHeader, fmt.Sprint("answer ", n)))
+	if n > 0 {
+		return
+	}
+	<-s.idle
+	io.WriteString(c, rawResponse(200, "b", stampHeader, "surplus"))
+	close(s.sent)
+	go func() {
+		reader.ReadByte()
+		close(s.ended)
+	}()
+}
+
 // Bytes that arrive while a connection is idle belong to no request: the connection is not used again, for requests of either kind.
 func TestSurplusOnIdleConnection(t *testing.T) {
 	for _, onceOnly := range []bool{false, true} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer l.Close()
-		idle, sent := make(chan struct{}), make(chan struct{})
-		go func() {
-			for n := 0; ; n++ {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				request, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				io.Copy(io.Discard, request.Body)
-				io.WriteString(c, rawResponse(200, request.Header.Get(HeaderRequestID), stampHeader, fmt.Sprint("answer ", n)))
-				if n == 0 {
-					<-idle
-					io.WriteString(c, rawResponse(200, "b", stampHeader, "surplus"))
-					close(sent)
-				}
-			}
-		}()
-		s, loop := newLoop(t, l.Addr().String(), balance.Unsafe)
+		server := newSurplusServer(t)
+		s, loop := newLoop(t, server.address, balance.Unsafe)
 		assert.Equal(t, string(sendRequest(t, s, loop, &OriginRequest{ID: "a", OnceOnly: onceOnly}).Body), "answer 0")
-		close(idle)
-		<-sent
+		close(server.idle)
+		<-server.sent
 		assert.Equal(t, string(sendRequest(t, s, loop, &OriginRequest{ID: "b", OnceOnly: onceOnly}).Body), "answer 1")
 	}
 }
 
+// Such a connection is closed though nobody wants it, so that a server that goes on sending is told. A sound one stays.
+func TestSurplusEndsIdleConnection(t *testing.T) {
+	server := newSurplusServer(t)
+	s, loop := newLoop(t, server.address, balance.Safe)
+	assert.Equal(t, string(sendRequest(t, s, loop, &OriginRequest{ID: "a"}).Body), "answer 0")
+	s.Pool.CloseUnusable()
+	assert.Equal(t, s.Counters.IdleConnections.Load(), int64(1))
+	close(server.idle)
+	<-server.sent
+	for s.Counters.IdleConnections.Load() > 0 { // until the surplus has arrived
+		s.Pool.CloseUnusable()
+	}
+	<-server.ended
+}
+
 // A once-only request does not fail because the server closed the idle connection that it is sent on: its last byte is held back,
 // so it certainly has not run and is sent again.
 func TestDroppedIdleConnection(t *testing.T) {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -17,6 +17,13 @@
 	Close() error
 }
 
+// CheckedConn is a connection that knows, without being read, whether it may still be used.
+type CheckedConn interface {
+	Conn
+	// Usable reports whether it is open and has brought nothing since its last response.
+	Usable() bool
+}
+
 // responseRetention is how long the time of a server's last response is kept. It is longer than any attempt takes.
 const responseRetention = time.Minute
 
@@ -125,8 +132,8 @@
 	}
 }
 
-// Remove removes a connection that was closed while idle.
-func (p *Pool) Remove(server balance.ServerID, c Conn) {
+// Remove removes a connection that was closed while idle. It reports whether the connection was idle.
+func (p *Pool) Remove(server balance.ServerID, c Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[server]
@@ -134,9 +141,37 @@
 		if conns[i].Conn == c {
 			p.idle[server] = append(conns[:i], conns[i+1:]...)
 			p.Counters.IdleConnections.Add(-1)
-			return
+			return true
+		}
+	}
+	return false
+}
+
+// CloseUnusable closes idle connections that the server has closed, or over which it has sent what belongs to no request. A server that
+// goes on sending is told so before the connection is wanted again.
+func (p *Pool) CloseUnusable() {
+	for server, conns := range p.checkedConns() {
+		for _, c := range conns {
+			if !c.Usable() && p.Remove(server, c) {
+				c.Close()
+			}
+		}
+	}
+}
+
+// checkedConns returns the idle connections that can be checked.
+func (p *Pool) checkedConns() map[balance.ServerID][]CheckedConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := map[balance.ServerID][]CheckedConn{}
+	for server, conns := range p.idle {
+		for _, c := range conns {
+			if checked, ok := c.Conn.(CheckedConn); ok {
+				all[server] = append(all[server], checked)
+			}
 		}
 	}
+	return all
 }
 
 // RecordResponse records that a server has sent a response.
--- a/internal/exchange/pool_test.go
+++ b/internal/exchange/pool_test.go
@@ -169,6 +169,32 @@
 	}
 }
 
+// Usable implements CheckedConn.
+func (c *testConn) Usable() bool { return !c.broken }
+
+// Idle connections that the server has closed, or over which it goes on sending, are closed before they are wanted again. Others, and those
+// in use, are left alone.
+func TestPoolClosesUnusableConnections(t *testing.T) {
+	counts := &Counters{}
+	p := NewPool(10, time.Second, counts)
+	sound, broken, inUse := openConn(t, p), openConn(t, p), openConn(t, p)
+	p.Put("s", "x", sound, t0)
+	p.Put("s", "x", broken, t0)
+	p.Put("s", "x", inUse, t0)
+	if got := p.TakeIdle("s", "x", false, t0); got != inUse {
+		t.Fatalf("got %v", got)
+	}
+	broken.broken, inUse.broken = true, true
+	p.CloseUnusable()
+	p.CloseUnusable()
+	if sound.closed != 0 || broken.closed != 1 || inUse.closed != 0 {
+		t.Errorf("closed: sound %d, broken %d, in use %d", sound.closed, broken.closed, inUse.closed)
+	}
+	if idle, open := counts.IdleConnections.Load(), counts.ServerConnections.Load(); idle != 1 || open != 2 {
+		t.Errorf("%d connections are counted as idle, %d as open", idle, open)
+	}
+}
+
 // A server that has sent no response since an attempt was sent may have vanished, and its idle connections would stay open without ever
 // answering. A server that has responded since is only slow.
 func TestPoolClosesIdleConnectionsOfSilentServer(t *testing.T) {
