--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -24,6 +24,7 @@
 	"removed-service": removedService,
 	"shared-failure":  sharedFailure,
 	"drained-server":  drainedServer,
+	"encoded-slash":   encodedSlash,
 }
 
 // most is the longest time that a case may take.
