--- a/review/_stand2/drainedserver.go
+++ b/review/_stand2/drainedserver.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	uploads      = 12
+	uploads      = 24
 	uploadBytes  = 20000
 	uploadPause  = 8 * time.Second // of a client in the middle of its body
 	moveAfter    = time.Second     // from the start of the uploads, until the route is moved
@@ -21,6 +21,10 @@
 	serveOn      = 6300 * time.Millisecond
 	lateRunWork  = time.Second // of a request
 	uploadsLimit = "20s"
+
+	formerServers = 7 // of the service that is removed, as in the site
+	newServers    = 2 // of the service to which its route is moved
+	leavingServer = 1 // the second of the former ones
 )
 
 // leaver is a server that leaves: it says closing, serves on, sends DELETE and ends.
@@ -57,7 +61,7 @@
 }
 
 // drainedServer: clients upload slowly. Meanwhile a configuration moves their route to another service and removes the former one, and
-// servers of that one leave. No request may reach a server later than drain after its closing was acknowledged.
+// one of its seven servers leaves. No request may reach a server later than drain after its closing was acknowledged.
 func drainedServer(r *record, trouble bool) (verdict, error) {
 	n, err := startNetwork(r, 3, 2)
 	if n != nil {
@@ -84,16 +88,19 @@
 			r.add(s.id, "has answered %s with 200", x.id)
 		}
 	}
-	for i, service := range []string{"hoja-conteo", "hoja-conteo", "hoja-conteo", "hoja-nueva", "hoja-nueva"} {
-		id := fmt.Sprint("i-", i+1)
-		if i < 2 {
+	for i := range formerServers + newServers {
+		id, service := fmt.Sprint("i-", i+1), "hoja-conteo"
+		if i >= formerServers {
+			service = "hoja-nueva"
+		}
+		if i == leavingServer {
 			leavers[id] = &leaver{}
 		}
 		s, err := n.startServer(id, service, []string{"xela-sala", "toto-sala", "solola-sala"}[i%3], 100+i, 0, work)
 		if err != nil {
 			return verdict{}, err
 		}
-		if i < 2 {
+		if i == leavingServer {
 			leavers[id].server = s
 		}
 	}
--- a/review/_stand2/earlyanswer.go
+++ b/review/_stand2/earlyanswer.go
@@ -18,7 +18,7 @@
 	earlyRequests = 20
 )
 
-// earlyAnswer: servers answer long once_only requests before they have read them, keep the connection and read on later. No request may run
+// earlyAnswer: one of three servers answers long once_only requests before it has read them, keeps the connection and reads on later. No request may run
 // more than once, and none that has run may be answered with 503.
 func earlyAnswer(r *record, trouble bool) (verdict, error) {
 	n, err := startNetwork(r, 3, 2)
@@ -29,7 +29,8 @@
 		return verdict{}, err
 	}
 	work := func(s *server, x *exchange) {
-		if trouble {
+		early := trouble && s.id == "i-1"
+		if early {
 			io.CopyN(io.Discard, x.Body, readFirst)
 		} else {
 			io.Copy(io.Discard, x.Body)
@@ -38,7 +39,7 @@
 		time.Sleep(earlyWork)
 		x.answer(http.StatusOK, map[string]string{"Postmark": s.postmark(x), "Load": "1,0,32"}, "tally taken\n")
 		r.add(s.id, "has answered %s with 200", x.id)
-		if trouble {
+		if early {
 			time.Sleep(readOnAfter)
 		}
 		_, err := io.Copy(io.Discard, x.Body)
@@ -67,7 +68,7 @@
 		clients.Go(func() {
 			answers[i] = n.try(n.edges()[i%len(n.edges())], http.MethodPost, "/volo102/2f", fmt.Sprintf("tally%04d", i+1), body, 2*time.Second)
 		})
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(250 * time.Millisecond)
 	}
 	clients.Wait()
 	time.Sleep(time.Second)
--- a/review/_stand2/sharedfailure.go
+++ b/review/_stand2/sharedfailure.go
@@ -15,6 +15,7 @@
 	objectClients = 6
 	objectWork    = 110 * time.Millisecond
 	greyShare     = 0.45
+	greyFor       = 6500 * time.Millisecond // from the first request on
 )
 
 // sharedFailure: one of four servers fails part of its requests. No client may get the answer that a server gave to another request.
@@ -26,12 +27,13 @@
 	if err != nil {
 		return verdict{}, err
 	}
+	var greyEnds time.Time
 	work := func(s *server, x *exchange) {
 		io.Copy(io.Discard, x.Body)
 		s.run(x)
 		time.Sleep(objectWork)
 		header := map[string]string{"Postmark": s.postmark(x), "Load": "1,0,32"}
-		if trouble && s.id == "i-1" && rand.Float64() < greyShare {
+		if trouble && s.id == "i-1" && time.Now().Before(greyEnds) && rand.Float64() < greyShare {
 			r.add(s.id, "answers %s with 500, postmark %q", x.id, s.postmark(x))
 			x.answer(http.StatusInternalServerError, header, "failed\n")
 			return
@@ -52,6 +54,7 @@
 		return verdict{}, err
 	}
 	time.Sleep(4 * time.Second) // more than contact
+	greyEnds = time.Now().Add(greyFor)
 	foreign, failures := 0, 0
 	for round := range objectRounds {
 		var clients sync.WaitGroup
